Add the design, the shared contracts and the platform package

Cause: the daemons need one set of messages, result codes, configuration schema, timers, RPC and kernel before they can be written side by side.

--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './admission-policy.js';
--- /dev/null
+++ b/packages/core/src/codes/index.ts
@@ -0,0 +1,1 @@
+export * from './result-codes.js';
--- /dev/null
+++ b/packages/core/src/config/index.ts
@@ -0,0 +1,2 @@
+export * from './snapshot.js';
+export * from './text-schema.js';
--- /dev/null
+++ b/packages/core/src/idempotency/index.ts
@@ -0,0 +1,1 @@
+export * from './idempotency-key.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,13 @@
+/** Pure logic of the gateway. */
+export * from './admission/index.js';
+export * from './codes/index.js';
+export * from './config/index.js';
+export * from './idempotency/index.js';
+export * from './membership/index.js';
+export * from './messages/index.js';
+export * from './orders/index.js';
+export * from './random-source.js';
+export * from './rendezvous.js';
+export * from './residency/index.js';
+export * from './retries/index.js';
+export * from './routing/index.js';
--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './membership-timing.js';
--- /dev/null
+++ b/packages/core/src/messages/index.ts
@@ -0,0 +1,1 @@
+export * from './messages.js';
--- /dev/null
+++ b/packages/core/src/orders/index.ts
@@ -0,0 +1,1 @@
+export * from './fencing.js';
--- /dev/null
+++ b/packages/core/src/residency/index.ts
@@ -0,0 +1,1 @@
+export * from './allowed-regions.js';
--- /dev/null
+++ b/packages/core/src/retries/index.ts
@@ -0,0 +1,1 @@
+export * from './retry-budget.js';
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,1 @@
+export * from './routing-policy.js';
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder. */
+export const PACKAGE_NAME = 'entry';
--- /dev/null
+++ b/packages/platform/src/logs/logger.ts
@@ -0,0 +1,119 @@
+/** Structured logs: JSON lines, or a readable form on a terminal. */
+import { Logger as TsLogger } from 'tslog';
+
+export const LogLevel = { Debug: 'debug', Info: 'info', Warn: 'warn', Error: 'error' } as const;
+export type LogLevel = (typeof LogLevel)[keyof typeof LogLevel];
+
+export const LogFormat = { Json: 'json', Pretty: 'pretty' } as const;
+export type LogFormat = (typeof LogFormat)[keyof typeof LogFormat];
+
+/** Fields that go with a log line. Never a request body, an API key or a customer's data. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+export interface Logger {
+  debug(message: string, fields?: LogFields): void;
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+  /** A logger whose lines start with `[prefix] `. */
+  child(prefix: string): Logger;
+}
+
+export interface LoggerOptions {
+  readonly level: LogLevel;
+  readonly format: LogFormat;
+  /** Name of the process, in each line. */
+  readonly name: string;
+}
+
+const TSLOG_LEVELS: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
+
+/**
+ * Creates the logger of a process.
+ *
+ * @example createLogger({ level: 'info', format: 'json', name: 'entry' }).child('dispatch')
+ */
+export function createLogger(options: LoggerOptions): Logger {
+  const backend = new TsLogger<LogFields>({
+    name: options.name,
+    type: 'hidden',
+    minLevel: TSLOG_LEVELS[options.level],
+  });
+  backend.attachTransport((record) => {
+    // eslint-disable-next-line no-underscore-dangle
+    const meta = record._meta as unknown as { date: Date; logLevelName: string };
+    const { 0: message, 1: fields } = record as unknown as { 0: string; 1?: LogFields };
+    const level = meta.logLevelName.toLowerCase();
+    const line =
+      options.format === LogFormat.Json
+        ? JSON.stringify({
+            time: meta.date.toISOString(),
+            level,
+            name: options.name,
+            message,
+            ...printable(fields),
+          })
+        : `${meta.date.toISOString()} ${level.padEnd(5)} ${options.name} ${message}${readable(fields)}`;
+    process.stderr.write(`${line}\n`);
+  });
+  return new PrefixedLogger(backend, '');
+}
+
+/** A logger that writes nothing, for tests. */
+export function silentLogger(): Logger {
+  const nothing = (): void => {};
+  const logger: Logger = {
+    debug: nothing,
+    info: nothing,
+    warn: nothing,
+    error: nothing,
+    child: () => logger,
+  };
+  return logger;
+}
+
+class PrefixedLogger implements Logger {
+  constructor(
+    private readonly backend: TsLogger<LogFields>,
+    private readonly prefix: string,
+  ) {}
+
+  debug(message: string, fields?: LogFields): void {
+    this.backend.debug(...this.args(message, fields));
+  }
+
+  info(message: string, fields?: LogFields): void {
+    this.backend.info(...this.args(message, fields));
+  }
+
+  warn(message: string, fields?: LogFields): void {
+    this.backend.warn(...this.args(message, fields));
+  }
+
+  error(message: string, fields?: LogFields): void {
+    this.backend.error(...this.args(message, fields));
+  }
+
+  child(prefix: string): Logger {
+    return new PrefixedLogger(this.backend, `[${prefix}] `);
+  }
+
+  private args(message: string, fields: LogFields | undefined): [string, LogFields] {
+    return [`${this.prefix}${message}`, printable(fields)];
+  }
+}
+
+function printable(fields: LogFields | undefined): LogFields {
+  return Object.fromEntries(
+    Object.entries(fields ?? {}).map(([key, value]) => [
+      key,
+      value instanceof Error ? value.message : value,
+    ]),
+  );
+}
+
+function readable(fields: LogFields | undefined): string {
+  return Object.entries(fields ?? {})
+    .map(([key, value]) => ` ${key}=${JSON.stringify(value)}`)
+    .join('');
+}
--- /dev/null
+++ b/packages/platform/src/metrics/metrics.ts
@@ -0,0 +1,53 @@
+/** Prometheus metrics of a process. */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+
+/** Label value for customers without metrics of their own. */
+export const OTHER_CUSTOMERS = 'other';
+
+const METRIC_PREFIX = 'marjoramcart_';
+
+export class Metrics {
+  readonly registry = new Registry();
+
+  constructor(labels: Readonly<Record<string, string>> = {}) {
+    this.registry.setDefaultLabels(labels);
+    collectDefaultMetrics({ register: this.registry, prefix: METRIC_PREFIX });
+  }
+
+  counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[] = [],
+  ): Counter<Label> {
+    return new Counter({
+      name: METRIC_PREFIX + name,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  gauge<Label extends string>(name: string, help: string, labelNames: Label[] = []): Gauge<Label> {
+    return new Gauge({ name: METRIC_PREFIX + name, help, labelNames, registers: [this.registry] });
+  }
+
+  histogram<Label extends string>(
+    name: string,
+    help: string,
+    buckets: number[],
+    labelNames: Label[] = [],
+  ): Histogram<Label> {
+    return new Histogram({
+      name: METRIC_PREFIX + name,
+      help,
+      buckets,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  /** All metrics in the Prometheus text format. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/platform/src/rpc/authentication.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MessageAuthenticator } from './authentication.js';
+
+const message = { path: '/rpc', sender: 'boot-1', content: '{}' };
+
+test('a signed message is accepted once and refused when replayed', () => {
+  // Guards against a recorded message being sent again by someone without the secret.
+  const auth = new MessageAuthenticator('a-shared-fleet-secret', () => 1000);
+  const header = auth.sign(message);
+  assert.deepEqual(auth.verify(header, message), { kind: 'accepted' });
+  assert.deepEqual(auth.verify(header, message), {
+    kind: 'refused',
+    failure: { kind: 'replayed' },
+  });
+});
+
+test('a message with another body, secret or time is refused', () => {
+  const auth = new MessageAuthenticator('a-shared-fleet-secret', () => 100_000);
+  const other = new MessageAuthenticator('another-fleet-secret-', () => 100_000);
+  const late = new MessageAuthenticator('a-shared-fleet-secret', () => 10_000);
+  const kindOf = (header: string, content: string): string => {
+    const result = auth.verify(header, { ...message, content });
+    return result.kind === 'refused' ? result.failure.kind : result.kind;
+  };
+  assert.equal(kindOf(auth.sign(message), '{"x":1}'), 'wrong-signature');
+  assert.equal(kindOf(other.sign(message), '{}'), 'wrong-signature');
+  assert.equal(kindOf(late.sign(message), '{}'), 'skew');
+});
--- /dev/null
+++ b/packages/platform/src/rpc/rpc-client.ts
@@ -0,0 +1,109 @@
+/** Client of the JSON-RPC messages between daemons. */
+import http from 'node:http';
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { RpcMethod, RpcMethods } from '@marjoramcart/core';
+import { AUTH_HEADER, SENDER_HEADER, type MessageAuthenticator } from './authentication.js';
+import { RPC_PATH } from './rpc-server.js';
+
+/** Why a call brought no result. The other side may have handled the message. */
+export type RpcError =
+  | { readonly kind: 'unreachable'; readonly message: string }
+  | { readonly kind: 'timeout'; readonly timeoutMs: number }
+  | { readonly kind: 'refused'; readonly status: number }
+  | { readonly kind: 'failed'; readonly message: string };
+
+export type RpcResult<Value> =
+  | { readonly kind: 'ok'; readonly value: Value }
+  | { readonly kind: 'error'; readonly error: RpcError };
+
+const DEFAULT_TIMEOUT_MS = 2000;
+
+export class RpcClient {
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 8 });
+
+  private bytes = { received: 0, sent: 0 };
+
+  /**
+   * @param auth signs the messages
+   * @param sender boot id of this process
+   * @param dialMap address to dial in place of a daemon's own address
+   */
+  constructor(
+    private readonly auth: MessageAuthenticator,
+    private readonly sender: string,
+    private readonly dialMap: Readonly<Record<string, string>> = {},
+  ) {}
+
+  /** Bytes of message bodies since the start. */
+  get traffic(): Readonly<{ received: number; sent: number }> {
+    return this.bytes;
+  }
+
+  /**
+   * Calls a method of the daemon at `address` (`ip:port`).
+   *
+   * @example await client.call('10.0.0.1:7001', 'vms.fetch', { from, version: 0 })
+   */
+  async call<Method extends RpcMethod>(
+    address: string,
+    method: Method,
+    params: RpcMethods[Method]['params'],
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+  ): Promise<RpcResult<RpcMethods[Method]['result']>> {
+    const failure: { error?: RpcError } = {};
+    const client = new JSONRPCClient(async (payload) => {
+      const outcome = await this.post(address, JSON.stringify(payload), timeoutMs);
+      if (outcome.kind === 'ok') client.receive(JSON.parse(outcome.value) as never);
+      else {
+        failure.error = outcome.error;
+        throw new Error(outcome.error.kind);
+      }
+    });
+    try {
+      const value = (await client.request(method, params)) as RpcMethods[Method]['result'];
+      return { kind: 'ok', value };
+    } catch (err) {
+      const message = err instanceof Error ? err.message : String(err);
+      return { kind: 'error', error: failure.error ?? { kind: 'failed', message } };
+    }
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private post(address: string, body: string, timeoutMs: number): Promise<RpcResult<string>> {
+    const [host, port] = (this.dialMap[address] ?? address).split(':');
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      [SENDER_HEADER]: this.sender,
+      [AUTH_HEADER]: this.auth.sign({ path: RPC_PATH, sender: this.sender, content: body }),
+    };
+    this.bytes.sent += Buffer.byteLength(body);
+    return new Promise((resolve) => {
+      const fail = (error: RpcError): void => resolve({ kind: 'error', error });
+      const req = http.request(
+        { host, port, path: RPC_PATH, method: 'POST', headers, agent: this.agent },
+        (res) => {
+          const chunks: Buffer[] = [];
+          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          res.on('error', (err) => fail({ kind: 'unreachable', message: err.message }));
+          res.on('end', () => {
+            const text = Buffer.concat(chunks).toString('utf8');
+            this.bytes.received += text.length;
+            if (res.statusCode === 200) resolve({ kind: 'ok', value: text });
+            else fail({ kind: 'refused', status: res.statusCode ?? 0 });
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        fail({ kind: 'timeout', timeoutMs });
+        req.destroy();
+      }, timeoutMs);
+      req.on('error', (err) => fail({ kind: 'unreachable', message: err.message }));
+      req.on('close', () => clearTimeout(timer));
+      req.end(body);
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/rpc/rpc-server.ts
@@ -0,0 +1,75 @@
+/** JSON-RPC 2.0 over HTTP POST `/rpc`, authenticated; used between daemons. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { JSONRPCServer } from 'json-rpc-2.0';
+import type { RpcMethod, RpcMethods } from '@marjoramcart/core';
+import { readBody } from '../http/body.js';
+import type { Logger } from '../logs/logger.js';
+import { AUTH_HEADER, SENDER_HEADER, type MessageAuthenticator } from './authentication.js';
+
+export const RPC_PATH = '/rpc';
+
+/** Largest message; a first configuration with 25,000 customers is about 5 MB. */
+const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+const BODY_TIMEOUT_MS = 5000;
+
+export class RpcServer {
+  private readonly server = new JSONRPCServer();
+
+  private refusedCount = 0;
+
+  private bytes = { received: 0, sent: 0 };
+
+  constructor(
+    private readonly auth: MessageAuthenticator,
+    private readonly log: Logger,
+  ) {}
+
+  /** Messages refused because they were not authenticated. */
+  get refused(): number {
+    return this.refusedCount;
+  }
+
+  /** Bytes of message bodies since the start. */
+  get traffic(): Readonly<{ received: number; sent: number }> {
+    return this.bytes;
+  }
+
+  /** Adds a method. */
+  method<Method extends RpcMethod>(
+    name: Method,
+    handler: (
+      params: RpcMethods[Method]['params'],
+    ) => RpcMethods[Method]['result'] | Promise<RpcMethods[Method]['result']>,
+  ): void {
+    this.server.addMethod(name, handler);
+  }
+
+  /** Handles a request for `/rpc`. */
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req, { maxBytes: MAX_MESSAGE_BYTES, timeoutMs: BODY_TIMEOUT_MS });
+    if (body.kind !== 'complete') {
+      res.writeHead(400, { connection: 'close' }).end();
+      return;
+    }
+    const sender = String(req.headers[SENDER_HEADER] ?? '');
+    const result = this.auth.verify(req.headers[AUTH_HEADER] as string | undefined, {
+      path: RPC_PATH,
+      sender,
+      content: body.data,
+    });
+    if (result.kind === 'refused') {
+      this.refusedCount += 1;
+      this.log.warn('message refused: not authenticated', {
+        reason: result.failure.kind,
+        from: req.socket.remoteAddress,
+      });
+      res.writeHead(401, { connection: 'close' }).end();
+      return;
+    }
+    this.bytes.received += body.data.length;
+    const answer = await this.server.receiveJSON(body.data.toString('utf8'));
+    const text = JSON.stringify(answer ?? null);
+    this.bytes.sent += Buffer.byteLength(text);
+    res.writeHead(200, { 'content-type': 'application/json' }).end(text);
+  }
+}
