--- a/packages/core/src/idempotency/index.ts
+++ b/packages/core/src/idempotency/index.ts
@@ -1,1 +1,2 @@
 export * from './idempotency-key.js';
+export * from './key-table.js';
--- a/packages/core/src/residency/index.ts
+++ b/packages/core/src/residency/index.ts
@@ -1,1 +1,2 @@
 export * from './allowed-regions.js';
+export * from './forward-path.js';
--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -1,1 +1,2 @@
 export * from './retry-budget.js';
+export * from './suspect-table.js';
--- /dev/null
+++ b/packages/entry/src/callers/caller-task.ts
@@ -0,0 +1,199 @@
+/** Listener for callers: routes requests and answers rejections. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { ResultCodes, type ResultCode } from '@marjoramcart/core';
+import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/platform';
+import type { EntryMetrics } from '../metrics/entry-metrics.js';
+import { Answer, errorBody, type HeaderFields } from '../relay/answer.js';
+import { rejected, type Rejection } from '../request/call.js';
+import type { CallRunner } from '../request/runner.js';
+import type { EntryState } from '../state/entry-state.js';
+import type { SyncTask } from '../sync/sync-task.js';
+import { CHAT_PATH, parseChatCall, parsePlainCall, type ParseResult } from './call-parser.js';
+import { customerRegions, identify, listEntries } from './identity.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 5000;
+/** Time between the notice in entry lists and the close of idle connections. */
+export const DRAIN_NOTICE_MS = 1000;
+
+export interface CallerTaskOptions {
+  readonly address: string;
+  readonly state: EntryState;
+  readonly timers: TimerService;
+  readonly runner: CallRunner;
+  readonly sync: SyncTask;
+  readonly metrics: EntryMetrics;
+  readonly log: Logger;
+  readonly drainNoticeMs?: number;
+}
+
+export class CallerTask implements Task {
+  readonly name = 'callers';
+
+  private readonly listener: HttpListener;
+
+  constructor(private readonly options: CallerTaskOptions) {
+    this.listener = new HttpListener({
+      address: options.address,
+      handler: (req, res) => this.handle(req, res),
+      onError: (err) => options.log.error('request failed', { err }),
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      headersTimeoutMs: HEADERS_TIMEOUT_MS,
+      onClientError: (err, socket) => this.onClientError(err, socket),
+    });
+  }
+
+  get address(): string {
+    return this.listener.address;
+  }
+
+  start(): Promise<void> {
+    return this.listener.listen();
+  }
+
+  /** Leaves the entry lists first, then closes idle connections and waits for the open requests. */
+  async stop(): Promise<void> {
+    const { state, sync, timers, drainNoticeMs = DRAIN_NOTICE_MS, log, runner } = this.options;
+    state.draining = true;
+    this.listener.announceClose();
+    void sync.sync();
+    log.info('draining', { open: runner.openCalls });
+    await new Promise<void>((resolve) => {
+      timers.after(drainNoticeMs, resolve);
+    });
+    await this.listener.close();
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { state, timers, sync } = this.options;
+    const arrivedAt = timers.now();
+    const seen = req.headers['marjoramcart-revision'];
+    if (typeof seen === 'string') await sync.onHint(Number(seen));
+    const { config } = state;
+    if (!config) {
+      this.reject(req, res, rejected(ResultCodes.EntryNotReady, { close: true }));
+      return;
+    }
+    const identity = identify(config, req.headers);
+    if (identity.kind === 'rejected') {
+      this.reject(req, res, { ...identity, close: true });
+      return;
+    }
+    const { customer } = identity;
+    const [path = ''] = (req.url ?? '').split('?');
+    const head = { req, config, customer, arrivedAt };
+    const route = routeOf(path, req.method ?? '');
+    switch (route) {
+      case 'chat':
+        await this.run(req, res, await parseChatCall(this.options, head));
+        return;
+      case 'plain':
+        await this.run(req, res, await parsePlainCall(this.options, head));
+        return;
+      case 'entries': {
+        const allowed = customerRegions(config, customer);
+        const entries = listEntries(allowed, state.self, config, state.view);
+        this.json(res, { entries, revision: state.revision });
+        return;
+      }
+      case 'models': {
+        const names = Object.keys(config.services).filter(
+          (name) =>
+            config.services[name]?.kind === 'model' && (customer.services?.includes(name) ?? true),
+        );
+        this.json(res, { object: 'list', data: names.map((id) => ({ id, object: 'model' })) });
+        return;
+      }
+      default:
+        this.reject(req, res, rejected(route, { close: true }));
+    }
+  }
+
+  private async run(req: IncomingMessage, res: ServerResponse, parsed: ParseResult): Promise<void> {
+    if (parsed.kind === 'aborted') {
+      res.destroy();
+      return;
+    }
+    if (parsed.kind === 'rejected') {
+      this.reject(req, res, parsed);
+      return;
+    }
+    const { call } = parsed;
+    // A keyed call runs to its end, so that a re-send finds the outcome.
+    const answer = new Answer(res, {
+      common: () => this.commonHeaders(),
+      record: call.key !== undefined,
+    });
+    await this.options.runner.run(call, answer);
+  }
+
+  private reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
+    const { code, detail, fields, close } = rejection;
+    const answer = new Answer(res, { common: () => this.commonHeaders(), record: false });
+    answer.fail(
+      { code, run: code.run, attempts: 0 },
+      { fields: { ...(detail === undefined ? {} : { detail }), ...fields }, close },
+    );
+    this.options.metrics.onResult(code.code, code.run);
+    // The rest of the body is never read.
+    if (close && !req.complete) res.once('finish', () => req.socket.destroySoon());
+  }
+
+  private json(res: ServerResponse, value: unknown): void {
+    res
+      .writeHead(200, { 'content-type': 'application/json', ...this.commonHeaders() })
+      .end(JSON.stringify(value));
+  }
+
+  private commonHeaders(): HeaderFields {
+    const { state } = this.options;
+    return {
+      'marjoramcart-revision': String(state.revision),
+      'marjoramcart-entry': state.self.bootId,
+      'marjoramcart-region': state.self.region,
+    };
+  }
+
+  /** Answers messages that are no valid HTTP, or whose headers are too large or too slow. */
+  private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+    const { bytesWritten } = socket;
+    // After bytes of an answer an error text would become part of it.
+    if (!socket.writable || bytesWritten > 0 || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const code = clientErrorCode(err.code);
+    const text = errorBody({ code, run: code.run });
+    const lines = [
+      `HTTP/1.1 ${code.status} ${code.name}`,
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(text)}`,
+      `marjoramcart-code: ${code.code}`,
+      `marjoramcart-run: ${code.run}`,
+      'connection: close',
+    ];
+    socket.end(`${lines.join('\r\n')}\r\n\r\n${text}`);
+    this.options.metrics.onResult(code.code, code.run);
+  }
+}
+
+type Route = 'chat' | 'plain' | 'entries' | 'models';
+
+function routeOf(path: string, method: string): Route | ResultCode {
+  if (path.startsWith('/svc/')) return 'plain';
+  const routes: Readonly<Record<string, { method: string; route: Route }>> = {
+    [CHAT_PATH]: { method: 'POST', route: 'chat' },
+    '/v1/entries': { method: 'GET', route: 'entries' },
+    '/v1/models': { method: 'GET', route: 'models' },
+  };
+  const found = Object.hasOwn(routes, path) ? routes[path] : undefined;
+  if (!found) return ResultCodes.NoSuchPath;
+  return found.method === method ? found.route : ResultCodes.MethodNotAllowed;
+}
+
+function clientErrorCode(code: string | undefined): ResultCode {
+  if (code === 'HPE_HEADER_OVERFLOW') return ResultCodes.HeadersTooLarge;
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return ResultCodes.SenderTooSlow;
+  return ResultCodes.InvalidRequest;
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -0,0 +1,190 @@
+/** One attempt to run a call on a target: send, relay the answer, resume a broken stream. */
+import type { IncomingMessage } from 'node:http';
+import type { TargetState } from '@marjoramcart/core';
+import type { TimerService } from '@marjoramcart/platform';
+import { completeMeta, type Answer } from '../relay/answer.js';
+import { passedOnHeaders, readWhole, relayStream, type RelayResult } from '../relay/relay.js';
+import { SseFrames } from '../relay/sse-frames.js';
+import type { Call } from '../request/call.js';
+import type { Connections } from './connection.js';
+
+const MAX_RESUMES = 3;
+const RESUME_DELAY_MS = 50;
+const CANCEL_TIMEOUT_MS = 2000;
+
+/** How an attempt ended. Only `complete` and `error-passed-on` have ended the answer. */
+export type AttemptEnd =
+  | { readonly kind: 'complete'; readonly status: number }
+  | { readonly kind: 'error-passed-on' }
+  | { readonly kind: 'vetoed' }
+  | { readonly kind: 'not-sent'; readonly message: string }
+  /** The target answered that it takes no work now. */
+  | { readonly kind: 'busy'; readonly status: number }
+  | { readonly kind: 'broken'; readonly reused: boolean; readonly message: string }
+  | { readonly kind: 'too-large' };
+
+export interface AttemptOptions {
+  readonly call: Call;
+  readonly target: TargetState;
+  readonly answer: Answer;
+  readonly attempts: number;
+  readonly signal: AbortSignal;
+  readonly mayWrite: () => boolean;
+  readonly onEvents: () => void;
+}
+
+const BUSY_STATUSES = new Set([429, 502, 503]);
+
+export class TargetExchange {
+  constructor(
+    private readonly connections: Connections,
+    private readonly timers: TimerService,
+  ) {}
+
+  async run(options: AttemptOptions): Promise<AttemptEnd> {
+    const { call, target, signal } = options;
+    const sent = await this.connections.send(
+      {
+        address: this.connections.dial(target.address),
+        method: call.method,
+        path: call.path,
+        headers: this.headers(call),
+        body: call.body,
+        newConnection: !call.repeatable,
+      },
+      options.mayWrite,
+      signal,
+    );
+    if (sent.kind === 'vetoed') return sent;
+    if (sent.kind === 'failed') {
+      return sent.sent
+        ? { kind: 'broken', reused: sent.reused, message: sent.message }
+        : { kind: 'not-sent', message: sent.message };
+    }
+    const { res } = sent;
+    return isEventStream(res) ? this.stream(res, options) : this.whole(res, options);
+  }
+
+  private headers(call: Call): Record<string, string> {
+    const remainingMs = Math.max(1, Math.round(call.deadlineAt - this.timers.now()));
+    return {
+      ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }),
+      accept: call.stream ? 'text/event-stream' : '*/*',
+      'marjoramcart-customer': call.customer.id,
+      'marjoramcart-deadline-ms': String(remainingMs),
+      ...(call.key ? { 'idempotency-key': call.key.text } : {}),
+    };
+  }
+
+  private async whole(res: IncomingMessage, options: AttemptOptions): Promise<AttemptEnd> {
+    const { answer, call, target, attempts } = options;
+    const status = res.statusCode ?? 502;
+    const body = await readWhole(res);
+    if (body.kind === 'too-large') return body;
+    if (body.kind === 'truncated') return { kind: 'broken', reused: false, message: body.message };
+    if (call.repeatable && BUSY_STATUSES.has(status)) return { kind: 'busy', status };
+    options.onEvents();
+    answer.send(status, passedOnHeaders(res.headers), body.body, completeMeta(target.vm, attempts));
+    return { kind: 'complete', status };
+  }
+
+  private async stream(res: IncomingMessage, options: AttemptOptions): Promise<AttemptEnd> {
+    const { answer, target, signal } = options;
+    const frames = new SseFrames();
+    const ctx = {
+      answer,
+      frames,
+      target: target.vm,
+      attempts: options.attempts,
+      onEvents: options.onEvents,
+    };
+    const streamId = headerText(res, 'stream-id');
+    const first = await relayStream(res, ctx);
+    const last =
+      first.kind === 'truncated' && streamId !== undefined
+        ? await this.resume(streamId, options, ctx, MAX_RESUMES, first)
+        : first;
+    if (last.kind !== 'complete' && signal.aborted && streamId !== undefined) {
+      void this.cancel(target.address, streamId);
+    }
+    if (last.kind === 'complete') {
+      answer.end();
+      return { kind: 'complete', status: 200 };
+    }
+    if (last.kind === 'error-passed-on') {
+      answer.cut();
+      return last;
+    }
+    if (last.kind === 'too-large') return last;
+    return { kind: 'broken', reused: false, message: last.message };
+  }
+
+  /** Continues a broken stream on the same target, after the last event that was passed on. */
+  private async resume(
+    streamId: string,
+    options: AttemptOptions,
+    ctx: Parameters<typeof relayStream>[1],
+    left: number,
+    broken: RelayResult,
+  ): Promise<RelayResult> {
+    const { signal, target } = options;
+    if (
+      left === 0 ||
+      signal.aborted ||
+      (ctx.frames.events > 0 && ctx.frames.lastId === undefined)
+    ) {
+      return broken;
+    }
+    ctx.frames.reset();
+    const sent = await this.connections.send(
+      {
+        address: this.connections.dial(target.address),
+        method: 'GET',
+        path: `/v1/streams/${encodeURIComponent(streamId)}`,
+        headers: { 'last-event-id': String(ctx.frames.lastId ?? 0), accept: 'text/event-stream' },
+        body: Buffer.alloc(0),
+        newConnection: true,
+      },
+      () => true,
+      signal,
+    );
+    if (sent.kind !== 'answer') return broken;
+    if (sent.res.statusCode !== 200 || !isEventStream(sent.res)) {
+      sent.res.resume();
+      return broken;
+    }
+    const result = await relayStream(sent.res, ctx);
+    if (result.kind !== 'truncated') return result;
+    await new Promise<void>((resolve) => {
+      this.timers.after(RESUME_DELAY_MS, resolve);
+    });
+    return this.resume(streamId, options, ctx, left - 1, result);
+  }
+
+  private async cancel(address: string, streamId: string): Promise<void> {
+    const sent = await this.connections.send(
+      {
+        address: this.connections.dial(address),
+        method: 'DELETE',
+        path: `/v1/streams/${encodeURIComponent(streamId)}`,
+        headers: {},
+        body: Buffer.alloc(0),
+        newConnection: false,
+      },
+      () => true,
+      AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+    );
+    if (sent.kind === 'answer') sent.res.on('error', () => undefined).resume();
+  }
+}
+
+function isEventStream(res: IncomingMessage): boolean {
+  return (
+    res.statusCode === 200 && (res.headers['content-type'] ?? '').startsWith('text/event-stream')
+  );
+}
+
+function headerText(res: IncomingMessage, name: string): string | undefined {
+  const value = res.headers[name];
+  return typeof value === 'string' && value !== '' ? value : undefined;
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/death-probe.ts
@@ -0,0 +1,46 @@
+/** Finds out whether a target whose connection broke has died or been restarted. */
+import { z } from 'zod';
+import { readWhole } from '../relay/relay.js';
+import type { Connections } from './connection.js';
+
+const PROBE_TIMEOUT_MS = 1000;
+const loadSchema = z.object({ sequence: z.number() });
+
+/** `unreachable`: no answer in time, as in a partition; it is no evidence of a death. */
+export type TargetVerdict = 'alive' | 'died' | 'unreachable';
+
+export class DeathProbe {
+  constructor(private readonly connections: Connections) {}
+
+  /** Asks for the load report; a refused connection or a restarted sequence means a death. */
+  async judge(address: string, sequenceBefore: number): Promise<TargetVerdict> {
+    const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+    const sent = await this.connections.send(
+      {
+        address: this.connections.dial(address),
+        method: 'GET',
+        path: '/load',
+        headers: {},
+        body: Buffer.alloc(0),
+        newConnection: true,
+      },
+      () => true,
+      signal,
+    );
+    if (sent.kind === 'vetoed') return 'unreachable';
+    if (sent.kind === 'failed')
+      return /ECONNREFUSED|ECONNRESET/.test(sent.message) ? 'died' : 'unreachable';
+    const body = await readWhole(sent.res);
+    if (body.kind !== 'complete') return 'unreachable';
+    const load = loadSchema.safeParse(parseJson(body.body.toString('utf8')));
+    return load.success && load.data.sequence < sequenceBefore ? 'died' : 'alive';
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/housekeeping-task.ts
@@ -0,0 +1,45 @@
+/** Regular work on shared tables, and the release of outgoing connections at the end. */
+import type { KeyTable, SuspectTable } from '@marjoramcart/core';
+import type { RpcClient, Task, TimerService, Unsubscribe } from '@marjoramcart/platform';
+import type { AdmissionGate } from '../admission/admission-gate.js';
+import type { RecordedAnswer } from '../relay/answer.js';
+import type { Connections } from './connection.js';
+
+const ADMISSION_INTERVAL_MS = 50;
+const EXPIRY_INTERVAL_MS = 1000;
+
+export interface HousekeepingOptions {
+  readonly timers: TimerService;
+  readonly keys: KeyTable<RecordedAnswer>;
+  readonly gate: AdmissionGate;
+  readonly suspects: SuspectTable;
+  readonly rpc: RpcClient;
+  readonly connections: Connections;
+}
+
+export class HousekeepingTask implements Task {
+  readonly name = 'housekeeping';
+
+  private readonly subscriptions: Unsubscribe[] = [];
+
+  constructor(private readonly options: HousekeepingOptions) {}
+
+  start(): Promise<void> {
+    const { timers, keys, gate, suspects } = this.options;
+    this.subscriptions.push(
+      timers.every(ADMISSION_INTERVAL_MS, () => gate.tick()),
+      timers.every(EXPIRY_INTERVAL_MS, () => {
+        keys.expire(timers.wall());
+        suspects.expire(timers.now());
+      }),
+    );
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.subscriptions.forEach((unsubscribe) => unsubscribe());
+    this.options.rpc.close();
+    this.options.connections.close();
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entry-daemon.ts
@@ -0,0 +1,198 @@
+/** Assembles the entry daemon from its settings. */
+import {
+  KeyTable,
+  RetryBudget,
+  SuspectTable,
+  allowedRegions,
+  hashText,
+  seededRandom,
+  type ProcessRef,
+} from '@marjoramcart/core';
+import {
+  MessageAuthenticator,
+  RpcClient,
+  makeBootId,
+  type EntrySettings,
+  type Logger,
+  type Metrics,
+  type Task,
+  type TimerService,
+} from '@marjoramcart/platform';
+import { AdminTask } from './admin/admin-task.js';
+import { AdmissionGate } from './admission/admission-gate.js';
+import { CustomerLimits } from './admission/customer-limits.js';
+import { CallerTask } from './callers/caller-task.js';
+import { TargetExchange } from './dispatch/attempt.js';
+import { Connections } from './dispatch/connection.js';
+import { DeathProbe } from './dispatch/death-probe.js';
+import { Dispatcher } from './dispatch/dispatcher.js';
+import { SuspectLane } from './dispatch/suspect-lane.js';
+import { HousekeepingTask } from './dispatch/housekeeping-task.js';
+import { ForwardExchange } from './forward/forward-exchange.js';
+import { PeerTask } from './forward/peer-task.js';
+import { EntryMetrics } from './metrics/entry-metrics.js';
+import { createAdmission, createDomainPolicy, createTargetPolicy } from './plugins.js';
+import type { RecordedAnswer } from './relay/answer.js';
+import { OpenCalls } from './request/open-calls.js';
+import { CallRunner } from './request/runner.js';
+import { DomainChooser } from './routing/domain-chooser.js';
+import { TargetTable } from './routing/target-table.js';
+import { EntryState } from './state/entry-state.js';
+import { SyncTask } from './sync/sync-task.js';
+
+const MAX_KEYS = 100_000;
+const MAX_KEY_BYTES = 32 * 1024 * 1024;
+const DEFAULT_RETRY_SHARE = 0.1;
+const SEED_DIGITS = 8;
+
+export interface EntryDeps {
+  readonly timers: TimerService;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly drainNoticeMs?: number;
+  /** Announces a pause that the timer service has not noticed yet. */
+  readonly checkPause?: () => void;
+}
+
+export interface EntryDaemon {
+  readonly bootId: string;
+  readonly state: EntryState;
+  readonly callers: CallerTask;
+  readonly peers: PeerTask;
+  readonly admin: AdminTask;
+  /** In the order in which they start. */
+  readonly tasks: readonly Task[];
+}
+
+/**
+ * Assembles the daemon; its tasks are not started.
+ *
+ * @example createEntry(settings, deps).tasks.forEach((task) => kernel.add(task))
+ */
+export function createEntry(settings: EntrySettings, deps: EntryDeps): EntryDaemon {
+  const { timers, log, metrics } = deps;
+  const now = (): number => timers.now();
+  const bootId = makeBootId(timers.wall());
+  const self: ProcessRef = {
+    bootId,
+    role: 'entry',
+    vm: settings.vm,
+    region: settings.region,
+    failureDomain: settings.failure_domain,
+    peerAddress: settings.listen.peers,
+    callerAddress: settings.listen.callers,
+  };
+  const random = seededRandom(
+    settings.seed ?? Number.parseInt(hashText(bootId).slice(0, SEED_DIGITS), 16),
+  );
+  const state = new EntryState(self, timers);
+  const auth = new MessageAuthenticator(settings.fleet_secret, () => timers.wall());
+  const rpc = new RpcClient(auth, bootId, settings.dial_map);
+  const connections = new Connections(settings.dial_map);
+  const targets = new TargetTable(state, now);
+  const suspects = new SuspectTable();
+  const keys = new KeyTable<RecordedAnswer>({ maxKeys: MAX_KEYS, maxBytes: MAX_KEY_BYTES });
+  const entryMetrics = new EntryMetrics(metrics);
+  const gate = new AdmissionGate(state, timers, (window) =>
+    createAdmission(settings.policies.fairness, window),
+  );
+  const forwards = new ForwardExchange({
+    self,
+    connections,
+    auth,
+    rpc,
+    timers,
+    revision: () => state.revision,
+    allowedRegions: (call) =>
+      state.config ? allowedRegions(state.config, call.customer, call.config) : [],
+  });
+  const open = new OpenCalls();
+  const sync = new SyncTask({
+    control: settings.control,
+    state,
+    rpc,
+    timers,
+    log: log.child('sync'),
+    reports: {
+      load: () => ({
+        openRequests: open.count,
+        queued: gate.queued,
+        draining: state.draining,
+      }),
+      takeObservations: () => targets.takeObservations(),
+      suspects: () => suspects.own(timers.now()),
+      learnSuspects: (records) => suspects.learn(records, timers.now()),
+    },
+  });
+  const dispatcher = new Dispatcher({
+    targets,
+    targetPolicy: createTargetPolicy(settings.policies.target),
+    domains: new DomainChooser({
+      self,
+      state,
+      targets,
+      policy: createDomainPolicy(settings.policies.domain),
+      random,
+    }),
+    exchange: new TargetExchange(connections, timers),
+    forwards,
+    probe: new DeathProbe(connections),
+    suspects,
+    lane: new SuspectLane(targets, timers),
+    budget: new RetryBudget(DEFAULT_RETRY_SHARE, timers.now()),
+    random,
+    timers,
+    log: log.child('dispatch'),
+    metrics: entryMetrics,
+    afterPause: () => sync.afterPause,
+    checkPause: deps.checkPause ?? (() => undefined),
+  });
+  const runner = new CallRunner({
+    state,
+    timers,
+    keys,
+    limits: new CustomerLimits(),
+    gate,
+    dispatcher,
+    forwards,
+    metrics: entryMetrics,
+    open,
+  });
+  const admin = new AdminTask({
+    address: settings.listen.admin,
+    state,
+    metrics,
+    log: log.child('admin'),
+    details: () => ({
+      open_requests: open.count,
+      queued: gate.queued,
+      keys: keys.size,
+      key_bytes: keys.bytes,
+      suspects: suspects.size,
+      rpc_bytes: rpc.traffic,
+    }),
+  });
+  const peers = new PeerTask({
+    address: settings.listen.peers,
+    state,
+    timers,
+    auth,
+    runner,
+    keys,
+    onRevision: (revision) => sync.onHint(revision),
+    log: log.child('peers'),
+  });
+  const callers = new CallerTask({
+    address: settings.listen.callers,
+    state,
+    timers,
+    runner,
+    sync,
+    metrics: entryMetrics,
+    log: log.child('callers'),
+    drainNoticeMs: deps.drainNoticeMs,
+  });
+  const housekeeping = new HousekeepingTask({ timers, keys, gate, suspects, rpc, connections });
+  const tasks = [housekeeping, admin, sync, peers, callers];
+  return { bootId, state, callers, peers, admin, tasks };
+}
--- /dev/null
+++ b/packages/entry/src/forward/forward-envelope.ts
@@ -0,0 +1,70 @@
+/**
+ * What travels with a forwarded request, in one signed header. The signature covers the header,
+ * and the header holds the digest of the body.
+ */
+import { z } from 'zod';
+import { hashText } from '@marjoramcart/core';
+
+export const FORWARD_PATH = '/forward';
+export const FORWARD_HEADER = 'marjoramcart-forward';
+/** Set on an answer when the target died while running the request. */
+export const DIED_HEADER = 'marjoramcart-target-died';
+
+const hopSchema = z.object({
+  bootId: z.string(),
+  failureDomain: z.string(),
+  region: z.string(),
+});
+
+const envelopeSchema = z.object({
+  id: z.string(),
+  reason: z.enum(['key', 'load']),
+  customer: z.string(),
+  service: z.string(),
+  method: z.string(),
+  path: z.string(),
+  contentType: z.string().optional(),
+  stream: z.boolean(),
+  repeatable: z.boolean(),
+  key: z.string().optional(),
+  prefix: z.string().optional(),
+  promptTokens: z.number(),
+  maxTokens: z.number(),
+  /** Remaining time when the request was sent. */
+  deadlineMs: z.number(),
+  digest: z.string(),
+  bodyHash: z.string(),
+  revision: z.number(),
+  visited: z.array(hopSchema).min(1),
+});
+
+export type ForwardEnvelope = z.output<typeof envelopeSchema>;
+
+/**
+ * Text of the forward header.
+ *
+ * @example decodeEnvelope(encodeEnvelope(envelope))
+ */
+export function encodeEnvelope(envelope: ForwardEnvelope): string {
+  return Buffer.from(JSON.stringify(envelope)).toString('base64url');
+}
+
+/** Reads the forward header; undefined when it is malformed. */
+export function decodeEnvelope(text: string): ForwardEnvelope | undefined {
+  try {
+    const json: unknown = JSON.parse(Buffer.from(text, 'base64url').toString('utf8'));
+    const result = envelopeSchema.safeParse(json);
+    return result.success ? result.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Digest of a body as in `bodyHash`.
+ *
+ * @example bodyHash(Buffer.from('{}')).length // 32
+ */
+export function bodyHash(body: Buffer): string {
+  return hashText(body.toString('base64'));
+}
--- /dev/null
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -0,0 +1,219 @@
+/** Forwards a call to an entry of another failure domain or to the owner of its key. */
+import type { IncomingMessage } from 'node:http';
+import {
+  ResultCodes,
+  RunState,
+  checkForward,
+  resultCodeByNumber,
+  type ForwardHop,
+  type ForwardReason,
+  type ProcessRef,
+} from '@marjoramcart/core';
+import {
+  AUTH_HEADER,
+  SENDER_HEADER,
+  type MessageAuthenticator,
+  type RpcClient,
+  type TimerService,
+} from '@marjoramcart/platform';
+import type { Connections } from '../dispatch/connection.js';
+import type { Answer, AnswerMeta } from '../relay/answer.js';
+import { passedOnHeaders, readWhole, relayStream } from '../relay/relay.js';
+import { SseFrames } from '../relay/sse-frames.js';
+import type { Call } from '../request/call.js';
+import {
+  DIED_HEADER,
+  FORWARD_HEADER,
+  FORWARD_PATH,
+  bodyHash,
+  encodeEnvelope,
+  type ForwardEnvelope,
+} from './forward-envelope.js';
+
+/** Part of the remaining time that is kept for the way back. */
+const HOP_MARGIN_MS = 5;
+const CANCEL_TIMEOUT_MS = 1000;
+
+/** An entry that a call can be forwarded to. */
+export interface ForwardTarget extends ForwardHop {
+  readonly peerAddress: string;
+  /** One way, from the configured links. */
+  readonly oneWayMs: number;
+}
+
+export type ForwardEnd =
+  | { readonly kind: 'complete'; readonly status: number }
+  | { readonly kind: 'passed-on'; readonly run: RunState }
+  | { readonly kind: 'vetoed' }
+  /** Certain: the other entry has not run it and never will. */
+  | { readonly kind: 'not-run'; readonly message: string }
+  | { readonly kind: 'broken'; readonly message: string; readonly died?: boolean };
+
+export interface ForwardOptions {
+  readonly call: Call;
+  readonly answer: Answer;
+  readonly entry: ForwardTarget;
+  readonly reason: ForwardReason;
+  readonly signal: AbortSignal;
+  readonly mayWrite: () => boolean;
+  readonly onEvents: () => void;
+}
+
+export interface ForwardDeps {
+  readonly self: ProcessRef;
+  readonly connections: Connections;
+  readonly auth: MessageAuthenticator;
+  readonly rpc: RpcClient;
+  readonly timers: TimerService;
+  readonly revision: () => number;
+  /** Regions that may handle the call. */
+  readonly allowedRegions: (call: Call) => readonly string[];
+}
+
+export class ForwardExchange {
+  constructor(private readonly deps: ForwardDeps) {}
+
+  async run(options: ForwardOptions): Promise<ForwardEnd> {
+    const { call, entry, reason } = options;
+    const { self, connections, allowedRegions } = this.deps;
+    const visited = [...call.visited, hopOf(self)];
+    const fault = checkForward(visited, entry, reason, allowedRegions(call));
+    if (fault) return { kind: 'not-run', message: fault.kind };
+    const remainingMs = call.deadlineAt - this.deps.timers.now() - entry.oneWayMs - HOP_MARGIN_MS;
+    if (remainingMs <= 0) return { kind: 'not-run', message: 'deadline too near' };
+    const header = encodeEnvelope(this.envelope(call, reason, visited, remainingMs));
+    const sent = await connections.send(
+      {
+        address: connections.dial(entry.peerAddress),
+        method: 'POST',
+        path: FORWARD_PATH,
+        headers: {
+          [FORWARD_HEADER]: header,
+          [SENDER_HEADER]: self.bootId,
+          [AUTH_HEADER]: this.deps.auth.sign({
+            path: FORWARD_PATH,
+            sender: self.bootId,
+            content: header,
+          }),
+        },
+        body: call.body,
+        newConnection: !call.repeatable,
+      },
+      options.mayWrite,
+      options.signal,
+    );
+    if (sent.kind === 'vetoed') return sent;
+    if (sent.kind === 'answer') return this.receive(sent.res, options);
+    if (!sent.sent) return { kind: 'not-run', message: sent.message };
+    return this.lost(options, sent.message);
+  }
+
+  private envelope(
+    call: Call,
+    reason: ForwardReason,
+    visited: readonly ForwardHop[],
+    deadlineMs: number,
+  ): ForwardEnvelope {
+    return {
+      id: call.id,
+      reason,
+      customer: call.customer.id,
+      service: call.service,
+      method: call.method,
+      path: call.path,
+      contentType: call.contentType,
+      stream: call.stream,
+      repeatable: call.repeatable,
+      key: call.key?.text,
+      prefix: call.routed.prefix,
+      promptTokens: call.routed.promptTokens,
+      maxTokens: call.routed.maxTokens,
+      deadlineMs: Math.floor(deadlineMs),
+      digest: call.digest,
+      bodyHash: bodyHash(call.body),
+      revision: this.deps.revision(),
+      visited: [...visited],
+    };
+  }
+
+  private async receive(res: IncomingMessage, options: ForwardOptions): Promise<ForwardEnd> {
+    const { answer } = options;
+    const meta = metaOf(res);
+    const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
+    if (isStream && res.statusCode === 200) return this.stream(res, options, meta);
+    const body = await readWhole(res);
+    if (body.kind !== 'complete') return this.lost(options, body.kind);
+    // Without a code the answer does not come from an entry, and nothing is known.
+    if (!meta) return this.lost(options, `status ${res.statusCode} without a result code`);
+    // The owner of a key speaks for it, so its answer goes to the caller whatever it says.
+    const final = options.reason === 'key' || meta.code.code === ResultCodes.Ok.code;
+    if (final) {
+      options.onEvents();
+      answer.send(res.statusCode ?? 502, passedOnHeaders(res.headers), body.body, meta);
+      return { kind: 'complete', status: res.statusCode ?? 502 };
+    }
+    if (meta.run === RunState.NotRun) return { kind: 'not-run', message: meta.code.name };
+    return { kind: 'broken', message: meta.code.name, died: res.headers[DIED_HEADER] === '1' };
+  }
+
+  private async stream(
+    res: IncomingMessage,
+    options: ForwardOptions,
+    meta: AnswerMeta | undefined,
+  ): Promise<ForwardEnd> {
+    const { answer, entry } = options;
+    const end = await relayStream(res, {
+      answer,
+      frames: new SseFrames(),
+      target: meta?.target ?? entry.bootId,
+      attempts: meta?.attempts ?? 1,
+      onEvents: options.onEvents,
+    });
+    if (end.kind === 'complete') {
+      answer.end();
+      return { kind: 'complete', status: 200 };
+    }
+    if (end.kind === 'error-passed-on') {
+      answer.cut();
+      return { kind: 'passed-on', run: RunState.Unknown };
+    }
+    return { kind: 'broken', message: end.kind };
+  }
+
+  /** The link broke after the hand-over: only a confirmed cancel makes the call not run. */
+  private async lost(options: ForwardOptions, message: string): Promise<ForwardEnd> {
+    const { call, entry, reason } = options;
+    if (!call.key || reason === 'key') return { kind: 'broken', message };
+    const result = await this.deps.rpc.call(
+      entry.peerAddress,
+      'key.cancel',
+      { from: this.deps.self, customer: call.customer.id, key: call.key.text },
+      CANCEL_TIMEOUT_MS,
+    );
+    return result.kind === 'ok' && result.value.state === 'cancelled'
+      ? { kind: 'not-run', message }
+      : { kind: 'broken', message };
+  }
+}
+
+/**
+ * This process as a hop of a forward path.
+ *
+ * @example hopOf(self).region
+ */
+export function hopOf({ bootId, failureDomain, region }: ProcessRef): ForwardHop {
+  return { bootId, failureDomain, region };
+}
+
+function metaOf(res: IncomingMessage): AnswerMeta | undefined {
+  const code = resultCodeByNumber(Number(res.headers['marjoramcart-code']));
+  const run = Object.values(RunState).find((state) => state === res.headers['marjoramcart-run']);
+  const target = res.headers['marjoramcart-target'];
+  if (!code || !run) return undefined;
+  return {
+    code,
+    run,
+    target: typeof target === 'string' ? target : undefined,
+    attempts: Number(res.headers['marjoramcart-attempts'] ?? 1),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/forward/peer-task.ts
@@ -0,0 +1,214 @@
+/** Listener for other daemons: `/rpc` and `/forward`. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  ResultCodes,
+  allowedRegions,
+  checkForward,
+  parseIdempotencyKey,
+  type ConfigView,
+  type KeyTable,
+  type ResultCode,
+} from '@marjoramcart/core';
+import {
+  AUTH_HEADER,
+  HttpListener,
+  RPC_PATH,
+  RpcServer,
+  SENDER_HEADER,
+  type Logger,
+  type MessageAuthenticator,
+  type Task,
+  type TimerService,
+} from '@marjoramcart/platform';
+import { Answer, type RecordedAnswer } from '../relay/answer.js';
+import { readLimited } from '../request/body-reader.js';
+import type { Call } from '../request/call.js';
+import type { CallRunner } from '../request/runner.js';
+import type { EntryState } from '../state/entry-state.js';
+import {
+  FORWARD_HEADER,
+  FORWARD_PATH,
+  bodyHash,
+  decodeEnvelope,
+  type ForwardEnvelope,
+} from './forward-envelope.js';
+import { hopOf } from './forward-exchange.js';
+
+const MAX_BODY_BYTES = 5 * 1024 * 1024;
+/** The forward header grows with the path and the caller's query. */
+const MAX_HEADER_BYTES = 48 * 1024;
+
+export interface PeerTaskOptions {
+  readonly address: string;
+  readonly state: EntryState;
+  readonly timers: TimerService;
+  readonly auth: MessageAuthenticator;
+  readonly runner: CallRunner;
+  readonly keys: KeyTable<RecordedAnswer>;
+  /** Follows a revision seen on a message. */
+  readonly onRevision: (revision: number) => Promise<void>;
+  readonly log: Logger;
+}
+
+type Accepted =
+  | { readonly kind: 'call'; readonly call: Call }
+  | { readonly kind: 'refused'; readonly code: ResultCode };
+
+export class PeerTask implements Task {
+  readonly name = 'peers';
+
+  private readonly listener: HttpListener;
+
+  private readonly rpc: RpcServer;
+
+  constructor(private readonly options: PeerTaskOptions) {
+    this.rpc = new RpcServer(options.auth, options.log);
+    this.rpc.method('key.cancel', ({ customer, key }) => {
+      const parsed = parseIdempotencyKey(key);
+      if (!parsed) return { state: 'unknown' };
+      return { state: options.keys.cancel(parsed, customer, options.timers.wall()) };
+    });
+    this.listener = new HttpListener({
+      address: options.address,
+      handler: (req, res) => this.handle(req, res),
+      onError: (err) => options.log.error('peer request failed', { err }),
+      maxHeaderBytes: MAX_HEADER_BYTES,
+    });
+  }
+
+  get address(): string {
+    return this.listener.address;
+  }
+
+  start(): Promise<void> {
+    return this.listener.listen();
+  }
+
+  stop(): Promise<void> {
+    return this.listener.close();
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.method === 'POST' && req.url === RPC_PATH) await this.rpc.handle(req, res);
+    else if (req.method === 'POST' && req.url === FORWARD_PATH) await this.forwarded(req, res);
+    else res.writeHead(404, { connection: 'close' }).end();
+  }
+
+  private async forwarded(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { state, log, timers } = this.options;
+    const arrivedAt = timers.now();
+    const envelope = this.authenticate(req);
+    if (!envelope) {
+      log.warn('forward refused: not authenticated', { from: req.socket.remoteAddress });
+      this.refuse(req, res, ResultCodes.PeerUnauthenticated);
+      return;
+    }
+    await this.options.onRevision(envelope.revision);
+    // A forward that waits for the sync ages, so the deadline counts from the arrival.
+    const accepted = this.accept(envelope, arrivedAt);
+    if (accepted.kind === 'refused') {
+      this.refuse(req, res, accepted.code);
+      return;
+    }
+    const body = await readLimited(req, MAX_BODY_BYTES, timers);
+    if (body.kind !== 'complete' || bodyHash(body.body) !== envelope.bodyHash) {
+      this.refuse(req, res, ResultCodes.InvalidRequest);
+      return;
+    }
+    const answer = this.answer(res, envelope.key !== undefined);
+    const call = { ...accepted.call, body: body.body };
+    const handedOver = envelope.reason === 'load' && call.key?.bootId !== state.self.bootId;
+    await this.options.runner.run(call, answer, handedOver);
+  }
+
+  private authenticate(req: IncomingMessage): ForwardEnvelope | undefined {
+    const header = String(req.headers[FORWARD_HEADER] ?? '');
+    const result = this.options.auth.verify(req.headers[AUTH_HEADER] as string | undefined, {
+      path: FORWARD_PATH,
+      sender: String(req.headers[SENDER_HEADER] ?? ''),
+      content: header,
+    });
+    return result.kind === 'accepted' ? decodeEnvelope(header) : undefined;
+  }
+
+  /** Checks that need no body: configuration, residency, loop, key. */
+  private accept(envelope: ForwardEnvelope, arrivedAt: number): Accepted {
+    const { state } = this.options;
+    const { config, self } = state;
+    if (!config) return refusal(ResultCodes.EntryNotReady);
+    const customer = config.customersById.get(envelope.customer);
+    const service = Object.hasOwn(config.services, envelope.service)
+      ? config.services[envelope.service]
+      : undefined;
+    if (!customer || !service) return refusal(ResultCodes.UnknownService);
+    const allowed = allowedRegions(config, customer, service);
+    const fault = checkForward(envelope.visited, hopOf(self), envelope.reason, allowed);
+    if (fault) {
+      this.options.log.warn('forward refused', { reason: fault.kind });
+      const residency = fault.kind === 'region-not-allowed';
+      return refusal(residency ? ResultCodes.RegionNotAllowed : ResultCodes.ForwardLoop);
+    }
+    const key = envelope.key === undefined ? undefined : parseIdempotencyKey(envelope.key);
+    if (envelope.reason === 'key' && key?.bootId !== self.bootId) {
+      return refusal(ResultCodes.ForwardLoop);
+    }
+    if (!envelope.repeatable && !key) return refusal(ResultCodes.KeyRequired);
+    return { kind: 'call', call: callOf(envelope, { customer, service, key, arrivedAt }) };
+  }
+
+  private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode): void {
+    this.answer(res, false).fail({ code, run: code.run, attempts: 0 }, { close: true });
+    if (!req.complete) res.once('finish', () => req.socket.destroySoon());
+  }
+
+  private answer(res: ServerResponse, record: boolean): Answer {
+    const { state } = this.options;
+    return new Answer(res, {
+      common: () => ({
+        'marjoramcart-revision': String(state.revision),
+        'marjoramcart-entry': state.self.bootId,
+        'marjoramcart-region': state.self.region,
+      }),
+      record,
+    });
+  }
+}
+
+function refusal(code: ResultCode): Accepted {
+  return { kind: 'refused', code };
+}
+
+function callOf(
+  envelope: ForwardEnvelope,
+  known: {
+    readonly customer: Call['customer'];
+    readonly service: ConfigView['services'][string];
+    readonly key: Call['key'];
+    readonly arrivedAt: number;
+  },
+): Call {
+  return {
+    id: envelope.id,
+    customer: known.customer,
+    service: envelope.service,
+    config: known.service,
+    method: envelope.method,
+    path: envelope.path,
+    contentType: envelope.contentType,
+    body: Buffer.alloc(0),
+    stream: envelope.stream,
+    repeatable: envelope.repeatable,
+    key: known.key,
+    digest: envelope.digest,
+    routed: {
+      service: envelope.service,
+      prefix: envelope.prefix,
+      promptTokens: envelope.promptTokens,
+      maxTokens: envelope.maxTokens,
+      bodyBytes: 0,
+    },
+    arrivedAt: known.arrivedAt,
+    deadlineAt: known.arrivedAt + envelope.deadlineMs,
+    visited: envelope.visited,
+  };
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,2 @@
-/** Placeholder. */
-export const PACKAGE_NAME = 'entry';
+/** Entry daemon. */
+export * from './entry-daemon.js';
--- /dev/null
+++ b/packages/entry/src/relay/answer.ts
@@ -0,0 +1,188 @@
+/**
+ * The answer to one caller. It keeps the order start, data, end; an answer that can't be completed
+ * ends visibly: as an error body when nothing was sent, else as an error event or a cut connection.
+ */
+import type { ServerResponse } from 'node:http';
+import { ResultCodes, type ResultCode, type RunState } from '@marjoramcart/core';
+
+/** Values of the `marjoramcart-*` headers that differ between answers. */
+export interface AnswerMeta {
+  readonly code: ResultCode;
+  readonly run: RunState;
+  readonly target?: string;
+  readonly attempts: number;
+}
+
+/** A complete answer as kept for re-sends of a keyed call. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+  readonly meta: AnswerMeta;
+}
+
+export type HeaderFields = Readonly<Record<string, string | string[]>>;
+
+export interface AnswerOptions {
+  /** Headers that are the same for all answers of this entry. */
+  readonly common: () => HeaderFields;
+  /** Keeps the answer for re-sends and completes it although the caller has gone. */
+  readonly record: boolean;
+}
+
+/** Additions to an error answer. */
+export interface FailOptions {
+  /** Further fields of the error body. */
+  readonly fields?: Readonly<Record<string, unknown>>;
+  readonly headers?: HeaderFields;
+  /** Closes the connection, since the rest of the request is not read. */
+  readonly close?: boolean;
+}
+
+export class Answer {
+  private started = false;
+
+  private finished = false;
+
+  private readonly goneListeners = new Set<() => void>();
+
+  private isGone = false;
+
+  private readonly recorded: Buffer[] = [];
+
+  private head: Omit<RecordedAnswer, 'body'> | undefined;
+
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly options: AnswerOptions,
+  ) {
+    res.on('error', () => undefined);
+    res.on('close', () => {
+      if (res.writableFinished) return;
+      this.isGone = true;
+      this.goneListeners.forEach((listener) => listener());
+      this.goneListeners.clear();
+    });
+  }
+
+  /** Whether bytes of a target's answer went to the caller. */
+  get delivered(): boolean {
+    return this.started;
+  }
+
+  /** Whether the caller has left and nobody else waits for the answer. */
+  get abandoned(): boolean {
+    return this.isGone && !this.options.record;
+  }
+
+  /** Calls `listener` when the caller leaves and the answer isn't kept. */
+  onAbandoned(listener: () => void): () => void {
+    if (this.options.record) return () => undefined;
+    if (this.isGone) listener();
+    else this.goneListeners.add(listener);
+    return () => this.goneListeners.delete(listener);
+  }
+
+  start(status: number, headers: HeaderFields, meta: AnswerMeta): void {
+    this.started = true;
+    this.head = { status, headers, meta };
+    if (!this.isGone) this.res.writeHead(status, { ...headers, ...this.metaHeaders(meta) });
+  }
+
+  /** Sends data; false when the caller reads too slowly, until `onDrain`. */
+  write(chunk: Buffer): boolean {
+    if (this.options.record) this.recorded.push(chunk);
+    return this.isGone || this.res.write(chunk);
+  }
+
+  onDrain(listener: () => void): void {
+    if (this.isGone) {
+      listener();
+      return;
+    }
+    const once = (): void => {
+      this.res.off('drain', once);
+      this.res.off('close', once);
+      listener();
+    };
+    this.res.once('drain', once);
+    this.res.once('close', once);
+  }
+
+  end(): void {
+    this.finished = true;
+    if (!this.isGone) this.res.end();
+  }
+
+  /** Sends a whole answer. */
+  send(status: number, headers: HeaderFields, body: Buffer, meta: AnswerMeta): void {
+    this.start(status, { ...headers, 'content-length': String(body.length) }, meta);
+    if (this.options.record) this.recorded.push(body);
+    this.finished = true;
+    if (!this.isGone) this.res.end(body);
+  }
+
+  /** Ends the answer with an error. */
+  fail(meta: AnswerMeta, { fields = {}, headers = {}, close = false }: FailOptions = {}): void {
+    if (this.finished) return;
+    this.finished = true;
+    if (this.isGone) return;
+    const text = errorBody(meta, fields);
+    if (!this.started) {
+      const retryAfter = meta.code.next.includes('Retry-After') ? { 'retry-after': '1' } : {};
+      this.res.writeHead(meta.code.status, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(text),
+        ...retryAfter,
+        ...(close ? { connection: 'close' } : {}),
+        ...headers,
+        ...this.metaHeaders(meta),
+      });
+      this.res.end(text);
+      return;
+    }
+    // A clean end would make the truncated stream look complete.
+    this.res.write(`event: error\ndata: ${text}\n\n`, () => this.res.destroy());
+  }
+
+  /** Cuts the connection after an error event of another entry was passed on. */
+  cut(): void {
+    this.finished = true;
+    // A comment line, whose callback tells that all data before it was written.
+    if (!this.isGone) this.res.write(':\n\n', () => this.res.destroy());
+  }
+
+  /** The complete answer; undefined when it is incomplete or not kept. */
+  get recording(): RecordedAnswer | undefined {
+    if (!this.head || !this.options.record) return undefined;
+    return { ...this.head, body: Buffer.concat(this.recorded) };
+  }
+
+  private metaHeaders(meta: AnswerMeta): HeaderFields {
+    return {
+      ...this.options.common(),
+      ...(meta.target === undefined ? {} : { 'marjoramcart-target': meta.target }),
+      'marjoramcart-code': String(meta.code.code),
+      'marjoramcart-run': meta.run,
+      'marjoramcart-attempts': String(meta.attempts),
+    };
+  }
+}
+
+/**
+ * Text of an error body.
+ *
+ * @example errorBody({ code: ResultCodes.NoReadyTarget, run: 'not_run', attempts: 0 })
+ */
+export function errorBody(
+  { code, run }: Pick<AnswerMeta, 'code' | 'run'>,
+  fields: Readonly<Record<string, unknown>> = {},
+): string {
+  const { message, next, name } = code;
+  return JSON.stringify({ error: { code: code.code, name, run, message, next, ...fields } });
+}
+
+/** Meta values of a complete answer. */
+export function completeMeta(target: string, attempts: number): AnswerMeta {
+  return { code: ResultCodes.Ok, run: ResultCodes.Ok.run, target, attempts };
+}
--- /dev/null
+++ b/packages/entry/src/relay/relay.ts
@@ -0,0 +1,113 @@
+/** Passes the answer of a target on to the caller, and tells whether it was complete. */
+import type { IncomingMessage } from 'node:http';
+import { completeMeta, type Answer, type HeaderFields } from './answer.js';
+import { SseFrames } from './sse-frames.js';
+
+/** Largest answer that is not a stream; it is held until it is complete. */
+export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+export type RelayResult =
+  | { readonly kind: 'complete' }
+  | { readonly kind: 'truncated'; readonly message: string }
+  /** The sender ended its stream with an error event, which was passed on. */
+  | { readonly kind: 'error-passed-on' }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'protocol-fault'; readonly message: string };
+
+export interface StreamContext {
+  readonly answer: Answer;
+  /** Survives a resume on another connection. */
+  readonly frames: SseFrames;
+  readonly target: string;
+  readonly attempts: number;
+  /** Called for each chunk with whole events. */
+  readonly onEvents: () => void;
+}
+
+const NOT_PASSED_ON = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+  'upgrade',
+  'trailer',
+  'stream-id',
+  'proxy-authenticate',
+]);
+
+/**
+ * Headers of a target's answer that the caller gets.
+ *
+ * @example passedOnHeaders({ 'content-type': 'text/plain', connection: 'close' })
+ */
+export function passedOnHeaders(headers: IncomingMessage['headers']): HeaderFields {
+  return Object.fromEntries(
+    Object.entries(headers).filter(
+      (field): field is [string, string | string[]] =>
+        field[1] !== undefined &&
+        !NOT_PASSED_ON.has(field[0]) &&
+        !field[0].startsWith('marjoramcart-'),
+    ),
+  );
+}
+
+/** Relays server-sent events frame by frame, at the pace of the caller. */
+export function relayStream(res: IncomingMessage, ctx: StreamContext): Promise<RelayResult> {
+  const { answer, frames } = ctx;
+  return new Promise((resolve) => {
+    const finish = (result: RelayResult): void => {
+      res.removeAllListeners('data');
+      if (result.kind !== 'complete') res.destroy();
+      resolve(result);
+    };
+    res.on('data', (chunk: Buffer) => {
+      const whole = frames.push(chunk);
+      if (whole) {
+        if (!answer.delivered) {
+          answer.start(200, passedOnHeaders(res.headers), completeMeta(ctx.target, ctx.attempts));
+        }
+        ctx.onEvents();
+        if (!answer.write(whole)) {
+          res.pause();
+          answer.onDrain(() => res.resume());
+        }
+      }
+      if (frames.error) finish({ kind: 'protocol-fault', message: frames.error.kind });
+      else if (frames.errorSeen) finish({ kind: 'error-passed-on' });
+    });
+    res.on('end', () => {
+      if (res.complete && frames.complete) finish({ kind: 'complete' });
+      else finish({ kind: 'truncated', message: 'the stream ended without [DONE]' });
+    });
+    res.on('error', (err) => finish({ kind: 'truncated', message: err.message }));
+    res.on('close', () => finish({ kind: 'truncated', message: 'connection closed' }));
+  });
+}
+
+export type WholeBody =
+  | { readonly kind: 'complete'; readonly body: Buffer }
+  | Extract<RelayResult, { kind: 'truncated' | 'too-large' }>;
+
+/** Reads an answer that is not a stream; it counts only with its full length or last chunk. */
+export function readWhole(res: IncomingMessage): Promise<WholeBody> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    res.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= MAX_ANSWER_BYTES) return;
+      resolve({ kind: 'too-large' });
+      res.destroy();
+    });
+    res.on('end', () =>
+      resolve(
+        res.complete
+          ? { kind: 'complete', body: Buffer.concat(chunks) }
+          : { kind: 'truncated', message: 'the answer is shorter than announced' },
+      ),
+    );
+    res.on('error', (err) => resolve({ kind: 'truncated', message: err.message }));
+    res.on('close', () => resolve({ kind: 'truncated', message: 'connection closed' }));
+  });
+}
--- /dev/null
+++ b/packages/entry/src/request/body-reader.ts
@@ -0,0 +1,62 @@
+/** Reads a request body within its size, a total time and a minimum rate. */
+import type { IncomingMessage } from 'node:http';
+import type { TimerService } from '@marjoramcart/platform';
+
+export const BodyTiming = {
+  TimeoutMs: 15_000,
+  MinBytesPerS: 1024,
+  /** The rate is checked after this time, so that a short stall at the start is harmless. */
+  RateGraceMs: 2000,
+  CheckIntervalMs: 500,
+} as const;
+
+export type ReadResult =
+  | { readonly kind: 'complete'; readonly body: Buffer }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'too-slow' }
+  | { readonly kind: 'aborted' };
+
+/**
+ * Reads a whole body. On any other result the rest is left unread and the connection must close.
+ *
+ * @example const result = await readLimited(req, 4_194_304, timers)
+ */
+export function readLimited(
+  req: IncomingMessage,
+  maxBytes: number,
+  timers: TimerService,
+): Promise<ReadResult> {
+  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+    return Promise.resolve({ kind: 'too-large' });
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    const startedAt = timers.now();
+    let size = 0;
+    let settled = false;
+    let stopCheck = (): void => undefined;
+    const finish = (result: ReadResult): void => {
+      if (settled) return;
+      settled = true;
+      stopCheck();
+      if (result.kind !== 'complete') {
+        req.removeAllListeners('data');
+        req.pause();
+      }
+      resolve(result);
+    };
+    stopCheck = timers.every(BodyTiming.CheckIntervalMs, () => {
+      const elapsedMs = timers.now() - startedAt;
+      const minBytes = ((elapsedMs - BodyTiming.RateGraceMs) / 1000) * BodyTiming.MinBytesPerS;
+      if (elapsedMs >= BodyTiming.TimeoutMs || size < minBytes) finish({ kind: 'too-slow' });
+    });
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) finish({ kind: 'too-large' });
+      else chunks.push(chunk);
+    });
+    req.on('end', () => finish({ kind: 'complete', body: Buffer.concat(chunks) }));
+    req.on('error', () => finish({ kind: 'aborted' }));
+    req.on('close', () => finish({ kind: 'aborted' }));
+  });
+}
--- /dev/null
+++ b/packages/entry/src/request/call.ts
@@ -0,0 +1,52 @@
+/** A request after identity, residency and parsing, ready to be admitted and dispatched. */
+import type {
+  CustomerConfig,
+  ForwardHop,
+  IdempotencyKey,
+  ResultCode,
+  RoutedRequest,
+  ServiceConfig,
+} from '@marjoramcart/core';
+
+export interface Call {
+  readonly id: string;
+  readonly customer: CustomerConfig;
+  readonly service: string;
+  readonly config: ServiceConfig;
+  readonly method: string;
+  /** Path and query at the target. */
+  readonly path: string;
+  readonly contentType: string | undefined;
+  readonly body: Buffer;
+  readonly stream: boolean;
+  readonly repeatable: boolean;
+  readonly key: IdempotencyKey | undefined;
+  /** SHA-256 over customer, service and body; names a suspect. */
+  readonly digest: string;
+  readonly routed: RoutedRequest;
+  /** Monotonic ms. */
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  /** Processes that forwarded the request here, the first one first. */
+  readonly visited: readonly ForwardHop[];
+}
+
+/** Rejection of a request before it became a call. */
+export interface Rejection {
+  readonly kind: 'rejected';
+  readonly code: ResultCode;
+  readonly detail?: string;
+  /** Further fields of the error body. */
+  readonly fields?: Readonly<Record<string, unknown>>;
+  /** The connection can't be used again, since the rest of the request is not read. */
+  readonly close?: boolean;
+}
+
+/**
+ * Makes a rejection.
+ *
+ * @example rejected(ResultCodes.MissingApiKey)
+ */
+export function rejected(code: ResultCode, extra: Partial<Rejection> = {}): Rejection {
+  return { ...extra, kind: 'rejected', code };
+}
--- /dev/null
+++ b/packages/entry/src/routing/domain-chooser.ts
@@ -0,0 +1,138 @@
+/** Decides whether a call is forwarded, and to which entry of the chosen failure domain. */
+import {
+  MembershipTiming,
+  allowedRegions,
+  checkForward,
+  type DomainOption,
+  type DomainPolicy,
+  type DomainSummary,
+  type ProcessRef,
+  type RandomSource,
+} from '@marjoramcart/core';
+import type { ForwardTarget } from '../forward/forward-exchange.js';
+import type { Call } from '../request/call.js';
+import type { EntryState } from '../state/entry-state.js';
+import type { TargetTable } from './target-table.js';
+
+export interface DomainChooserOptions {
+  readonly self: ProcessRef;
+  readonly state: EntryState;
+  readonly targets: TargetTable;
+  readonly policy: DomainPolicy;
+  readonly random: RandomSource;
+}
+
+export class DomainChooser {
+  constructor(private readonly options: DomainChooserOptions) {}
+
+  /** Entry to forward to; undefined to run the call in the own failure domain. */
+  choose(
+    call: Call,
+    excluded: ReadonlySet<string>,
+    localReady: boolean,
+  ): ForwardTarget | undefined {
+    const { self, state, policy, random } = this.options;
+    // A call that was forwarded for load runs here or nowhere.
+    if (call.visited.some(({ failureDomain }) => failureDomain !== self.failureDomain)) {
+      return undefined;
+    }
+    const summaries = this.eligible(call, excluded);
+    if (summaries.length === 0) return undefined;
+    const decision = policy.choose(
+      call.routed,
+      this.home(call, excluded, localReady),
+      summaries.map((summary) => this.option(summary, call)),
+      call.config.weights,
+    );
+    const chosen = summaries.find(({ failureDomain }) => failureDomain === decision.failureDomain);
+    if (!chosen) return undefined;
+    const [entry] = openEntries(chosen)
+      .map((candidate) => ({ candidate, tie: random.next() }))
+      .sort((a, b) => a.candidate.openRequests - b.candidate.openRequests || a.tie - b.tie);
+    return (
+      entry && {
+        bootId: entry.candidate.bootId,
+        peerAddress: entry.candidate.peerAddress,
+        failureDomain: chosen.failureDomain,
+        region: chosen.region,
+        oneWayMs: linkOf(state, self.region, chosen.region).oneWayMs,
+      }
+    );
+  }
+
+  private eligible(call: Call, excluded: ReadonlySet<string>): DomainSummary[] {
+    const { self, state } = this.options;
+    const { config } = state;
+    if (!config) return [];
+    const allowed = allowedRegions(config, call.customer, call.config);
+    const visited = [...call.visited, self];
+    return state.view.summaries.filter(
+      (summary) =>
+        summary.failureDomain !== self.failureDomain &&
+        !excluded.has(summary.failureDomain) &&
+        summary.ageMs + state.viewAgeMs <= MembershipTiming.SummaryExpiryMs &&
+        openEntries(summary).length > 0 &&
+        summary.services.some((s) => s.service === call.service && s.readyTargets > 0) &&
+        checkForward(visited, { ...summary, bootId: '' }, 'load', allowed) === undefined,
+    );
+  }
+
+  private home(call: Call, excluded: ReadonlySet<string>, localReady: boolean): DomainOption {
+    const { self, targets } = this.options;
+    const candidates = targets.candidates(call.service, excluded);
+    return {
+      failureDomain: self.failureDomain,
+      region: self.region,
+      readyTargets: localReady ? candidates.length : 0,
+      waitMs: Math.min(...candidates.map(({ state }) => state.waitMs), Number.MAX_SAFE_INTEGER),
+      freeSlots: candidates.reduce(
+        (sum, { state }) => sum + Math.max(0, state.concurrency - state.running),
+        0,
+      ),
+      ageMs: 0,
+      oneWayMs: 0,
+      prefillMs: this.prefillMs(call),
+    };
+  }
+
+  private option(summary: DomainSummary, call: Call): DomainOption {
+    const { self, state } = this.options;
+    const service = summary.services.find((s) => s.service === call.service);
+    const link = linkOf(state, self.region, summary.region);
+    return {
+      failureDomain: summary.failureDomain,
+      region: summary.region,
+      readyTargets: service?.readyTargets ?? 0,
+      waitMs: service?.waitMs ?? 0,
+      freeSlots: service?.freeSlots ?? 0,
+      ageMs: summary.ageMs + state.viewAgeMs,
+      oneWayMs: link.oneWayMs,
+      linkMbitPerS: link.mbitPerS,
+      prefillMs: this.prefillMs(call),
+    };
+  }
+
+  private prefillMs(call: Call): number {
+    const model =
+      call.config.kind === 'model'
+        ? this.options.state.config?.models[call.config.model]
+        : undefined;
+    return model ? (call.routed.promptTokens / model.prefill_tokens_per_s) * 1000 : 0;
+  }
+}
+
+function openEntries(summary: DomainSummary): DomainSummary['entries'] {
+  return summary.entries.filter(({ draining }) => !draining);
+}
+
+/** Link between two regions; links are configured on either side. */
+export function linkOf(
+  state: Pick<EntryState, 'config'>,
+  from: string,
+  to: string,
+): { oneWayMs: number; mbitPerS: number | undefined } {
+  if (from === to) return { oneWayMs: 1, mbitPerS: undefined };
+  const regions = state.config?.regions ?? {};
+  const link = regions[from]?.links[to] ?? regions[to]?.links[from];
+  return { oneWayMs: link?.one_way ?? 0, mbitPerS: link?.mbit_per_s };
+}
--- /dev/null
+++ b/packages/entry/src/routing/target-table.ts
@@ -0,0 +1,147 @@
+/**
+ * Targets of the own failure domain as this process sees them: the control daemon's view corrected
+ * by the results of its own connections and by what it has sent since each report.
+ */
+import type { TargetCandidate, TargetObservation, TargetState } from '@marjoramcart/core';
+import type { EntryState } from '../state/entry-state.js';
+
+const FAILURES_TO_EXCLUDE = 3;
+const MIN_BACKOFF_MS = 1000;
+const MAX_BACKOFF_MS = 16_000;
+
+interface OwnRecord {
+  inFlight: number;
+  sequence: number;
+  sentSinceReport: number;
+  consecutiveFailures: number;
+  excludedUntil: number;
+  failures: number;
+  successes: number;
+}
+
+export class TargetTable {
+  private readonly records = new Map<string, OwnRecord>();
+
+  private readonly reservedVms = new Set<string>();
+
+  constructor(
+    private readonly state: EntryState,
+    private readonly now: () => number,
+  ) {}
+
+  /** Targets that may take a request of the service now. */
+  candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[] {
+    const usable = this.state.view.targets.filter(
+      (target) => !excluded.has(target.vm) && isReady(target, service),
+    );
+    const connected = usable.filter(({ vm }) => !this.backedOff(vm));
+    // When most targets fail at once, the fault is on this side and none is excluded.
+    const isolated = this.state.view.isolated || connected.length * 2 < usable.length;
+    const open = isolated ? usable : connected;
+    const unreserved = open.filter(({ vm }) => !this.reservedVms.has(vm));
+    return (unreserved.length > 0 ? unreserved : open).map((state) => this.candidate(state));
+  }
+
+  /** Whether the target may still take the request; asked immediately before the write. */
+  isReady(vm: string, service: string): boolean {
+    const target = this.find(vm);
+    return target !== undefined && isReady(target, service);
+  }
+
+  find(vm: string): TargetState | undefined {
+    return this.state.view.targets.find((target) => target.vm === vm);
+  }
+
+  inFlight(vm: string): number {
+    return this.records.get(vm)?.inFlight ?? 0;
+  }
+
+  begin(vm: string): void {
+    const record = this.record(vm);
+    const sequence = this.find(vm)?.sequence ?? 0;
+    if (sequence !== record.sequence) {
+      record.sequence = sequence;
+      record.sentSinceReport = 0;
+    }
+    record.inFlight += 1;
+    record.sentSinceReport += 1;
+  }
+
+  /** Ends a request; `failed` is undefined when it tells nothing about the target. */
+  end(vm: string, failed: boolean | undefined): void {
+    const record = this.record(vm);
+    record.inFlight -= 1;
+    if (failed === undefined) return;
+    if (!failed) {
+      record.consecutiveFailures = 0;
+      record.successes += 1;
+      return;
+    }
+    record.failures += 1;
+    record.consecutiveFailures += 1;
+    const excess = record.consecutiveFailures - FAILURES_TO_EXCLUDE;
+    if (excess < 0) return;
+    record.excludedUntil = this.now() + Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** excess);
+  }
+
+  /** Keeps other requests off the target while a suspect runs there. */
+  reserve(vm: string): boolean {
+    if (this.reservedVms.has(vm)) return false;
+    this.reservedVms.add(vm);
+    return true;
+  }
+
+  isReserved(vm: string): boolean {
+    return this.reservedVms.has(vm);
+  }
+
+  unreserve(vm: string): void {
+    this.reservedVms.delete(vm);
+  }
+
+  /** Results since the last call, for the control daemon; forgets targets that are gone. */
+  takeObservations(): TargetObservation[] {
+    const known = new Set(this.state.view.targets.map(({ vm }) => vm));
+    const seen = [...this.records].filter(([, r]) => r.failures + r.successes > 0);
+    const result = seen.map(([vm, { failures, successes }]) => ({ vm, failures, successes }));
+    seen.forEach(([, record]) => Object.assign(record, { failures: 0, successes: 0 }));
+    [...this.records]
+      .filter(([vm, { inFlight }]) => inFlight === 0 && !known.has(vm))
+      .forEach(([vm]) => this.records.delete(vm));
+    return result;
+  }
+
+  private candidate(state: TargetState): TargetCandidate {
+    const record = this.records.get(state.vm);
+    const current = record?.sequence === state.sequence;
+    return {
+      state,
+      inFlight: record?.inFlight ?? 0,
+      sentSinceReport: current ? (record?.sentSinceReport ?? 0) : 0,
+    };
+  }
+
+  private backedOff(vm: string): boolean {
+    return (this.records.get(vm)?.excludedUntil ?? 0) > this.now();
+  }
+
+  private record(vm: string): OwnRecord {
+    const found = this.records.get(vm);
+    if (found) return found;
+    const created = {
+      inFlight: 0,
+      sequence: 0,
+      sentSinceReport: 0,
+      consecutiveFailures: 0,
+      excludedUntil: 0,
+      failures: 0,
+      successes: 0,
+    };
+    this.records.set(vm, created);
+    return created;
+  }
+}
+
+function isReady(target: TargetState, service: string): boolean {
+  return target.healthy && !target.leaving && target.services.includes(service);
+}
--- /dev/null
+++ b/packages/entry/src/sync/sync-task.ts
@@ -0,0 +1,141 @@
+/** Keeps the entry's state up to date by `entry.sync` with the control daemon of the VM. */
+import {
+  MembershipTiming,
+  sectionHashes,
+  type EntryLoad,
+  type SuspectRecord,
+  type TargetObservation,
+} from '@marjoramcart/core';
+import type { Logger, RpcClient, Task, TimerService, Unsubscribe } from '@marjoramcart/platform';
+import type { EntryState } from '../state/entry-state.js';
+
+const SYNC_TIMEOUT_MS = 1000;
+const HINT_INTERVAL_MS = 100;
+const HINT_WAIT_MS = 500;
+const PAUSE_WAIT_MS = 1000;
+
+/** What the entry reports with each sync. */
+export interface SyncReports {
+  load(): EntryLoad;
+  takeObservations(): readonly TargetObservation[];
+  suspects(): readonly SuspectRecord[];
+  learnSuspects(records: readonly SuspectRecord[]): void;
+}
+
+export interface SyncOptions {
+  readonly control: string;
+  readonly state: EntryState;
+  readonly rpc: RpcClient;
+  readonly timers: TimerService;
+  readonly log: Logger;
+  readonly reports: SyncReports;
+}
+
+export class SyncTask implements Task {
+  readonly name = 'sync';
+
+  private running: Promise<boolean> | undefined;
+
+  private fresh: Promise<void> | undefined;
+
+  private lastHintAt = Number.NEGATIVE_INFINITY;
+
+  private failures = 0;
+
+  private readonly subscriptions: Unsubscribe[] = [];
+
+  constructor(private readonly options: SyncOptions) {}
+
+  async start(): Promise<void> {
+    const { timers } = this.options;
+    this.subscriptions.push(
+      timers.every(MembershipTiming.EntrySyncIntervalMs, () => {
+        void this.sync();
+      }),
+      timers.onPause(({ durationMs }) => this.onPause(durationMs)),
+    );
+    await this.sync();
+  }
+
+  async stop(): Promise<void> {
+    this.subscriptions.forEach((unsubscribe) => unsubscribe());
+    await this.running;
+  }
+
+  /** Syncs once; a call during a sync joins it. False when the control daemon did not answer. */
+  sync(): Promise<boolean> {
+    this.running ??= this.exchange().finally(() => {
+      this.running = undefined;
+    });
+    return this.running;
+  }
+
+  /** Waits for the sync that follows a pause; undefined when the state is not stale. */
+  get afterPause(): Promise<void> | undefined {
+    return this.fresh;
+  }
+
+  /** Follows the hint of a higher revision: one sync per 100 ms, a wait of at most 500 ms. */
+  async onHint(revision: number): Promise<void> {
+    const { state, timers } = this.options;
+    const now = timers.now();
+    if (!state.witness(revision) || now - this.lastHintAt < HINT_INTERVAL_MS) return;
+    this.lastHintAt = now;
+    await Promise.race([this.sync(), this.delay(HINT_WAIT_MS)]);
+  }
+
+  private onPause(durationMs: number): void {
+    const { log } = this.options;
+    log.warn('process was paused, syncing before serving', { duration_ms: Math.round(durationMs) });
+    // A sync that began before the pause may bring state from before it.
+    const synced = Promise.resolve(this.running).then(() => this.sync());
+    const fresh = Promise.race([
+      synced,
+      this.delay(PAUSE_WAIT_MS).then(() => {
+        if (this.fresh === fresh) log.warn('no sync after a pause, continuing with held state');
+      }),
+    ]).then(() => {
+      if (this.fresh === fresh) this.fresh = undefined;
+    });
+    this.fresh = fresh;
+  }
+
+  private delay(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.options.timers.after(ms, resolve);
+    });
+  }
+
+  private async exchange(): Promise<boolean> {
+    const { state, rpc, control, reports, log } = this.options;
+    const observations = reports.takeObservations();
+    const result = await rpc.call(
+      control,
+      'entry.sync',
+      {
+        process: state.self,
+        load: reports.load(),
+        held: sectionHashes(state.snapshot),
+        revision: state.revision,
+        witnessedRevision: state.witnessedRevision,
+        viewVersion: state.view.version,
+        observations,
+        suspects: reports.suspects(),
+      },
+      SYNC_TIMEOUT_MS,
+    );
+    if (result.kind === 'error') {
+      this.failures += 1;
+      if (this.failures === 1) log.warn('control daemon does not answer', { ...result.error });
+      return false;
+    }
+    if (this.failures > 0) log.info('control daemon answers again');
+    this.failures = 0;
+    const outcome = state.apply(result.value);
+    if (outcome.kind === 'rejected') log.error('snapshot rejected', { reason: outcome.reason });
+    if (outcome.kind === 'older')
+      log.warn('older snapshot ignored', { revision: outcome.revision });
+    if (result.value.view) reports.learnSuspects(result.value.view.suspects);
+    return true;
+  }
+}
