--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -13,12 +13,17 @@
    * @param now monotonic ms
    */
   constructor(
-    private readonly share: number,
+    private share: number,
     now: number,
   ) {
     this.refilledAt = now;
   }
 
+  /** Follows the configuration; retries that are saved stay. */
+  setShare(share: number): void {
+    this.share = share;
+  }
+
   /** Counts a request, which adds its share of a retry. */
   onRequest(): void {
     this.tokens = Math.min(MAX_SAVED_RETRIES, this.tokens + this.share);
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -203,10 +203,10 @@
     const ended = this.endedEarly(p);
     if (ended) return ended;
     log.debug('answer broken', { target: target.vm, reason: end.message, reused: end.reused });
-    // A target closes idle connections without a fault; only others are judged.
-    if (end.reused) return this.retry(p, ResultCodes.TargetFailed, target.vm);
-    p.excluded.add(target.vm);
     const verdict = await probe.judge(target.address, target.sequence);
+    // A live target closes idle connections without a fault, so it may get the call again. A dead
+    // one is judged whatever the connection, or a request that crashes targets would go unseen.
+    if (verdict !== 'alive' || !end.reused) p.excluded.add(target.vm);
     if (verdict !== 'died') return this.retry(p, ResultCodes.TargetFailed, target.vm);
     const level = suspects.onDeath(identity(p.call), timers.now());
     log.warn('target died while running a request', { target: target.vm, level });
--- a/packages/entry/src/dispatch/housekeeping-task.ts
+++ b/packages/entry/src/dispatch/housekeeping-task.ts
@@ -1,8 +1,9 @@
 /** Regular work on shared tables, and the release of outgoing connections at the end. */
-import type { KeyTable, SuspectTable } from '@marjoramcart/core';
+import type { KeyTable, RetryBudget, SuspectTable } from '@marjoramcart/core';
 import type { RpcClient, Task, TimerService, Unsubscribe } from '@marjoramcart/platform';
 import type { AdmissionGate } from '../admission/admission-gate.js';
 import type { RecordedAnswer } from '../relay/answer.js';
+import type { EntryState } from '../state/entry-state.js';
 import type { Connections } from './connection.js';
 
 const ADMISSION_INTERVAL_MS = 50;
@@ -13,6 +14,8 @@
   readonly keys: KeyTable<RecordedAnswer>;
   readonly gate: AdmissionGate;
   readonly suspects: SuspectTable;
+  readonly budget: RetryBudget;
+  readonly state: EntryState;
   readonly rpc: RpcClient;
   readonly connections: Connections;
 }
@@ -25,12 +28,14 @@
   constructor(private readonly options: HousekeepingOptions) {}
 
   start(): Promise<void> {
-    const { timers, keys, gate, suspects } = this.options;
+    const { timers, keys, gate, suspects, budget, state } = this.options;
     this.subscriptions.push(
       timers.every(ADMISSION_INTERVAL_MS, () => gate.tick()),
       timers.every(EXPIRY_INTERVAL_MS, () => {
         keys.expire(timers.wall());
         suspects.expire(timers.now());
+        const percent = state.config?.limits.retry_budget_percent;
+        if (percent !== undefined) budget.setShare(percent / 100);
       }),
     );
     return Promise.resolve();
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -124,6 +124,7 @@
       learnSuspects: (records) => suspects.learn(records, timers.now()),
     },
   });
+  const budget = new RetryBudget(DEFAULT_RETRY_SHARE, timers.now());
   const dispatcher = new Dispatcher({
     targets,
     targetPolicy: createTargetPolicy(settings.policies.target),
@@ -139,7 +140,7 @@
     probe: new DeathProbe(connections),
     suspects,
     lane: new SuspectLane(targets, timers),
-    budget: new RetryBudget(DEFAULT_RETRY_SHARE, timers.now()),
+    budget,
     random,
     timers,
     log: log.child('dispatch'),
@@ -192,7 +193,16 @@
     log: log.child('callers'),
     drainNoticeMs: deps.drainNoticeMs,
   });
-  const housekeeping = new HousekeepingTask({ timers, keys, gate, suspects, rpc, connections });
+  const housekeeping = new HousekeepingTask({
+    timers,
+    keys,
+    gate,
+    suspects,
+    budget,
+    state,
+    rpc,
+    connections,
+  });
   const tasks = [housekeeping, admin, sync, peers, callers];
   return { bootId, state, callers, peers, admin, tasks };
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -62,7 +62,8 @@
     program.parse([...argv]);
   } catch (err) {
     if (!(err instanceof CommanderError)) throw err;
-    if (err.exitCode !== 0) fail(err.message.split('\n')[0] ?? '', EXIT_USAGE);
+    if (err.exitCode !== 0)
+      fail((err.message.split('\n')[0] ?? '').replace(/^error: /, ''), EXIT_USAGE);
     return;
   }
   const options = program.opts<Options>();
--- a/packages/entry/src/relay/answer.ts
+++ b/packages/entry/src/relay/answer.ts
@@ -21,6 +21,9 @@
   readonly meta: AnswerMeta;
 }
 
+/** Longest answer that is kept for re-sends. */
+const MAX_RECORDED_BYTES = 1024 * 1024;
+
 export type HeaderFields = Readonly<Record<string, string | string[]>>;
 
 export interface AnswerOptions {
@@ -48,7 +51,9 @@
 
   private isGone = false;
 
-  private readonly recorded: Buffer[] = [];
+  private recorded: Buffer[] = [];
+
+  private recordedBytes = 0;
 
   private head: Omit<RecordedAnswer, 'body'> | undefined;
 
@@ -91,7 +96,7 @@
 
   /** Sends data; false when the caller reads too slowly, until `onDrain`. */
   write(chunk: Buffer): boolean {
-    if (this.options.record) this.recorded.push(chunk);
+    this.keep(chunk);
     return this.isGone || this.res.write(chunk);
   }
 
@@ -117,7 +122,7 @@
   /** Sends a whole answer. */
   send(status: number, headers: HeaderFields, body: Buffer, meta: AnswerMeta): void {
     this.start(status, { ...headers, 'content-length': String(body.length) }, meta);
-    if (this.options.record) this.recorded.push(body);
+    this.keep(body);
     this.finished = true;
     if (!this.isGone) this.res.end(body);
   }
@@ -152,12 +157,21 @@
     if (!this.isGone) this.res.write(':\n\n', () => this.res.destroy());
   }
 
-  /** The complete answer; undefined when it is incomplete or not kept. */
+  /** The complete answer; undefined when it is incomplete, too long or not kept. */
   get recording(): RecordedAnswer | undefined {
-    if (!this.head || !this.options.record) return undefined;
+    if (!this.head || !this.options.record || this.recordedBytes > MAX_RECORDED_BYTES) {
+      return undefined;
+    }
     return { ...this.head, body: Buffer.concat(this.recorded) };
   }
 
+  private keep(chunk: Buffer): void {
+    if (!this.options.record) return;
+    this.recordedBytes += chunk.length;
+    if (this.recordedBytes <= MAX_RECORDED_BYTES) this.recorded.push(chunk);
+    else this.recorded = [];
+  }
+
   private metaHeaders(meta: AnswerMeta): HeaderFields {
     return {
       ...this.options.common(),
--- a/packages/entry/src/relay/relay.ts
+++ b/packages/entry/src/relay/relay.ts
@@ -55,7 +55,10 @@
 export function relayStream(res: IncomingMessage, ctx: StreamContext): Promise<RelayResult> {
   const { answer, frames } = ctx;
   return new Promise((resolve) => {
+    let settled = false;
     const finish = (result: RelayResult): void => {
+      if (settled) return;
+      settled = true;
       res.removeAllListeners('data');
       if (result.kind !== 'complete') res.destroy();
       resolve(result);
--- a/packages/entry/src/request/runner.ts
+++ b/packages/entry/src/request/runner.ts
@@ -257,7 +257,8 @@
 function outcomeOf(end: DispatchEnd, answer: Answer): KeyOutcome<RecordedAnswer> {
   const { recording } = answer;
   if (end.kind === 'failed' && end.code.run === RunState.Ran) return { kind: 'answer-dropped' };
-  if (end.kind !== 'complete' || !recording) return { kind: 'unknown' };
+  if (end.kind !== 'complete') return { kind: 'unknown' };
+  if (!recording) return { kind: 'answer-dropped' };
   return { kind: 'answer', answer: recording, bytes: recording.body.length };
 }
 
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -94,6 +94,8 @@
   apply(result: EntrySyncResult): SyncOutcome {
     const now = this.timers.now();
     this.syncedAt = now;
+    // A caller's echo is only a hint: a revision that does not exist is forgotten after one sync.
+    this.witnessed = 0;
     if (result.view) {
       this.viewHeld = result.view;
       this.viewAt = now;
@@ -105,8 +107,6 @@
     if (applied.kind === 'rejected') return { kind: 'rejected', reason: applied.error.kind };
     this.snapshotHeld = applied.snapshot;
     this.configHeld = viewOfSnapshot(applied.snapshot);
-    // A caller's echo is only a hint: a revision that does not exist is forgotten here.
-    this.witnessed = 0;
     return { kind: 'applied' };
   }
 }
