Test the entry against broken targets, forwards, input faults, drain and pauses

Cause: each failure that the design names needs a test that fails without its handling. Change: tests with an in-process control daemon, targets and entries of two failure domains.

--- /dev/null
+++ b/packages/entry/src/callers/callers.test.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import { SuspectTable } from '@marjoramcart/core';
+import { ManualTimerService } from '@marjoramcart/platform';
+import type { IncomingMessage } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { requestDigest } from './call-parser.js';
+import { readLimited } from '../request/body-reader.js';
+import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
+import {
+  API_KEY,
+  OTHER_API_KEY,
+  chatBody,
+  errorCode,
+  send,
+  startEntry,
+  targetState,
+  until,
+} from '../testing/harness.js';
+
+/** Sends raw text and returns all that comes back until the connection ends. */
+function raw(address: string, text: string): Promise<string> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const socket = net.connect({ host, port: Number(port) }, () => socket.write(text));
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk) => chunks.push(chunk));
+    socket.on('error', reject);
+    socket.on('close', () => resolve(Buffer.concat(chunks).toString('utf8')));
+  });
+}
+
+function head(apiKey: string, lines: readonly string[]): string {
+  return [
+    'POST /v1/chat/completions HTTP/1.1',
+    'host: x',
+    `authorization: Bearer ${apiKey}`,
+    ...lines,
+    '',
+    '',
+  ].join('\r\n');
+}
+
+test('each fault of the input has its code and nothing is run', async (t) => {
+  const target = await new FakeTarget((_req, res) => {
+    res.writeHead(200).end();
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  t.after(async () => {
+    target.crash();
+    await entry.stop();
+  });
+  const { address } = entry.daemon.callers;
+  const deep = `{"model":"chat","messages":${'['.repeat(70)}${']'.repeat(70)}}`;
+  const cases: [string, number][] = [
+    [head(API_KEY, ['content-length: 5000000']), 1103],
+    [`${head(API_KEY, ['content-length: 3', 'connection: close'])}{"a`, 1101],
+    [`${head(API_KEY, [`content-length: ${deep.length}`, 'connection: close'])}${deep}`, 1104],
+    [`${head(API_KEY, ['content-length: 2', 'connection: close'])}{}`, 1102],
+    [head(API_KEY, [`x: ${'y'.repeat(20_000)}`]), 1105],
+    ['nonsense\r\n\r\n', 1102],
+  ];
+  const codes = await Promise.all(
+    cases.map(async ([text]) => /"code":(\d+)/.exec(await raw(address, text))?.[1]),
+  );
+  assert.deepEqual(
+    codes.map(Number),
+    cases.map(([, code]) => code),
+  );
+  const late = await send(address, {
+    body: chatBody('x'),
+    headers: { 'marjoramcart-deadline-ms': 'soon' },
+  });
+  assert.equal(errorCode(late.body), 1107);
+  const unkeyed = await send(address, { path: '/svc/booking/slots', body: {} });
+  assert.equal(errorCode(unkeyed.body), 5101);
+  assert.ok(unkeyed.body.includes(`"key_prefix":"${entry.daemon.bootId}."`));
+  assert.equal(target.calls.length, 0);
+});
+
+test('residency is refused before the body arrives, with the entries to use', async (t) => {
+  // Guards against customer data in a region where it must not be: the body is never sent here.
+  const entry = await startEntry({
+    view: {
+      summaries: [
+        {
+          failureDomain: 'west-1',
+          region: 'west',
+          version: 1,
+          ageMs: 0,
+          services: [],
+          entries: [
+            {
+              bootId: 'w',
+              peerAddress: '127.0.0.1:1',
+              callerAddress: '127.0.0.1:2',
+              draining: false,
+              openRequests: 0,
+            },
+          ],
+        },
+      ],
+    },
+  });
+  t.after(() => entry.stop());
+  const answer = await raw(
+    entry.daemon.callers.address,
+    head(OTHER_API_KEY, ['content-length: 1000']),
+  );
+  assert.match(answer, /^HTTP\/1.1 421 /);
+  assert.match(answer, /"code":2201/);
+  assert.match(answer, /"address":"127.0.0.1:2"/);
+  assert.match(answer, /connection: close/i);
+});
+
+test('a sender below the minimum rate is given up', async () => {
+  // Guards against connections that slow senders hold for ever.
+  const timers = new ManualTimerService();
+  const body = new PassThrough() as unknown as IncomingMessage & PassThrough;
+  body.headers = {};
+  const result = readLimited(body, 1_000_000, timers);
+  body.write('x'.repeat(100));
+  timers.advance(4000);
+  assert.equal((await result).kind, 'too-slow');
+});
+
+test('a shutdown leaves the entry lists, finishes open streams and then ends', async (t) => {
+  // Guards against interrupted requests at a graceful shutdown.
+  const gate = { open: (): void => undefined };
+  const target = await new FakeTarget(async (_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).write(streamEvents(1, ['a']));
+    await new Promise<void>((resolve) => {
+      gate.open = resolve;
+    });
+    res.end(streamEvents(2, ['b']) + doneEvent(3));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  t.after(() => target.crash());
+  const { address } = entry.daemon.callers;
+  const answer = send(address, { body: chatBody('x') });
+  await until(() => target.calls.length === 1);
+  const stopped = entry.stop();
+  await until(() => entry.control.syncs.some(({ load }) => load.draining));
+  gate.open();
+  const { body, complete } = await answer;
+  assert.equal(body, streamEvents(1, ['a', 'b']) + doneEvent(3));
+  assert.ok(complete);
+  await stopped;
+  await assert.rejects(send(address, { body: chatBody('x') }));
+});
+
+test('a digest refused elsewhere is refused here under any key', async (t) => {
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const body = chatBody('killer');
+  const digest = requestDigest('c1', 'chat', Buffer.from(JSON.stringify(body)));
+  const elsewhere = new SuspectTable();
+  elsewhere.onDeath({ digest, customer: 'c1', service: 'chat' }, 0);
+  elsewhere.onDeath({ digest, customer: 'c1', service: 'chat' }, 0);
+  entry.control.setView({ suspects: elsewhere.own(0) });
+  const { version } = entry.control.view;
+  await until(() => entry.daemon.state.view.version === version);
+  const answer = await send(entry.daemon.callers.address, { body });
+  assert.equal(errorCode(answer.body), 4201);
+});
--- /dev/null
+++ b/packages/entry/src/dispatch/dispatch.test.ts
@@ -0,0 +1,286 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import type { TargetState } from '@marjoramcart/core';
+import {
+  FakeTarget,
+  STREAM_HEADERS,
+  doneEvent,
+  streamEvents,
+  type TargetScript,
+} from '../testing/fake-target.js';
+import {
+  chatBody,
+  errorCode,
+  keyOf,
+  send,
+  startEntry,
+  targetState,
+  until,
+  type Harness,
+} from '../testing/harness.js';
+
+interface Setup {
+  readonly entry: Harness;
+  readonly address: string;
+  readonly targets: readonly FakeTarget[];
+}
+
+/** Starts an entry with a target for each script; earlier ones report a lower load. */
+async function setup(
+  t: TestContext,
+  scripts: readonly TargetScript[],
+  change: Partial<TargetState> = {},
+): Promise<Setup> {
+  const targets = await Promise.all(scripts.map((script) => new FakeTarget(script).listen()));
+  const states = targets.map((target, index) =>
+    targetState(`t${index + 1}`, target, { running: index, ...change }),
+  );
+  const entry = await startEntry({ targets: states });
+  t.after(async () => {
+    targets.forEach((target) => target.crash());
+    await entry.stop();
+  });
+  return { entry, targets, address: entry.daemon.callers.address };
+}
+
+const completeStream: TargetScript = (_req, res) => {
+  res.writeHead(200, STREAM_HEADERS);
+  res.end(streamEvents(1, ['a', 'b']) + doneEvent(3));
+};
+
+const booked: TargetScript = (_req, res) => {
+  res.writeHead(201, { 'content-type': 'application/json' }).end('{"slot":7}');
+};
+
+const breakConnection: TargetScript = (_req, res) => {
+  res.socket?.resetAndDestroy();
+};
+
+function book(
+  { entry, address }: Pick<Setup, 'entry' | 'address'>,
+  nonce: string,
+  headers: Readonly<Record<string, string>> = {},
+): ReturnType<typeof send> {
+  return send(address, {
+    path: '/svc/booking/slots',
+    body: { crane: 1 },
+    headers: { 'idempotency-key': keyOf(entry.daemon, nonce), ...headers },
+  });
+}
+
+test('a stream that ends without [DONE] gets an error event and no clean end', async (t) => {
+  // Guards against a truncated answer that looks complete.
+  const { address } = await setup(t, [
+    (_req, res) => {
+      res.writeHead(200, { 'content-type': 'text/event-stream' });
+      res.end(`${streamEvents(1, ['a'])}id: 2\ndata: {"half`);
+    },
+  ]);
+  const answer = await send(address, { body: chatBody('x') });
+  assert.ok(answer.body.startsWith(streamEvents(1, ['a'])));
+  assert.ok(!answer.body.includes('half'));
+  assert.equal(errorCode(answer.body), 4302);
+  assert.equal(answer.complete, false);
+});
+
+test('a JSON answer shorter than announced is not delivered and runs again elsewhere', async (t) => {
+  const { address } = await setup(t, [
+    (_req, res) => {
+      res.writeHead(200, { 'content-type': 'application/json', 'content-length': '100' });
+      res.write('{"half":');
+      res.socket?.end();
+    },
+    (_req, res) => {
+      res.writeHead(200, { 'content-type': 'application/json' }).end('{"whole":1}');
+    },
+  ]);
+  const answer = await send(address, { body: chatBody('x', false) });
+  assert.equal(answer.body, '{"whole":1}');
+  assert.equal(answer.headers['marjoramcart-attempts'], '2');
+});
+
+test('a broken stream is resumed by its id on the same target without a gap', async (t) => {
+  // Guards against lost, doubled or re-generated tokens after a broken connection.
+  const { address, targets } = await setup(t, [
+    (req, res) => {
+      if (req.method === 'GET') {
+        res.writeHead(200, STREAM_HEADERS).end(streamEvents(3, ['c']) + doneEvent(4));
+        return;
+      }
+      res.writeHead(200, STREAM_HEADERS);
+      res.write(`${streamEvents(1, ['a', 'b'])}id: 3\nda`, () => res.socket?.resetAndDestroy());
+    },
+  ]);
+  const answer = await send(address, { body: chatBody('x') });
+  assert.equal(answer.body, streamEvents(1, ['a', 'b', 'c']) + doneEvent(4));
+  assert.ok(answer.complete);
+  assert.equal(targets[0]?.calls[1]?.url, '/v1/streams/s1');
+  assert.equal(targets[0]?.calls[1]?.headers['last-event-id'], '2');
+});
+
+test('a non-repeatable call whose connection breaks is unknown and never sent again', async (t) => {
+  // Guards against a booking that is made and paid twice.
+  const s = await setup(t, [breakConnection, booked]);
+  const first = await book(s, 'nonce-0001');
+  assert.equal(first.headers['marjoramcart-run'], 'unknown');
+  const again = await book(s, 'nonce-0001');
+  assert.equal(errorCode(again.body), 5201);
+  assert.equal(s.targets.flatMap(({ calls }) => calls).length, 1);
+});
+
+test('each non-repeatable call has a connection of its own; repeatable calls share one', async (t) => {
+  // Guards against a reused connection that the target closes as the request is written.
+  const s = await setup(t, [booked]);
+  await book(s, 'nonce-0001');
+  await book(s, 'nonce-0002');
+  assert.equal(s.targets[0]?.connections, 2);
+  await send(s.address, { method: 'GET', path: '/svc/booking/slots' });
+  await send(s.address, { method: 'GET', path: '/svc/booking/slots' });
+  assert.equal(s.targets[0]?.connections, 3);
+});
+
+test('a repeatable call survives a reused connection that the target closed', async (t) => {
+  const s = await setup(t, [
+    (req, res, target) => {
+      const stale = req.url === '/slots?stale' && target.calls.length === 2;
+      if (stale) res.socket?.resetAndDestroy();
+      else res.writeHead(200, { 'content-type': 'application/json' }).end('{}');
+    },
+  ]);
+  await send(s.address, { method: 'GET', path: '/svc/booking/slots' });
+  const answer = await send(s.address, { method: 'GET', path: '/svc/booking/slots?stale' });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.headers['marjoramcart-attempts'], '2');
+});
+
+test('a call that could not connect runs elsewhere, also a non-repeatable one', async (t) => {
+  const s = await setup(t, [booked, booked]);
+  s.targets[0]?.crash();
+  const answer = await book(s, 'nonce-0001');
+  assert.equal(answer.status, 201);
+  assert.equal(answer.headers['marjoramcart-target'], 't2');
+});
+
+test('a call whose deadline passes in the queue is not run and its key is burned', async (t) => {
+  // Guards against a request that runs after its caller was told that it did not.
+  const gate = { open: (): void => undefined };
+  const s = await setup(
+    t,
+    [
+      async (req, res, target) => {
+        if (target.calls.length === 1) {
+          await new Promise<void>((resolve) => {
+            gate.open = resolve;
+          });
+        }
+        await booked(req, res, target);
+      },
+    ],
+    { concurrency: 1 },
+  );
+  const first = book(s, 'nonce-0001');
+  await until(() => s.targets[0]?.calls.length === 1);
+  const late = await book(s, 'nonce-0002', { 'marjoramcart-deadline-ms': '60' });
+  assert.equal(errorCode(late.body), 3104);
+  assert.equal(late.headers['marjoramcart-run'], 'not_run');
+  gate.open();
+  assert.equal((await first).status, 201);
+  assert.equal(errorCode((await book(s, 'nonce-0002')).body), 5105);
+  assert.equal(s.targets[0]?.calls.length, 1);
+});
+
+test('a re-send during the call joins it and a later one gets the same answer', async (t) => {
+  const gate = { open: (): void => undefined };
+  const s = await setup(t, [
+    async (req, res, target) => {
+      await new Promise<void>((resolve) => {
+        gate.open = resolve;
+      });
+      await booked(req, res, target);
+    },
+  ]);
+  const first = book(s, 'nonce-0001');
+  await until(() => s.targets[0]?.calls.length === 1);
+  const joined = book(s, 'nonce-0001');
+  const otherBody = await send(s.address, {
+    path: '/svc/booking/slots',
+    body: { crane: 2 },
+    headers: { 'idempotency-key': keyOf(s.entry.daemon, 'nonce-0001') },
+  });
+  assert.equal(errorCode(otherBody.body), 5104);
+  gate.open();
+  const bodies = [await first, await joined, await book(s, 'nonce-0001')].map(({ body }) => body);
+  assert.deepEqual(bodies, ['{"slot":7}', '{"slot":7}', '{"slot":7}']);
+  assert.equal(s.targets[0]?.calls.length, 1);
+});
+
+test('a leaving target receives no new work', async (t) => {
+  const s = await setup(t, [booked, booked]);
+  const [first, second] = s.targets as [FakeTarget, FakeTarget];
+  s.entry.control.setView({
+    targets: [targetState('t1', first, { leaving: true }), targetState('t2', second)],
+  });
+  const { version } = s.entry.control.view;
+  await until(() => s.entry.daemon.state.view.version === version);
+  assert.equal((await book(s, 'nonce-0001')).headers['marjoramcart-target'], 't2');
+  assert.equal(first.calls.length, 0);
+});
+
+test('a caller that leaves cancels its stream at the engine', async (t) => {
+  // Guards against accelerators that generate for callers that are gone.
+  const s = await setup(t, [
+    (req, res) => {
+      if (req.method === 'DELETE') res.writeHead(204).end();
+      else res.writeHead(200, STREAM_HEADERS).write(streamEvents(1, ['a']));
+    },
+  ]);
+  const leave = new AbortController();
+  const answer = send(s.address, { body: chatBody('x'), signal: leave.signal }).catch(
+    () => undefined,
+  );
+  await until(() => s.targets[0]?.calls.length === 1);
+  leave.abort();
+  await answer;
+  await until(() => s.targets[0]?.calls.some(({ method }) => method === 'DELETE') === true);
+  assert.equal(s.targets[0]?.calls[1]?.url, '/v1/streams/s1');
+});
+
+test('a request that kills its targets stops after two, the others get their answers', async (t) => {
+  // Guards against one request that takes down a whole service.
+  const started = { count: 0 };
+  const victims: FakeTarget[] = [];
+  const script: TargetScript = async (req, res, target) => {
+    if (req.body.includes('killer')) {
+      if (started.count < 2) await until(() => started.count >= 2);
+      target.crash();
+      return;
+    }
+    started.count += 1;
+    if (target === victims[0]) return;
+    await completeStream(req, res, target);
+  };
+  const s = await setup(t, [script, script, script, script]);
+  victims.push(...s.targets);
+  const [first] = s.targets as [FakeTarget];
+  // All three run on the first target.
+  s.entry.control.setView({
+    targets: s.targets.map((target, index) =>
+      targetState(`t${index + 1}`, target, { running: index * 100, sequence: 1 }),
+    ),
+  });
+  const { version } = s.entry.control.view;
+  await until(() => s.entry.daemon.state.view.version === version);
+  const innocent = ['a', 'b'].map((text) => send(s.address, { body: chatBody(text) }));
+  await until(() => first.calls.length === 2);
+  const killer = await send(s.address, { body: chatBody('killer') });
+  assert.equal(errorCode(killer.body), 4201);
+  const answers = await Promise.all(innocent);
+  assert.deepEqual(
+    answers.map(({ body }) => body),
+    [1, 2].map(() => streamEvents(1, ['a', 'b']) + doneEvent(3)),
+  );
+  const again = await send(s.address, { body: chatBody('killer') });
+  assert.equal(errorCode(again.body), 4201);
+  const killed = s.targets.filter(({ calls }) => calls.some(({ body }) => body.includes('killer')));
+  assert.equal(killed.length, 2);
+});
--- /dev/null
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { EntrySyncResult, ProcessRef } from '@marjoramcart/core';
+import { buildSnapshot, mainPartSchema, snapshotDelta } from '@marjoramcart/core';
+import {
+  ManualTimerService,
+  silentLogger,
+  type RpcClient,
+  type RpcResult,
+} from '@marjoramcart/platform';
+import { EntryState } from '../state/entry-state.js';
+import { SyncTask } from './sync-task.js';
+
+const self: ProcessRef = {
+  bootId: 'b',
+  role: 'entry',
+  vm: 'v',
+  region: 'north',
+  failureDomain: 'north-1',
+  peerAddress: '127.0.0.1:1',
+};
+
+function snapshotAt(revision: number): ReturnType<typeof buildSnapshot> {
+  const main = mainPartSchema.parse({ format: 1, regions: {}, services: {}, classes: {} });
+  return buildSnapshot(revision, main, []);
+}
+
+function setup(answer: () => Promise<RpcResult<EntrySyncResult>>): {
+  timers: ManualTimerService;
+  state: EntryState;
+  sync: SyncTask;
+} {
+  const timers = new ManualTimerService();
+  const state = new EntryState(self, timers);
+  const sync = new SyncTask({
+    control: '127.0.0.1:2',
+    state,
+    rpc: { call: answer } as unknown as RpcClient,
+    timers,
+    log: silentLogger(),
+    reports: {
+      load: () => ({ openRequests: 0, queued: 0, draining: false }),
+      takeObservations: () => [],
+      suspects: () => [],
+      learnSuspects: () => undefined,
+    },
+  });
+  return { timers, state, sync };
+}
+
+function answerAt(revision: number): RpcResult<EntrySyncResult> {
+  const delta = snapshotDelta(snapshotAt(revision), {});
+  return { kind: 'ok', value: { control: self, revision, delta } };
+}
+
+test('an older revision never replaces a newer one', async () => {
+  // Guards against a stale control daemon that reverts the configuration.
+  const answers = [answerAt(5), answerAt(4)];
+  const { state, sync } = setup(() => Promise.resolve(answers.shift() ?? answerAt(5)));
+  await sync.sync();
+  await sync.sync();
+  assert.equal(state.revision, 5);
+});
+
+test('after a pause dispatch waits for a sync, and for at most a second without one', async () => {
+  // Guards against requests that are sent by state from before the pause.
+  const open: (() => void)[] = [];
+  const { timers, sync } = setup(
+    () =>
+      new Promise((resolve) => {
+        open.push(() => resolve(answerAt(1)));
+      }),
+  );
+  const started = sync.start();
+  open.shift()?.();
+  await started;
+  timers.pause(5000);
+  const pending = sync.afterPause;
+  assert.ok(pending);
+  timers.advance(1000);
+  await pending;
+  assert.equal(sync.afterPause, undefined);
+});
+
+test('without its control daemon the entry keeps its state and reports the loss', async () => {
+  const answers = [answerAt(1)];
+  const { timers, state, sync } = setup(() =>
+    Promise.resolve(
+      answers.shift() ?? { kind: 'error', error: { kind: 'timeout', timeoutMs: 1000 } },
+    ),
+  );
+  await sync.sync();
+  timers.advance(4000);
+  await sync.sync();
+  assert.equal(state.controlLost, true);
+  assert.equal(state.revision, 1);
+  assert.ok(state.ready);
+});
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -189,9 +189,12 @@
   return parsed.error?.code;
 }
 
-/** A valid key that the entry owns. */
-export function keyOf(daemon: Pick<EntryDaemon, 'bootId'>, nonce: string, ttlMs = 60_000): string {
-  return `${daemon.bootId}.${Math.ceil((Date.now() + ttlMs) / 1000)}.${nonce}`;
+// The expiry is part of the key, so it must not change within a test.
+const KEY_EXPIRY_S = Math.ceil(Date.now() / 1000) + 600;
+
+/** A valid key that the entry owns; the same nonce gives the same key. */
+export function keyOf(daemon: Pick<EntryDaemon, 'bootId'>, nonce: string): string {
+  return `${daemon.bootId}.${KEY_EXPIRY_S}.${nonce}`;
 }
 
 /** Waits for a condition that changes with events in this process. */
