Defer 100-continue to the residency check and cancel abandoned streams

Cause: Node asks for the body before the handler runs when a client expects 100-continue, so a disallowed region received the body. A broken stream that was not resumed ran on at the engine. Change: HttpListener.deferContinue; the entry asks for the body after identity and residency; every incomplete stream is cancelled by its id.

--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -41,17 +41,19 @@
   readonly config: ConfigView;
   readonly customer: CustomerConfig;
   readonly arrivedAt: number;
+  /** Called when all checks that need no body have passed. */
+  readonly onBodyWanted: () => void;
 }
 
 /** Parses a chat completion. The service is in the body; the customer's regions are not. */
 export async function parseChatCall(deps: ParserDeps, head: Head): Promise<ParseResult> {
-  const { config, customer, req } = head;
+  const { config, customer } = head;
   const { self, view } = deps.state;
   const refusal =
     checkResidency(customerRegions(config, customer), self, config, view) ??
     checkNamedService(deps, head);
   if (refusal) return refusal;
-  const body = await readBody(deps, req, MAX_BODY_BYTES);
+  const body = await readBody(deps, head, MAX_BODY_BYTES);
   if (body.kind !== 'body') return body;
   const parsed = parseChat(body.body);
   if (parsed.kind === 'rejected') return parsed;
@@ -96,7 +98,7 @@
   if (!operation) return rejected(ResultCodes.MethodNotAllowed, { close: true });
   const early = checkKey(deps, head, operation.repeatable);
   if (early.kind === 'rejected') return early;
-  const body = await readBody(deps, req, service.max_body_kb * BYTES_PER_KB);
+  const body = await readBody(deps, head, service.max_body_kb * BYTES_PER_KB);
   if (body.kind !== 'body') return body;
   const contentType = req.headers['content-type'];
   return makeCall(deps, head, {
@@ -198,9 +200,10 @@
 
 async function readBody(
   { timers }: ParserDeps,
-  req: IncomingMessage,
+  { req, onBodyWanted }: Head,
   maxBytes: number,
 ): Promise<{ readonly kind: 'body'; readonly body: Buffer } | Rejection | { kind: 'aborted' }> {
+  onBodyWanted();
   const result = await readLimited(req, maxBytes, timers);
   switch (result.kind) {
     case 'complete':
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -39,6 +39,7 @@
       handler: (req, res) => this.handle(req, res),
       onError: (err) => options.log.error('request failed', { err }),
       maxHeaderBytes: MAX_HEADER_BYTES,
+      deferContinue: true,
       headersTimeoutMs: HEADERS_TIMEOUT_MS,
       onClientError: (err, socket) => this.onClientError(err, socket),
     });
@@ -82,7 +83,10 @@
     }
     const { customer } = identity;
     const [path = ''] = (req.url ?? '').split('?');
-    const head = { req, config, customer, arrivedAt };
+    const onBodyWanted = (): void => {
+      if (req.headers.expect !== undefined) res.writeContinue();
+    };
+    const head = { req, config, customer, arrivedAt, onBodyWanted };
     const route = routeOf(path, req.method ?? '');
     switch (route) {
       case 'chat':
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -112,6 +112,53 @@
   assert.match(answer, /"code":2201/);
   assert.match(answer, /"address":"127.0.0.1:2"/);
   assert.match(answer, /connection: close/i);
+  const expecting = await raw(
+    entry.daemon.callers.address,
+    head(OTHER_API_KEY, ['content-length: 1000', 'expect: 100-continue']),
+  );
+  assert.match(expecting, /^HTTP\/1.1 421 /, 'the client is not asked for the body');
+  const list = await send(entry.daemon.callers.address, {
+    method: 'GET',
+    path: '/v1/entries',
+    apiKey: OTHER_API_KEY,
+  });
+  const { entries } = JSON.parse(list.body) as { entries: { key_prefix: string }[] };
+  assert.deepEqual(
+    entries.map(({ key_prefix: prefix }) => prefix),
+    ['w.'],
+  );
+});
+
+test('a caller that expects 100-continue is asked for its body once it is known', async (t) => {
+  const target = await new FakeTarget((_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).end(streamEvents(1, ['a']) + doneEvent(2));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  t.after(async () => {
+    target.crash();
+    await entry.stop();
+  });
+  const body = JSON.stringify(chatBody('x'));
+  const lines = [`content-length: ${body.length}`, 'expect: 100-continue', 'connection: close'];
+  const answer = await raw(entry.daemon.callers.address, head(API_KEY, lines) + body);
+  assert.match(answer, /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /);
+});
+
+test('status, readiness and metrics tell the state of the entry', async (t) => {
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const get = (path: string): ReturnType<typeof send> =>
+    send(entry.daemon.admin.address, { method: 'GET', path });
+  assert.equal((await get('/readyz')).status, 200);
+  const status = JSON.parse((await get('/status')).body) as Record<string, unknown>;
+  assert.equal(status.revision, 1);
+  assert.equal(status.control_lost, false);
+  await send(entry.daemon.callers.address, { body: chatBody('x') });
+  const metrics = (await get('/metrics')).body;
+  assert.match(metrics, /marjoramcart_requests_total 1/);
+  assert.match(metrics, /marjoramcart_results_total{code="4102",run="not_run"} 1/);
+  entry.daemon.state.draining = true;
+  assert.equal((await get('/readyz')).status, 503);
 });
 
 test('a sender below the minimum rate is given up', async () => {
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -89,7 +89,7 @@
   }
 
   private async stream(res: IncomingMessage, options: AttemptOptions): Promise<AttemptEnd> {
-    const { answer, target, signal } = options;
+    const { answer, target } = options;
     const frames = new SseFrames();
     const ctx = {
       answer,
@@ -104,7 +104,8 @@
       first.kind === 'truncated' && streamId !== undefined
         ? await this.resume(streamId, options, ctx, MAX_RESUMES, first)
         : first;
-    if (last.kind !== 'complete' && signal.aborted && streamId !== undefined) {
+    // The engine keeps a broken stream running for a resume that does not come any more.
+    if (last.kind !== 'complete' && streamId !== undefined) {
       void this.cancel(target.address, streamId);
     }
     if (last.kind === 'complete') {
--- a/packages/platform/src/http/listener.ts
+++ b/packages/platform/src/http/listener.ts
@@ -11,6 +11,11 @@
   readonly onError: (err: unknown) => void;
   readonly maxHeaderBytes?: number;
   readonly headersTimeoutMs?: number;
+  /**
+   * Leaves `Expect: 100-continue` to the handler, which calls `res.writeContinue()` once it wants
+   * the body. Otherwise the client is told to send the body before the handler has checked anything.
+   */
+  readonly deferContinue?: boolean;
   /** Answers a message that is not HTTP or whose headers are too large or too slow. */
   readonly onClientError?: (err: NodeJS.ErrnoException, socket: import('node:net').Socket) => void;
 }
@@ -37,6 +42,11 @@
         void this.dispatch(req, res);
       },
     );
+    if (options.deferContinue === true) {
+      this.server.on('checkContinue', (req, res) => {
+        void this.dispatch(req, res);
+      });
+    }
     if (options.onClientError) {
       this.server.on('clientError', (err, socket) =>
         options.onClientError?.(err, socket as import('node:net').Socket),
