End shutdowns without the keep-alive timeout; keep refusals from other domains final

Cause: a connection whose answer began before the close stayed open for up to 5 s, and a suspect refused in another failure domain was tried again at home. Change: HttpListener closes connections as they become idle; code 4201 of another entry is final.

--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -197,6 +197,38 @@
   await assert.rejects(send(address, { body: chatBody('x') }));
 });
 
+test('a connection that becomes idle during a shutdown does not delay it', async (t) => {
+  // Guards against a shutdown that waits for the keep-alive timeout of 5 s.
+  const gate = { open: (): void => undefined };
+  const target = await new FakeTarget(async (_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).write(streamEvents(1, ['a']));
+    await new Promise<void>((resolve) => {
+      gate.open = resolve;
+    });
+    res.end(doneEvent(2));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  const body = JSON.stringify(chatBody('x'));
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  t.after(() => {
+    target.crash();
+    socket.destroy();
+  });
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  socket.write(head(API_KEY, [`content-length: ${body.length}`]) + body);
+  await until(() => received.length > 0);
+  const stopped = { done: false };
+  void entry.stop().then(() => {
+    stopped.done = true;
+  });
+  await until(() => entry.control.syncs.some(({ load }) => load.draining));
+  gate.open();
+  await until(() => stopped.done, 3000);
+  assert.match(Buffer.concat(received).toString('utf8'), /\[DONE\]/);
+});
+
 test('a digest refused elsewhere is refused here under any key', async (t) => {
   const entry = await startEntry();
   t.after(() => entry.stop());
--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -33,6 +33,7 @@
 /** Part of the remaining time that is kept for the way back. */
 const HOP_MARGIN_MS = 5;
 const CANCEL_TIMEOUT_MS = 1000;
+const FINAL_CODES = new Set<number>([ResultCodes.Ok.code, ResultCodes.RequestRefusedSuspect.code]);
 
 /** An entry that a call can be forwarded to. */
 export interface ForwardTarget extends ForwardHop {
@@ -145,8 +146,9 @@
     if (body.kind !== 'complete') return this.lost(options, body.kind);
     // Without a code the answer does not come from an entry, and nothing is known.
     if (!meta) return this.lost(options, `status ${res.statusCode} without a result code`);
-    // The owner of a key speaks for it, so its answer goes to the caller whatever it says.
-    const final = options.reason === 'key' || meta.code.code === ResultCodes.Ok.code;
+    // The owner of a key speaks for it, so its answer goes to the caller whatever it says. A
+    // refused suspect must not be tried again here, where its deaths may not be known yet.
+    const final = options.reason === 'key' || FINAL_CODES.has(meta.code.code);
     if (final) {
       options.onEvents();
       answer.send(res.statusCode ?? 502, passedOnHeaders(res.headers), body.body, meta);
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import http from 'node:http';
 import { test, type TestContext } from 'node:test';
-import type { DomainSummary } from '@marjoramcart/core';
+import { SuspectTable, type DomainSummary } from '@marjoramcart/core';
 import { AUTH_HEADER, MessageAuthenticator, SENDER_HEADER } from '@marjoramcart/platform';
+import { requestDigest } from '../callers/call-parser.js';
 import { FLEET_SECRET } from '../testing/fake-control.js';
 import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
 import {
@@ -208,3 +209,20 @@
   assert.equal(errorCode(answer.body), 4102);
   assert.equal(target.calls.length, 0);
 });
+
+test('a suspect that another failure domain refuses is not tried at home', async (t) => {
+  // Guards against a third lost target while the refusal has not been gossiped yet.
+  const { home, away } = await startPair(t);
+  const body = chatBody('killer');
+  const elsewhere = new SuspectTable();
+  const digest = requestDigest('c1', 'chat', Buffer.from(JSON.stringify(body)));
+  elsewhere.onDeath({ digest, customer: 'c1', service: 'chat' }, 0);
+  elsewhere.onDeath({ digest, customer: 'c1', service: 'chat' }, 0);
+  away.control.setView({ suspects: elsewhere.own(0) });
+  const { version } = away.control.view;
+  await until(() => away.daemon.state.view.version === version);
+  const answer = await send(home.daemon.callers.address, { body });
+  assert.equal(errorCode(answer.body), 4201);
+  const metrics = await home.metrics.text();
+  assert.match(metrics, /marjoramcart_attempts_total 1\n/);
+});
--- a/packages/platform/src/http/listener.ts
+++ b/packages/platform/src/http/listener.ts
@@ -22,6 +22,7 @@
 
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 const DEFAULT_HEADERS_TIMEOUT_MS = 5000;
+const IDLE_SWEEP_MS = 100;
 
 export class HttpListener {
   private readonly server: http.Server;
@@ -81,7 +82,13 @@
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
+      // A connection whose answer began before the close becomes idle later and would stay open
+      // until the keep-alive timeout.
+      const sweep = setInterval(() => this.server.closeIdleConnections(), IDLE_SWEEP_MS);
+      this.server.close(() => {
+        clearInterval(sweep);
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
