Answer faulty requests on reused connections with their code

Cause: a header fault on a connection that had carried an answer before was closed without a code. Change: only a connection with a request in progress is closed silently.

--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -33,6 +33,9 @@
 
   private readonly listener: HttpListener;
 
+  /** Connections with a request in progress. */
+  private readonly busy = new WeakSet<Socket>();
+
   constructor(private readonly options: CallerTaskOptions) {
     this.listener = new HttpListener({
       address: options.address,
@@ -68,6 +71,9 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { state, timers, sync } = this.options;
+    const { socket } = req;
+    this.busy.add(socket);
+    res.once('close', () => this.busy.delete(socket));
     const arrivedAt = timers.now();
     const seen = req.headers['marjoramcart-revision'];
     if (typeof seen === 'string') await sync.onHint(Number(seen));
@@ -161,9 +167,8 @@
 
   /** Answers messages that are no valid HTTP, or whose headers are too large or too slow. */
   private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-    const { bytesWritten } = socket;
-    // After bytes of an answer an error text would become part of it.
-    if (!socket.writable || bytesWritten > 0 || err.code === 'ECONNRESET') {
+    // Within an answer the error text would become part of it.
+    if (!socket.writable || this.busy.has(socket) || err.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -79,6 +79,24 @@
   assert.equal(target.calls.length, 0);
 });
 
+test('a faulty request on a reused connection gets its code', async (t) => {
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  const closed = new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  socket.write(`GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${API_KEY}\r\n\r\n`);
+  await until(() => Buffer.concat(received).toString('utf8').includes('"object":"list"'));
+  received.length = 0;
+  socket.write(head(API_KEY, [`x: ${'y'.repeat(20_000)}`]));
+  await closed;
+  assert.match(Buffer.concat(received).toString('utf8'), /"code":1105/);
+});
+
 test('residency is refused before the body arrives, with the entries to use', async (t) => {
   // Guards against customer data in a region where it must not be: the body is never sent here.
   const entry = await startEntry({
--- a/packages/entry/src/dispatch/dispatch.test.ts
+++ b/packages/entry/src/dispatch/dispatch.test.ts
@@ -284,3 +284,17 @@
   const killed = s.targets.filter(({ calls }) => calls.some(({ body }) => body.includes('killer')));
   assert.equal(killed.length, 2);
 });
+
+test('a target that restarted has died; a broken connection of a live one is no death', async (t) => {
+  // Guards against crashes hidden by a quick restart, and against refusals after network faults.
+  const restarted = await setup(t, [breakConnection, breakConnection, breakConnection], {
+    sequence: 2000,
+  });
+  const crashing = await send(restarted.address, { body: chatBody('x') });
+  assert.equal(errorCode(crashing.body), 4201);
+  assert.equal(restarted.targets.flatMap(({ calls }) => calls).length, 2);
+  const live = await setup(t, [breakConnection, breakConnection, breakConnection]);
+  const broken = await send(live.address, { body: chatBody('x') });
+  assert.equal(errorCode(broken.body), 4301);
+  assert.equal(live.targets.flatMap(({ calls }) => calls).length, 3);
+});
