Bound the wait of a re-send by its own deadline

Cause: a re-send that joined a call in flight waited until that call ended, whatever its deadline. Change: at its deadline the re-send gets outcome_unknown; the call in flight goes on.

--- a/packages/entry/src/dispatch/dispatch.test.ts
+++ b/packages/entry/src/dispatch/dispatch.test.ts
@@ -208,6 +208,8 @@
     headers: { 'idempotency-key': keyOf(s.entry.daemon, 'nonce-0001') },
   });
   assert.equal(errorCode(otherBody.body), 5104);
+  const impatient = await book(s, 'nonce-0001', { 'marjoramcart-deadline-ms': '40' });
+  assert.equal(errorCode(impatient.body), 5201);
   gate.open();
   const bodies = [await first, await joined, await book(s, 'nonce-0001')].map(({ body }) => body);
   assert.deepEqual(bodies, ['{"slot":7}', '{"slot":7}', '{"slot":7}']);
--- a/packages/entry/src/request/runner.ts
+++ b/packages/entry/src/request/runner.ts
@@ -90,7 +90,7 @@
         await this.runNewKey(call, key, answer, timer);
         return;
       case 'join':
-        replay(answer, await claim.settled, timer);
+        replay(answer, await this.orDeadline(claim.settled, call), timer);
         return;
       case 'settled':
         replay(answer, claim.outcome, timer);
@@ -100,6 +100,22 @@
     }
   }
 
+  /** Waits for the call in flight, but not beyond the deadline of the re-send. */
+  private async orDeadline(
+    settled: Promise<KeyOutcome<RecordedAnswer>>,
+    call: Call,
+  ): Promise<KeyOutcome<RecordedAnswer>> {
+    const { timers } = this.options;
+    const timer = { stop: (): void => undefined };
+    const late = new Promise<KeyOutcome<RecordedAnswer>>((resolve) => {
+      const remainingMs = Math.max(0, call.deadlineAt - timers.now());
+      timer.stop = timers.after(remainingMs, () => resolve({ kind: 'unknown' }));
+    });
+    const outcome = await Promise.race([settled, late]);
+    timer.stop();
+    return outcome;
+  }
+
   private async runNewKey(
     call: Call,
     key: IdempotencyKey,
