Check the operators' text

Cause: an operator's text must be accepted or rejected as a whole before it comes into force, and each fault must be found in the file. Change: checkText parses each part, checks it against the schema, and checks references, links, dependency cycles, residency, bounds and duplicates; each fault has a file, line, column and hint. Aliases of maps and lists are refused because they can make a small value expand without bound.

--- /dev/null
+++ b/packages/core/src/config/check-text.test.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { test } from 'node:test';
+import { checkText, MAX_FAULTS, partsOfValues } from './check-text.js';
+import { MAX_VALUE_BYTES } from './parse-part.js';
+
+const MAIN = `format: 1
+regions:
+  north: { failure_domains: [north-1], links: { west: { one_way: 80ms, mbit_per_s: 1500 } } }
+  west: { failure_domains: [west-1] }
+models:
+  rigging: { version: '3', weights_mb: 4000, adapters: [manuals] }
+services:
+  tent-answers: { kind: model, model: rigging, adapter: manuals, regions: [north, west] }
+  booking:
+    kind: plain
+    regions: [north]
+    targets: { min: 1, max: 3 }
+    operations: [{ method: POST, path: /slots, repeatable: false }]
+classes: { standard: { priority: 10 } }
+customers:
+  - { id: c1, key: a0000000000000000000000000000001, class: standard }
+metrics: { customers: [c1] }
+`;
+
+function faultsOf(text: string, customers?: string) {
+  const parts = [{ file: 'main.yaml', text }];
+  const all =
+    customers === undefined ? parts : [...parts, { file: 'customers-a', text: customers }];
+  const result = checkText(all);
+  return result.kind === 'accepted' ? [] : result.faults;
+}
+
+test('a correct text is accepted with its defaults', () => {
+  const result = checkText(partsOfValues(new Map([['config/main', MAIN]])));
+  assert.equal(result.kind, 'accepted', JSON.stringify(result));
+  assert.equal(result.kind === 'accepted' && result.main.services.booking?.concurrency, 32);
+});
+
+// Each row guards against a wrong text being taken into force: a replacement in the text, the
+// message and what stands at the position of the fault.
+const REPLACEMENTS = [
+  ['classes:', 'clases:', "unknown key 'clases'", 'clases:'],
+  ['one_way: 80ms', 'one_way: 80', 'expected string, received number', '80,'],
+  ['one_way: 80ms', 'one_way: 80sec', 'use a number with a unit', '80sec'],
+  ['mbit_per_s: 1500', 'mbit_per_s: 1500M', 'expected number, received string', '1500M'],
+  ['[west-1]', '[north-1]', "already in region 'north'", 'north-1] }\nmodels'],
+  ['links: { west:', 'links: { west: {}, west:', 'duplicated mapping key', ''],
+  [
+    '[west-1]',
+    '[west-1], links: { north: { one_way: 1ms, mbit_per_s: 1500 } }',
+    'other',
+    'north: {',
+  ],
+  [', links: { west: { one_way: 80ms, mbit_per_s: 1500 } }', '', 'is missing', 'north: {'],
+  ['links: { west:', 'links: { east:', "there is no region 'east'", 'east:'],
+  ['model: rigging', 'model: constructor', "there is no model 'constructor'", 'constructor'],
+  ['adapter: manuals', 'adapter: other', "there is no adapter 'other'", 'other,'],
+  ['regions: [north, west]', 'regions: [north, east]', "there is no region 'east'", 'east]'],
+  ['min: 1, max: 3', 'min: 4, max: 3', 'above the maximum', '{ min: 4'],
+  ['    regions: [north]', '    regions: [north]\n    depends_on: [nope]', 'no service', 'nope'],
+  ['class: standard }', 'class: gold }', "there is no class 'gold'", 'gold'],
+  ['class: standard }', 'class: standard, services: [nope] }', 'no service', 'nope'],
+  ['class: standard }', 'class: standard, regions: [west] }', 'shares no region', '[west] }'],
+  ['metrics: { customers: [c1] }', 'metrics: { customers: [c2] }', "no customer 'c2'", 'c2]'],
+  ['adapter: manuals,', 'adapter: manuals, depends_on: [booking],', "not in 'west'", 'booking]'],
+  ['format: 1', 'format: 1\nlimits: { retry_budget_percent: 101 }', 'Too big', '101'],
+] as const;
+
+REPLACEMENTS.forEach(([from, to, message, place]) => {
+  test(`a text with '${to}' is rejected at its position`, () => {
+    assert.ok(MAIN.includes(from));
+    const text = MAIN.replace(from, to);
+    const faults = faultsOf(text);
+    const fault = faults.find((item) => item.message.includes(message));
+    assert.ok(fault, JSON.stringify(faults));
+    assert.equal(fault.file, 'main.yaml');
+    assert.ok(fault.hint.length > 0);
+    const rest = text
+      .split('\n')
+      .slice(fault.line - 1)
+      .join('\n');
+    assert.equal(rest.slice(fault.column - 1, fault.column - 1 + place.length), place);
+  });
+});
+
+test('a cycle of dependencies is rejected with its services', () => {
+  const text = MAIN.replace(
+    'regions: [north]\n',
+    'regions: [north]\n    depends_on: [loop]\n',
+  ).replace(
+    'classes:',
+    '  loop: { kind: model, model: rigging, regions: [north], depends_on: [booking] }\nclasses:',
+  );
+  const faults = faultsOf(text);
+  assert.equal(faults.length, 1);
+  assert.match(faults[0]?.message ?? '', /booking -> loop -> booking/);
+});
+
+test('ids and API keys used twice across parts are rejected', () => {
+  const faults = faultsOf(
+    MAIN,
+    'format: 1\ncustomers:\n  - { id: c1, key: a0000000000000000000000000000001, class: standard }\n',
+  );
+  assert.deepEqual(
+    faults.map(({ file, line, column }) => `${file}:${line}:${column}`),
+    ['customers-a:3:11', 'customers-a:3:20'],
+  );
+});
+
+test('a value over the size limit, a missing and a second main part are rejected', () => {
+  assert.match(faultsOf(MAIN, `#${'x'.repeat(MAX_VALUE_BYTES)}`)[0]?.message ?? '', /at most/);
+  assert.equal(checkText([]).kind, 'rejected');
+  const twice = [
+    { file: 'a', text: MAIN },
+    { file: 'b', text: MAIN },
+  ];
+  assert.equal(checkText(twice).kind, 'rejected');
+});
+
+test('aliases that expand without bound and deep nesting are rejected', () => {
+  // Guards against a small value that exhausts a daemon's memory or stack.
+  const levels = Array.from({ length: 30 }, (_, i) => `a${i + 1}: &a${i + 1} [*a${i}, *a${i}]`);
+  const bomb = faultsOf(`${MAIN}a0: &a0 [x]\n${levels.join('\n')}\n`);
+  assert.match(bomb[0]?.message ?? '', /aliases/);
+  assert.match(faultsOf('['.repeat(200_000))[0]?.message ?? '', /./);
+});
+
+test('a fault of every customer is reported at most MAX_FAULTS times', () => {
+  assert.equal(faultsOf(MAIN, customersText(0, 5000, 'gold')).length, MAX_FAULTS);
+});
+
+test('a text with 25,000 customers is checked within 2 s', () => {
+  const values = new Map([['config/main', MAIN]]);
+  [0, 1, 2, 3].forEach((part) => {
+    values.set(`config/customers-${part}`, customersText(part * 6250 + 1, 6250, 'standard'));
+  });
+  const start = performance.now();
+  const result = checkText(partsOfValues(values));
+  const elapsedMs = performance.now() - start;
+  assert.equal(result.kind, 'accepted');
+  assert.ok(elapsedMs < 2000, `took ${elapsedMs} ms`);
+});
+
+function customersText(first: number, count: number, customerClass: string): string {
+  const lines = Array.from({ length: count }, (_, offset) => {
+    const id = `crew-${first + offset}`;
+    const key = createHash('sha256').update(id).digest('hex').slice(0, 32);
+    return `  - { id: ${id}, key: ${key}, class: ${customerClass}, regions: [north, west] }\n`;
+  });
+  return `format: 1\ncustomers:\n${lines.join('')}`;
+}
--- /dev/null
+++ b/packages/core/src/config/check-text.ts
@@ -0,0 +1,111 @@
+/**
+ * Acceptance of the operators' text: a pure function of all parts. A text is either accepted as a
+ * whole or rejected with its faults.
+ */
+import { checkCustomers, type PlacedCustomer } from './check-customers.js';
+import { checkMain } from './check-main.js';
+import { parsePart } from './parse-part.js';
+import { locateFaults, type PathFault, type TextFault, type TextPart } from './text-fault.js';
+import {
+  customersPartSchema,
+  mainPartSchema,
+  type CustomerConfig,
+  type CustomersPart,
+  type MainPart,
+} from './text-schema.js';
+
+/** Faults that are reported for one text; further ones are dropped. */
+export const MAX_FAULTS = 50;
+
+export type CheckResult =
+  | {
+      readonly kind: 'accepted';
+      readonly main: MainPart;
+      readonly customers: readonly CustomerConfig[];
+    }
+  | { readonly kind: 'rejected'; readonly faults: readonly TextFault[] };
+
+/** Key of the main value in the configuration service. */
+export const MAIN_KEY = 'config/main';
+/** Prefix of the keys of further customers. */
+export const CUSTOMERS_KEY_PREFIX = 'config/customers-';
+
+/**
+ * Parts of the text by platform key, in the order of the keys.
+ *
+ * @example partsOfValues(new Map([['config/main', 'format: 1']]))[0]?.file // 'config/main'
+ */
+export function partsOfValues(values: ReadonlyMap<string, string>): TextPart[] {
+  return [...values]
+    .map(([file, text]) => ({ file, text }))
+    .sort((a, b) => (a.file < b.file ? -1 : 1));
+}
+
+/**
+ * Checks a text. A part whose file name or key begins with `customers` after its last slash holds
+ * customers; exactly one other part is the main part.
+ *
+ * @example checkText([{ file: 'config/main', text: 'format: 1' }]).kind // 'rejected'
+ */
+export function checkText(parts: readonly TextPart[]): CheckResult {
+  const mainParts = parts.filter((part) => !isCustomersPart(part));
+  const [mainPart, secondMain] = mainParts;
+  if (!mainPart || secondMain) return rejected([wrongMainCount(parts, secondMain)], []);
+
+  const main = parsePart(mainPart, mainPartSchema, MAX_FAULTS);
+  const lists = parts
+    .filter(isCustomersPart)
+    .map((part) => ({ part, result: parsePart(part, customersPartSchema, MAX_FAULTS) }));
+  const results = [main, ...lists.map(({ result }) => result)];
+  const unreadable = results.flatMap((result) =>
+    result.kind === 'unreadable' ? [result.fault] : [],
+  );
+  const invalid = results.flatMap((result) => (result.kind === 'invalid' ? result.faults : []));
+  if (main.kind !== 'parsed') return rejected(unreadable, invalid);
+
+  const customers = [
+    ...placed(mainPart, main.value),
+    ...lists.flatMap(({ part, result }) =>
+      result.kind === 'parsed' ? placed(part, result.value) : [],
+    ),
+  ];
+  const complete = unreadable.length + invalid.length === 0;
+  const found = [
+    ...invalid,
+    ...checkMain(mainPart, main.value),
+    ...checkCustomers(mainPart, main.value, customers, complete, MAX_FAULTS),
+  ];
+  return unreadable.length + found.length > 0
+    ? rejected(unreadable, found)
+    : { kind: 'accepted', main: main.value, customers: customers.map(({ customer }) => customer) };
+}
+
+function isCustomersPart({ file }: TextPart): boolean {
+  return file.slice(file.lastIndexOf('/') + 1).startsWith('customers');
+}
+
+function placed(part: TextPart, value: CustomersPart | MainPart): PlacedCustomer[] {
+  return value.customers.map((customer, index) => ({ customer, part, index }));
+}
+
+function wrongMainCount(parts: readonly TextPart[], second: TextPart | undefined): TextFault {
+  const start = { line: 1, column: 1 };
+  return second
+    ? {
+        file: second.file,
+        ...start,
+        message: 'this is a second main part',
+        hint: `keep one main part; names of parts with customers begin with 'customers'`,
+      }
+    : {
+        file: parts[0]?.file ?? MAIN_KEY,
+        ...start,
+        message: 'the main part is missing',
+        hint: `give ${MAIN_KEY} with regions, services and classes`,
+      };
+}
+
+function rejected(unreadable: readonly TextFault[], found: readonly PathFault[]): CheckResult {
+  const located = locateFaults(found.slice(0, MAX_FAULTS));
+  return { kind: 'rejected', faults: [...unreadable, ...located].slice(0, MAX_FAULTS) };
+}
--- /dev/null
+++ b/packages/core/src/config/parse-part.ts
@@ -0,0 +1,110 @@
+/** Parses one part of the text and checks it against its schema. */
+import { CORE_SCHEMA, load, YAMLException } from 'js-yaml';
+import type { z } from 'zod';
+import { hintOfIssue } from './schema-hints.js';
+import type { PathFault, TextFault, TextPart } from './text-fault.js';
+
+/** Highest size of a value in the configuration service. */
+export const MAX_VALUE_BYTES = 1_048_576;
+
+const ALIAS_FAULT = {
+  message: 'YAML aliases of maps and lists are not supported',
+  hint: 'write the value out at each place',
+};
+
+export type PartResult<Value> =
+  | { readonly kind: 'parsed'; readonly value: Value }
+  /** A fault that ends the check of this part, for example in the YAML syntax. */
+  | { readonly kind: 'unreadable'; readonly fault: TextFault }
+  | { readonly kind: 'invalid'; readonly faults: readonly PathFault[] };
+
+/**
+ * Parses a part.
+ *
+ * @example parsePart({ file: 'config/main', text: 'format: 2' }, mainPartSchema).kind // 'invalid'
+ */
+export function parsePart<Schema extends z.ZodType>(
+  part: TextPart,
+  schema: Schema,
+  maxFaults: number,
+): PartResult<z.output<Schema>> {
+  const bytes = Buffer.byteLength(part.text);
+  if (bytes > MAX_VALUE_BYTES) {
+    const message = `the value has ${bytes} bytes; at most ${MAX_VALUE_BYTES} are allowed`;
+    return unreadable(part, message, 'move customers to another config/customers-* value');
+  }
+  try {
+    const data = load(part.text, { schema: CORE_SCHEMA });
+    const shared = findShared(data, [], new Set());
+    if (shared) {
+      const fault = { part, path: shared, ...ALIAS_FAULT };
+      return { kind: 'invalid', faults: [fault] };
+    }
+    const result = schema.safeParse(data ?? {});
+    if (result.success) return { kind: 'parsed', value: result.data };
+    const faults = result.error.issues
+      .slice(0, maxFaults)
+      .flatMap((issue) => faultsOfIssue(part, issue, maxFaults));
+    return { kind: 'invalid', faults };
+  } catch (err) {
+    return unreadableFromError(part, err);
+  }
+}
+
+/** Path of a collection that occurs twice: aliases can make a small text expand without bound. */
+function findShared(
+  value: unknown,
+  path: readonly PropertyKey[],
+  seen: Set<object>,
+): readonly PropertyKey[] | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  if (seen.has(value)) return path;
+  seen.add(value);
+  const found: { path?: readonly PropertyKey[] } = {};
+  Object.entries(value).some(([key, child]) => {
+    if (typeof child === 'object') found.path = findShared(child, [...path, key], seen);
+    return found.path !== undefined;
+  });
+  return found.path;
+}
+
+function faultsOfIssue(part: TextPart, issue: z.core.$ZodIssue, maxFaults: number): PathFault[] {
+  const where = issue.path.map(String).join('.');
+  const prefix = where === '' ? '' : `${where}: `;
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.slice(0, maxFaults).map((key) => ({
+      part,
+      path: [...issue.path, key],
+      atKey: true,
+      message: `${prefix}unknown key '${key}'`,
+      hint: hintOfIssue(issue, key),
+    }));
+  }
+  if (issue.code === 'invalid_key') {
+    const reason = issue.issues[0]?.message ?? 'invalid key';
+    return [
+      { part, path: issue.path, atKey: true, message: `${prefix}${reason}`, hint: 'rename the id' },
+    ];
+  }
+  const message = `${prefix}${issue.message.replace(/^Invalid input: /, '')}`;
+  return [{ part, path: issue.path, message, hint: hintOfIssue(issue) }];
+}
+
+function unreadable(part: TextPart, message: string, hint: string): PartResult<never> {
+  return { kind: 'unreadable', fault: { file: part.file, line: 1, column: 1, message, hint } };
+}
+
+function unreadableFromError(part: TextPart, err: unknown): PartResult<never> {
+  if (!(err instanceof YAMLException)) {
+    // A RangeError: nesting deeper than the parser's stack.
+    return unreadable(part, 'the text is nested too deeply', 'remove nested lists and maps');
+  }
+  const { reason, mark } = err;
+  const hint = reason.includes('duplicated mapping key')
+    ? 'remove or rename one of the two keys'
+    : 'correct the YAML syntax: check indentation, quotes and brackets';
+  // Some messages of the parser have no position.
+  const line = (mark?.line ?? 0) + 1;
+  const column = (mark?.column ?? 0) + 1;
+  return { kind: 'unreadable', fault: { file: part.file, line, column, message: reason, hint } };
+}
--- /dev/null
+++ b/packages/core/src/config/schema-hints.ts
@@ -0,0 +1,91 @@
+/** Hints for faults that the schema finds. */
+import { z } from 'zod';
+import {
+  classSchema,
+  customerLimitsSchema,
+  customerSchema,
+  limitsSchema,
+  linkSchema,
+  mainPartSchema,
+  metricsSchema,
+  modelSchema,
+  modelServiceSchema,
+  operationSchema,
+  plainServiceSchema,
+  regionSchema,
+  weightsSchema,
+} from './text-schema.js';
+
+const KNOWN_KEYS: readonly string[] = [
+  ...new Set(
+    [
+      classSchema,
+      customerLimitsSchema,
+      customerSchema,
+      limitsSchema,
+      linkSchema,
+      mainPartSchema,
+      metricsSchema,
+      modelSchema,
+      modelServiceSchema,
+      operationSchema,
+      plainServiceSchema,
+      regionSchema,
+      weightsSchema,
+    ].flatMap(({ shape }) => Object.keys(shape)),
+  ),
+];
+const DURATION_KEYS = ['one_way', 'deadline', 'first_token', 'between_tokens'];
+const MAX_TYPO_DISTANCE = 2;
+
+/**
+ * Hint for an issue of the schema; `key` is the unknown key if there is one.
+ *
+ * @example hintOfIssue(issue, 'regionz') // "did you mean 'regions'?"
+ */
+export function hintOfIssue(issue: z.core.$ZodIssue, key?: string): string {
+  if (key !== undefined) {
+    const near = KNOWN_KEYS.find((known) => distance(known, key) <= MAX_TYPO_DISTANCE);
+    return near && near !== key
+      ? `did you mean '${near}'?`
+      : 'remove the key; it has no meaning here';
+  }
+  const last = String(issue.path.at(-1) ?? '');
+  if (DURATION_KEYS.includes(last)) {
+    return 'write a whole number with a unit: 250ms, 30s or 10m';
+  }
+  if (issue.code === 'invalid_type' && issue.expected === 'number') {
+    return 'write a plain number; the name of the key gives the unit';
+  }
+  if (issue.code === 'invalid_type' && issue.expected === 'string') {
+    // An API key's hash without letters is a number in YAML.
+    return 'write text; put digits in quotes';
+  }
+  if (issue.code === 'invalid_type') return `write a value of type ${issue.expected}`;
+  if (issue.code === 'too_small') return 'use a higher value';
+  if (issue.code === 'too_big') return 'use a lower value';
+  if (last === 'format') return 'write format: 1';
+  return 'see the text reference in docs/operators.md';
+}
+
+/** Edit distance of two short texts. */
+function distance(a: string, b: string): number {
+  if (Math.abs(a.length - b.length) > MAX_TYPO_DISTANCE) return MAX_TYPO_DISTANCE + 1;
+  const first = Array.from({ length: b.length + 1 }, (_, column) => column);
+  const last = [...a].reduce(
+    (row, char, index) =>
+      [...b].reduce<number[]>(
+        (next, other, column) => [
+          ...next,
+          Math.min(
+            (row[column + 1] ?? 0) + 1,
+            (next[column] ?? 0) + 1,
+            (row[column] ?? 0) + (char === other ? 0 : 1),
+          ),
+        ],
+        [index + 1],
+      ),
+    first,
+  );
+  return last.at(-1) ?? 0;
+}
