--- /dev/null
+++ b/packages/ctl/src/check/check-command.ts
@@ -0,0 +1,23 @@
+/** `marjoramctl check`: checks a text as the control daemons do. */
+import { checkText } from '@marjoramcart/core';
+import { ExitCode, type CtlIo } from '../ctl-io.js';
+import { faultLine, readParts } from '../text-files.js';
+
+/**
+ * Checks the parts at the given paths and prints the faults.
+ *
+ * @throws CtlError when a file can't be read.
+ * @example await checkCommand(io, ['examples/telgitoo']) // 0
+ */
+export async function checkCommand(io: CtlIo, paths: readonly string[]): Promise<ExitCode> {
+  const result = checkText(await readParts(paths));
+  if (result.kind === 'rejected') {
+    result.faults.forEach((fault) => io.out(faultLine(fault)));
+    return ExitCode.Faults;
+  }
+  const { main, customers } = result;
+  const services = Object.keys(main.services).length;
+  const regions = Object.keys(main.regions).length;
+  io.out(`ok: ${services} services, ${regions} regions, ${customers.length} customers`);
+  return ExitCode.Ok;
+}
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,2 +1,3 @@
-/** Placeholder. */
-export const PACKAGE_NAME = 'ctl';
+/** Operators' command-line client. */
+export { runCtl } from './program.js';
+export type { CtlIo } from './ctl-io.js';
