--- /dev/null
+++ b/packages/control/src/config/config-task.ts
@@ -0,0 +1,215 @@
+/** Reads and watches the configuration service and the list of VMs; runs the cold start. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { buildSnapshot, isWatcher, type ConfigRange } from '@marjoramcart/core';
+import type { Logger, Task } from '@marjoramcart/platform';
+import type { ControlMetrics } from '../control-metrics.js';
+import type { ControlState } from '../control-state.js';
+import type { PlatformClient, PlatformResult } from '../platform/platform-client.js';
+import { checkText } from './check-text.js';
+
+/** Time after which the daemon opens with the highest revision it found. */
+export const COLD_START_MS = 3000;
+
+const DUTY_CHECK_MS = 250;
+const RETRY_MS = 1000;
+/** Pause between two watches that end at once, so that a faulty service is not flooded. */
+const MIN_WATCH_INTERVAL_MS = 50;
+
+/** Fetches configuration and VM list from peers; implemented by the gossip task. */
+export interface PeerFetch {
+  /** Asks seeds and known peers for their configuration and VM list. */
+  fetchFromPeers(): Promise<void>;
+}
+
+export interface ConfigTaskOptions {
+  readonly state: ControlState;
+  readonly platform: PlatformClient;
+  readonly peers: PeerFetch;
+  readonly metrics: ControlMetrics;
+  readonly log: Logger;
+}
+
+export class ConfigTask implements Task {
+  readonly name = 'config';
+
+  private readonly stopped = new AbortController();
+
+  private readonly log: Logger;
+
+  private watch: AbortController | undefined;
+
+  constructor(private readonly options: ConfigTaskOptions) {
+    this.log = options.log.child('config');
+  }
+
+  /** Starts the cold start; the daemon opens when it is over. */
+  start(): Promise<void> {
+    const { state } = this.options;
+    state.timers.every(DUTY_CHECK_MS, () => this.checkDuty());
+    state.timers.onPause(() => this.watch?.abort());
+    void this.coldStart();
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.stopped.abort();
+    this.watch?.abort();
+    return Promise.resolve();
+  }
+
+  /** Reads what changed at the configuration service and takes it into force if accepted. */
+  async readConfig(): Promise<boolean> {
+    const { state, platform, metrics } = this.options;
+    const result = await platform.readConfig(state.text.revision);
+    if (result.kind === 'failed') {
+      metrics.platformFailures.inc({ kind: 'config' });
+      this.log.debug('configuration service not readable', { reason: result.message });
+      return false;
+    }
+    state.configServiceSeenAt = state.timers.now();
+    return this.applyRange(result.value);
+  }
+
+  /** Reads the list of VMs. */
+  async readVms(): Promise<boolean> {
+    const { state, platform, metrics } = this.options;
+    const result = await platform.readVms();
+    if (result.kind === 'ok') state.takeVms(result.value, 'platform');
+    else metrics.platformFailures.inc({ kind: 'vms' });
+    return result.kind === 'ok';
+  }
+
+  private async coldStart(): Promise<void> {
+    const { state, peers } = this.options;
+    const reads = Promise.allSettled([this.readConfig(), this.readVms(), peers.fetchFromPeers()]);
+    await Promise.race([reads, this.wait(COLD_START_MS)]);
+    await this.untilConfigured();
+    if (this.stopped.signal.aborted) return;
+    state.opened = true;
+    this.log.info('open', { revision: state.config.revision });
+  }
+
+  private async untilConfigured(): Promise<void> {
+    const { state, peers } = this.options;
+    if (state.config.current || this.stopped.signal.aborted) return;
+    await this.wait(RETRY_MS);
+    await Promise.allSettled([this.readConfig(), this.readVms(), peers.fetchFromPeers()]);
+    await this.untilConfigured();
+  }
+
+  private checkDuty(): void {
+    const { state } = this.options;
+    const { failureDomain, bootId } = state.self;
+    const duty = state.opened && isWatcher(failureDomain, bootId, state.liveControlIds());
+    if (duty && !this.watch) {
+      const watch = new AbortController();
+      this.watch = watch;
+      this.log.info('watching the platform');
+      const loops = [this.watchConfig(watch.signal), this.watchVms(watch.signal)];
+      void Promise.allSettled(loops).then(() => {
+        if (this.watch === watch) this.watch = undefined;
+      });
+    } else if (!duty) this.watch?.abort();
+  }
+
+  private async watchConfig(signal: AbortSignal): Promise<void> {
+    const { state, platform } = this.options;
+    await this.loop(signal, async () => {
+      // The first read of a watcher that started from peers brings the text up to date.
+      if (state.text.revision < state.config.revision) return this.readConfig();
+      const after = state.text.revision;
+      const result = await platform.watchConfig(after, signal);
+      if (signal.aborted) return true;
+      return this.afterWatch(result, 'config_watch', async ({ revision }) => {
+        state.configServiceSeenAt = state.timers.now();
+        if (revision > after) return this.readConfig();
+        if (revision < after) this.countStale(revision);
+        return revision === after;
+      });
+    });
+  }
+
+  private async watchVms(signal: AbortSignal): Promise<void> {
+    const { state, platform } = this.options;
+    await this.loop(signal, async () => {
+      const after = state.vms.current.version;
+      const result = await platform.watchVms(after, signal);
+      if (signal.aborted) return true;
+      return this.afterWatch(result, 'vms_watch', async ({ version }) =>
+        version > after ? this.readVms() : version === after,
+      );
+    });
+  }
+
+  /** Repeats `step` until `signal`; a step that fails is followed by a longer wait. */
+  private async loop(signal: AbortSignal, step: () => Promise<boolean>): Promise<void> {
+    while (!signal.aborted) {
+      // Each watch starts when the one before it ended.
+      // eslint-disable-next-line no-await-in-loop
+      const ok = await step().catch((err: unknown) => {
+        this.log.error('watch failed', { err });
+        return false;
+      });
+      // eslint-disable-next-line no-await-in-loop
+      if (!signal.aborted) await this.wait(ok ? MIN_WATCH_INTERVAL_MS : RETRY_MS);
+    }
+  }
+
+  private async afterWatch<Value>(
+    result: PlatformResult<Value>,
+    kind: string,
+    use: (value: Value) => Promise<boolean>,
+  ): Promise<boolean> {
+    if (result.kind === 'ok') return use(result.value);
+    this.options.metrics.platformFailures.inc({ kind });
+    return false;
+  }
+
+  private applyRange(range: ConfigRange): boolean {
+    const { state } = this.options;
+    const { text } = state;
+    const changed = range.revision > text.revision;
+    if (!text.apply(range) || range.revision < state.config.revision) {
+      this.countStale(range.revision);
+      return false;
+    }
+    if (changed) this.evaluate(range.revision);
+    return true;
+  }
+
+  private evaluate(revision: number): void {
+    const { state } = this.options;
+    const result = checkText(state.text.list());
+    if (result.kind === 'accepted') {
+      const snapshot = buildSnapshot(revision, result.main, result.customers);
+      if (state.takeSnapshot(snapshot, 'platform')) {
+        this.log.info('configuration accepted', { revision });
+      }
+      return;
+    }
+    const [first] = result.faults;
+    const message = first
+      ? `${first.file}:${first.line}:${first.column}: ${first.message}`
+      : 'the text is invalid';
+    state.config.reject({ revision, message });
+    this.log.warn('configuration rejected, the last accepted one stays in force', {
+      revision,
+      message,
+      faults: result.faults.length,
+    });
+  }
+
+  private countStale(revision: number): void {
+    const { state, metrics } = this.options;
+    metrics.staleAnswers.inc();
+    state.text.countStale();
+    this.log.warn('configuration service is behind, answer ignored', {
+      answered: revision,
+      inForce: state.config.revision,
+    });
+  }
+
+  private async wait(ms: number): Promise<void> {
+    await delay(ms, undefined, { signal: this.stopped.signal }).catch(() => {});
+  }
+}
--- /dev/null
+++ b/packages/control/src/control-state.ts
@@ -0,0 +1,183 @@
+/** State of a control daemon: the stores that its tasks share, and the view for the entries. */
+import {
+  ConfigStore,
+  ConfigText,
+  MemberTable,
+  SuspectTable,
+  SummaryTable,
+  TargetTable,
+  VmStore,
+  summarizeEntries,
+  viewOfSnapshot,
+  withReadyServices,
+  type ConfigView,
+  type DomainView,
+  type PlacementGap,
+  type ProcessEntry,
+  type ProcessRef,
+  type Snapshot,
+  type TargetState,
+  type VmList,
+} from '@marjoramcart/core';
+import type { TimerService } from '@marjoramcart/platform';
+
+/** Where a snapshot or a list came from. */
+export type ChangeSource = 'platform' | 'own-domain' | 'other-domain';
+
+type Listener = (source: ChangeSource) => void;
+
+/** Fields that change with the time alone; they are no reason to send a view again. */
+const AGE_FIELDS = new Set(['ageMs', 'reportAgeMs', 'expiresInMs', 'heartbeat']);
+const VIEW_REBUILD_MS = 100;
+
+export class ControlState {
+  readonly config = new ConfigStore();
+
+  readonly text = new ConfigText();
+
+  readonly vms = new VmStore();
+
+  readonly targets: TargetTable;
+
+  readonly members: MemberTable;
+
+  readonly summaries: SummaryTable;
+
+  readonly suspects = new SuspectTable();
+
+  gaps: readonly PlacementGap[] = [];
+
+  /** Whether the cold start is over. */
+  opened = false;
+
+  /** Time of the last answer from the configuration service, in ms; undefined before the first. */
+  configServiceSeenAt: number | undefined;
+
+  private configView: ConfigView | undefined;
+
+  private view: DomainView | undefined;
+
+  private viewText = '';
+
+  private viewBuiltAt = -Infinity;
+
+  private viewVersion: number;
+
+  private readonly listeners: Listener[] = [];
+
+  constructor(
+    readonly self: ProcessRef,
+    readonly timers: TimerService,
+  ) {
+    this.targets = new TargetTable(self.bootId);
+    this.members = new MemberTable(self, timers.now());
+    this.summaries = new SummaryTable(self.failureDomain, self.region);
+    // A restarted daemon goes on with higher versions than entries may hold from its predecessor.
+    this.viewVersion = Math.floor(timers.wall());
+    timers.onPause(({ durationMs }) => {
+      this.members.afterPause(durationMs);
+      this.targets.afterPause(durationMs);
+    });
+  }
+
+  /** Calls `fn` after each new configuration revision or version of the list of VMs. */
+  onChange(fn: Listener): void {
+    this.listeners.push(fn);
+  }
+
+  /** The configuration in force, parsed. */
+  get cfg(): ConfigView | undefined {
+    const { current } = this.config;
+    if (current && current.revision !== this.configView?.revision) {
+      this.configView = viewOfSnapshot(current);
+    }
+    return this.configView;
+  }
+
+  /** Takes a snapshot into force if it is newer. */
+  takeSnapshot(snapshot: Snapshot, source: ChangeSource): boolean {
+    const taken = this.config.offer(snapshot) === 'taken';
+    if (taken) this.changed(source);
+    return taken;
+  }
+
+  /** Takes a list of VMs if it is newer. */
+  takeVms(list: VmList, source: ChangeSource): boolean {
+    const taken = this.vms.offer(list);
+    if (taken) {
+      this.targets.setRecords(this.vms.vmsOf(this.self.failureDomain, 'target'));
+      this.changed(source);
+    }
+    return taken;
+  }
+
+  /** Boot ids of the live control daemons of the own failure domain. */
+  liveControlIds(): string[] {
+    return this.members.liveControls(this.timers.now()).map(({ bootId }) => bootId);
+  }
+
+  /** States of the own targets, without services whose dependencies are not ready. */
+  targetStates(): TargetState[] {
+    const states = this.targets.states(this.timers.now());
+    return withReadyServices(states, this.cfg?.services ?? {});
+  }
+
+  /** Daemons of the own failure domain; entries on a VM that is leaving count as draining. */
+  processes(): ProcessEntry[] {
+    const leaving = new Set(
+      this.vms
+        .vmsOf(this.self.failureDomain, 'entry')
+        .filter(({ state }) => state === 'leaving')
+        .map(({ vm }) => vm),
+    );
+    return this.members
+      .processes()
+      .map((entry) =>
+        entry.load && leaving.has(entry.process.vm)
+          ? { ...entry, load: { ...entry.load, draining: true } }
+          : entry,
+      );
+  }
+
+  /** View for the entries; its version changes only when more than ages changed. */
+  domainView(): DomainView {
+    const nowMs = this.timers.now();
+    if (this.view && nowMs - this.viewBuiltAt < VIEW_REBUILD_MS) return this.view;
+    const content = this.buildView(nowMs);
+    const text = JSON.stringify(content, (name, value: unknown) =>
+      AGE_FIELDS.has(name) ? undefined : value,
+    );
+    if (text !== this.viewText) this.viewVersion += 1;
+    this.viewText = text;
+    this.view = { version: this.viewVersion, ...content };
+    this.viewBuiltAt = nowMs;
+    return this.view;
+  }
+
+  private buildView(nowMs: number): Omit<DomainView, 'version'> {
+    const processes = this.processes();
+    const summaries = this.summaries
+      .fresh(nowMs)
+      .filter(({ failureDomain }) => failureDomain !== this.self.failureDomain);
+    const ownEntries = summarizeEntries(processes.filter(({ load }) => load));
+    const entriesPerRegion: Record<string, number> = {};
+    [...summaries, { region: this.self.region, entries: ownEntries }].forEach(
+      ({ region, entries }) => {
+        entriesPerRegion[region] = (entriesPerRegion[region] ?? 0) + entries.length;
+      },
+    );
+    return {
+      targets: this.targetStates(),
+      processes,
+      summaries,
+      suspects: this.suspects.visibleTo(this.self.region, this.cfg, nowMs),
+      isolated: this.targets.isolated(nowMs),
+      entriesPerRegion,
+    };
+  }
+
+  private changed(source: ChangeSource): void {
+    this.viewBuiltAt = -Infinity;
+    this.listeners.forEach((fn) => fn(source));
+  }
+}
--- /dev/null
+++ b/packages/control/src/daemon.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import type { ControlDaemon } from './daemon.js';
+import {
+  MAIN_TEXT,
+  entryRecord,
+  newEntryParams,
+  freeAddress,
+  startDaemon,
+  targetRecord,
+  testClient,
+  until,
+} from './testing/domain.js';
+import { FakePlatform } from './testing/fake-platform.js';
+import { FakeTarget } from './testing/fake-target.js';
+
+const platform = new FakePlatform();
+const target = new FakeTarget();
+const addresses = [freeAddress(), freeAddress(), freeAddress()];
+const daemons: ControlDaemon[] = [];
+const client = testClient();
+
+before(async () => {
+  await Promise.all([platform.start(), target.start()]);
+  platform.write('config/main', MAIN_TEXT);
+  platform.setVms([
+    targetRecord('t1', target.address),
+    ...addresses.map((address, index) => entryRecord(`e${index}`, address)),
+  ]);
+  daemons.push(
+    ...(await Promise.all(
+      addresses.map((address, index) =>
+        startDaemon({ vm: `e${index}`, platformUrl: platform.url, address }),
+      ),
+    )),
+  );
+});
+
+after(async () => {
+  client.close();
+  await Promise.all(daemons.map(({ kernel }) => kernel.stop()));
+  platform.close();
+  target.close();
+});
+
+test('three control daemons: an entry receives the configuration and the state of the targets', async () => {
+  await until('all open', () => daemons.every(({ state }) => state.opened));
+  await until('the target is known everywhere', () =>
+    daemons.every(({ state }) => state.targetStates().some((t) => t.healthy)),
+  );
+  const result = await client.call(addresses[0] ?? '', 'entry.sync', newEntryParams('e0'));
+  assert.equal(result.kind, 'ok');
+  if (result.kind !== 'ok') return;
+  assert.equal(result.value.revision, 1);
+  assert.ok(result.value.delta?.changed.some(({ name }) => name === 'services'));
+  assert.deepEqual(result.value.view?.targets[0]?.services, ['crane-booking']);
+});
+
+test('three control daemons: at most two of three daemons hold a pending watch', async () => {
+  // Guards against reads that grow with the number of daemons.
+  await until('gossip has met', () =>
+    daemons.every(({ state }) => state.liveControlIds().length === 3),
+  );
+  await until('two watches', () => platform.pending === 2);
+});
+
+test('three control daemons: a new revision is in force at all daemons and never goes back', async () => {
+  platform.write('config/main', MAIN_TEXT.replace('priority: 10', 'priority: 20'));
+  await until('revision 2', () => daemons.every(({ state }) => state.config.revision === 2), 6000);
+  // Guards against a service that was restored from an old copy.
+  platform.restoreRevision(1);
+  await until('stale answer seen', () => daemons.some(({ state }) => state.text.staleCount > 0));
+  const results = await Promise.all(
+    addresses.map((address) => client.call(address, 'status.get', {})),
+  );
+  assert.ok(results.every((result) => result.kind === 'ok' && result.value.revision === 2));
+  platform.restoreRevision(2);
+});
+
+test('three control daemons: a rejected text leaves the last accepted one in force and is reported', async () => {
+  platform.write('config/main', 'format: 1\nregions: 3\n');
+  await until('rejection seen', () => daemons.some(({ state }) => state.config.rejected));
+  const [daemon] = daemons.filter(({ state }) => state.config.rejected);
+  assert.equal(daemon?.state.config.revision, 2);
+  assert.match(daemon?.state.config.rejected?.message ?? '', /^config\/main:2:\d+: regions/);
+});
+
+test('three control daemons: a leaving mark is in force at all daemons within 3 s of the list', async () => {
+  const startedAt = performance.now();
+  platform.setVms(
+    platform.list.vms.map((vm) => (vm.vm === 't1' ? { ...vm, state: 'leaving' as const } : vm)),
+  );
+  await until('leaving', () => daemons.every(({ state }) => state.targetStates()[0]?.leaving));
+  assert.ok(performance.now() - startedAt < 3000);
+});
+
+test('three control daemons: a daemon starts from a peer while the configuration service is down', async () => {
+  platform.close();
+  const late = await startDaemon({
+    vm: 'e9',
+    platformUrl: platform.url,
+    seeds: [addresses[0] ?? ''],
+  });
+  daemons.push(late);
+  await until('open', () => late.state.opened);
+  assert.equal(late.state.config.revision, 2);
+});
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,3 @@
-/** Placeholder. */
-export const PACKAGE_NAME = 'control';
+/** Control daemon: configuration, membership, probes and orders. */
+export * from './daemon.js';
+export * from './control-state.js';
--- /dev/null
+++ b/packages/control/src/peers/entry-sync.ts
@@ -0,0 +1,25 @@
+/** Answers `entry.sync`: registers the entry and sends it what changed. */
+import { snapshotDelta, type EntrySyncParams, type EntrySyncResult } from '@marjoramcart/core';
+import type { ControlState } from '../control-state.js';
+
+/**
+ * Handles one sync of an entry daemon.
+ *
+ * @example syncEntryDaemon(state, params).revision
+ */
+export function syncEntryDaemon(state: ControlState, params: EntrySyncParams): EntrySyncResult {
+  const nowMs = state.timers.now();
+  state.members.registerEntry(params.process, params.load, params.revision, nowMs);
+  state.config.witness(params.witnessedRevision);
+  state.suspects.merge(params.suspects, nowMs);
+  // Before the cold start is over, a peer may still hold a newer configuration.
+  const current = state.opened ? state.config.current : undefined;
+  const view = state.domainView();
+  return {
+    control: state.self,
+    revision: current?.revision ?? 0,
+    ...(current &&
+      current.revision > params.revision && { delta: snapshotDelta(current, params.held) }),
+    ...(view.version !== params.viewVersion && { view }),
+  };
+}
--- /dev/null
+++ b/packages/control/src/peers/gossip-task.ts
@@ -0,0 +1,317 @@
+/** Gossip between control daemons, and fetches of what a peer holds in a newer version. */
+import {
+  MembershipTiming,
+  applyDelta,
+  isSummarizer,
+  seededRandom,
+  sectionHashes,
+  summarizeEntries,
+  summarizeServices,
+  type GossipParams,
+  type GossipResult,
+  type MergedTarget,
+  type ProcessRef,
+  type RandomSource,
+  type SummaryVersions,
+} from '@marjoramcart/core';
+import type { Logger, RpcClient, Task } from '@marjoramcart/platform';
+import type { ControlMetrics } from '../control-metrics.js';
+import type { ChangeSource, ControlState } from '../control-state.js';
+import type { PeerFetch } from '../config/config-task.js';
+
+/** Peers of the own failure domain that one daemon contacts each second. */
+const FAN_OUT = 2;
+const RPC_TIMEOUT_MS = 1000;
+/** A whole configuration of 25,000 customers is some MB. */
+const FETCH_TIMEOUT_MS = 2500;
+
+export interface GossipTaskOptions {
+  readonly state: ControlState;
+  readonly rpc: RpcClient;
+  readonly seeds: readonly string[];
+  readonly seed: number;
+  readonly metrics: ControlMetrics;
+  readonly log: Logger;
+}
+
+export class GossipTask implements Task, PeerFetch {
+  readonly name = 'gossip';
+
+  private readonly log: Logger;
+
+  private readonly random: RandomSource;
+
+  /** Own heartbeat that each peer is known to hold. */
+  private readonly sentTo = new Map<string, number>();
+
+  private readonly fetching = new Set<string>();
+
+  private unsubscribe: (() => void)[] = [];
+
+  constructor(private readonly options: GossipTaskOptions) {
+    this.log = options.log.child('gossip');
+    this.random = seededRandom(options.seed);
+    options.state.onChange((source) => this.announce(source));
+  }
+
+  start(): Promise<void> {
+    const { timers } = this.options.state;
+    this.unsubscribe = [
+      timers.every(MembershipTiming.GossipIntervalMs, () => this.round()),
+      timers.every(MembershipTiming.RemoteGossipIntervalMs, () => this.remoteRound()),
+      timers.onPause(() => this.round()),
+    ];
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.unsubscribe.forEach((fn) => fn());
+    this.options.rpc.close();
+    return Promise.resolve();
+  }
+
+  /** One round within the failure domain. */
+  round(): void {
+    const { state } = this.options;
+    this.tick();
+    const unknown = this.pick(this.unknownAddresses(), 1);
+    const known = this.pick(this.liveAddresses(), FAN_OUT);
+    [...known, ...unknown].forEach((address, index) => {
+      void this.exchange(address, this.message(address, true, index === 0));
+    });
+    if (state.vms.current.version === 0) void this.fetchFromPeers();
+  }
+
+  /** One exchange with a control daemon of another failure domain. */
+  remoteRound(): void {
+    const { state } = this.options;
+    const controls = state.vms.current.vms.filter(({ role }) => role === 'entry');
+    const domains = new Set(controls.map(({ failureDomain }) => failureDomain));
+    domains.delete(state.self.failureDomain);
+    const [domain] = this.pick([...domains], 1);
+    const [control] = this.pick(
+      controls.filter(({ failureDomain }) => failureDomain === domain),
+      1,
+    );
+    if (control) {
+      void this.exchange(
+        control.address,
+        this.message(control.address, false, true, control.region),
+      );
+    }
+  }
+
+  /** Tells all live peers of the failure domain that there is something new. */
+  announce(source: ChangeSource): void {
+    // A peer that learnt of it in the failure domain leaves the announcement to the first one.
+    if (source === 'own-domain') return;
+    this.tick();
+    this.liveAddresses().forEach((address) => {
+      void this.exchange(address, this.message(address, true, false));
+    });
+  }
+
+  /** Answers `gossip.exchange`. */
+  answer(params: GossipParams): GossipResult {
+    const { state } = this.options;
+    const nowMs = state.timers.now();
+    const { from } = params;
+    const own = from.failureDomain === state.self.failureDomain;
+    this.take(params);
+    return {
+      ...this.head(),
+      ...(own && {
+        origins: state.members.updatesSince(params.heartbeats ?? {}),
+      }),
+      summaries: params.summaryVersions
+        ? state.summaries.updatesSince(params.summaryVersions, nowMs)
+        : [],
+      // The peer may hold newer summaries than this daemon, which it pushes on its next contact.
+      ...(!own && { summaryVersions: state.summaries.versions() }),
+      suspects: state.suspects.visibleTo(from.region, state.cfg, nowMs),
+    };
+  }
+
+  /** Cold start: takes the newest configuration and list that any seed or peer has. */
+  async fetchFromPeers(): Promise<void> {
+    const addresses = new Set([
+      ...this.options.seeds,
+      ...this.unknownAddresses(),
+      ...this.liveAddresses(),
+    ]);
+    addresses.delete(this.options.state.self.peerAddress);
+    await Promise.allSettled(
+      [...addresses].flatMap((address) => [
+        this.fetchConfig(address, 'own-domain'),
+        this.fetchVms(address, 'own-domain'),
+      ]),
+    );
+  }
+
+  private async exchange(address: string, params: GossipParams): Promise<void> {
+    const { rpc, metrics, state } = this.options;
+    const result = await rpc.call(address, 'gossip.exchange', params, RPC_TIMEOUT_MS);
+    if (result.kind === 'error') {
+      metrics.gossip.inc({ result: result.error.kind });
+      this.sentTo.delete(address);
+      return;
+    }
+    metrics.gossip.inc({ result: 'ok' });
+    this.take(result.value);
+    const { summaryVersions, from } = result.value;
+    if (summaryVersions) await this.pushSummaries(from, summaryVersions);
+    this.noteSent(address, params, state.self.bootId);
+  }
+
+  /** Sends a peer of another failure domain the summaries that it lacks. */
+  private async pushSummaries(peer: ProcessRef, held: SummaryVersions): Promise<void> {
+    const { state, rpc } = this.options;
+    const summaries = state.summaries.updatesSince(held, state.timers.now());
+    if (summaries.length === 0) return;
+    const params = { ...this.head(), summaries, suspects: [] };
+    await rpc.call(peer.peerAddress, 'gossip.exchange', params, RPC_TIMEOUT_MS);
+  }
+
+  private noteSent(address: string, params: GossipParams, self: string): void {
+    const sent = params.origins?.find(({ bootId }) => bootId === self);
+    if (sent) this.sentTo.set(address, sent.heartbeat);
+  }
+
+  /** Takes what a message brings and fetches what its sender holds in a newer version. */
+  private take(message: GossipParams): void {
+    const { state } = this.options;
+    const nowMs = state.timers.now();
+    const { from, origins = [] } = message;
+    const own = from.failureDomain === state.self.failureDomain;
+    if (own) this.takeTargets(state.members.merge(origins, nowMs), nowMs);
+    state.summaries.merge(message.summaries, nowMs);
+    state.suspects.merge(message.suspects, nowMs);
+    state.config.witness(message.revision);
+    const source = own ? 'own-domain' : 'other-domain';
+    if (message.revision > state.config.revision) void this.fetchConfig(from.peerAddress, source);
+    if (message.vmListVersion > state.vms.current.version) {
+      void this.fetchVms(from.peerAddress, source);
+    }
+  }
+
+  private takeTargets(items: readonly MergedTarget[], nowMs: number): void {
+    const { targets } = this.options.state;
+    items.forEach(({ prober, item }) => {
+      const { vm, failures, ...report } = item;
+      const reportedAt = nowMs - item.ageMs;
+      targets.setOpinion(vm, prober, { report, failures, reportedAt, heardAt: nowMs });
+    });
+  }
+
+  private async fetchConfig(address: string, source: ChangeSource): Promise<void> {
+    await this.once(`config ${address}`, async () => {
+      const { state, rpc } = this.options;
+      const base = state.config.current;
+      const params = {
+        from: state.self,
+        held: sectionHashes(base),
+        revision: state.config.revision,
+      };
+      const result = await rpc.call(address, 'config.fetch', params, FETCH_TIMEOUT_MS);
+      const delta = result.kind === 'ok' ? result.value.delta : undefined;
+      if (!delta) return;
+      const applied = applyDelta(base, delta);
+      if (applied.kind === 'rejected') {
+        this.log.warn('configuration of a peer is corrupt, ignored', {
+          peer: address,
+          reason: applied.error.kind,
+        });
+      } else if (state.takeSnapshot(applied.snapshot, source)) {
+        this.log.info('configuration taken from a peer', { revision: delta.revision });
+      }
+    });
+  }
+
+  private async fetchVms(address: string, source: ChangeSource): Promise<void> {
+    await this.once(`vms ${address}`, async () => {
+      const { state, rpc } = this.options;
+      const params = { from: state.self, version: state.vms.current.version };
+      const result = await rpc.call(address, 'vms.fetch', params, FETCH_TIMEOUT_MS);
+      if (result.kind === 'ok' && result.value.list) state.takeVms(result.value.list, source);
+    });
+  }
+
+  /** Runs `fn` unless the same fetch is under way. */
+  private async once(name: string, fn: () => Promise<void>): Promise<void> {
+    if (this.fetching.has(name)) return;
+    this.fetching.add(name);
+    try {
+      await fn();
+    } finally {
+      this.fetching.delete(name);
+    }
+  }
+
+  private tick(): void {
+    const { state } = this.options;
+    const nowMs = state.timers.now();
+    state.members.tick(state.config.revision, nowMs);
+    const { failureDomain, bootId } = state.self;
+    if (!isSummarizer(failureDomain, bootId, state.liveControlIds())) return;
+    const services = Object.keys(state.cfg?.services ?? {});
+    state.summaries.publish(
+      summarizeServices(services, state.targetStates()),
+      summarizeEntries(state.processes().filter(({ load }) => load)),
+      { nowMs, wallMs: state.timers.wall() },
+    );
+  }
+
+  private head(): Pick<GossipParams, 'from' | 'revision' | 'rejectedRevision' | 'vmListVersion'> {
+    const { state } = this.options;
+    return {
+      from: state.self,
+      revision: state.config.revision,
+      rejectedRevision: state.config.rejected?.revision ?? 0,
+      vmListVersion: state.vms.current.version,
+    };
+  }
+
+  private message(
+    address: string,
+    own: boolean,
+    withSummaries: boolean,
+    region = this.options.state.self.region,
+  ): GossipParams {
+    const { state } = this.options;
+    return {
+      ...this.head(),
+      ...(own && {
+        heartbeats: state.members.heartbeats(),
+        origins: [state.members.ownUpdate(this.sentTo.get(address))],
+      }),
+      ...(withSummaries && { summaryVersions: state.summaries.versions() }),
+      summaries: [],
+      suspects: state.suspects.visibleTo(region, state.cfg, state.timers.now()),
+    };
+  }
+
+  private liveAddresses(): string[] {
+    const { state } = this.options;
+    return state.members
+      .liveControls(state.timers.now())
+      .filter(({ bootId }) => bootId !== state.self.bootId)
+      .map(({ peerAddress }) => peerAddress);
+  }
+
+  /** Addresses of the own failure domain at which no live daemon is known. */
+  private unknownAddresses(): string[] {
+    const { state, seeds } = this.options;
+    const known = new Set([...this.liveAddresses(), state.self.peerAddress]);
+    const listed = state.vms.vmsOf(state.self.failureDomain, 'entry').map(({ address }) => address);
+    const others = state.vms.current.version === 0 ? seeds : [];
+    return [...new Set([...listed, ...others])].filter((address) => !known.has(address));
+  }
+
+  private pick<Value>(values: readonly Value[], count: number): Value[] {
+    return values
+      .map((value) => ({ value, rank: this.random.next() }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, count)
+      .map(({ value }) => value);
+  }
+}
--- /dev/null
+++ b/packages/control/src/peers/peer-task.ts
@@ -0,0 +1,62 @@
+/** Peer listener: messages of entries, peers and operators. */
+import { snapshotDelta } from '@marjoramcart/core';
+import {
+  HttpListener,
+  RPC_PATH,
+  type Logger,
+  type RpcServer,
+  type Task,
+} from '@marjoramcart/platform';
+import type { ControlState } from '../control-state.js';
+import { statusOf } from '../status.js';
+import { syncEntryDaemon } from './entry-sync.js';
+import type { GossipTask } from './gossip-task.js';
+
+export interface PeerTaskOptions {
+  readonly state: ControlState;
+  readonly gossip: GossipTask;
+  readonly server: RpcServer;
+  readonly address: string;
+  readonly log: Logger;
+}
+
+export class PeerTask implements Task {
+  readonly name = 'peers';
+
+  private readonly listener: HttpListener;
+
+  constructor(options: PeerTaskOptions) {
+    const { state, gossip, server, log } = options;
+    server.method('entry.sync', (params) => syncEntryDaemon(state, params));
+    server.method('gossip.exchange', (params) => gossip.answer(params));
+    server.method('config.fetch', ({ held, revision }) => {
+      const { current } = state.config;
+      return current && current.revision > revision ? { delta: snapshotDelta(current, held) } : {};
+    });
+    server.method('vms.fetch', ({ version }) =>
+      state.vms.current.version > version ? { list: state.vms.current } : {},
+    );
+    server.method('status.get', () => statusOf(state));
+    this.listener = new HttpListener({
+      address: options.address,
+      handler: (req, res) => {
+        if (req.method === 'POST' && req.url === RPC_PATH) return server.handle(req, res);
+        res.writeHead(404).end();
+        return undefined;
+      },
+      onError: (err) => log.error('[peers] message failed', { err }),
+    });
+  }
+
+  get address(): string {
+    return this.listener.address;
+  }
+
+  start(): Promise<void> {
+    return this.listener.listen();
+  }
+
+  stop(): Promise<void> {
+    return this.listener.close();
+  }
+}
--- /dev/null
+++ b/packages/control/src/platform/platform-client.ts
@@ -0,0 +1,102 @@
+/** Client of the platform's configuration service and list of VMs. */
+import http from 'node:http';
+import type { ConfigRange, VmList } from '@marjoramcart/core';
+import { headerBytes } from '@marjoramcart/platform';
+
+/** Result of a read; a failed read leaves what is held in force. */
+export type PlatformResult<Value> =
+  | { readonly kind: 'ok'; readonly value: Value }
+  | { readonly kind: 'failed'; readonly message: string };
+
+export interface PlatformUrls {
+  readonly config: string;
+  readonly vms: string;
+}
+
+/** How long a watch stays pending at the platform. */
+export const WATCH_WAIT_MS = 30_000;
+
+const READ_TIMEOUT_MS = 2000;
+const WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 2000;
+/** Request line and headers that Node.js adds to a plain GET. */
+const REQUEST_HEADER_BYTES = 80;
+const CONFIG_PREFIX = encodeURIComponent('config/');
+
+/** Reads the platform; each read or pending watch is one call. */
+export class PlatformClient {
+  private readonly agent = new http.Agent({ keepAlive: true });
+
+  private readonly pending = new Set<http.ClientRequest>();
+
+  constructor(
+    private readonly urls: PlatformUrls,
+    private readonly onCall: (kind: string) => void,
+    private readonly onBytes: (bytes: { sent: number; received: number }) => void,
+  ) {}
+
+  readConfig(after: number): Promise<PlatformResult<ConfigRange>> {
+    const url = `${this.urls.config}/v1/range?prefix=${CONFIG_PREFIX}&after=${after}`;
+    return this.get('config_range', url, READ_TIMEOUT_MS);
+  }
+
+  watchConfig(after: number, signal: AbortSignal): Promise<PlatformResult<{ revision: number }>> {
+    const url = `${this.urls.config}/v1/watch?prefix=${CONFIG_PREFIX}&after=${after}&wait_ms=${WATCH_WAIT_MS}`;
+    return this.get('config_watch', url, WATCH_TIMEOUT_MS, signal);
+  }
+
+  readVms(): Promise<PlatformResult<VmList>> {
+    return this.get('vms', `${this.urls.vms}/v1/vms`, READ_TIMEOUT_MS);
+  }
+
+  watchVms(after: number, signal: AbortSignal): Promise<PlatformResult<{ version: number }>> {
+    const url = `${this.urls.vms}/v1/vms/watch?after=${after}&wait_ms=${WATCH_WAIT_MS}`;
+    return this.get('vms_watch', url, WATCH_TIMEOUT_MS, signal);
+  }
+
+  close(): void {
+    this.pending.forEach((req) => req.destroy());
+    this.agent.destroy();
+  }
+
+  private get<Value>(
+    kind: string,
+    url: string,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<PlatformResult<Value>> {
+    this.onCall(kind);
+    return new Promise((resolve) => {
+      const fail = (message: string): void => resolve({ kind: 'failed', message });
+      const req = http.get(url, { agent: this.agent, signal }, (res) => {
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('error', (err) => fail(err.message));
+        res.on('end', () => {
+          const body = Buffer.concat(chunks);
+          this.onBytes({
+            sent: url.length + REQUEST_HEADER_BYTES,
+            received: body.length + headerBytes(res.rawHeaders),
+          });
+          if (res.statusCode !== 200) fail(`status ${res.statusCode}`);
+          else resolve(parse(body.toString('utf8')));
+        });
+      });
+      this.pending.add(req);
+      const timer = setTimeout(() => req.destroy(new Error('timeout')), timeoutMs);
+      req.on('error', (err) => fail(err.message));
+      req.on('close', () => {
+        clearTimeout(timer);
+        this.pending.delete(req);
+        fail('connection closed');
+      });
+    });
+  }
+}
+
+function parse<Value>(text: string): PlatformResult<Value> {
+  try {
+    return { kind: 'ok', value: JSON.parse(text) as Value };
+  } catch {
+    return { kind: 'failed', message: 'answer is not JSON' };
+  }
+}
--- /dev/null
+++ b/packages/control/src/probes/probe-task.ts
@@ -0,0 +1,114 @@
+/** Probes the targets of the failure domain that this daemon is a prober of. */
+import {
+  MembershipTiming,
+  proberRank,
+  quantise,
+  type Opinion,
+  type TargetItem,
+  type VmRecord,
+} from '@marjoramcart/core';
+import type { Logger, Task } from '@marjoramcart/platform';
+import type { ControlMetrics } from '../control-metrics.js';
+import type { ControlState } from '../control-state.js';
+import { targetReport, type LoadReport } from './load-report.js';
+import type { TargetClient } from './target-client.js';
+
+export interface ProbeTaskOptions {
+  readonly state: ControlState;
+  readonly client: TargetClient;
+  readonly metrics: ControlMetrics;
+  readonly log: Logger;
+}
+
+/** The second prober publishes only what matters at once: failures and leaving. */
+const PUBLISHING_RANK = 0;
+
+export class ProbeTask implements Task {
+  readonly name = 'probes';
+
+  private readonly inFlight = new Set<string>();
+
+  /** Latest report of each target that this daemon probes. */
+  readonly reports = new Map<string, LoadReport>();
+
+  private unsubscribe = (): void => {};
+
+  constructor(private readonly options: ProbeTaskOptions) {}
+
+  start(): Promise<void> {
+    const { state } = this.options;
+    this.unsubscribe = state.timers.every(MembershipTiming.ProbeIntervalMs, () => {
+      void this.probeAll();
+    });
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.unsubscribe();
+    this.options.client.close();
+    return Promise.resolve();
+  }
+
+  /** Probes each target that is due; resolves when all answered or failed. */
+  async probeAll(): Promise<void> {
+    const { state } = this.options;
+    const live = state.liveControlIds();
+    await Promise.all(
+      state.targets.targets.map(async (record) => {
+        const rank = proberRank(record.vm, state.self.bootId, live);
+        if (rank < 0) {
+          this.reports.delete(record.vm);
+          state.members.withdrawTarget(record.vm);
+        } else if (state.targets.mayProbe(record.vm, state.timers.now())) {
+          await this.probe(record, rank);
+        }
+      }),
+    );
+  }
+
+  private async probe(record: VmRecord, rank: number): Promise<void> {
+    const { vm, address } = record;
+    if (this.inFlight.has(vm)) return;
+    this.inFlight.add(vm);
+    const { state, client, metrics, log } = this.options;
+    const result = await client.load(address);
+    const nowMs = state.timers.now();
+    if (result.kind === 'ok') {
+      metrics.probes.inc({ result: 'ok' });
+      this.reports.set(vm, result.value);
+      const report = targetReport(result.value, record, state.cfg?.services ?? {});
+      state.targets.recordReport(vm, report, nowMs);
+    } else {
+      metrics.probes.inc({ result: 'failed' });
+      this.reports.delete(vm);
+      state.targets.recordFailure(vm, nowMs);
+      log.debug('[probes] probe failed', { vm, kind: result.kind });
+    }
+    this.inFlight.delete(vm);
+    this.publish(vm, rank, nowMs);
+  }
+
+  private publish(vm: string, rank: number, nowMs: number): void {
+    const { state } = this.options;
+    const opinion = state.targets.opinionOf(vm, state.self.bootId);
+    if (!opinion) return;
+    state.members.publishTarget(itemOf(vm, opinion, rank), nowMs);
+  }
+}
+
+/** What is gossiped of an opinion; the second prober's load figures are left out. */
+function itemOf(vm: string, { report, failures }: Opinion, rank: number): TargetItem {
+  const load = rank === PUBLISHING_RANK;
+  return {
+    vm,
+    services: report.services,
+    leaving: report.leaving,
+    failures,
+    running: load ? quantise(report.running) : 0,
+    queued: load ? quantise(report.queued) : 0,
+    waitMs: load ? quantise(report.waitMs) : 0,
+    concurrency: report.concurrency,
+    sequence: load ? report.sequence : 0,
+    ageMs: report.ageMs,
+  };
+}
--- /dev/null
+++ b/packages/control/src/probes/target-client.ts
@@ -0,0 +1,86 @@
+/** HTTP client of targets: load reports and orders. */
+import http from 'node:http';
+import { loadReportSchema, type LoadReport } from './load-report.js';
+
+export type TargetResult<Value> =
+  | { readonly kind: 'ok'; readonly value: Value }
+  | { readonly kind: 'refused'; readonly status: number; readonly body: unknown }
+  | { readonly kind: 'failed'; readonly message: string };
+
+const TIMEOUT_MS = 900;
+
+export class TargetClient {
+  private readonly agent = new http.Agent({ keepAlive: true });
+
+  /**
+   * @param dialMap address to dial in place of a target's own address
+   * @param onBytes counts bytes of messages
+   */
+  constructor(
+    private readonly dialMap: Readonly<Record<string, string>> = {},
+    private readonly onBytes: (bytes: { sent: number; received: number }) => void = () => {},
+  ) {}
+
+  /** Load report of the target at `address`. */
+  async load(address: string): Promise<TargetResult<LoadReport>> {
+    const result = await this.request(address, 'GET', '/load');
+    if (result.kind !== 'ok') return result;
+    const parsed = loadReportSchema.safeParse(result.value);
+    return parsed.success
+      ? { kind: 'ok', value: parsed.data }
+      : { kind: 'failed', message: 'the load report has an unknown form' };
+  }
+
+  /** Sends an order; an engine that checks fencing refuses an old number with status 409. */
+  order(address: string, body: unknown): Promise<TargetResult<unknown>> {
+    return this.request(address, 'POST', '/orders', JSON.stringify(body));
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private request(
+    address: string,
+    method: string,
+    path: string,
+    body = '',
+  ): Promise<TargetResult<unknown>> {
+    const [host, port] = (this.dialMap[address] ?? address).split(':');
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    };
+    return new Promise((resolve) => {
+      const fail = (message: string): void => resolve({ kind: 'failed', message });
+      const req = http.request({ host, port, path, method, headers, agent: this.agent }, (res) => {
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('error', (err) => fail(err.message));
+        res.on('end', () => {
+          const data = Buffer.concat(chunks);
+          this.onBytes({ sent: body.length, received: data.length });
+          resolve(resultOf(res.statusCode ?? 0, data.toString('utf8')));
+        });
+      });
+      const timer = setTimeout(() => req.destroy(new Error('timeout')), TIMEOUT_MS);
+      req.on('error', (err) => fail(err.message));
+      req.on('close', () => {
+        clearTimeout(timer);
+        fail('connection closed');
+      });
+      req.end(body);
+    });
+  }
+}
+
+function resultOf(status: number, text: string): TargetResult<unknown> {
+  try {
+    const value: unknown = text === '' ? {} : JSON.parse(text);
+    return status >= 200 && status < 300
+      ? { kind: 'ok', value }
+      : { kind: 'refused', status, body: value };
+  } catch {
+    return { kind: 'failed', message: 'answer is not JSON' };
+  }
+}
--- /dev/null
+++ b/packages/control/src/status.ts
@@ -0,0 +1,24 @@
+/** Status of a control daemon, for operators. */
+import type { StatusResult } from '@marjoramcart/core';
+import type { ControlState } from './control-state.js';
+
+/**
+ * What the daemon knows of the fleet.
+ *
+ * @example statusOf(state).revision
+ */
+export function statusOf(state: ControlState): StatusResult {
+  const nowMs = state.timers.now();
+  const { rejected, revision } = state.config;
+  const seenAt = state.configServiceSeenAt;
+  return {
+    control: state.self,
+    revision,
+    ...(rejected && { rejected }),
+    configServiceAgeMs: seenAt === undefined ? -1 : Math.round(nowMs - seenAt),
+    processes: state.processes(),
+    targets: state.targetStates(),
+    summaries: state.summaries.fresh(nowMs),
+    gaps: state.gaps,
+  };
+}
--- /dev/null
+++ b/packages/control/src/testing/domain.ts
@@ -0,0 +1,117 @@
+/** Runs control daemons of one failure domain in the test process. */
+import {
+  MessageAuthenticator,
+  RpcClient,
+  controlSettingsSchema,
+  silentLogger,
+} from '@marjoramcart/platform';
+import type { EntrySyncParams, ProcessRef, VmRecord } from '@marjoramcart/core';
+import { createControlDaemon, type ControlDaemon } from '../daemon.js';
+
+export const SECRET = 'a-shared-fleet-secret';
+
+export const MAIN_TEXT = `
+format: 1
+regions:
+  north: { failure_domains: [north-1] }
+services:
+  crane-booking:
+    kind: plain
+    regions: [north]
+    operations: [{ method: POST, path: /book, repeatable: false }]
+classes:
+  standard: { priority: 10 }
+customers:
+  - { id: c1, key: 0123456789abcdef0123456789abcdef, class: standard }
+`;
+
+let nextPort = 21_000 + (process.pid % 500) * 20;
+
+/** Reserves an address; daemons announce the port of their settings. */
+export function freeAddress(): string {
+  nextPort += 1;
+  return `127.0.0.1:${nextPort}`;
+}
+
+export interface DaemonOptions {
+  readonly vm: string;
+  readonly platformUrl: string;
+  readonly address?: string;
+  readonly seeds?: string[];
+}
+
+/** Starts a control daemon of failure domain north-1. */
+export async function startDaemon(options: DaemonOptions): Promise<ControlDaemon> {
+  const settings = controlSettingsSchema.parse({
+    region: 'north',
+    failure_domain: 'north-1',
+    vm: options.vm,
+    fleet_secret: SECRET,
+    listen: { peers: options.address ?? freeAddress(), admin: '127.0.0.1:0' },
+    platform: { config: options.platformUrl, vms: options.platformUrl },
+    seeds: options.seeds ?? [],
+  });
+  const daemon = createControlDaemon(settings, silentLogger());
+  await daemon.kernel.start();
+  return daemon;
+}
+
+/** Waits until `check` holds, looking at each step of the event loop's timers. */
+export async function until(what: string, check: () => boolean, limitMs = 10_000): Promise<void> {
+  const endAt = performance.now() + limitMs;
+  await new Promise<void>((resolve, reject) => {
+    const poll = setInterval(() => {
+      const late = performance.now() > endAt;
+      if (!check() && !late) return;
+      clearInterval(poll);
+      if (late) reject(new Error(`not reached in ${limitMs} ms: ${what}`));
+      else resolve();
+    }, 5);
+  });
+}
+
+export function entryRef(vm: string): ProcessRef {
+  return {
+    bootId: `entry-${vm}`,
+    role: 'entry',
+    vm,
+    region: 'north',
+    failureDomain: 'north-1',
+    peerAddress: '127.0.0.1:1',
+    callerAddress: '127.0.0.1:2',
+  };
+}
+
+/** Parameters of a first sync. */
+export function newEntryParams(vm: string): EntrySyncParams {
+  return {
+    process: entryRef(vm),
+    load: { openRequests: 0, queued: 0, draining: false },
+    held: {},
+    revision: 0,
+    witnessedRevision: 0,
+    viewVersion: 0,
+    observations: [],
+    suspects: [],
+  };
+}
+
+export function testClient(): RpcClient {
+  return new RpcClient(new MessageAuthenticator(SECRET, Date.now), 'test');
+}
+
+export function targetRecord(vm: string, address: string): VmRecord {
+  return {
+    vm,
+    role: 'target',
+    state: 'live',
+    region: 'north',
+    failureDomain: 'north-1',
+    address,
+    target: { kind: 'plain', service: 'crane-booking' },
+  };
+}
+
+export function entryRecord(vm: string, address: string): VmRecord {
+  return { vm, role: 'entry', state: 'live', region: 'north', failureDomain: 'north-1', address };
+}
--- /dev/null
+++ b/packages/core/src/membership/duties.ts
@@ -0,0 +1,37 @@
+/** Which control daemon of a failure domain does what, by rendezvous hashing. */
+import { rendezvousOrder } from '../rendezvous.js';
+
+const WATCHERS_PER_DOMAIN = 2;
+const PROBERS_PER_TARGET = 2;
+
+function ranksBelow(key: string, self: string, live: readonly string[], limit: number): boolean {
+  return rendezvousOrder(key, live).slice(0, limit).includes(self);
+}
+
+/**
+ * Whether `self` holds a pending watch for its failure domain.
+ *
+ * @example isWatcher('north-1', 'a', ['a', 'b']) // true
+ */
+export function isWatcher(failureDomain: string, self: string, live: readonly string[]): boolean {
+  return ranksBelow(`watch/${failureDomain}`, self, live, WATCHERS_PER_DOMAIN);
+}
+
+/** Whether `self` publishes the summary of its failure domain. */
+export function isSummarizer(
+  failureDomain: string,
+  self: string,
+  live: readonly string[],
+): boolean {
+  return ranksBelow(`summary/${failureDomain}`, self, live, 1);
+}
+
+/** Rank of `self` among the probers of a target: 0, 1, or -1 for none. */
+export function proberRank(vm: string, self: string, live: readonly string[]): number {
+  return rendezvousOrder(`probe/${vm}`, live).slice(0, PROBERS_PER_TARGET).indexOf(self);
+}
+
+/** Whether `self` sends the orders of a target. */
+export function isOrderer(vm: string, self: string, live: readonly string[]): boolean {
+  return ranksBelow(`orders/${vm}`, self, live, 1);
+}
--- /dev/null
+++ b/packages/core/src/membership/quantise.ts
@@ -0,0 +1,15 @@
+/** Rounds load figures, so that small changes are not gossiped. */
+
+const EXACT_BELOW = 4;
+const STEPS_PER_DOUBLING = 2;
+
+/**
+ * Rounds to one of two steps per doubling; numbers below 4 are kept.
+ *
+ * @example quantise(1000) // 1024
+ */
+export function quantise(value: number): number {
+  if (value < EXACT_BELOW) return Math.max(0, Math.round(value));
+  const exponent = Math.round(Math.log2(value) * STEPS_PER_DOUBLING) / STEPS_PER_DOUBLING;
+  return Math.round(2 ** exponent);
+}
--- /dev/null
+++ b/packages/core/src/membership/suspect-table.ts
@@ -0,0 +1,67 @@
+/** Requests suspected of crashing targets, as gossiped by control daemons. */
+import type { ConfigView } from '../config/snapshot.js';
+import type { SuspectRecord } from '../messages/messages.js';
+import { allowedRegions } from '../residency/allowed-regions.js';
+
+/** Bounds memory and messages when a fault reports suspects without end. */
+const MAX_SUSPECTS = 1000;
+
+interface Held {
+  readonly record: SuspectRecord;
+  readonly expiresAt: number;
+}
+
+/**
+ * Whether a region may know of a request. A customer or service that is not in the configuration
+ * is known to no other region.
+ */
+export function mayKnowSuspect(
+  view: Pick<ConfigView, 'regions' | 'services' | 'customersById'>,
+  record: Pick<SuspectRecord, 'customer' | 'service'>,
+  region: string,
+): boolean {
+  const customer = view.customersById.get(record.customer);
+  const service = view.services[record.service];
+  return Boolean(customer && service && allowedRegions(view, customer, service).includes(region));
+}
+
+export class SuspectTable {
+  private readonly byDigest = new Map<string, Held>();
+
+  /** Takes records; of two records of a request, the one with more deaths or a refusal counts. */
+  merge(records: readonly SuspectRecord[], nowMs: number): boolean {
+    return records.filter((record) => this.mergeOne(record, nowMs)).length > 0;
+  }
+
+  /** Records that `region` may know of, with the time they have left. */
+  visibleTo(region: string, view: ConfigView | undefined, nowMs: number): SuspectRecord[] {
+    this.expire(nowMs);
+    return [...this.byDigest.values()]
+      .filter(({ record }) => view && mayKnowSuspect(view, record, region))
+      .map(({ record, expiresAt }) => ({
+        ...record,
+        expiresInMs: Math.round(expiresAt - nowMs),
+      }));
+  }
+
+  private mergeOne(record: SuspectRecord, nowMs: number): boolean {
+    const before = this.byDigest.get(record.digest);
+    const newer =
+      !before || record.deaths > before.record.deaths || (record.refused && !before.record.refused);
+    if (!newer || record.expiresInMs <= 0) return false;
+    if (!before && this.byDigest.size >= MAX_SUSPECTS) return false;
+    const refused = record.refused || (before?.record.refused ?? false);
+    const deaths = Math.max(record.deaths, before?.record.deaths ?? 0);
+    this.byDigest.set(record.digest, {
+      record: { ...record, refused, deaths },
+      expiresAt: nowMs + record.expiresInMs,
+    });
+    return true;
+  }
+
+  private expire(nowMs: number): void {
+    [...this.byDigest]
+      .filter(([, { expiresAt }]) => expiresAt <= nowMs)
+      .forEach(([digest]) => this.byDigest.delete(digest));
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/target-table.ts
@@ -0,0 +1,193 @@
+/** What the probers of a failure domain know of its targets. */
+import type { TargetState, VmRecord } from '../messages/messages.js';
+
+/** Load and readiness of a target as one prober saw it. */
+export type TargetReport = Pick<
+  TargetState,
+  'services' | 'leaving' | 'running' | 'queued' | 'waitMs' | 'concurrency' | 'sequence'
+> & { readonly ageMs: number };
+
+/** One prober's last knowledge of a target. */
+export interface Opinion {
+  readonly report: TargetReport;
+  readonly failures: number;
+  /** Time of the report on this process's clock, in ms. */
+  readonly reportedAt: number;
+  /** Time at which this process learnt of the opinion, in ms. */
+  readonly heardAt: number;
+  readonly firstFailureAt?: number;
+  readonly retryAt?: number;
+}
+
+/** Consecutive failures after which a target is excluded. */
+export const FAILURES_TO_EXCLUDE = 3;
+
+const BACK_OFF_START_MS = 2000;
+const BACK_OFF_MAX_MS = 30_000;
+/** Failures that begin within this time count as one event. */
+const MASS_FAILURE_WINDOW_MS = 10_000;
+/** A prober repeats an unchanged opinion every 3 s; a missed one is not enough to drop it. */
+const OPINION_EXPIRY_MS = 8000;
+
+const NO_REPORT: TargetReport = {
+  services: [],
+  leaving: false,
+  running: 0,
+  queued: 0,
+  waitMs: 0,
+  concurrency: 0,
+  sequence: 0,
+  ageMs: 0,
+};
+
+/** Collects the opinions of all probers of a failure domain, by prober. */
+export class TargetTable {
+  private records: readonly VmRecord[] = [];
+
+  private readonly opinions = new Map<string, Map<string, Opinion>>();
+
+  private cutOff = false;
+
+  /** @param self boot id of this process, whose own probes are opinions too */
+  constructor(private readonly self: string) {}
+
+  /** Takes the targets of the failure domain from the list of VMs. */
+  setRecords(records: readonly VmRecord[]): void {
+    this.records = records;
+    const known = new Set(records.map(({ vm }) => vm));
+    [...this.opinions.keys()]
+      .filter((vm) => !known.has(vm))
+      .forEach((vm) => this.opinions.delete(vm));
+  }
+
+  get targets(): readonly VmRecord[] {
+    return this.records;
+  }
+
+  /** Notes a successful probe of this process. */
+  recordReport(vm: string, report: TargetReport, nowMs: number): void {
+    this.setOpinion(vm, this.self, {
+      report,
+      failures: 0,
+      reportedAt: nowMs - report.ageMs,
+      heardAt: nowMs,
+    });
+  }
+
+  /** Notes a failed probe of this process. */
+  recordFailure(vm: string, nowMs: number): void {
+    const before = this.opinionOf(vm, this.self);
+    const failures = (before?.failures ?? 0) + 1;
+    const excess = Math.max(0, failures - FAILURES_TO_EXCLUDE);
+    const backOffMs = Math.min(BACK_OFF_START_MS * 2 ** excess, BACK_OFF_MAX_MS);
+    this.setOpinion(vm, this.self, {
+      report: before?.report ?? NO_REPORT,
+      reportedAt: before?.reportedAt ?? nowMs,
+      heardAt: nowMs,
+      failures,
+      firstFailureAt: before?.firstFailureAt ?? nowMs,
+      retryAt: failures >= FAILURES_TO_EXCLUDE ? nowMs + backOffMs : undefined,
+    });
+  }
+
+  /** Takes another prober's opinion. */
+  setOpinion(vm: string, prober: string, opinion: Opinion): void {
+    const byProber = this.opinions.get(vm) ?? new Map<string, Opinion>();
+    this.opinions.set(vm, byProber);
+    const before = byProber.get(prober);
+    const firstFailureAt =
+      opinion.failures >= 1 ? (before?.firstFailureAt ?? opinion.heardAt) : undefined;
+    byProber.set(prober, { ...opinion, firstFailureAt: opinion.firstFailureAt ?? firstFailureAt });
+  }
+
+  /** Keeps the silence of a pause of this process from counting against the targets. */
+  afterPause(durationMs: number): void {
+    this.opinions.forEach((byProber) =>
+      byProber.forEach((opinion, prober) =>
+        byProber.set(prober, { ...opinion, heardAt: opinion.heardAt + durationMs }),
+      ),
+    );
+  }
+
+  opinionOf(vm: string, prober: string): Opinion | undefined {
+    return this.opinions.get(vm)?.get(prober);
+  }
+
+  /** Whether this process may probe the target now; excluded targets wait out their back-off. */
+  mayProbe(vm: string, nowMs: number): boolean {
+    const retryAt = this.opinionOf(vm, this.self)?.retryAt;
+    return retryAt === undefined || nowMs >= retryAt;
+  }
+
+  /**
+   * Whether more than half of the targets failed at once. The process then assumes that it is cut
+   * off itself and goes on using all of them, until at most half are failed.
+   */
+  isolated(nowMs: number): boolean {
+    const candidates = this.records.filter(({ state }) => state !== 'leaving');
+    const failed = candidates.filter(({ vm }) => this.excluded(vm, nowMs));
+    const starts = failed.map(({ vm }) => this.failingSince(vm, nowMs)).sort((a, b) => a - b);
+    const half = Math.floor(candidates.length / 2);
+    const together = starts.some(
+      (start, index) => (starts[index + half] ?? Infinity) - start <= MASS_FAILURE_WINDOW_MS,
+    );
+    this.cutOff = failed.length > candidates.length / 2 && (this.cutOff || together);
+    return this.cutOff;
+  }
+
+  /** State of each target, as entries use it. */
+  states(nowMs: number): TargetState[] {
+    const isolated = this.isolated(nowMs);
+    return this.records.map((record) => {
+      const live = this.liveOpinions(record.vm, nowMs);
+      const best = live
+        .filter(({ failures }) => failures < FAILURES_TO_EXCLUDE)
+        .reduce<Opinion | undefined>(
+          (a, b) => (a && a.report.sequence >= b.report.sequence ? a : b),
+          undefined,
+        );
+      const shown = best ?? live[0] ?? this.lastOpinion(record.vm);
+      const report = shown?.report ?? NO_REPORT;
+      return {
+        vm: record.vm,
+        address: record.address,
+        kind: record.target?.kind ?? 'engine',
+        services: report.services,
+        running: report.running,
+        queued: report.queued,
+        waitMs: report.waitMs,
+        concurrency: report.concurrency,
+        sequence: report.sequence,
+        leaving: record.state === 'leaving' || live.some((o) => o.report.leaving),
+        healthy: best !== undefined || (isolated && shown !== undefined),
+        reportAgeMs: shown ? Math.round(nowMs - shown.reportedAt) : 0,
+      };
+    });
+  }
+
+  private excluded(vm: string, nowMs: number): boolean {
+    const live = this.liveOpinions(vm, nowMs);
+    return live.length > 0 && live.every(({ failures }) => failures >= FAILURES_TO_EXCLUDE);
+  }
+
+  private failingSince(vm: string, nowMs: number): number {
+    return Math.min(
+      ...this.liveOpinions(vm, nowMs).map(({ firstFailureAt }) => firstFailureAt ?? nowMs),
+    );
+  }
+
+  private liveOpinions(vm: string, nowMs: number): Opinion[] {
+    const all = [...(this.opinions.get(vm) ?? [])];
+    return all
+      .filter(([prober, { heardAt, retryAt }]) => {
+        const waiting = prober === this.self && retryAt !== undefined;
+        const expiryMs = waiting ? BACK_OFF_MAX_MS + OPINION_EXPIRY_MS : OPINION_EXPIRY_MS;
+        return nowMs - heardAt <= expiryMs;
+      })
+      .map(([, opinion]) => opinion);
+  }
+
+  private lastOpinion(vm: string): Opinion | undefined {
+    return [...(this.opinions.get(vm)?.values() ?? [])].sort((a, b) => b.heardAt - a.heardAt)[0];
+  }
+}
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -173,8 +173,49 @@
   readonly entriesPerRegion: Readonly<Record<string, number>>;
 }
 
-/** Version of a failure domain's summary. */
-export type SummaryVersions = Readonly<Record<string, number>>;
+/** By failure domain: version of its summary and version of the list of entries in it. */
+export type SummaryVersions = Readonly<Record<string, readonly [number, number]>>;
+
+/** A summary as it is gossiped; `entries` is left out when the receiver holds that version. */
+export interface SummaryUpdate {
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly version: number;
+  readonly entriesVersion: number;
+  readonly ageMs: number;
+  /** Service, ready targets, wait in ms and free slots. */
+  readonly services: readonly (readonly [string, number, number, number])[];
+  readonly entries?: readonly EntrySummary[];
+}
+
+/** Heartbeat by boot id of a control daemon. */
+export type Heartbeats = Readonly<Record<string, number>>;
+
+/** What one prober saw of a target, rounded. */
+export interface TargetItem {
+  readonly vm: string;
+  readonly services: readonly string[];
+  readonly leaving: boolean;
+  /** Consecutive failed probes. */
+  readonly failures: number;
+  readonly running: number;
+  readonly queued: number;
+  readonly waitMs: number;
+  readonly concurrency: number;
+  readonly sequence: number;
+  readonly ageMs: number;
+}
+
+/** What a control daemon observed; items carry the heartbeat at which they changed. */
+export interface OriginUpdate {
+  readonly bootId: string;
+  readonly heartbeat: number;
+  readonly revision: number;
+  /** Left out when the receiver knows the process. */
+  readonly process?: ProcessRef;
+  readonly entries?: readonly (readonly [number, ProcessEntry])[];
+  readonly targets?: readonly (readonly [number, TargetItem])[];
+}
 
 /** `gossip.exchange`: both sides send what the other may lack. */
 export interface GossipParams {
@@ -182,11 +223,11 @@
   readonly revision: number;
   readonly rejectedRevision: number;
   readonly vmListVersion: number;
-  /** Present between daemons of one failure domain. */
-  readonly processes?: readonly ProcessEntry[];
-  readonly targets?: readonly TargetState[];
-  readonly summaryVersions: SummaryVersions;
-  readonly summaries: readonly DomainSummary[];
+  /** Digest and newer parts of the process table; between daemons of one failure domain. */
+  readonly heartbeats?: Heartbeats;
+  readonly origins?: readonly OriginUpdate[];
+  readonly summaryVersions?: SummaryVersions;
+  readonly summaries: readonly SummaryUpdate[];
   readonly suspects: readonly SuspectRecord[];
 }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
 export * from './logs/logger.js';
 export * from './metrics/metrics.js';
 export * from './rpc/authentication.js';
+export * from './rpc/compression.js';
 export * from './rpc/rpc-client.js';
 export * from './rpc/rpc-server.js';
 export * from './settings/daemon-settings.js';
--- a/packages/platform/src/kernel/kernel.ts
+++ b/packages/platform/src/kernel/kernel.ts
@@ -54,12 +54,17 @@
         );
       });
     });
+    await this.start();
+    this.log.info('ready');
+  }
+
+  /** Starts all tasks in order, without signal handlers; for several daemons in one process. */
+  async start(): Promise<void> {
     await this.tasks.reduce(async (before, task) => {
       await before;
       await task.start();
       this.log.debug(`task ${task.name} started`);
     }, Promise.resolve());
-    this.log.info('ready');
   }
 
   /** Stops all tasks in reverse order; a second call waits for the first. */
--- a/packages/platform/src/rpc/rpc-client.ts
+++ b/packages/platform/src/rpc/rpc-client.ts
@@ -3,7 +3,8 @@
 import { JSONRPCClient } from 'json-rpc-2.0';
 import type { RpcMethod, RpcMethods } from '@marjoramcart/core';
 import { AUTH_HEADER, SENDER_HEADER, type MessageAuthenticator } from './authentication.js';
-import { RPC_PATH } from './rpc-server.js';
+import { decodeBody, encodeBody, headerBytes } from './compression.js';
+import { MAX_MESSAGE_BYTES, RPC_PATH } from './rpc-server.js';
 
 /** Why a call brought no result. The other side may have handled the message. */
 export type RpcError =
@@ -34,7 +35,7 @@
     private readonly dialMap: Readonly<Record<string, string>> = {},
   ) {}
 
-  /** Bytes of message bodies since the start. */
+  /** Bytes of messages with their headers since the start. */
   get traffic(): Readonly<{ received: number; sent: number }> {
     return this.bytes;
   }
@@ -72,15 +73,17 @@
     this.agent.destroy();
   }
 
-  private post(address: string, body: string, timeoutMs: number): Promise<RpcResult<string>> {
+  private async post(address: string, text: string, timeoutMs: number): Promise<RpcResult<string>> {
+    const { data: body, headers: encoding } = await encodeBody(text);
     const [host, port] = (this.dialMap[address] ?? address).split(':');
     const headers = {
       'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
+      'content-length': body.length,
+      ...encoding,
       [SENDER_HEADER]: this.sender,
       [AUTH_HEADER]: this.auth.sign({ path: RPC_PATH, sender: this.sender, content: body }),
     };
-    this.bytes.sent += Buffer.byteLength(body);
+    this.bytes.sent += body.length + headerBytes(Object.entries(headers).flat().map(String));
     return new Promise((resolve) => {
       const fail = (error: RpcError): void => resolve({ kind: 'error', error });
       const req = http.request(
@@ -90,10 +93,15 @@
           res.on('data', (chunk: Buffer) => chunks.push(chunk));
           res.on('error', (err) => fail({ kind: 'unreachable', message: err.message }));
           res.on('end', () => {
-            const text = Buffer.concat(chunks).toString('utf8');
-            this.bytes.received += text.length;
-            if (res.statusCode === 200) resolve({ kind: 'ok', value: text });
-            else fail({ kind: 'refused', status: res.statusCode ?? 0 });
+            const answer = Buffer.concat(chunks);
+            this.bytes.received += answer.length + headerBytes(res.rawHeaders);
+            if (res.statusCode !== 200) fail({ kind: 'refused', status: res.statusCode ?? 0 });
+            else {
+              decodeBody(answer, res.headers['content-encoding'], MAX_MESSAGE_BYTES).then(
+                (value) => resolve({ kind: 'ok', value }),
+                (err: Error) => fail({ kind: 'failed', message: err.message }),
+              );
+            }
           });
         },
       );
--- a/packages/platform/src/rpc/rpc-server.ts
+++ b/packages/platform/src/rpc/rpc-server.ts
@@ -4,13 +4,18 @@
 import type { RpcMethod, RpcMethods } from '@marjoramcart/core';
 import { readBody } from '../http/body.js';
 import type { Logger } from '../logs/logger.js';
+import { decodeBody, encodeBody, headerBytes } from './compression.js';
 import { AUTH_HEADER, SENDER_HEADER, type MessageAuthenticator } from './authentication.js';
 
 export const RPC_PATH = '/rpc';
 
 /** Largest message; a first configuration with 25,000 customers is about 5 MB. */
-const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const BODY_TIMEOUT_MS = 5000;
+/** Status line and headers of an answer, with those that Node.js adds. */
+const RESPONSE_HEADER_BYTES = 180;
+/** Method whose messages do not leave the VM. */
+const LOCAL_METHOD = '"method":"entry.sync"';
 
 export class RpcServer {
   private readonly server = new JSONRPCServer();
@@ -19,6 +24,8 @@
 
   private bytes = { received: 0, sent: 0 };
 
+  private localBytes = { received: 0, sent: 0 };
+
   constructor(
     private readonly auth: MessageAuthenticator,
     private readonly log: Logger,
@@ -29,7 +36,12 @@
     return this.refusedCount;
   }
 
-  /** Bytes of message bodies since the start. */
+  /** Bytes of `entry.sync` messages, which stay on this VM, with their headers. */
+  get localTraffic(): Readonly<{ received: number; sent: number }> {
+    return this.localBytes;
+  }
+
+  /** Bytes of all other messages with their headers since the start. */
   get traffic(): Readonly<{ received: number; sent: number }> {
     return this.bytes;
   }
@@ -66,10 +78,21 @@
       res.writeHead(401, { connection: 'close' }).end();
       return;
     }
-    this.bytes.received += body.data.length;
-    const answer = await this.server.receiveJSON(body.data.toString('utf8'));
-    const text = JSON.stringify(answer ?? null);
-    this.bytes.sent += Buffer.byteLength(text);
-    res.writeHead(200, { 'content-type': 'application/json' }).end(text);
+    const encoding = req.headers['content-encoding'];
+    const text = await decodeBody(body.data, encoding, MAX_MESSAGE_BYTES).catch(() => undefined);
+    if (text === undefined) {
+      res.writeHead(400, { connection: 'close' }).end();
+      return;
+    }
+    const bytes = text.includes(LOCAL_METHOD) ? this.localBytes : this.bytes;
+    bytes.received += body.data.length + headerBytes(req.rawHeaders);
+    const answer = await encodeBody(JSON.stringify((await this.server.receiveJSON(text)) ?? null));
+    bytes.sent += answer.data.length + RESPONSE_HEADER_BYTES;
+    res.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': answer.data.length,
+      ...answer.headers,
+    });
+    res.end(answer.data);
   }
 }
