Add stand-ins of the platform, engines, plain services and links

The daemons are met by real processes in tests, and docs/interfaces.md had no implementation to test against.

Adds four programs under tests/stand-ins: the platform with a test port, an engine with continuous batching and a prefix cache, a booking service and a TCP proxy with faults. Targets write a JSON-lines log of each run.

--- /dev/null
+++ b/tests/stand-ins/src/engine/answer.ts
@@ -0,0 +1,56 @@
+/** Deterministic answers of the engine stand-in, so that a caller can check that one is complete. */
+import { createHash } from 'node:crypto';
+import { markerOf } from '../common/run-log.js';
+
+const CHARS_PER_TOKEN = 4;
+const PREFIX_CHARS = 2048;
+const DIGEST_LENGTH = 16;
+const DEFAULT_TOKENS = 32;
+
+export interface ChatMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** Body of a chat completion, as far as the stand-in reads it. */
+export interface ChatRequest {
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly max_tokens?: number;
+  readonly stream?: boolean;
+  readonly priority?: number;
+}
+
+export function promptText(req: Pick<ChatRequest, 'messages'>): string {
+  return req.messages.map(({ content }) => String(content)).join('');
+}
+
+export function promptTokens(prompt: string): number {
+  return Math.max(1, Math.ceil(prompt.length / CHARS_PER_TOKEN));
+}
+
+/** Digest of the prompt's prefix, as in docs/interfaces.md. */
+export function prefixDigest(prompt: string): string {
+  return createHash('sha256')
+    .update(prompt.slice(0, PREFIX_CHARS))
+    .digest('hex')
+    .slice(0, DIGEST_LENGTH);
+}
+
+/**
+ * Tokens of the answer to a request; the first one holds the prompt's marker.
+ *
+ * @example answerTokens({ model: 'm', messages: [{ role: 'user', content: 'marker:a' }] })[0]
+ */
+export function answerTokens(req: ChatRequest): string[] {
+  const prompt = promptText(req);
+  const words = createHash('sha256').update(prompt).digest('hex');
+  return Array.from({ length: req.max_tokens ?? DEFAULT_TOKENS }, (_, n) =>
+    n === 0 ? `answer:${markerOf(prompt)}` : ` ${words.slice(n % 60, (n % 60) + 4)}`,
+  );
+}
+
+/** Text that a complete answer to `req` has. */
+export function expectedAnswer(req: ChatRequest): string {
+  return answerTokens(req).join('');
+}
--- /dev/null
+++ b/tests/stand-ins/src/engine/generation.ts
@@ -0,0 +1,137 @@
+/** One request in the engine: its events and the connection that receives them. */
+import type { ServerResponse } from 'node:http';
+import { sendJson } from '../common/http-server.js';
+import {
+  answerTokens,
+  prefixDigest,
+  promptText,
+  promptTokens,
+  type ChatRequest,
+} from './answer.js';
+
+export class Generation {
+  readonly prompt: string;
+
+  readonly prefix: string;
+
+  readonly promptTokens: number;
+
+  readonly priority: number;
+
+  /** Tokens of the prompt still to be prefilled. */
+  prefillLeft: number;
+
+  cancelled = false;
+
+  private readonly tokens: readonly string[];
+
+  private produced = 0;
+
+  private sink: ServerResponse | undefined;
+
+  constructor(
+    readonly id: string,
+    readonly req: ChatRequest,
+    cachedTokensOf: (prefix: string) => number,
+  ) {
+    this.prompt = promptText(req);
+    this.prefix = prefixDigest(this.prompt);
+    this.promptTokens = promptTokens(this.prompt);
+    this.priority = req.priority ?? 0;
+    this.tokens = answerTokens(req);
+    const cached = Math.min(cachedTokensOf(this.prefix), this.promptTokens - 1);
+    this.prefillLeft = this.promptTokens - cached;
+  }
+
+  get done(): boolean {
+    return this.produced >= this.tokens.length;
+  }
+
+  /** Whether a connection receives the answer. */
+  get attached(): boolean {
+    return this.sink !== undefined;
+  }
+
+  get remaining(): number {
+    return this.tokens.length - this.produced;
+  }
+
+  /** Sends the events after `lastEventId` to a connection, and later ones as they come. */
+  attach(res: ServerResponse, lastEventId = 0): void {
+    this.sink = res;
+    if (!this.req.stream) return;
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'stream-id': this.id });
+    res.flushHeaders();
+    this.available()
+      .slice(lastEventId)
+      .forEach((event) => res.write(event));
+    if (this.done) res.end();
+  }
+
+  /** True when `res` was the connection of this request, which then has none. */
+  detach(res: ServerResponse): boolean {
+    if (this.sink !== res) return false;
+    this.sink = undefined;
+    return true;
+  }
+
+  /** Produces one token. */
+  step(): void {
+    const before = this.available().length;
+    this.produced += 1;
+    if (this.req.stream) {
+      this.available()
+        .slice(before)
+        .forEach((event) => this.sink?.write(event));
+      if (this.done) this.sink?.end();
+    } else if (this.done && this.sink) sendJson(this.sink, 200, this.answer());
+  }
+
+  /** Ends the request without a complete answer. */
+  cancel(): void {
+    this.cancelled = true;
+    this.sink?.destroy();
+  }
+
+  private available(): string[] {
+    const events = this.tokens
+      .slice(0, this.produced)
+      .map((content) => this.chunk({ delta: { content }, finish_reason: null }));
+    const end = this.chunk({ delta: {}, finish_reason: 'stop' }, this.usage());
+    return [...events, ...(this.done ? [end, '[DONE]'] : [])].map(
+      (data, n) => `id: ${n + 1}\ndata: ${data}\n\n`,
+    );
+  }
+
+  private chunk(choice: object, usage?: object): string {
+    const { id } = this;
+    const choices = [{ index: 0, ...choice }];
+    return JSON.stringify({
+      id,
+      object: 'chat.completion.chunk',
+      model: this.req.model,
+      choices,
+      usage,
+    });
+  }
+
+  private answer(): object {
+    const message = { role: 'assistant', content: this.tokens.join('') };
+    return {
+      id: this.id,
+      object: 'chat.completion',
+      model: this.req.model,
+      choices: [{ index: 0, message, finish_reason: 'stop' }],
+      usage: this.usage(),
+    };
+  }
+
+  private usage(): object {
+    const completion = this.tokens.length;
+    return {
+      prompt_tokens: this.promptTokens,
+      completion_tokens: completion,
+      total_tokens: this.promptTokens + completion,
+    };
+  }
+}
--- /dev/null
+++ b/tests/stand-ins/src/fault-proxy/flow.ts
@@ -0,0 +1,55 @@
+/** Bytes in one direction between two places: delay, shared rate and cuts. */
+import { EventEmitter } from 'node:events';
+
+/** Faults of one direction. */
+export interface FlowSettings {
+  delay_ms: number;
+  /** Bytes a second that all connections share; 0 is without limit. */
+  rate_bytes_per_s: number;
+  /** A cut direction holds its bytes until it is whole again, as lost packets are sent again. */
+  cut: boolean;
+}
+
+export class Flow {
+  readonly settings: FlowSettings = { delay_ms: 0, rate_bytes_per_s: 0, cut: false };
+
+  /** Bytes passed on since the start. */
+  bytes = 0;
+
+  private freeAt = 0;
+
+  private readonly changes = new EventEmitter().setMaxListeners(0);
+
+  change(settings: Partial<FlowSettings>): void {
+    Object.assign(this.settings, settings);
+    this.changes.emit('change');
+  }
+
+  /** Resolves when `size` bytes that arrive now have passed. */
+  async pass(size: number): Promise<void> {
+    const now = performance.now();
+    const rate = this.settings.rate_bytes_per_s;
+    const start = Math.max(now, this.freeAt);
+    this.freeAt = rate > 0 ? start + (size / rate) * 1000 : now;
+    const waitMs = Math.max(0, this.freeAt - now) + this.settings.delay_ms;
+    if (waitMs > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, waitMs);
+      });
+    }
+    await this.whole();
+    this.bytes += size;
+  }
+
+  private whole(): Promise<void> {
+    if (!this.settings.cut) return Promise.resolve();
+    return new Promise((resolve) => {
+      const check = (): void => {
+        if (this.settings.cut) return;
+        this.changes.off('change', check);
+        resolve();
+      };
+      this.changes.on('change', check);
+    });
+  }
+}
--- /dev/null
+++ b/tests/stand-ins/src/plain-service/main.ts
@@ -0,0 +1,80 @@
+/** Stand-in of a booking service whose run log records every run. */
+import { Command } from 'commander';
+import { readText, sendJson, serve, serveTestPort, type Call } from '../common/http-server.js';
+import { markerOf, RunLog } from '../common/run-log.js';
+
+const options = new Command('plain-service')
+  .requiredOption('--port <port>', 'port of the service', Number)
+  .requiredOption('--test-port <port>', 'port for tests', Number)
+  .requiredOption('--vm <name>', 'name of the VM')
+  .requiredOption('--service <name>', 'service that runs here')
+  .requiredOption('--run-log <file>', 'JSON-lines log of the runs')
+  .option('--delay-ms <ms>', 'time that a run takes', Number, 5)
+  .option('--concurrency <n>', 'reported concurrency', Number, 16)
+  .parse()
+  .opts<{
+    port: number;
+    testPort: number;
+    vm: string;
+    service: string;
+    runLog: string;
+    delayMs: number;
+    concurrency: number;
+  }>();
+
+const settings = {
+  delay_ms: options.delayMs,
+  state: 'live' as 'live' | 'leaving',
+  /** Closes a kept-alive connection when its second or a later request arrives, without a run. */
+  close_reused: false,
+  /** Runs the request and then closes the connection without an answer. */
+  lose_answers: false,
+};
+const log = new RunLog(options.runLog, options.vm);
+const requestsOf = new WeakMap<object, number>();
+let running = 0;
+let runs = 0;
+let sequence = 0;
+
+await serve(options.port, async (call) => {
+  if (call.route === 'GET /load') sendLoad(call);
+  else await handle(call);
+});
+await serveTestPort(options.testPort, settings);
+
+function sendLoad({ res }: Call): void {
+  sequence += 1;
+  sendJson(res, 200, {
+    sequence,
+    age_ms: 0,
+    state: settings.state,
+    kind: 'plain',
+    services: [options.service],
+    running,
+    queued: 0,
+    wait_ms: settings.delay_ms,
+    concurrency: options.concurrency,
+  });
+}
+
+async function handle({ req, res, route, url }: Call): Promise<void> {
+  const earlier = requestsOf.get(req.socket) ?? 0;
+  requestsOf.set(req.socket, earlier + 1);
+  if (settings.close_reused && earlier > 0) {
+    req.socket.destroy();
+    return;
+  }
+  const body = await readText(req);
+  const marker = markerOf(`${body} ${url.search}`);
+  runs += 1;
+  running += 1;
+  const run = `${options.vm}-${runs}`;
+  log.write({ event: 'started', marker, path: url.pathname, run, route });
+  await new Promise((resolve) => {
+    setTimeout(resolve, settings.delay_ms);
+  });
+  running -= 1;
+  log.write({ event: 'finished', marker, path: url.pathname, run, route });
+  if (settings.lose_answers) req.socket.destroy();
+  else sendJson(res, 200, { booking: run, marker, service: options.service });
+}
