Add a launcher of whole fleets on loopback

Scenarios, the demo and benchmarks need regions of real processes with faults between them, and no process may stay behind.

Fleet.start plans addresses, writes settings files under out/fleets, starts the processes and waits for /readyz with a bound. The fault proxy stands between failure domains and before the platform through dial_map. A separate process ends the fleet when the program that started it is killed.

--- /dev/null
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -0,0 +1,316 @@
+/** Starts a whole fleet on loopback: platform, fault proxy, targets and daemons. */
+import { mkdirSync, rmSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { stringify } from 'yaml';
+import type { VmRecord } from '@marjoramcart/core';
+import type { EntrySettings } from '@marjoramcart/platform';
+import { readRunLog, type RunRecord } from '../common/run-log.js';
+import type { FlowSettings } from '../fault-proxy/flow.js';
+import type { LinkFaults } from '../fault-proxy/link.js';
+import { request, requestJson } from './http-client.js';
+import {
+  planLayout,
+  portOf,
+  vmRecords,
+  type DomainSpec,
+  type Layout,
+  type TargetPlan,
+} from './layout.js';
+import { PortAllocator } from './ports.js';
+import type { ManagedProcess } from './managed-process.js';
+import { ProcessGroup } from './process-group.js';
+import { planProxy, type DomainDialing, type ProxyPlan } from './proxy-links.js';
+import {
+  writeControlSettings,
+  writeEntrySettings,
+  type SettingsOptions,
+} from './settings-files.js';
+import { waitFor } from './wait.js';
+
+/** What to start. */
+export interface FleetSpec {
+  /** Names the folder of settings files and logs below `out/fleets`. */
+  readonly name: string;
+  readonly domains: readonly DomainSpec[];
+  /** Values of the configuration service by key; an object is published as YAML. */
+  readonly config: Readonly<Record<string, object | string>>;
+  readonly seed?: number;
+  /** One-way delay between failure domains. */
+  readonly delayMs?: number;
+  /** Whether targets are reached through the fault proxy, too. */
+  readonly proxyTargets?: boolean;
+  readonly logLevel?: EntrySettings['log']['level'];
+  readonly policies?: Partial<EntrySettings['policies']>;
+  readonly engineArgs?: readonly string[];
+  readonly plainArgs?: readonly string[];
+  readonly platformArgs?: readonly string[];
+  /** Leaves the daemons out, for tests of the stand-ins alone. */
+  readonly withoutDaemons?: boolean;
+}
+
+/** Two places of the fault proxy: failure domains, VMs of targets, `platform` or `*`. */
+export interface Between {
+  readonly from: string;
+  readonly to: string;
+}
+
+const FLEET_SECRET = 'secret-of-the-test-fleet';
+const READY_BOUND_MS = 20_000;
+const STAND_INS = fileURLToPath(new URL('..', import.meta.url));
+const OUT = fileURLToPath(new URL('../../../../out/fleets/', import.meta.url));
+const PACKAGES = fileURLToPath(new URL('../../../../packages/', import.meta.url));
+
+export class Fleet {
+  private constructor(
+    private readonly spec: FleetSpec,
+    /** Settings files and logs of all processes. */
+    readonly folder: string,
+    readonly layout: Layout,
+    private readonly proxyPlan: ProxyPlan,
+    private readonly group: ProcessGroup,
+  ) {}
+
+  /**
+   * Starts a fleet and waits until every process is ready. A fleet that can't start leaves no
+   * process behind.
+   *
+   * @throws Error that names the process that was not ready
+   */
+  static async start(spec: FleetSpec): Promise<Fleet> {
+    const folder = `${OUT}${spec.name}-${process.pid}`;
+    // eslint-disable-next-line n/no-sync
+    rmSync(folder, { recursive: true, force: true });
+    // eslint-disable-next-line n/no-sync
+    mkdirSync(folder, { recursive: true });
+    const ports = new PortAllocator();
+    const layout = await planLayout(spec.domains, ports);
+    const proxyPlan = await planProxy(layout, ports, spec.proxyTargets ?? false);
+    const fleet = new Fleet(spec, folder, layout, proxyPlan, new ProcessGroup(folder));
+    try {
+      await fleet.startStandIns();
+      if (!spec.withoutDaemons) await fleet.startDaemons();
+      return fleet;
+    } catch (err) {
+      await fleet.stop();
+      throw err;
+    }
+  }
+
+  /** Ends all processes of the fleet. */
+  stop(): Promise<void> {
+    return this.group.stop();
+  }
+
+  /** A process by its name in the layout, `platform` or `fault-proxy`. */
+  process(name: string): ManagedProcess {
+    return this.group.get(name);
+  }
+
+  get processes(): readonly ManagedProcess[] {
+    return [...this.group.processes.values()];
+  }
+
+  /** Starts a process that has ended and waits until it is ready. */
+  async restart(name: string): Promise<void> {
+    await this.process(name).restart();
+    await this.waitReady(name);
+  }
+
+  /** The plan of a target by its name. */
+  target(name: string): TargetPlan {
+    const target = this.layout.targets.find((plan) => plan.name === name);
+    if (!target) throw new Error(`no target '${name}'`);
+    return target;
+  }
+
+  /** Address that the daemons of a failure domain dial to reach `address`. */
+  dialled(domain: string, address: string): string {
+    const { platformAddress, dialMap } = this.dialingOf(domain);
+    return address === this.layout.platform.address
+      ? platformAddress
+      : (dialMap[address] ?? address);
+  }
+
+  /** What a target started, finished and cancelled; all targets without a name. */
+  runs(target?: string): RunRecord[] {
+    return this.layout.targets
+      .filter(({ name }) => target === undefined || name === target)
+      .flatMap(({ name }) => readRunLog(this.runLogOf(name)))
+      .sort((a, b) => a.at - b.at);
+  }
+
+  /** Publishes a value of the configuration service; returns its revision. */
+  async publish(key: string, value: object | string): Promise<number> {
+    const text = typeof value === 'string' ? value : stringify(value);
+    const { revision } = await this.platformTest<{ revision: number }>(
+      'PUT',
+      `/values/${key}`,
+      text,
+    );
+    return revision;
+  }
+
+  /** Changes a record of the list of VMs; it is shown after the list's lag. */
+  async changeVm(vm: string, patch: Partial<VmRecord> & { gone?: boolean }): Promise<void> {
+    await this.platformTest('PATCH', `/vms/${vm}`, patch);
+  }
+
+  /** Sets parts of the platform (config, vms, directory, weights) up, down or stale. */
+  async setPlatform(states: Record<string, 'up' | 'down' | 'stale'>): Promise<void> {
+    await this.platformTest('POST', '/states', states);
+  }
+
+  /** Calls of the configuration service so far. */
+  platformCalls(): Promise<Record<string, number>> {
+    return this.platformTest('GET', '/calls');
+  }
+
+  /** Changes settings of a target's stand-in. */
+  async setTarget(name: string, settings: object): Promise<void> {
+    await requestJson('POST', `http://${this.target(name).testAddress}/settings`, settings);
+  }
+
+  /** Changes delay, rate or cut between two places. */
+  async setFlow(
+    between: Between & { readonly both?: boolean },
+    settings: Partial<FlowSettings>,
+  ): Promise<void> {
+    await this.proxyTest('/flows', { ...between, ...settings });
+  }
+
+  /** Faults of the connections between two places. */
+  async setFaults(between: Between, faults: Partial<LinkFaults>): Promise<void> {
+    await this.proxyTest('/faults', { ...between, ...faults });
+  }
+
+  /** Cuts a failure domain off from all others, or joins it again. */
+  async isolate(domain: string, cut: boolean): Promise<void> {
+    const others = this.spec.domains.map(({ name }) => name).filter((name) => name !== domain);
+    await Promise.all(
+      others.map((other) => this.setFlow({ from: domain, to: other, both: true }, { cut })),
+    );
+  }
+
+  async waitReady(name: string): Promise<void> {
+    const address = this.readyAddressOf(name);
+    const managed = this.process(name);
+    await waitFor(
+      `${name} is ready (log: ${this.folder}/${name}.log)`,
+      async () => {
+        if (!managed.running) return false;
+        return (await request('GET', `http://${address}/readyz`)).status === 200;
+      },
+      READY_BOUND_MS,
+    );
+  }
+
+  private async startStandIns(): Promise<void> {
+    const { platform, proxy, targets } = this.layout;
+    this.add('platform', `${STAND_INS}platform/main.js`, [
+      ...['--port', portOf(platform.address), '--test-port', portOf(platform.testAddress)],
+      ...(this.spec.platformArgs ?? []),
+    ]);
+    this.add('fault-proxy', `${STAND_INS}fault-proxy/main.js`, [
+      ...['--test-port', portOf(proxy.testAddress)],
+    ]);
+    targets.forEach((target, n) => {
+      const args = ['--port', portOf(target.address), '--test-port', portOf(target.testAddress)];
+      const own = ['--vm', target.vm, '--run-log', this.runLogOf(target.name)];
+      if (target.service) {
+        const more = ['--service', target.service, ...(this.spec.plainArgs ?? [])];
+        this.add(target.name, `${STAND_INS}plain-service/main.js`, [...args, ...own, ...more]);
+      } else {
+        const weights = ['--weights-url', `http://${platform.address}`];
+        const seed = ['--seed', (this.spec.seed ?? 1) + n];
+        const fencing = target.checksFencing ? ['--checks-fencing'] : [];
+        const more = [...weights, ...seed, ...fencing, ...(this.spec.engineArgs ?? [])];
+        this.add(target.name, `${STAND_INS}engine/main.js`, [...args, ...own, ...more]);
+      }
+    });
+    await this.startAll(['platform', 'fault-proxy', ...targets.map(({ name }) => name)]);
+    await this.proxyTest('/links', this.proxyPlan.links);
+    await this.setDelays();
+    await this.platformTest('PUT', '/vms', vmRecords(this.layout));
+    await this.platformTest('PUT', '/directory', this.directory());
+    await Object.entries(this.spec.config).reduce<Promise<unknown>>(
+      (before, [key, value]) => before.then(() => this.publish(key, value)),
+      Promise.resolve(),
+    );
+  }
+
+  private async startDaemons(): Promise<void> {
+    const options: SettingsOptions = {
+      folder: this.folder,
+      fleetSecret: FLEET_SECRET,
+      logLevel: this.spec.logLevel ?? 'info',
+      seed: this.spec.seed ?? 1,
+      policies: this.spec.policies ?? {},
+    };
+    const { controls, entries } = this.layout;
+    controls.forEach((plan) => {
+      const file = writeControlSettings(plan, this.layout, this.dialingOf(plan.domain), options);
+      this.add(plan.name, `${PACKAGES}control/dist/main.js`, ['--settings', file]);
+    });
+    entries.forEach((plan) => {
+      const file = writeEntrySettings(plan, this.dialingOf(plan.domain), options);
+      this.add(plan.name, `${PACKAGES}entry/dist/main.js`, ['--settings', file]);
+    });
+    await this.startAll([...controls, ...entries].map(({ name }) => name));
+  }
+
+  private add(name: string, script: string, args: readonly (string | number)[]): void {
+    this.group.add(name, script, args.map(String));
+  }
+
+  private async startAll(names: readonly string[]): Promise<void> {
+    names.forEach((name) => this.process(name).start());
+    await Promise.all(names.map((name) => this.waitReady(name)));
+  }
+
+  private async setDelays(): Promise<void> {
+    const delayMs = this.spec.delayMs ?? 0;
+    const names = this.spec.domains.map(({ name }) => name);
+    const pairs = names.flatMap((from) =>
+      names.filter((to) => to !== from).map((to) => ({ from, to })),
+    );
+    if (delayMs === 0 || this.spec.withoutDaemons) return;
+    await Promise.all(pairs.map((pair) => this.setFlow(pair, { delay_ms: delayMs })));
+  }
+
+  private directory(): object[] {
+    return this.layout.entries.map(({ callers, region, domain }) => ({
+      address: callers,
+      region,
+      failure_domain: domain,
+    }));
+  }
+
+  private dialingOf(domain: string): DomainDialing {
+    const dialing = this.proxyPlan.dialing.get(domain);
+    if (!dialing) throw new Error(`no failure domain '${domain}'`);
+    return dialing;
+  }
+
+  private readyAddressOf(name: string): string {
+    if (name === 'platform') return this.layout.platform.testAddress;
+    if (name === 'fault-proxy') return this.layout.proxy.testAddress;
+    const target = this.layout.targets.find((plan) => plan.name === name);
+    const daemon = [...this.layout.controls, ...this.layout.entries].find(
+      (plan) => plan.name === name,
+    );
+    return target?.testAddress ?? daemon?.admin ?? '';
+  }
+
+  private runLogOf(name: string): string {
+    return `${this.folder}/${name}.runs.jsonl`;
+  }
+
+  private platformTest<Value>(method: string, path: string, body?: object | string) {
+    const url = `http://${this.layout.platform.testAddress}${path}`;
+    return requestJson<Value>(method, url, body);
+  }
+
+  private proxyTest(path: string, body: object): Promise<object> {
+    return requestJson('POST', `http://${this.layout.proxy.testAddress}${path}`, body);
+  }
+}
--- /dev/null
+++ b/tests/stand-ins/src/fleet/http-client.ts
@@ -0,0 +1,57 @@
+/** HTTP client without connection reuse, for test ports and probes. */
+import http from 'node:http';
+
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+}
+
+const TIMEOUT_MS = 10_000;
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @throws Error when the connection breaks or the answer takes over 10 s
+ */
+export function request(
+  method: string,
+  url: string,
+  body?: string | object,
+  headers: http.OutgoingHttpHeaders = {},
+): Promise<Answer> {
+  const text = typeof body === 'object' ? JSON.stringify(body) : body;
+  return new Promise((resolve, reject) => {
+    const req = http.request(url, { method, headers, agent: false, timeout: TIMEOUT_MS }, (res) => {
+      const chunks: Buffer[] = [];
+      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      res.on('error', reject);
+      res.on('end', () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          text: Buffer.concat(chunks).toString('utf8'),
+        }),
+      );
+    });
+    req.on('timeout', () => req.destroy(new Error(`${method} ${url} timed out`)));
+    req.on('error', reject);
+    req.end(text);
+  });
+}
+
+/**
+ * Sends a request and parses the answer.
+ *
+ * @throws Error on a status other than 2xx
+ */
+export async function requestJson<Value>(
+  method: string,
+  url: string,
+  body?: string | object,
+): Promise<Value> {
+  const answer = await request(method, url, body);
+  const ok = answer.status >= 200 && answer.status < 300;
+  if (!ok) throw new Error(`${method} ${url} answered ${answer.status}: ${answer.text}`);
+  return JSON.parse(answer.text) as Value;
+}
--- /dev/null
+++ b/tests/stand-ins/src/fleet/layout.ts
@@ -0,0 +1,160 @@
+/** Names and addresses of all processes of a fleet. */
+import type { VmRecord } from '@marjoramcart/core';
+import { LOOPBACK } from '../common/http-server.js';
+import type { PortAllocator } from './ports.js';
+
+/** One failure domain to start. */
+export interface DomainSpec {
+  readonly name: string;
+  readonly region: string;
+  readonly entryVms: number;
+  /** Entry processes on each entry VM. */
+  readonly entriesPerVm?: number;
+  readonly engines?: number;
+  /** Number of VMs by plain service. */
+  readonly plain?: Readonly<Record<string, number>>;
+}
+
+/** Where a process belongs. */
+export interface Place {
+  readonly name: string;
+  readonly vm: string;
+  readonly region: string;
+  readonly domain: string;
+}
+
+export interface ControlPlan extends Place {
+  readonly peers: string;
+  readonly admin: string;
+}
+
+export interface EntryPlan extends Place {
+  readonly callers: string;
+  readonly peers: string;
+  readonly admin: string;
+  /** Peer listener of the control daemon on the same VM. */
+  readonly control: string;
+}
+
+export interface TargetPlan extends Place {
+  readonly address: string;
+  readonly testAddress: string;
+  /** Plain service that runs here; absent for engines. */
+  readonly service?: string;
+  readonly checksFencing: boolean;
+}
+
+export interface Layout {
+  readonly domains: readonly DomainSpec[];
+  readonly platform: { readonly address: string; readonly testAddress: string };
+  readonly proxy: { readonly testAddress: string };
+  readonly controls: readonly ControlPlan[];
+  readonly entries: readonly EntryPlan[];
+  readonly targets: readonly TargetPlan[];
+}
+
+/** Port of an `ip:port` address. */
+export function portOf(address: string): number {
+  return Number(address.split(':')[1]);
+}
+
+export async function takeAddress(ports: PortAllocator): Promise<string> {
+  return `${LOOPBACK}:${await ports.take()}`;
+}
+
+/** Gives every process of the failure domains a name and addresses. */
+export async function planLayout(
+  domains: readonly DomainSpec[],
+  ports: PortAllocator,
+): Promise<Layout> {
+  const take = (): Promise<string> => takeAddress(ports);
+  const vms = domains.flatMap((domain) =>
+    numbered(domain.entryVms).map((n) => ({ domain, vm: `${domain.name}-entry-${n}` })),
+  );
+  const controls = await inOrder(vms, async ({ domain, vm }) => ({
+    ...place(domain, vm, `${vm}-control`),
+    peers: await take(),
+    admin: await take(),
+  }));
+  const processes = controls.flatMap((control) => {
+    const domain = domains.find(({ name }) => name === control.domain);
+    return numbered(domain?.entriesPerVm ?? 1).map((n) => ({ control, n }));
+  });
+  const entries = await inOrder(processes, async ({ control, n }) => ({
+    name: `${control.vm}-process-${n}`,
+    vm: control.vm,
+    region: control.region,
+    domain: control.domain,
+    callers: await take(),
+    peers: await take(),
+    admin: await take(),
+    control: control.peers,
+  }));
+  const targets = await inOrder(domains.flatMap(targetPlaces), async (target) => ({
+    ...target,
+    address: await take(),
+    testAddress: await take(),
+  }));
+  const platform = { address: await take(), testAddress: await take() };
+  return { domains, platform, proxy: { testAddress: await take() }, controls, entries, targets };
+}
+
+function targetPlaces(
+  domain: DomainSpec,
+): (Place & Pick<TargetPlan, 'service' | 'checksFencing'>)[] {
+  const engines = numbered(domain.engines ?? 0).map((n) => {
+    const vm = `${domain.name}-engine-${n}`;
+    // Every second engine ignores fencing numbers, as in mixed fleets.
+    return { ...place(domain, vm, vm), checksFencing: n % 2 === 1 };
+  });
+  const plain = Object.entries(domain.plain ?? {}).flatMap(([service, count]) =>
+    numbered(count).map((n) => {
+      const vm = `${domain.name}-${service}-${n}`;
+      return { ...place(domain, vm, vm), service, checksFencing: false };
+    }),
+  );
+  return [...engines, ...plain];
+}
+
+/** Records of the platform's list of VMs. */
+export function vmRecords(layout: Layout): VmRecord[] {
+  const entryVms = layout.controls.map((control) => ({
+    vm: control.vm,
+    role: 'entry' as const,
+    state: 'live' as const,
+    region: control.region,
+    failureDomain: control.domain,
+    address: control.peers,
+  }));
+  const targets = layout.targets.map((target) => ({
+    vm: target.vm,
+    role: 'target' as const,
+    state: 'live' as const,
+    region: target.region,
+    failureDomain: target.domain,
+    address: target.address,
+    target: target.service
+      ? { kind: 'plain' as const, service: target.service }
+      : { kind: 'engine' as const, checksFencing: target.checksFencing },
+  }));
+  return [...entryVms, ...targets];
+}
+
+function place({ name: domain, region }: DomainSpec, vm: string, name: string): Place {
+  return { name, vm, region, domain };
+}
+
+function numbered(count: number): number[] {
+  return Array.from({ length: count }, (_, n) => n + 1);
+}
+
+/** Maps one after the other, since ports are taken in order. */
+function inOrder<From, To>(
+  items: readonly From[],
+  map: (item: From) => Promise<To>,
+): Promise<To[]> {
+  return items.reduce<Promise<To[]>>(
+    async (before, item) => [...(await before), await map(item)],
+    Promise.resolve([]),
+  );
+}
--- /dev/null
+++ b/tests/stand-ins/src/fleet/managed-process.ts
@@ -0,0 +1,84 @@
+/** One process of a fleet. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { closeSync, openSync } from 'node:fs';
+
+const TERMINATE_BOUND_MS = 40_000;
+
+/** How a process ended. */
+export interface Exit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** One process that can be started, faulted and ended. */
+export class ManagedProcess {
+  private child: ChildProcess | undefined;
+
+  private ending: Promise<Exit> = Promise.resolve({ code: null, signal: null });
+
+  /** @param logFile receives standard output and error */
+  constructor(
+    readonly name: string,
+    private readonly script: string,
+    private readonly args: readonly string[],
+    private readonly logFile: string,
+    private readonly onSpawn: (pid: number) => void,
+  ) {}
+
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
+  get running(): boolean {
+    return this.child !== undefined && this.child.exitCode === null && !this.child.signalCode;
+  }
+
+  /** Resolves when the process has ended. */
+  get exited(): Promise<Exit> {
+    return this.ending;
+  }
+
+  start(): void {
+    if (this.running) throw new Error(`${this.name} is already running`);
+    // eslint-disable-next-line n/no-sync
+    const log = openSync(this.logFile, 'a');
+    const child = spawn(process.execPath, [this.script, ...this.args], {
+      stdio: ['ignore', log, log],
+    });
+    // eslint-disable-next-line n/no-sync
+    closeSync(log);
+    this.child = child;
+    this.ending = once(child, 'exit').then(([code, signal]) => ({ code, signal }));
+    if (child.pid !== undefined) this.onSpawn(child.pid);
+  }
+
+  /** Ends the process without any notice. */
+  async kill(): Promise<Exit> {
+    if (this.running) this.child?.kill('SIGKILL');
+    return this.ending;
+  }
+
+  /** Asks the process to shut down and waits for it. */
+  async terminate(boundMs = TERMINATE_BOUND_MS): Promise<Exit> {
+    if (this.running) this.child?.kill('SIGTERM');
+    const timer = setTimeout(() => this.child?.kill('SIGKILL'), boundMs);
+    const exit = await this.ending;
+    clearTimeout(timer);
+    return exit;
+  }
+
+  freeze(): void {
+    this.child?.kill('SIGSTOP');
+  }
+
+  thaw(): void {
+    this.child?.kill('SIGCONT');
+  }
+
+  /** Kills the process if it runs and starts it again with the same arguments. */
+  async restart(): Promise<void> {
+    await this.kill();
+    this.start();
+  }
+}
--- /dev/null
+++ b/tests/stand-ins/src/fleet/ports.ts
@@ -0,0 +1,27 @@
+/** Free loopback ports. */
+import { randomInt } from 'node:crypto';
+import net from 'node:net';
+import { LOOPBACK } from '../common/http-server.js';
+
+/** Ports below the usual range of outgoing connections, which take ports at random. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
+export class PortAllocator {
+  private next = randomInt(FIRST_PORT, LAST_PORT);
+
+  /** A port that nothing listens on and that this allocator has not given before. */
+  async take(): Promise<number> {
+    this.next = this.next >= LAST_PORT ? FIRST_PORT : this.next + 1;
+    const port = this.next;
+    return (await isFree(port)) ? port : this.take();
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
+  });
+}
--- /dev/null
+++ b/tests/stand-ins/src/fleet/process-group.ts
@@ -0,0 +1,55 @@
+/** Processes that end with the program that started them, also when it is killed. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+import { ManagedProcess } from './managed-process.js';
+import { startTimeOf } from './process-table.js';
+
+const REAPER = fileURLToPath(new URL('reaper-main.js', import.meta.url));
+
+/** All processes that one program started. */
+export class ProcessGroup {
+  readonly processes = new Map<string, ManagedProcess>();
+
+  private readonly reaper: ChildProcess;
+
+  constructor(private readonly logFolder: string) {
+    // A group of its own keeps the reaper alive when a terminal interrupts the program.
+    this.reaper = spawn(process.execPath, [REAPER], {
+      stdio: ['pipe', 'ignore', 'ignore'],
+      detached: true,
+    });
+    this.reaper.unref();
+  }
+
+  /** Adds a process without starting it. */
+  add(name: string, script: string, args: readonly string[]): ManagedProcess {
+    const onSpawn = (pid: number): void => {
+      this.reaper.stdin?.write(`${pid} ${startTimeOf(pid)}\n`);
+    };
+    const managed = new ManagedProcess(
+      name,
+      script,
+      args,
+      `${this.logFolder}/${name}.log`,
+      onSpawn,
+    );
+    this.processes.set(name, managed);
+    return managed;
+  }
+
+  /** @throws Error when there is no such process */
+  get(name: string): ManagedProcess {
+    const found = this.processes.get(name);
+    if (!found) throw new Error(`no process '${name}'; known: ${[...this.processes.keys()]}`);
+    return found;
+  }
+
+  /** Kills all processes that still run. */
+  async stop(): Promise<void> {
+    await Promise.all([...this.processes.values()].map((managed) => managed.kill()));
+    const ended = once(this.reaper, 'exit');
+    this.reaper.stdin?.end();
+    await ended;
+  }
+}
--- a/tests/stand-ins/src/index.ts
+++ b/tests/stand-ins/src/index.ts
@@ -1,3 +1,8 @@
 /** Library side of the stand-ins: run logs, expected answers, fleet launcher and caller client. */
 export * from './common/run-log.js';
 export * from './engine/answer.js';
+export * from './fleet/fleet.js';
+export * from './fleet/http-client.js';
+export * from './fleet/layout.js';
+export * from './fleet/managed-process.js';
+export * from './fleet/wait.js';
