Add the caller client and the demo program

Scenarios and operators need a client that judges whether an answer is complete, and one command that shows the gateway at work.

The caller checks the HTTP end and the [DONE] event, reads error bodies and makes idempotency keys. npm run demo starts three regions, sends four calls and compares each with the engine's expected answer or the run log.

--- /dev/null
+++ b/tests/stand-ins/src/demo/main.ts
@@ -0,0 +1,161 @@
+/**
+ * Demo: starts three regions on loopback and sends a streamed chat completion, a booking, a call
+ * that stays in its region and a call that another region answers.
+ */
+import { Command } from 'commander';
+import type { CallResult } from '../caller/call-result.js';
+import { Caller, chatText, makeKey } from '../caller/caller.js';
+import { expectedAnswer, type ChatRequest } from '../engine/answer.js';
+import { exampleConfig, exampleDomains, ExampleKeys } from '../fleet/example-config.js';
+import { Fleet } from '../fleet/fleet.js';
+import { waitFor } from '../fleet/wait.js';
+
+const ONE_WAY_MS = 80;
+const SERVING_BOUND_MS = 30_000;
+const NOT_READY_YET = [3106, 4102, 4103];
+
+const options = new Command('demo')
+  .option('--keep', 'keep the fleet running and print curl commands')
+  .parse()
+  .opts<{ keep?: boolean }>();
+
+const crew = new Caller(ExampleKeys['tent-crew']);
+const archive = new Caller(ExampleKeys['tartu-archive']);
+const stopped = new AbortController();
+const startedAt = performance.now();
+print('starting 3 regions ...');
+const fleet = await Fleet.start({
+  name: 'demo',
+  domains: exampleDomains,
+  config: { 'config/main': exampleConfig({ oneWayMs: ONE_WAY_MS }) },
+  delayMs: ONE_WAY_MS,
+});
+['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, () => stopped.abort()));
+try {
+  const complete = await runCalls();
+  print(complete ? 'all answers were complete' : 'NOT all answers were complete');
+  process.exitCode = complete ? 0 : 1;
+  if (options.keep) await keep();
+} finally {
+  crew.close();
+  archive.close();
+  await fleet.stop();
+}
+
+async function runCalls(): Promise<boolean> {
+  const { north, west } = callerAddresses();
+  await Promise.all([
+    served(() => crew.chat(north, chat('warm-up-north'))),
+    served(() => crew.chat(west, chat('warm-up-west'))),
+    served(() => crew.call(north, { method: 'GET', path: '/svc/crane-booking/slots' })),
+  ]);
+  const seconds = ((performance.now() - startedAt) / 1000).toFixed(1);
+  print(
+    `${fleet.processes.length} processes serve after ${seconds} s; logs are in ${fleet.folder}`,
+  );
+  const [owner] = await crew.entries(north);
+  const [home] = await archive.entries(west);
+  if (!owner || !home) throw new Error('an entry list is empty');
+  const key = makeKey(owner.key_prefix, 'demo-booking-1');
+  const booking = await crew.call(owner.address, {
+    method: 'POST',
+    path: '/svc/crane-booking/slots',
+    body: { slot: '2027-01-04T08:00', note: 'marker:demo-booking' },
+    headers: { 'idempotency-key': key },
+  });
+  return [
+    report(
+      'streamed chat completion',
+      await crew.chat(north, chat('demo-chat')),
+      isWhole('demo-chat'),
+    ),
+    report('booking with a key', booking, () => bookedOnce('demo-booking')),
+    report(
+      'stays in its region',
+      await archive.chat(home.address, chat('demo-home')),
+      (result) => isWhole('demo-home')(result) && result.headers['marjoramcart-region'] === 'north',
+    ),
+    report(
+      'sent to another region',
+      await crew.chat(west, chat('demo-away')),
+      (result) => isWhole('demo-away')(result) && result.headers['marjoramcart-region'] !== 'west',
+    ),
+  ].every(Boolean);
+}
+
+/** Waits until a call is served; an entry that is not ready yet has not run it. */
+function served(call: () => Promise<CallResult>): Promise<CallResult> {
+  return waitFor(
+    'a first call is served',
+    async () => {
+      const result = await call();
+      if (result.complete) return result;
+      return NOT_READY_YET.includes(result.code) ? undefined : result;
+    },
+    SERVING_BOUND_MS,
+  );
+}
+
+function chat(marker: string): ChatRequest {
+  const content = `How is the king pole stayed? marker:${marker}`;
+  return {
+    model: 'crew-answers',
+    stream: true,
+    max_tokens: 24,
+    messages: [{ role: 'user', content }],
+  };
+}
+
+function isWhole(marker: string): (result: CallResult) => boolean {
+  return (result) => result.complete && chatText(result) === expectedAnswer(chat(marker));
+}
+
+function bookedOnce(marker: string): boolean {
+  return (
+    fleet.runs().filter((run) => run.event === 'started' && run.marker === marker).length === 1
+  );
+}
+
+function report(
+  title: string,
+  result: CallResult,
+  check: (result: CallResult) => boolean,
+): boolean {
+  const ok = result.complete && check(result);
+  const header = (name: string): string => String(result.headers[`marjoramcart-${name}`] ?? '-');
+  print(`${title}: ${ok ? 'complete' : `FAILED ${result.status} ${result.error?.message ?? ''}`}`);
+  print(`  entry ${header('entry')}, target ${header('target')}, region ${header('region')},`);
+  print(`  code ${result.code}, first token after ${Math.round(result.firstTokenMs)} ms`);
+  return ok;
+}
+
+function callerAddresses(): { north: string; west: string } {
+  const of = (region: string): string =>
+    fleet.layout.entries.find((entry) => entry.region === region)?.callers ?? '';
+  return { north: of('north'), west: of('west') };
+}
+
+async function keep(): Promise<void> {
+  const { north, west } = callerAddresses();
+  const [owner] = await crew.entries(north);
+  const auth = `-H 'authorization: Bearer ${ExampleKeys['tent-crew']}'`;
+  const body = JSON.stringify(chat('by-hand'));
+  const key = makeKey(owner?.key_prefix ?? '', 'by-hand-0001', 3500);
+  print('\nThe fleet keeps running; Ctrl-C ends it. Try:\n');
+  print(`curl -s http://${north}/v1/entries ${auth}\n`);
+  print(`curl -sN http://${north}/v1/chat/completions ${auth} -d '${body}'\n`);
+  print(`curl -siN http://${west}/v1/chat/completions ${auth} -d '${body}'\n`);
+  print(
+    `curl -si http://${owner?.address}/svc/crane-booking/slots ${auth} -H 'idempotency-key: ${key}' -d '{"note":"marker:by-hand"}'\n`,
+  );
+  const platform = fleet.layout.platform.address;
+  print(`curl -s http://${platform}/v1/vms\n`);
+  await new Promise((resolve) => {
+    if (stopped.signal.aborted) resolve(undefined);
+    stopped.signal.addEventListener('abort', resolve);
+  });
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/tests/stand-ins/src/index.ts
+++ b/tests/stand-ins/src/index.ts
@@ -6,3 +6,7 @@
 export * from './fleet/layout.js';
 export * from './fleet/managed-process.js';
 export * from './fleet/wait.js';
+export * from './caller/call-result.js';
+export * from './caller/caller.js';
+export * from './caller/event-stream.js';
+export * from './fleet/example-config.js';
