Add routing, fairness and limit policies and register them

Cause: the entry daemon needs the decisions of design sections 10 and 11 as pure classes.

Ruled out: correcting a load report only by what was sent since. With a lag above the time a request takes it counts requests that have already ended, so a candidate may also carry what ended since the report. A KV export inside the domain policy's cost terms only: the decision has to reach dispatch, so it is part of the result.

Contracts: optional TargetCandidate.endedSinceReport, DomainOption.kvExport, DomainDecision.exportKv and FairnessPolicy.customersQueued.

No policy has been measured yet; the defaults are starting values.

--- a/packages/core/src/admission/admission-policy.ts
+++ b/packages/core/src/admission/admission-policy.ts
@@ -35,6 +35,8 @@
   finished(req: AdmissionRequest, outcome: AdmissionOutcome, now: number): void;
   readonly size: number;
   queuedOf(customer: string): number;
+  /** Customers with a queued request; only of a policy that serves customers in turn. */
+  readonly customersQueued?: number;
   /** All queued requests, in no particular order. */
   queued(): readonly AdmissionRequest[];
 }
--- /dev/null
+++ b/packages/core/src/admission/admission.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { AdmissionRequest, FairnessPolicy } from './admission-policy.js';
+import { CustomerLimits } from './customer-limits.js';
+import { ExperientialFairnessPolicy } from './experiential-fairness-policy.js';
+import { FirstComePolicy } from './first-come-policy.js';
+import { TokenCountPolicy } from './token-count-policy.js';
+import { WindowAdmissionController } from './window-admission-controller.js';
+
+function request(id: string, customer: string, own: Partial<AdmissionRequest> = {}) {
+  return {
+    id,
+    customer,
+    customerClass: 'standard',
+    weight: 1,
+    priority: 10,
+    cost: 100,
+    arrivedAt: 0,
+    deadlineAt: 30_000,
+    latencyTargetMs: 1300,
+    ...own,
+  };
+}
+
+/** Customers in the order in which a policy admits them. */
+function drain(policy: FairnessPolicy): string[] {
+  return Array.from({ length: policy.size }, () => policy.pop(0)?.customer ?? '');
+}
+
+function flooded(policy: FairnessPolicy): FairnessPolicy {
+  Array.from({ length: 50 }, (_, at) => policy.push(request(`f${at}`, 'flood')));
+  policy.push(request('q1', 'quiet'));
+  return policy;
+}
+
+test('token counts admit a quiet customer before the rest of a flood', () => {
+  assert.ok(drain(flooded(new TokenCountPolicy())).indexOf('quiet') <= 1);
+  assert.equal(drain(flooded(new FirstComePolicy())).indexOf('quiet'), 50);
+});
+
+test('idle time saves no credit in token counts', () => {
+  // Guards against a customer that was away starving the others when it returns.
+  const policy = new TokenCountPolicy();
+  Array.from({ length: 20 }, (_, at) => policy.push(request(`a${at}`, 'busy')));
+  Array.from({ length: 10 }, () => policy.pop());
+  Array.from({ length: 10 }, (_, at) => policy.push(request(`b${at}`, 'back')));
+  assert.deepEqual(
+    drain(policy)
+      .slice(0, 6)
+      .filter((id) => id === 'back').length,
+    3,
+  );
+});
+
+test('actual costs above the expected ones count against a customer', () => {
+  const policy = new TokenCountPolicy();
+  const first = request('a1', 'a');
+  policy.push(first);
+  policy.pop();
+  policy.finished(first, { cost: 5000 });
+  policy.push(request('b1', 'b'));
+  policy.push(request('a2', 'a'));
+  assert.deepEqual(drain(policy), ['b', 'a']);
+});
+
+test('every policy returns each queued request once and forgets removed ones', () => {
+  [new FirstComePolicy(), new TokenCountPolicy(), new ExperientialFairnessPolicy()].forEach(
+    (policy) => {
+      flooded(policy).remove('f7');
+      assert.equal(policy.queuedOf('flood'), 49);
+      const ids = Array.from({ length: 50 }, (_, at) => policy.pop(at * 200)?.id);
+      assert.equal(new Set(ids).size, 50);
+      assert.ok(!ids.includes('f7') && !ids.includes(undefined));
+      assert.equal(policy.size, 0);
+    },
+  );
+});
+
+test('the experiential index advances customers whose targets were missed', () => {
+  const policy = new ExperientialFairnessPolicy();
+  policy.finished(request('x', 'missed'), { cost: 100, firstTokenMs: 9000 }, 0);
+  policy.finished(request('y', 'met'), { cost: 100, firstTokenMs: 10 }, 0);
+  Array.from({ length: 10 }, (_, at) => policy.push(request(`m${at}`, 'met')));
+  policy.push(request('late', 'missed'));
+  assert.equal(policy.pop(0)?.customer, 'missed');
+});
+
+function controller(window: number): WindowAdmissionController {
+  return new WindowAdmissionController(new TokenCountPolicy(), {
+    window,
+    queuePerCustomer: 2,
+    maxQueued: 10,
+  });
+}
+
+test('the window and the queue of a customer are bounded', () => {
+  const admission = controller(1);
+  const kinds = ['1', '2', '3', '4'].map((id) => admission.offer(request(id, 'a'), 0).kind);
+  assert.deepEqual(kinds, ['admitted', 'queued', 'queued', 'refused']);
+  assert.equal(admission.offer(request('5', 'b'), 0).kind, 'queued');
+  // Both customers are at the same level, so the one that waits longer goes first, then the other.
+  const next = ['1', '2'].map((id) => admission.release(id, { cost: 100 }, 10)[0]?.id);
+  assert.deepEqual(next, ['2', '5']);
+  assert.equal(admission.resize(3, 20).length, 1);
+});
+
+test('a request whose deadline cannot be met is refused or expires, and never runs', () => {
+  const admission = controller(1);
+  admission.offer(request('1', 'a'), 0);
+  admission.release('1', { cost: 100 }, 1000);
+  admission.offer(request('2', 'a'), 1000);
+  const early = admission.offer(request('3', 'b', { deadlineAt: 1500 }), 1000);
+  assert.deepEqual(early, { kind: 'refused', reason: 'deadline-unreachable' });
+  assert.equal(admission.offer(request('4', 'b', { deadlineAt: 6000 }), 1000).kind, 'queued');
+  assert.deepEqual(
+    admission.expire(5500).map(({ id }) => id),
+    ['4'],
+  );
+  assert.deepEqual(admission.release('2', { cost: 1 }, 5600), []);
+});
+
+test('limits of requests, tokens and streams are divided by the share', () => {
+  const limits = new CustomerLimits();
+  const config = { requests_per_s: 4, tokens_per_s: 2000, streams: 2 };
+  const call = { share: 0.5, tokens: 100, stream: false };
+  const first = Array.from({ length: 3 }, () => limits.tryStart('a', config, call, 0));
+  assert.deepEqual(
+    first.map(({ kind }) => kind),
+    ['allowed', 'allowed', 'limited'],
+  );
+  assert.equal(limits.tryStart('a', config, call, 500).kind, 'allowed');
+  const stream = { ...call, stream: true };
+  assert.equal(limits.tryStart('b', config, stream, 0).kind, 'allowed');
+  const second = limits.tryStart('b', config, stream, 0);
+  assert.equal(second.kind === 'limited' && second.limit, 'streams');
+  limits.endStream('b');
+  assert.equal(limits.tryStart('b', config, stream, 0).kind, 'allowed');
+  limits.correctTokens('c', 0);
+  const large = { ...call, tokens: 5000 };
+  assert.equal(limits.tryStart('c', config, large, 0).kind, 'allowed');
+  const next = limits.tryStart('c', config, call, 1000);
+  assert.equal(next.kind === 'limited' && next.limit, 'tokens');
+});
+
+test('a customer without limits is never limited', () => {
+  const limits = new CustomerLimits();
+  const call = { share: 0.1, tokens: 1e9, stream: true };
+  const kinds = Array.from({ length: 100 }, () => limits.tryStart('a', {}, call, 0).kind);
+  assert.ok(kinds.every((kind) => kind === 'allowed'));
+});
--- /dev/null
+++ b/packages/core/src/admission/customer-limits.ts
@@ -0,0 +1,124 @@
+/** Limits of customers at one entry: its static share of requests/s, tokens/s and streams. */
+import type { CustomerConfig } from '../config/text-schema.js';
+
+type CustomerLimitsConfig = NonNullable<CustomerConfig['limits']>;
+
+const MS_PER_S = 1000;
+/** Saved allowance, in seconds of the rate. */
+const BURST_S = 1;
+/** Customers with full buckets are forgotten when more than this are known. */
+const MAX_IDLE_CUSTOMERS = 10_000;
+
+/** Decision on one request. */
+export type LimitDecision =
+  | { readonly kind: 'allowed' }
+  | {
+      readonly kind: 'limited';
+      readonly limit: 'requests' | 'tokens' | 'streams';
+      /** When the request could be allowed at the earliest. */
+      readonly retryAfterMs: number;
+    };
+
+interface CustomerUse {
+  requests: number;
+  tokens: number;
+  streams: number;
+  refilledAt: number;
+}
+
+/**
+ * Token buckets and a count of open streams for each customer. The share is 1 divided by the live
+ * entry processes of the customer's regions. Monotonic ms.
+ *
+ * @example new CustomerLimits().tryStart('c1', { requests_per_s: 10 }, { share: 0.5, tokens: 100, stream: true }, 0)
+ */
+export class CustomerLimits {
+  private readonly uses = new Map<string, CustomerUse>();
+
+  /** Takes a request from the customer's limits; a limited request takes nothing. */
+  tryStart(
+    customer: string,
+    limits: CustomerLimitsConfig,
+    call: { readonly share: number; readonly tokens: number; readonly stream: boolean },
+    now: number,
+  ): LimitDecision {
+    const requestRate = (limits.requests_per_s ?? Infinity) * call.share;
+    const tokenRate = (limits.tokens_per_s ?? Infinity) * call.share;
+    // At least one stream, or a customer with fewer streams than entries could open none.
+    const streams = Math.max(1, Math.floor((limits.streams ?? Infinity) * call.share));
+    const use = this.refill(customer, requestRate, tokenRate, now);
+    if (call.stream && use.streams >= streams) return limited('streams', MS_PER_S);
+    if (use.requests < 1) {
+      return limited('requests', ((1 - use.requests) / requestRate) * MS_PER_S);
+    }
+    // A request above the saved allowance passes when the bucket is full and is repaid later.
+    const needed = Math.min(call.tokens, tokenCapacity(tokenRate));
+    if (use.tokens < needed) {
+      return limited('tokens', ((needed - use.tokens) / tokenRate) * MS_PER_S);
+    }
+    use.requests -= 1;
+    use.tokens -= call.tokens;
+    use.streams += call.stream ? 1 : 0;
+    return { kind: 'allowed' };
+  }
+
+  /** Ends a stream. */
+  endStream(customer: string): void {
+    const use = this.uses.get(customer);
+    if (use) use.streams = Math.max(0, use.streams - 1);
+  }
+
+  /** Adds the difference between actual and expected tokens of a request that ended. */
+  correctTokens(customer: string, difference: number): void {
+    const use = this.uses.get(customer);
+    if (use) use.tokens -= difference;
+  }
+
+  private refill(
+    customer: string,
+    requestRate: number,
+    tokenRate: number,
+    now: number,
+  ): CustomerUse {
+    const known = this.uses.get(customer);
+    const requestCapacity = Math.max(1, requestRate * BURST_S);
+    if (!known) {
+      const use: CustomerUse = {
+        requests: requestCapacity,
+        tokens: tokenCapacity(tokenRate),
+        streams: 0,
+        refilledAt: now,
+      };
+      this.forgetIdle(now);
+      this.uses.set(customer, use);
+      return use;
+    }
+    const seconds = Math.max(0, now - known.refilledAt) / MS_PER_S;
+    known.requests = refilled(known.requests, seconds, requestRate, requestCapacity);
+    known.tokens = refilled(known.tokens, seconds, tokenRate, tokenCapacity(tokenRate));
+    known.refilledAt = now;
+    return known;
+  }
+
+  private forgetIdle(now: number): void {
+    if (this.uses.size < MAX_IDLE_CUSTOMERS) return;
+    const oldest = [...this.uses].find(
+      ([, use]) =>
+        use.streams === 0 && use.tokens >= 0 && now - use.refilledAt > BURST_S * MS_PER_S,
+    );
+    if (oldest) this.uses.delete(oldest[0]);
+  }
+}
+
+function tokenCapacity(tokenRate: number): number {
+  return Math.max(1, tokenRate * BURST_S);
+}
+
+/** An infinite rate keeps the bucket full, also after zero seconds. */
+function refilled(level: number, seconds: number, rate: number, capacity: number): number {
+  return rate === Infinity ? Infinity : Math.min(capacity, level + seconds * rate);
+}
+
+function limited(limit: 'requests' | 'tokens' | 'streams', retryAfterMs: number): LimitDecision {
+  return { kind: 'limited', limit, retryAfterMs: Math.ceil(retryAfterMs) };
+}
--- /dev/null
+++ b/packages/core/src/admission/first-come-policy.ts
@@ -0,0 +1,37 @@
+/** First come, first served: the baseline of the fairness policies. */
+import type { AdmissionRequest, FairnessPolicy } from './admission-policy.js';
+import { CustomerQueues } from './customer-queues.js';
+
+export class FirstComePolicy implements FairnessPolicy {
+  readonly name = 'first-come';
+
+  private readonly queues = new CustomerQueues();
+
+  get size(): number {
+    return this.queues.size;
+  }
+
+  push(req: AdmissionRequest): void {
+    this.queues.add(req);
+  }
+
+  pop(): AdmissionRequest | undefined {
+    const req = this.queues.oldest();
+    return req && this.queues.remove(req.id);
+  }
+
+  remove(id: string): AdmissionRequest | undefined {
+    return this.queues.remove(id);
+  }
+
+  // Arrival order alone decides.
+  finished(): void {}
+
+  queuedOf(customer: string): number {
+    return this.queues.countOf(customer);
+  }
+
+  queued(): readonly AdmissionRequest[] {
+    return this.queues.all();
+  }
+}
--- /dev/null
+++ b/packages/core/src/admission/token-count-policy.ts
@@ -0,0 +1,83 @@
+/** Token-count fairness (virtual token counter). */
+import { leastBy } from '../routing/target-load.js';
+import type { AdmissionOutcome, AdmissionRequest, FairnessPolicy } from './admission-policy.js';
+import { CustomerQueues } from './customer-queues.js';
+
+/** Counters of customers with nothing queued or running; the oldest are forgotten above this. */
+const MAX_COUNTERS = 50_000;
+
+/**
+ * Admits the customer with the least service so far. Each admitted request adds its expected cost
+ * divided by the customer's weight; the difference to the actual cost is added when it ends. A
+ * customer that returns after a pause starts at the level of the queued customers, so idle time
+ * saves no credit.
+ *
+ * @example new TokenCountPolicy().pop(0) // undefined
+ */
+export class TokenCountPolicy implements FairnessPolicy {
+  readonly name = 'token-count';
+
+  private readonly queues = new CustomerQueues();
+
+  private readonly counters = new Map<string, number>();
+
+  /** Counter of the customer admitted last: the level to start at when nothing is queued. */
+  private level = 0;
+
+  get size(): number {
+    return this.queues.size;
+  }
+
+  get customersQueued(): number {
+    return this.queues.customerCount;
+  }
+
+  push(req: AdmissionRequest): void {
+    if (this.queues.countOf(req.customer) === 0) {
+      const queuedCounters = this.queues.customers.map((customer) => this.counterOf(customer));
+      const floor = queuedCounters.length > 0 ? Math.min(...queuedCounters) : this.level;
+      this.setCounter(req.customer, Math.max(this.counterOf(req.customer), floor));
+    }
+    this.queues.add(req);
+  }
+
+  pop(): AdmissionRequest | undefined {
+    const customer = leastBy(this.queues.customers, (id) => this.counterOf(id));
+    const req = customer === undefined ? undefined : this.queues.firstOf(customer);
+    if (!req) return undefined;
+    this.queues.remove(req.id);
+    this.level = this.counterOf(req.customer);
+    this.setCounter(req.customer, this.level + req.cost / req.weight);
+    return req;
+  }
+
+  remove(id: string): AdmissionRequest | undefined {
+    return this.queues.remove(id);
+  }
+
+  finished(req: AdmissionRequest, outcome: AdmissionOutcome): void {
+    const difference = (outcome.cost - req.cost) / req.weight;
+    this.setCounter(req.customer, this.counterOf(req.customer) + difference);
+  }
+
+  queuedOf(customer: string): number {
+    return this.queues.countOf(customer);
+  }
+
+  queued(): readonly AdmissionRequest[] {
+    return this.queues.all();
+  }
+
+  private counterOf(customer: string): number {
+    return this.counters.get(customer) ?? 0;
+  }
+
+  private setCounter(customer: string, value: number): void {
+    // Deleting first moves the customer to the end, so that the first is the longest unused.
+    this.counters.delete(customer);
+    this.counters.set(customer, value);
+    if (this.counters.size <= MAX_COUNTERS) return;
+    const unused = this.counters.keys().next().value;
+    if (unused !== undefined) this.counters.delete(unused);
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/bounded-affinity-target-policy.ts
@@ -0,0 +1,96 @@
+/** Target policy of the gateway: prefix affinity within a load bound, else sampled candidates. */
+import type { RandomSource } from '../random-source.js';
+import { rendezvousOrder } from '../rendezvous.js';
+import type { RoutedRequest, TargetCandidate, TargetPolicy } from './routing-policy.js';
+import { correctedOutstanding, leastBy, relativeLoad } from './target-load.js';
+
+export interface BoundedAffinityOptions {
+  /** Candidates that are drawn when no target with affinity is within the bound. */
+  readonly samples: number;
+  /** A target with affinity may hold this multiple of the mean load. */
+  readonly loadFactor: number;
+  /** Targets per prefix, first in rendezvous order, that are preferred. */
+  readonly replicas: number;
+}
+
+export const BOUNDED_AFFINITY_DEFAULTS: BoundedAffinityOptions = {
+  samples: 2,
+  loadFactor: 1.25,
+  replicas: 2,
+};
+
+/**
+ * Prefers targets that hold the request's prefix, by cache events (hints) and by rendezvous order,
+ * as long as their corrected load is within a multiple of the mean. Otherwise draws candidates and
+ * takes the least loaded of them.
+ *
+ * @example new BoundedAffinityTargetPolicy().choose(req, candidates, seededRandom(1))
+ */
+export class BoundedAffinityTargetPolicy implements TargetPolicy {
+  readonly name = 'bounded-affinity';
+
+  private readonly options: BoundedAffinityOptions;
+
+  constructor(options: Partial<BoundedAffinityOptions> = {}) {
+    this.options = { ...BOUNDED_AFFINITY_DEFAULTS, ...options };
+  }
+
+  choose(
+    req: RoutedRequest,
+    candidates: readonly TargetCandidate[],
+    random: RandomSource,
+  ): TargetCandidate | undefined {
+    if (candidates.length <= 1) return candidates[0];
+    return this.chooseByPrefix(req, candidates) ?? this.chooseSampled(candidates, random);
+  }
+
+  private chooseByPrefix(
+    { prefix }: RoutedRequest,
+    candidates: readonly TargetCandidate[],
+  ): TargetCandidate | undefined {
+    if (prefix === undefined) return undefined;
+    const bound = this.outstandingBound(candidates);
+    const within = candidates.filter(
+      (candidate) => correctedOutstanding(candidate) + 1 <= bound(candidate),
+    );
+    const order = rendezvousOrder(
+      prefix,
+      candidates.map(({ state }) => state.vm),
+    ).slice(0, this.options.replicas);
+    const preferred = within.filter(({ state }) => order.includes(state.vm));
+    const hinted = within.filter(({ state }) => state.cachedPrefixes?.includes(prefix));
+    const both = preferred.filter((candidate) => hinted.includes(candidate));
+    // The first in rendezvous order wins among the preferred, so that a prefix stays on one target
+    // until that target reaches the bound.
+    const first = (list: readonly TargetCandidate[]): TargetCandidate | undefined =>
+      leastBy(list, ({ state }) => order.indexOf(state.vm));
+    return first(both) ?? leastBy(hinted, relativeLoad) ?? first(preferred);
+  }
+
+  /** Requests that a target may hold, in proportion to its concurrency. */
+  private outstandingBound(
+    candidates: readonly TargetCandidate[],
+  ): (candidate: TargetCandidate) => number {
+    const sum = (value: (candidate: TargetCandidate) => number): number =>
+      candidates.reduce((total, candidate) => total + value(candidate), 0);
+    const mean =
+      (sum(correctedOutstanding) + 1) /
+      Math.max(
+        1,
+        sum(({ state }) => state.concurrency),
+      );
+    return ({ state }) => Math.ceil(this.options.loadFactor * mean * state.concurrency);
+  }
+
+  private chooseSampled(
+    candidates: readonly TargetCandidate[],
+    random: RandomSource,
+  ): TargetCandidate | undefined {
+    const rest = [...candidates];
+    const drawn = Array.from(
+      { length: Math.min(this.options.samples, rest.length) },
+      () => rest.splice(Math.floor(random.next() * rest.length), 1)[0],
+    ).filter((candidate) => candidate !== undefined);
+    return leastBy(drawn, relativeLoad);
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/kv-export.ts
@@ -0,0 +1,40 @@
+/** Whether to move a prefix's KV cache to another region or to compute it again there. */
+import type { DomainOption } from './routing-policy.js';
+
+const BITS_PER_BYTE = 8;
+const BITS_PER_MBIT_AND_MS = 1000;
+
+/**
+ * Time that bytes take on a link that nothing else uses, in ms.
+ *
+ * @example transferMs(1_250_000, 100) // 100
+ */
+export function transferMs(bytes: number, mbitPerS: number): number {
+  return (bytes * BITS_PER_BYTE) / (mbitPerS * BITS_PER_MBIT_AND_MS);
+}
+
+/** How the prefill in another region would be obtained, and what it costs. */
+export interface PrefillPlan {
+  readonly exportKv: boolean;
+  /** Time until the first token can be computed, without the queue. */
+  readonly prefillMs: number;
+  /** Bytes on the link, without the request's own. */
+  readonly kvBytes: number;
+}
+
+/**
+ * Exports only when the bytes are within the link's budget and the transfer and the remaining
+ * prefill together are faster than the cold prefill. At 131,072 bytes and 0.125 ms of prefill for
+ * each token a link needs more than 8.4 Gbit/s for that.
+ *
+ * @example planPrefill(option).exportKv // false
+ */
+export function planPrefill(option: DomainOption): PrefillPlan {
+  const { kvExport, linkMbitPerS, linkBudgetBytes = Infinity, prefillMs } = option;
+  const prefill: PrefillPlan = { exportKv: false, prefillMs, kvBytes: 0 };
+  if (!kvExport || linkMbitPerS === undefined || kvExport.bytes > linkBudgetBytes) return prefill;
+  const exportMs = transferMs(kvExport.bytes, linkMbitPerS) + kvExport.prefillMs;
+  return exportMs < prefillMs
+    ? { exportKv: true, prefillMs: exportMs, kvBytes: kvExport.bytes }
+    : prefill;
+}
--- a/packages/core/src/routing/routing-policy.ts
+++ b/packages/core/src/routing/routing-policy.ts
@@ -20,9 +20,14 @@
   readonly sentSinceReport: number;
   /** Requests of this process that the target runs now. */
   readonly inFlight: number;
+  /** Requests of this process that ended since the report's time; 0 when left out. */
+  readonly endedSinceReport?: number;
 }
 
-/** Chooses a target in the process's own failure domain. */
+/**
+ * Chooses a target in the process's own failure domain. The caller passes only candidates that may
+ * be used: ready for the service, not leaving and not excluded.
+ */
 export interface TargetPolicy {
   readonly name: string;
   choose(
@@ -49,6 +54,12 @@
   readonly linkBudgetBytes?: number;
   /** Expected prefill time of the request there, cold or warm. */
   readonly prefillMs: number;
+  /** Present when the home region holds the prefix's KV cache and could export it there. */
+  readonly kvExport?: {
+    readonly bytes: number;
+    /** Prefill that remains after the import. */
+    readonly prefillMs: number;
+  };
 }
 
 /** One choice with the terms of its cost, in ms of weighted time. */
@@ -66,6 +77,8 @@
   /** Absent when no failure domain can run the request. */
   readonly failureDomain?: string;
   readonly scores: readonly DomainScore[];
+  /** Whether to export the prefix's KV cache to the chosen domain first; false when left out. */
+  readonly exportKv?: boolean;
 }
 
 /** Decides whether a request stays in its failure domain or is sent away. */
--- /dev/null
+++ b/packages/entry/src/policies/index.ts
@@ -0,0 +1,3 @@
+/** Loads all policy plugins. */
+import './admission-policies.js';
+import './routing-policies.js';
