Rename the gossiped suspects to keep the two suspect tables apart

Cause: the entry and the control daemon each export a SuspectTable from core; the build fails. Change: the set that control daemons gossip is GossipedSuspects; SuspectTable is the entry's. Result: the build passes.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -3,7 +3,7 @@
   ConfigStore,
   ConfigText,
   MemberTable,
-  SuspectTable,
+  GossipedSuspects,
   SummaryTable,
   TargetTable,
   VmStore,
@@ -43,7 +43,7 @@
 
   readonly summaries: SummaryTable;
 
-  readonly suspects = new SuspectTable();
+  readonly suspects = new GossipedSuspects();
 
   gaps: readonly PlacementGap[] = [];
 
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -6,6 +6,6 @@
 export * from './membership-timing.js';
 export * from './quantise.js';
 export * from './summary-table.js';
-export * from './suspect-table.js';
+export * from './gossiped-suspects.js';
 export * from './target-table.js';
 export * from './vm-store.js';
