--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -249,11 +249,11 @@
     const { controls, entries } = this.layout;
     controls.forEach((plan) => {
       const file = writeControlSettings(plan, this.layout, this.dialingOf(plan.domain), options);
-      this.add(plan.name, `${PACKAGES}control/dist/main.js`, ['--settings', file]);
+      this.add(plan.name, `${PACKAGES}control/dist/main.js`, ['--config', file]);
     });
     entries.forEach((plan) => {
       const file = writeEntrySettings(plan, this.dialingOf(plan.domain), options);
-      this.add(plan.name, `${PACKAGES}entry/dist/main.js`, ['--settings', file]);
+      this.add(plan.name, `${PACKAGES}entry/dist/main.js`, ['--config', file]);
     });
     await this.startAll([...controls, ...entries].map(({ name }) => name));
   }
