Add the cucumber scaffold and first scenarios

Scenarios with real processes had no runner, and the answers of the gateway were checked by nothing but its own log.

--- /dev/null
+++ b/tests/features/scenarios/whole-path.feature
@@ -0,0 +1,25 @@
+Feature: Whole path
+  Calls go through a real entry to a real target, and the caller gets the whole answer.
+
+  Scenario: A streamed completion arrives whole
+    Given the example fleet
+    When tent-crew asks an entry in the north for a streamed completion
+    Then the answer is complete
+    And its text is the one that the engine makes for this prompt
+    And the answer names revision, entry, target and attempts
+    And targets started the request once
+
+  Scenario: A region without engines uses another region
+    Given the example fleet
+    When tent-crew asks an entry in the west for a streamed completion
+    Then the answer is complete
+    And its text is the one that the engine makes for this prompt
+    And the answer is not from the west
+    And targets started the request once
+
+  Scenario: A booking runs at one target
+    Given the example fleet
+    When tent-crew books a slot with a new key at an entry in the central
+    Then the answer is complete
+    And the booking is the one that the target ran
+    And targets started the request once
--- /dev/null
+++ b/tests/features/src/steps/call-steps.ts
@@ -0,0 +1,111 @@
+/** Steps that send calls and look at their answers. */
+import assert from 'node:assert/strict';
+import { existsSync, readFileSync } from 'node:fs';
+import { Then, When, type DataTable } from '@cucumber/cucumber';
+import { chatText, expectedAnswer } from '@marjoramcart/stand-ins';
+import { badInput } from '../support/bad-input.js';
+import type { GatewayWorld } from '../support/world.js';
+
+When(
+  '{word} asks an entry in the {word} for a streamed completion',
+  async function when(this: GatewayWorld, customer: string, region: string) {
+    this.results.push(await this.caller(customer).chat(this.entry(region), this.chat()));
+  },
+);
+
+When(
+  '{word} sends the headers of a completion to an entry in the {word}, but not its body',
+  async function when(this: GatewayWorld, customer: string, region: string) {
+    const withheld = { body: JSON.stringify(this.chat()), withholdBody: true };
+    this.results.push(await this.caller(customer).chat(this.entry(region), this.chat(), withheld));
+  },
+);
+
+When(
+  '{word} sends these inputs to an entry in the {word}:',
+  async function when(this: GatewayWorld, customer: string, region: string, table: DataTable) {
+    const address = this.entry(region);
+    this.results = await Promise.all(
+      table.hashes().map(async ({ input = '' }) => {
+        const { apiKey, options } = await badInput(input, this, customer, address);
+        return this.caller(apiKey).call(address, options);
+      }),
+    );
+  },
+);
+
+Then(
+  'each answer has the status and code of its row:',
+  function then(this: GatewayWorld, table: DataTable) {
+    const rows = table.hashes();
+    const seen = this.results.map(({ status, code, run }, n) => ({
+      input: rows[n]?.input,
+      status: String(status),
+      code: String(code),
+      run,
+    }));
+    assert.deepEqual(seen, rows);
+  },
+);
+
+Then('the answer is complete', function then(this: GatewayWorld) {
+  const { complete, status, error, broken } = this.result;
+  assert.equal(complete, true, `status ${status}, error ${JSON.stringify(error)}, ${broken}`);
+});
+
+Then(
+  'its text is the one that the engine makes for this prompt',
+  function then(this: GatewayWorld) {
+    assert.equal(chatText(this.result), expectedAnswer(this.chat()));
+  },
+);
+
+Then('the answer is from the {word}', function then(this: GatewayWorld, region: string) {
+  assert.equal(this.result.headers['marjoramcart-region'], region);
+});
+
+Then('the answer is not from the {word}', function then(this: GatewayWorld, region: string) {
+  assert.notEqual(this.result.headers['marjoramcart-region'] ?? region, region);
+});
+
+Then('the answer names revision, entry, target and attempts', function then(this: GatewayWorld) {
+  const names = ['revision', 'entry', 'target', 'attempts'];
+  const missing = names.filter((name) => !this.result.headers[`marjoramcart-${name}`]);
+  assert.deepEqual(missing, []);
+});
+
+Then(
+  'the call is refused with status {int} and code {int}',
+  function then(this: GatewayWorld, status: number, code: number) {
+    assert.deepEqual({ status: this.result.status, code: this.result.code }, { status, code });
+  },
+);
+
+Then('the answer says {string}', function then(this: GatewayWorld, run: string) {
+  assert.equal(this.result.run, run);
+});
+
+Then(
+  'the answer lists entries in the {word} only',
+  function then(this: GatewayWorld, region: string) {
+    const regions = (this.result.error?.entries ?? []).map((entry) => entry.region);
+    assert.ok(regions.length > 0, 'no entries are listed');
+    assert.deepEqual(new Set(regions), new Set([region]));
+  },
+);
+
+Then(
+  'the entry list of {word} in the {word} has entries in the {word} only',
+  async function then(this: GatewayWorld, customer: string, asked: string, region: string) {
+    const listed = await this.caller(customer).entries(this.entry(asked));
+    assert.ok(listed.length > 0, 'the list is empty');
+    assert.deepEqual(new Set(listed.map((entry) => entry.region)), new Set([region]));
+  },
+);
+
+Then('the request is in no recorded byte', function then(this: GatewayWorld) {
+  const file = `${this.fleet.folder}/bytes-${this.marker}`;
+  // eslint-disable-next-line n/no-sync
+  const bytes = existsSync(file) ? readFileSync(file, 'latin1') : '';
+  assert.ok(!bytes.includes(`marker:${this.marker}`), 'the request left the region');
+});
--- a/tests/stand-ins/src/caller/caller.ts
+++ b/tests/stand-ins/src/caller/caller.ts
@@ -13,6 +13,8 @@
   /** Called with each event of a stream. */
   readonly onEvent?: (event: StreamEvent) => void;
   readonly signal?: AbortSignal;
+  /** Sends the headers with the length of the body, but never the body. */
+  readonly withholdBody?: boolean;
 }
 
 const DEFAULT_KEY_LIFE_S = 600;
@@ -45,7 +47,8 @@
         answer.broken ??= err.message;
         if (!answer.started) resolve(answer.result());
       });
-      req.end(body);
+      if (options.withholdBody) req.flushHeaders();
+      else req.end(body);
     });
   }
 
