--- a/packages/core/src/idempotency/key-table.ts
+++ b/packages/core/src/idempotency/key-table.ts
@@ -146,7 +146,8 @@
       if (record.customer !== customer) return 'unknown';
       return this.burn(key.text) ? 'cancelled' : 'sent';
     }
-    if (key.expiresAtWallMs <= wallMs) return 'cancelled';
+    // The outcome of an expired key may be forgotten already.
+    if (key.expiresAtWallMs <= wallMs) return 'unknown';
     const claim = this.claim(key, customer, '', wallMs);
     return claim.kind === 'new' && this.burn(key.text) ? 'cancelled' : 'unknown';
   }
