--- a/packages/core/src/codes/index.ts
+++ b/packages/core/src/codes/index.ts
@@ -1,1 +1,2 @@
 export * from './result-codes.js';
+export * from './result-codes-page.js';
--- /dev/null
+++ b/scripts/write-result-codes.js
@@ -0,0 +1,5 @@
+/** Writes docs/result-codes.md from the table in packages/core; build first. */
+import { writeFileSync } from 'node:fs';
+import { resultCodesPage } from '@marjoramcart/core';
+
+writeFileSync(new URL('../docs/result-codes.md', import.meta.url), resultCodesPage());
