--- a/packages/core/src/config/snapshot.ts
+++ b/packages/core/src/config/snapshot.ts
@@ -113,6 +113,8 @@
 
 /** Why a delta could not be applied. */
 export type DeltaError =
+  /** The delta is older than the snapshot held; a late answer may carry it. */
+  | { readonly kind: 'older-revision'; readonly held: number; readonly offered: number }
   | { readonly kind: 'section-hash-mismatch'; readonly section: string }
   | { readonly kind: 'root-hash-mismatch' };
 
@@ -121,11 +123,18 @@
   | { readonly kind: 'rejected'; readonly error: DeltaError };
 
 /**
- * Applies a delta to the snapshot it was made for (or to none), checking every hash.
+ * Applies a delta to the snapshot it was made for (or to none), checking every hash. A delta with
+ * an older revision than the base is rejected, so that no order of deltas lowers the revision.
  *
  * @example applyDelta(undefined, snapshotDelta(snapshot, {})).kind // 'applied'
  */
 export function applyDelta(base: Snapshot | undefined, delta: SnapshotDelta): DeltaResult {
+  if (base && delta.revision < base.revision) {
+    return {
+      kind: 'rejected',
+      error: { kind: 'older-revision', held: base.revision, offered: delta.revision },
+    };
+  }
   const corrupt = delta.changed.find(({ json, hash }) => hashText(json) !== hash);
   if (corrupt) {
     return {
