--- /dev/null
+++ b/packages/core/src/config/check-text.fuzz.test.ts
@@ -0,0 +1,186 @@
+/** Property tests of the checker and of snapshot deltas, with a fixed seed. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { checkText, MAX_FAULTS } from './check-text.js';
+import { diffTexts } from './diff-text.js';
+import {
+  applyDelta,
+  buildSnapshot,
+  sectionHashes,
+  snapshotDelta,
+  viewOfSnapshot,
+  type Snapshot,
+  type SnapshotDelta,
+} from './snapshot.js';
+import { mainPartSchema, type CustomerConfig } from './text-schema.js';
+
+const SEED = 20_261_204;
+
+const MAIN = `format: 1
+regions:
+  north: { failure_domains: [north-1], links: { west: { one_way: 80ms, mbit_per_s: 100 } } }
+  west: { failure_domains: [west-1] }
+models: { m: { version: '3', weights_mb: 10, adapters: [a] } }
+services:
+  answers: { kind: model, model: m, adapter: a, regions: [north, west], depends_on: [orders] }
+  orders:
+    kind: plain
+    regions: [north, west]
+    operations: [{ method: POST, path: /orders, repeatable: false }]
+classes: { standard: { priority: 10 } }
+customers: [{ id: c1, key: 'a0000000000000000000000000000001', class: standard }]
+`;
+
+/** The main text with a random piece replaced, which often stays valid YAML. */
+const mutatedText = fc
+  .record({
+    start: fc.nat(MAIN.length),
+    length: fc.nat(40),
+    piece: fc.oneof(
+      fc.string({ unit: 'binary', maxLength: 8 }),
+      fc.constantFrom(
+        '[',
+        '{',
+        '- ',
+        ': ',
+        '\n',
+        '&a ',
+        '*a',
+        '__proto__: 1\n',
+        'constructor',
+        '~',
+      ),
+      fc.constantFrom('north', 'west', 'orders', 'answers', '-1', '1e999', '.nan', '!!binary x'),
+    ),
+  })
+  .map(({ start, length, piece }) => MAIN.slice(0, start) + piece + MAIN.slice(start + length));
+
+/** A structure that resembles the text, with wrong types and unknown keys, as JSON (valid YAML). */
+const resemblingText = fc
+  .dictionary(
+    fc.constantFrom('format', 'regions', 'models', 'services', 'classes', 'customers', 'limits'),
+    fc.oneof(fc.constant(1), fc.jsonValue({ maxDepth: 5 })),
+  )
+  .map((value) => JSON.stringify(value));
+
+const anyText = fc.oneof(fc.string({ unit: 'binary' }), mutatedText, resemblingText);
+const anyParts = fc.uniqueArray(
+  fc.record({ file: fc.constantFrom('config/main', 'config/customers-a', 'x'), text: anyText }),
+  { maxLength: 3, selector: ({ file }) => file },
+);
+
+test('no text makes the checker throw, and each fault has a place and a hint', () => {
+  // Guards against a value in the configuration service that ends every control daemon.
+  fc.assert(
+    fc.property(anyParts, (parts) => {
+      const result = checkText(parts);
+      if (result.kind === 'accepted') return;
+      assert.ok(result.faults.length > 0 && result.faults.length <= MAX_FAULTS);
+      result.faults.forEach(({ file, line, column, message, hint }) => {
+        const lines = parts.find((part) => part.file === file)?.text.split(/\r\n|\r|\n/).length;
+        assert.ok(line >= 1 && column >= 1 && line <= (lines ?? 1) + 1, `${line}:${column}`);
+        assert.ok(message.length > 0 && hint.length > 0);
+      });
+    }),
+    { seed: SEED, numRuns: 1500 },
+  );
+});
+
+test('an accepted text gives the same snapshot each time and no difference to itself', () => {
+  fc.assert(
+    fc.property(mutatedText, fc.nat(), (text, revision) => {
+      const [first, second] = [0, 1].map(() => checkText([{ file: 'config/main', text }]));
+      assert.deepEqual(first, second);
+      if (first?.kind !== 'accepted' || second?.kind !== 'accepted') return;
+      const snapshot = buildSnapshot(revision, first.main, first.customers);
+      const again = buildSnapshot(revision, second.main, second.customers);
+      assert.equal(snapshot.rootHash, again.rootHash);
+      assert.deepEqual(viewOfSnapshot(snapshot).services, first.main.services);
+      assert.deepEqual(diffTexts(first, second), { changes: [], effects: [] });
+    }),
+    { seed: SEED, numRuns: 500 },
+  );
+});
+
+const emptyMain = mainPartSchema.parse({
+  format: 1,
+  regions: { north: { failure_domains: ['north-1'] } },
+  services: {},
+  classes: { standard: { priority: 10 } },
+});
+
+function customer(index: number): CustomerConfig {
+  return { id: `c${index}`, key: index.toString(16).padStart(32, '0'), class: 'standard' };
+}
+
+const history = fc
+  .array(fc.uniqueArray(fc.nat(30), { maxLength: 10 }), { minLength: 2, maxLength: 6 })
+  .map((sets) => sets.map((set, index) => buildSnapshot(index + 1, emptyMain, set.map(customer))));
+
+test('the order of customers in the text does not change the snapshot', () => {
+  fc.assert(
+    fc.property(fc.uniqueArray(fc.nat(2000), { maxLength: 100 }), (ids) => {
+      const list = ids.map(customer);
+      const reversed = [...list].reverse();
+      const hash = buildSnapshot(1, emptyMain, list).rootHash;
+      assert.equal(buildSnapshot(1, emptyMain, reversed).rootHash, hash);
+    }),
+    { seed: SEED },
+  );
+});
+
+test('deltas in any order never lower the revision or mix two revisions', () => {
+  // Guards against a late answer of a peer that brings an older configuration back into force.
+  fc.assert(
+    fc.property(
+      history,
+      fc.array(fc.tuple(fc.nat(5), fc.nat(6)), { maxLength: 20 }),
+      (all, picks) => {
+        const byRevision = new Map(all.map((snapshot) => [snapshot.revision, snapshot]));
+        picks.reduce<Snapshot | undefined>((held, [to, from]) => {
+          const target = all[to % all.length];
+          if (!target) return held;
+          // `from` may be another base than the one held, as with an answer to an earlier question.
+          const delta = snapshotDelta(target, sectionHashes(all[from % (all.length + 1)]));
+          const result = applyDelta(held, delta);
+          if (result.kind === 'rejected') return held;
+          const { revision, rootHash } = result.snapshot;
+          assert.ok(revision >= (held?.revision ?? 0), `${revision} after ${held?.revision}`);
+          assert.equal(rootHash, byRevision.get(revision)?.rootHash);
+          return result.snapshot;
+        }, undefined);
+      },
+    ),
+    { seed: SEED },
+  );
+});
+
+test('a delta between any two snapshots, forwards, reproduces the later one', () => {
+  fc.assert(
+    fc.property(history, (all) => {
+      const [first] = all;
+      const last = all.at(-1);
+      assert.ok(first && last);
+      const result = applyDelta(first, snapshotDelta(last, sectionHashes(first)));
+      assert.equal(result.kind === 'applied' && result.snapshot.rootHash, last.rootHash);
+    }),
+    { seed: SEED },
+  );
+});
+
+test('no delta makes applying it throw', () => {
+  const section = fc.record({ name: fc.string(), hash: fc.string(), json: fc.string() });
+  const anyDelta: fc.Arbitrary<SnapshotDelta> = fc.record({
+    revision: fc.integer(),
+    rootHash: fc.string(),
+    changed: fc.array(section),
+    removed: fc.array(fc.string()),
+  });
+  fc.assert(
+    fc.property(history, anyDelta, ([base], delta) => {
+      assert.equal(applyDelta(base, delta).kind === 'applied' && delta.changed.length > 0, false);
+    }),
+    { seed: SEED },
+  );
+});
