Fix the end of the launcher and a name that two tables share

The launcher's stop waited for an unreferenced process, so an error of the demo ended it without a message.

The table that control daemons gossip is GossipedSuspectTable. Stop keeps the event loop alive, and the demo waits until other regions' entries are listed.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -3,7 +3,7 @@
   ConfigStore,
   ConfigText,
   MemberTable,
-  SuspectTable,
+  GossipedSuspectTable,
   SummaryTable,
   TargetTable,
   VmStore,
@@ -43,7 +43,7 @@
 
   readonly summaries: SummaryTable;
 
-  readonly suspects = new SuspectTable();
+  readonly suspects = new GossipedSuspectTable();
 
   gaps: readonly PlacementGap[] = [];
 
--- a/packages/core/src/membership/suspect-table.ts
+++ b/packages/core/src/membership/suspect-table.ts
@@ -25,7 +25,7 @@
   return Boolean(customer && service && allowedRegions(view, customer, service).includes(region));
 }
 
-export class SuspectTable {
+export class GossipedSuspectTable {
   private readonly byDigest = new Map<string, Held>();
 
   /** Takes records; of two records of a request, the one with more deaths or a refusal counts. */
--- a/tests/stand-ins/src/demo/main.ts
+++ b/tests/stand-ins/src/demo/main.ts
@@ -3,7 +3,7 @@
  * that stays in its region and a call that another region answers.
  */
 import { Command } from 'commander';
-import type { CallResult } from '../caller/call-result.js';
+import type { CallResult, ListedEntry } from '../caller/call-result.js';
 import { Caller, chatText, makeKey } from '../caller/caller.js';
 import { expectedAnswer, type ChatRequest } from '../engine/answer.js';
 import { exampleConfig, exampleDomains, ExampleKeys } from '../fleet/example-config.js';
@@ -54,9 +54,8 @@
   print(
     `${fleet.processes.length} processes serve after ${seconds} s; logs are in ${fleet.folder}`,
   );
-  const [owner] = await crew.entries(north);
-  const [home] = await archive.entries(west);
-  if (!owner || !home) throw new Error('an entry list is empty');
+  const owner = await listedEntry(crew, north);
+  const home = await listedEntry(archive, west);
   const key = makeKey(owner.key_prefix, 'demo-booking-1');
   const booking = await crew.call(owner.address, {
     method: 'POST',
@@ -97,6 +96,15 @@
   );
 }
 
+/** Best entry of a list. Entries of other regions are listed once their daemons have gossiped. */
+function listedEntry(caller: Caller, address: string): Promise<ListedEntry> {
+  return waitFor(
+    `${address} lists an entry`,
+    async () => (await caller.entries(address)).at(0),
+    SERVING_BOUND_MS,
+  );
+}
+
 function chat(marker: string): ChatRequest {
   const content = `How is the king pole stayed? marker:${marker}`;
   return {
@@ -138,16 +146,16 @@
 
 async function keep(): Promise<void> {
   const { north, west } = callerAddresses();
-  const [owner] = await crew.entries(north);
+  const owner = await listedEntry(crew, north);
   const auth = `-H 'authorization: Bearer ${ExampleKeys['tent-crew']}'`;
   const body = JSON.stringify(chat('by-hand'));
-  const key = makeKey(owner?.key_prefix ?? '', 'by-hand-0001', 3500);
+  const key = makeKey(owner.key_prefix, 'by-hand-0001', 3500);
   print('\nThe fleet keeps running; Ctrl-C ends it. Try:\n');
   print(`curl -s http://${north}/v1/entries ${auth}\n`);
   print(`curl -sN http://${north}/v1/chat/completions ${auth} -d '${body}'\n`);
   print(`curl -siN http://${west}/v1/chat/completions ${auth} -d '${body}'\n`);
   print(
-    `curl -si http://${owner?.address}/svc/crane-booking/slots ${auth} -H 'idempotency-key: ${key}' -d '{"note":"marker:by-hand"}'\n`,
+    `curl -si http://${owner.address}/svc/crane-booking/slots ${auth} -H 'idempotency-key: ${key}' -d '{"note":"marker:by-hand"}'\n`,
   );
   const platform = fleet.layout.platform.address;
   print(`curl -s http://${platform}/v1/vms\n`);
--- a/tests/stand-ins/src/fleet/process-group.ts
+++ b/tests/stand-ins/src/fleet/process-group.ts
@@ -48,6 +48,7 @@
   /** Kills all processes that still run. */
   async stop(): Promise<void> {
     await Promise.all([...this.processes.values()].map((managed) => managed.kill()));
+    this.reaper.ref();
     const ended = once(this.reaper, 'exit');
     this.reaper.stdin?.end();
     await ended;
