--- a/packages/core/src/membership/suspect-table.ts
+++ b/packages/core/src/membership/suspect-table.ts
@@ -5,6 +5,8 @@
 
 /** Bounds memory and messages when a fault reports suspects without end. */
 const MAX_SUSPECTS = 1000;
+/** Refusals go first, since each protects targets; the rest waits for a later exchange. */
+const MAX_SUSPECTS_PER_MESSAGE = 32;
 
 interface Held {
   readonly record: SuspectRecord;
@@ -44,6 +46,13 @@
       }));
   }
 
+  /** The most important records that `region` may know of, for one message. */
+  messageTo(region: string, view: ConfigView | undefined, nowMs: number): SuspectRecord[] {
+    return this.visibleTo(region, view, nowMs)
+      .sort((a, b) => Number(b.refused) - Number(a.refused) || b.expiresInMs - a.expiresInMs)
+      .slice(0, MAX_SUSPECTS_PER_MESSAGE);
+  }
+
   private mergeOne(record: SuspectRecord, nowMs: number): boolean {
     const before = this.byDigest.get(record.digest);
     const newer =
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -5,7 +5,11 @@
 export type TargetReport = Pick<
   TargetState,
   'services' | 'leaving' | 'running' | 'queued' | 'waitMs' | 'concurrency' | 'sequence'
-> & { readonly ageMs: number };
+> & {
+  readonly ageMs: number;
+  /** Engines: models as `model@version:state`. */
+  readonly models?: readonly string[];
+};
 
 /** One prober's last knowledge of a target. */
 export interface Opinion {
@@ -135,6 +139,14 @@
     return this.cutOff;
   }
 
+  /** Models of an engine as its probers last saw them; empty when it is not known. */
+  modelsOf(vm: string): readonly string[] {
+    const newest = [...(this.opinions.get(vm)?.values() ?? [])]
+      .filter(({ failures }) => failures === 0)
+      .sort((a, b) => b.heardAt - a.heardAt)[0];
+    return newest?.report.models ?? [];
+  }
+
   /** State of each target, as entries use it. */
   states(nowMs: number): TargetState[] {
     const isolated = this.isolated(nowMs);
