Plan and send orders to engines

Cause: models, versions and roles on engines have to follow the configuration without shared state between the control daemons that order them. Change: pure placement by rendezvous score within quotas, permits of a failure domain, next step of a target, order ledger (fencing, validity, one in flight), pacing by the share of the weight store and gaps in core/orders; order task in packages/control that observes an engine before each order.

--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -15,6 +15,7 @@
 import { ConfigTask } from './config/config-task.js';
 import { controlMetrics, type ControlMetrics } from './control-metrics.js';
 import { ControlState } from './control-state.js';
+import { OrderTask } from './orders/order-task.js';
 import { GossipTask } from './peers/gossip-task.js';
 import { PeerTask } from './peers/peer-task.js';
 import { PlatformClient } from './platform/platform-client.js';
@@ -65,6 +66,7 @@
   const config = new ConfigTask({ state, platform, peers: gossip, metrics, log });
   const client = new TargetClient(settings.dial_map, count);
   const probes = new ProbeTask({ state, client, metrics, log });
+  const orders = new OrderTask({ state, client, metrics, log });
   const peers = new PeerTask({ state, gossip, server, address: settings.listen.peers, log });
   const refresh = metricsRefresher(state, metrics, rpc, server);
   const { admin: address } = settings.listen;
@@ -73,7 +75,7 @@
     metrics.pauses.inc();
     log.warn('process was paused', { durationMs: Math.round(durationMs) });
   });
-  const tasks: Task[] = [admin, peers, gossip, config, probes, closing(platform)];
+  const tasks: Task[] = [admin, peers, gossip, config, probes, orders, closing(platform)];
   tasks.forEach((task) => kernel.add(task));
   return { kernel, state, peers, admin };
 }
--- /dev/null
+++ b/packages/control/src/orders/order-task.ts
@@ -0,0 +1,260 @@
+/** Sends orders to the engines that this daemon is the orderer of. */
+import {
+  FAILED_RETRY_MS,
+  GapTracker,
+  LoadPacer,
+  ORDER_VALIDITY_MS,
+  OrderLedger,
+  domainPermits,
+  findGaps,
+  isOrderer,
+  loadTimeMs,
+  modelTag,
+  nextStep,
+  placeModels,
+  placementGroups,
+  type ConfigView,
+  type DomainEngine,
+  type DomainPermits,
+  type EngineOrder,
+  type ObservedEngine,
+  type Placement,
+  type PlacementGroup,
+  type VmRecord,
+} from '@marjoramcart/core';
+import type { Logger, Task } from '@marjoramcart/platform';
+import type { ControlMetrics } from '../control-metrics.js';
+import type { ControlState } from '../control-state.js';
+import { observedEngine } from '../probes/load-report.js';
+import type { TargetClient } from '../probes/target-client.js';
+
+const PLAN_INTERVAL_MS = 1000;
+/** Role and adapters are not gossiped, so a target in the expected state is observed too. */
+const CHECK_INTERVAL_MS = 10_000;
+
+export interface OrderTaskOptions {
+  readonly state: ControlState;
+  readonly client: TargetClient;
+  readonly metrics: ControlMetrics;
+  readonly log: Logger;
+}
+
+/** What one round of planning is based on. */
+interface Plan {
+  readonly cfg: ConfigView;
+  readonly groups: readonly PlacementGroup[];
+  readonly placement: Placement;
+  readonly engines: readonly DomainEngine[];
+  readonly permits: DomainPermits;
+}
+
+export class OrderTask implements Task {
+  readonly name = 'orders';
+
+  private readonly ledger = new OrderLedger();
+
+  private readonly pacer = new LoadPacer();
+
+  private readonly gaps = new GapTracker();
+
+  /** Time at which a failed load was first seen here, by target. */
+  private readonly failedSince = new Map<string, number>();
+
+  /** Time of the last observation of each target by this task. */
+  private readonly checkedAt = new Map<string, number>();
+
+  private readonly busy = new Set<string>();
+
+  private readonly log: Logger;
+
+  private unsubscribe = (): void => {};
+
+  constructor(private readonly options: OrderTaskOptions) {
+    this.log = options.log.child('orders');
+    const { timers } = options.state;
+    timers.onPause(() => this.ledger.afterPause(timers.now()));
+  }
+
+  start(): Promise<void> {
+    const { timers } = this.options.state;
+    this.unsubscribe = timers.every(PLAN_INTERVAL_MS, () => {
+      void this.round();
+    });
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.unsubscribe();
+    return Promise.resolve();
+  }
+
+  /** Plans once and sends at most one order to each target of this orderer. */
+  async round(): Promise<void> {
+    const { state } = this.options;
+    const plan = this.plan();
+    if (!plan) return;
+    this.noteGaps(plan);
+    const live = state.liveControlIds();
+    await Promise.all(
+      this.engineRecords()
+        .filter(({ vm }) => isOrderer(vm, state.self.bootId, live))
+        .filter((record) => differs(record, plan) || this.checkDue(record))
+        .map((record) => this.advance(record, plan)),
+    );
+  }
+
+  private checkDue({ vm }: VmRecord): boolean {
+    const nowMs = this.options.state.timers.now();
+    return nowMs - (this.checkedAt.get(vm) ?? -Infinity) >= CHECK_INTERVAL_MS;
+  }
+
+  private plan(): Plan | undefined {
+    const { state } = this.options;
+    const { cfg } = state;
+    if (!cfg || !state.opened) return undefined;
+    const groups = placementGroups(cfg, state.self.region);
+    const records = this.engineRecords();
+    const placement = placeModels(
+      groups,
+      records.map(({ vm }) => vm),
+    );
+    const usable = new Set(
+      state.targets
+        .states(state.timers.now())
+        .filter(({ healthy, leaving }) => healthy && !leaving)
+        .map(({ vm }) => vm),
+    );
+    const engines = records.map(({ vm }) => ({
+      vm,
+      usable: usable.has(vm),
+      tags: state.targets.modelsOf(vm),
+    }));
+    this.paceLoads(cfg, groups, engines);
+    return { cfg, groups, placement, engines, permits: domainPermits(placement, groups, engines) };
+  }
+
+  /** Live engine targets of the failure domain by the list of VMs. */
+  private engineRecords(): VmRecord[] {
+    return this.options.state.targets.targets.filter(
+      ({ target, state }) => target?.kind === 'engine' && state === 'live',
+    );
+  }
+
+  private paceLoads(
+    cfg: ConfigView,
+    groups: readonly PlacementGroup[],
+    engines: readonly DomainEngine[],
+  ): void {
+    const domains = Object.values(cfg.regions).flatMap((region) => region.failure_domains).length;
+    const loads = engines.flatMap(({ vm, tags }) =>
+      tags
+        .filter((tag) => tag.endsWith(':loading'))
+        .map((tag) => {
+          const group = groups.find(({ model }) => tag.startsWith(`${model}@`));
+          const { weight_store_mbit_per_s: rate } = cfg.limits;
+          return {
+            name: `${vm} ${tag}`,
+            durationMs: loadTimeMs(group?.weightsMb ?? 0, rate, domains),
+          };
+        }),
+    );
+    this.pacer.observe(loads, this.options.state.timers.now());
+  }
+
+  private noteGaps(plan: Plan): void {
+    const { state } = this.options;
+    const { region, failureDomain } = state.self;
+    const states = state.targetStates();
+    state.gaps = this.gaps.track(
+      findGaps({ ...plan, region, failureDomain, states }),
+      state.timers.now(),
+    );
+  }
+
+  /** Observes a target and sends the next order, if it is still wanted then. */
+  private async advance(record: VmRecord, plan: Plan): Promise<void> {
+    const { vm, address } = record;
+    if (this.busy.has(vm)) return;
+    this.busy.add(vm);
+    try {
+      const { state, client } = this.options;
+      const observedAt = state.timers.now();
+      this.checkedAt.set(vm, observedAt);
+      const result = await client.load(address);
+      if (result.kind !== 'ok' || result.value.state === 'leaving') return;
+      const engine = observedEngine(result.value, observedAt);
+      const order = this.choose(vm, engine, plan);
+      if (order) await this.send(record, engine, order, plan.cfg.revision);
+    } finally {
+      this.busy.delete(vm);
+    }
+  }
+
+  private choose(vm: string, engine: ObservedEngine, plan: Plan): EngineOrder | undefined {
+    const nowMs = this.options.state.timers.now();
+    if (!this.ledger.isCurrent(engine, nowMs)) return undefined;
+    if (this.ledger.inFlight(vm, engine, nowMs)) return undefined;
+    const wanted = plan.placement.get(vm);
+    const retryFailed = this.mayRetry(vm, wanted, engine, nowMs);
+    const step = nextStep(wanted, engine, {
+      load: this.pacer.free(nowMs) && (plan.permits.load.has(vm) || retryFailed),
+      unload: (model) => plan.permits.unload.has(`${vm} ${model}`),
+      retryFailed,
+    });
+    return step.kind === 'order' ? step.order : undefined;
+  }
+
+  private mayRetry(
+    vm: string,
+    wanted: PlacementGroup | undefined,
+    engine: ObservedEngine,
+    nowMs: number,
+  ): boolean {
+    const failed = engine.models.some(
+      ({ model, version, state }) =>
+        model === wanted?.model && version === wanted.version && state === 'failed',
+    );
+    if (!failed) {
+      this.failedSince.delete(vm);
+      return false;
+    }
+    const since = this.failedSince.get(vm) ?? nowMs;
+    const due = nowMs - since >= FAILED_RETRY_MS;
+    this.failedSince.set(vm, due ? nowMs : since);
+    return due;
+  }
+
+  private async send(
+    { vm, address }: VmRecord,
+    engine: ObservedEngine,
+    order: EngineOrder,
+    revision: number,
+  ): Promise<void> {
+    const { state, client, metrics } = this.options;
+    const choice = this.ledger.nextFencing(vm, revision, engine);
+    if (choice.kind === 'newer-revision') {
+      state.config.witness(choice.revision);
+      metrics.orders.inc({ result: 'newer_revision' });
+      return;
+    }
+    const { fencing } = choice;
+    this.ledger.note(vm, fencing, order, state.timers.now());
+    const body = { fencing, valid_for_ms: ORDER_VALIDITY_MS, order };
+    const result = await client.order(address, body);
+    metrics.orders.inc({ result: result.kind });
+    if (result.kind === 'refused') {
+      const highest = (result.body as { highest_fencing?: unknown }).highest_fencing;
+      this.ledger.refused(vm, typeof highest === 'number' ? highest : 0);
+    }
+    const { kind, model, version } = order;
+    this.log.info('order sent', { vm, kind, model, version, fencing, result: result.kind });
+  }
+}
+
+/** Whether the gossiped models of a target differ from what is wanted there. */
+function differs({ vm }: VmRecord, { placement, engines }: Plan): boolean {
+  const wanted = placement.get(vm);
+  const tags = engines.find((engine) => engine.vm === vm)?.tags ?? [];
+  const expected = wanted ? [modelTag(wanted.model, wanted.version, 'ready')] : [];
+  return tags.join() !== expected.join();
+}
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -27,7 +27,7 @@
 
 export interface GossipTaskOptions {
   readonly state: ControlState;
-  readonly rpc: RpcClient;
+  readonly rpc: Pick<RpcClient, 'call' | 'close'>;
   readonly seeds: readonly string[];
   readonly seed: number;
   readonly metrics: ControlMetrics;
@@ -128,7 +128,7 @@
         : [],
       // The peer may hold newer summaries than this daemon, which it pushes on its next contact.
       ...(!own && { summaryVersions: state.summaries.versions() }),
-      suspects: state.suspects.visibleTo(from.region, state.cfg, nowMs),
+      suspects: state.suspects.messageTo(from.region, state.cfg, nowMs),
     };
   }
 
@@ -286,7 +286,7 @@
       }),
       ...(withSummaries && { summaryVersions: state.summaries.versions() }),
       summaries: [],
-      suspects: state.suspects.visibleTo(region, state.cfg, state.timers.now()),
+      suspects: state.suspects.messageTo(region, state.cfg, state.timers.now()),
     };
   }
 
--- a/packages/control/src/probes/load-report.ts
+++ b/packages/control/src/probes/load-report.ts
@@ -1,6 +1,13 @@
 /** Load report of a target (`GET /load`) and what follows from it for the services. */
 import { z } from 'zod';
-import type { ConfigView, ServiceConfig, TargetReport, VmRecord } from '@marjoramcart/core';
+import {
+  modelTags,
+  type ConfigView,
+  type ObservedEngine,
+  type ServiceConfig,
+  type TargetReport,
+  type VmRecord,
+} from '@marjoramcart/core';
 
 export const engineModelSchema = z.object({
   model: z.string(),
@@ -66,5 +73,16 @@
     concurrency: report.concurrency,
     sequence: report.sequence,
     ageMs: report.age_ms,
+    ...(report.models.length > 0 && { models: modelTags(report.models) }),
+  };
+}
+
+/** Engine state in a load report, for the planner. */
+export function observedEngine(report: LoadReport, observedAt: number): ObservedEngine {
+  return {
+    models: report.models,
+    role: report.role ?? 'mixed',
+    highestFencing: report.highest_fencing,
+    observedAt,
   };
 }
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -110,5 +110,6 @@
     concurrency: report.concurrency,
     sequence: load ? report.sequence : 0,
     ageMs: report.ageMs,
+    ...(report.models && { models: report.models }),
   };
 }
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -204,6 +204,8 @@
   readonly concurrency: number;
   readonly sequence: number;
   readonly ageMs: number;
+  /** Engines: models as `model@version:state`. */
+  readonly models?: readonly string[];
 }
 
 /** What a control daemon observed; items carry the heartbeat at which they changed. */
--- /dev/null
+++ b/packages/core/src/orders/orders.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { mainPartSchema } from '../config/text-schema.js';
+import { domainPermits, type DomainEngine } from './domain-plan.js';
+import { LoadPacer, loadTimeMs } from './load-pacer.js';
+import { OrderLedger } from './order-ledger.js';
+import { nextStep, type StepPermits } from './order-step.js';
+import { placeModels, placementGroups } from './placement.js';
+import type { ObservedEngine } from './engine-state.js';
+
+const service = (modelId: string, min: number) => ({
+  kind: 'model',
+  model: modelId,
+  regions: ['north'],
+  targets: { min, max: 1000 },
+});
+
+const cfg = mainPartSchema.parse({
+  format: 1,
+  regions: { north: { failure_domains: ['north-1'] }, west: { failure_domains: ['west-1'] } },
+  models: { a: { version: '2', weights_mb: 100 }, b: { version: '1', weights_mb: 100 } },
+  services: { advice: service('a', 3), safety: service('b', 1) },
+  classes: {},
+});
+const groups = placementGroups(cfg, 'north');
+const [groupA] = groups;
+const vms = Array.from({ length: 12 }, (_, index) => `t${index}`);
+const all: StepPermits = { load: true, unload: () => true, retryFailed: false };
+
+function engine(models: ObservedEngine['models'], more: Partial<ObservedEngine> = {}) {
+  return { models, role: 'mixed', highestFencing: 0, observedAt: 0, ...more };
+}
+
+function model(name: string, version: string, state: 'ready' | 'loading' | 'failed' = 'ready') {
+  return { model: name, version, state, adapters: [] };
+}
+
+function usable(vm: string, ...tags: string[]): DomainEngine {
+  return { vm, usable: true, tags };
+}
+
+test('a target more or less changes few placements', () => {
+  // Guards against a lost VM moving the models of the whole failure domain.
+  const before = placeModels(groups, vms);
+  const moved = vms.map((lost) => {
+    const after = placeModels(
+      groups,
+      vms.filter((vm) => vm !== lost),
+    );
+    return [...after].filter(([vm, group]) => before.get(vm)?.id !== group.id).length;
+  });
+  assert.ok(Math.max(...moved) <= 1, `moved ${moved.join()}`);
+});
+
+test('the minima are met first and a service is not placed outside its regions', () => {
+  const count = (targets: number, id: string) =>
+    [...placeModels(groups, vms.slice(0, targets)).values()].filter((g) => g.id === id).length;
+  assert.equal(count(4, 'a/mixed'), 3);
+  assert.equal(count(4, 'b/mixed'), 1);
+  assert.equal(count(12, 'a/mixed'), 9);
+  assert.deepEqual(placementGroups(cfg, 'west'), []);
+});
+
+test('a new version is ready before the old one is retired', () => {
+  const steps = [
+    engine([model('a', '1')]),
+    engine([model('a', '1'), model('a', '2', 'loading')]),
+    engine([model('a', '1'), model('a', '2')]),
+    engine([model('a', '2')]),
+  ].map((seen) => nextStep(groupA, seen, all));
+  assert.deepEqual(
+    steps.map((step) => (step.kind === 'order' ? step.order.kind : step.kind)),
+    ['load', 'wait', 'unload', 'none'],
+  );
+});
+
+test('a failed load is not repeated and stops the roll-out on the other targets', () => {
+  assert.equal(nextStep(groupA, engine([model('a', '2', 'failed')]), all).kind, 'wait');
+  const placement = new Map(vms.map((vm) => [vm, groupA as NonNullable<typeof groupA>]));
+  const engines = vms.map((vm, index) =>
+    index === 0 ? usable(vm, 'a@1:ready', 'a@2:failed') : usable(vm, 'a@1:ready'),
+  );
+  const permits = domainPermits(placement, groups, engines);
+  assert.equal(permits.load.size, 0);
+  assert.ok(permits.failed.has('a@2'));
+});
+
+test('retiring keeps the minimum of ready targets, whichever control daemon plans it', () => {
+  // Guards against two orderers that each see one spare target and retire one each.
+  const placement = placeModels(groups.slice(1), vms);
+  const engines = vms.slice(0, 4).map((vm) => usable(vm, 'a@2:ready'));
+  const first = domainPermits(placement, groups, engines);
+  const second = domainPermits(placement, groups, [...engines].reverse());
+  assert.equal(first.unload.size, 1);
+  assert.deepEqual([...first.unload], [...second.unload]);
+});
+
+test('loads keep to the share of the weight store', () => {
+  assert.equal(loadTimeMs(1000, 1000, 4), 32_000);
+  const pacer = new LoadPacer();
+  assert.ok(pacer.free(0));
+  pacer.observe([{ name: 't1 a@2', durationMs: 32_000 }], 0);
+  pacer.observe([{ name: 't1 a@2', durationMs: 32_000 }], 1000);
+  assert.ok(!pacer.free(31_000));
+  assert.ok(pacer.free(32_000));
+});
+
+test('one order is in flight per target until its effect shows or its validity ends', () => {
+  const ledger = new OrderLedger();
+  const load = { kind: 'load', model: 'a', version: '2', adapters: [], role: 'mixed' } as const;
+  ledger.note('t1', 5001, load, 0);
+  assert.ok(ledger.inFlight('t1', engine([]), 9000));
+  assert.ok(!ledger.inFlight('t1', engine([model('a', '2', 'loading')]), 9000));
+  ledger.note('t1', 5002, load, 10_000);
+  assert.ok(!ledger.inFlight('t1', engine([]), 20_000));
+});
+
+test('fencing numbers rise above those of another orderer and never go below a newer revision', () => {
+  // Guards against an older order that wins over a newer one.
+  const ledger = new OrderLedger();
+  assert.deepEqual(ledger.nextFencing('t1', 5, engine([])), { kind: 'number', fencing: 5001 });
+  const other = engine([], { highestFencing: 5007 });
+  assert.deepEqual(ledger.nextFencing('t1', 5, other), { kind: 'number', fencing: 5008 });
+  const newer = engine([], { highestFencing: 6001 });
+  assert.deepEqual(ledger.nextFencing('t1', 5, newer), { kind: 'newer-revision', revision: 6 });
+  ledger.refused('t1', 6001);
+  assert.equal(ledger.nextFencing('t1', 5, engine([])).kind, 'newer-revision');
+});
+
+test('an observation from before a pause is not ordered on', () => {
+  const ledger = new OrderLedger();
+  assert.ok(ledger.isCurrent({ observedAt: 1000 }, 1500));
+  ledger.afterPause(1400);
+  assert.ok(!ledger.isCurrent({ observedAt: 1000 }, 1500));
+  assert.ok(!ledger.isCurrent({ observedAt: 1400 }, 5000));
+});
--- /dev/null
+++ b/packages/core/src/orders/placement.ts
@@ -0,0 +1,108 @@
+/** Which engine target of a failure domain holds which model; a pure function of its inputs. */
+import murmurhash from 'murmurhash';
+import type { ConfigView } from '../config/snapshot.js';
+import type { ModelServiceConfig } from '../config/text-schema.js';
+
+/** Model services that share targets, since they use the same model in the same role. */
+export interface PlacementGroup {
+  readonly id: string;
+  readonly model: string;
+  readonly version: string;
+  readonly adapters: readonly string[];
+  readonly role: ModelServiceConfig['role'];
+  readonly services: readonly string[];
+  readonly min: number;
+  readonly max: number;
+  readonly weightsMb: number;
+}
+
+/** Group by VM of the target. */
+export type Placement = ReadonlyMap<string, PlacementGroup>;
+
+/**
+ * Groups of the model services that may run in a region.
+ *
+ * @example placementGroups(view, 'north')[0]?.model
+ */
+export function placementGroups(
+  cfg: Pick<ConfigView, 'services' | 'models'>,
+  region: string,
+): PlacementGroup[] {
+  const groups = new Map<string, PlacementGroup>();
+  Object.entries(cfg.services).forEach(([name, service]) => {
+    if (service.kind !== 'model' || !service.regions.includes(region)) return;
+    const model = cfg.models[service.model];
+    if (!model) return;
+    const id = `${service.model}/${service.role}`;
+    const before = groups.get(id);
+    const adapters = new Set([
+      ...(before?.adapters ?? model.adapters),
+      ...(service.adapter === undefined ? [] : [service.adapter]),
+    ]);
+    groups.set(id, {
+      id,
+      model: service.model,
+      version: model.version,
+      adapters: [...adapters].sort(),
+      role: service.role,
+      services: [...(before?.services ?? []), name],
+      // Services of a group share its targets, so the largest minimum covers the others.
+      min: Math.max(before?.min ?? 0, service.targets.min),
+      max: (before?.max ?? 0) + service.targets.max,
+      weightsMb: model.weights_mb,
+    });
+  });
+  return [...groups.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+}
+
+/**
+ * Number of targets of each group: the minima first, then the rest in proportion to them.
+ *
+ * @example groupQuotas(groups, 12).get('advice-7b/mixed')
+ */
+export function groupQuotas(
+  groups: readonly PlacementGroup[],
+  targets: number,
+): Map<string, number> {
+  const quotas = new Map(groups.map(({ id }) => [id, 0]));
+  const quota = (id: string): number => quotas.get(id) ?? 0;
+  const give = (eligible: (group: PlacementGroup) => boolean): boolean => {
+    const next = groups
+      .filter(eligible)
+      .sort(
+        (a, b) => (quota(a.id) + 1) / Math.max(1, a.min) - (quota(b.id) + 1) / Math.max(1, b.min),
+      )[0];
+    if (next) quotas.set(next.id, quota(next.id) + 1);
+    return next !== undefined;
+  };
+  Array.from({ length: targets }).forEach(() => {
+    if (!give(({ id, min }) => quota(id) < min)) give(({ id, max }) => quota(id) < max);
+  });
+  return quotas;
+}
+
+/**
+ * Assigns each target to a group. Pairs of target and group are taken in the order of their
+ * rendezvous score, so that a difference of one target changes few assignments.
+ *
+ * @example placeModels(groups, ['t1', 't2']).get('t1')?.model
+ */
+export function placeModels(
+  groups: readonly PlacementGroup[],
+  targets: readonly string[],
+): Placement {
+  const left = groupQuotas(groups, targets.length);
+  const placement = new Map<string, PlacementGroup>();
+  const pairs = targets.flatMap((vm) =>
+    groups.map((group) => ({ vm, group, score: murmurhash.v3(`place/${vm}\n${group.id}`) })),
+  );
+  pairs
+    .sort((a, b) => b.score - a.score || (a.vm < b.vm ? -1 : 1))
+    .forEach(({ vm, group }) => {
+      const free = left.get(group.id) ?? 0;
+      if (placement.has(vm) || free === 0) return;
+      placement.set(vm, group);
+      left.set(group.id, free - 1);
+    });
+  return placement;
+}
