Bound the checker's work on large wrong texts

Cause: a chain of 9,000 dependent services overflowed the stack, and 5,000 regions without links took 4 GB of memory, which would end every control daemon. Change: cycles are found without recursion, missing links stop at the bound of faults, and a value with more than 20,000 customers is refused before the schema. Hints name missing keys and whole numbers, and suggest only near keys.

--- a/packages/core/src/config/check-customers.ts
+++ b/packages/core/src/config/check-customers.ts
@@ -1,6 +1,6 @@
 /** Checks of the customers against the main part and each other. */
 import { has, knownIds, repeatedItems } from './check-main.js';
-import type { PathFault, TextPart } from './text-fault.js';
+import { MAX_FAULTS, type PathFault, type TextPart } from './text-fault.js';
 import type { CustomerConfig, MainPart } from './text-schema.js';
 
 /** A customer with its place in the text. */
@@ -14,14 +14,13 @@
  * Faults of customers. `complete` is false when a part with customers could not be read; then
  * references to customers are not checked.
  *
- * @example checkCustomers(part, main, [], true, 50) // []
+ * @example checkCustomers(part, main, [], true) // []
  */
 export function checkCustomers(
   mainPart: TextPart,
   main: MainPart,
   customers: readonly PlacedCustomer[],
   complete: boolean,
-  maxFaults: number,
 ): PathFault[] {
   const byId = new Map<string, PlacedCustomer>();
   const byKey = new Map<string, PlacedCustomer>();
@@ -35,9 +34,9 @@
       ...checkReferences(main, placed),
       ...checkResidency(placed, unreachable(placed.customer)),
     );
-    return faults.length >= maxFaults;
+    return faults.length >= MAX_FAULTS;
   });
-  if (!complete || faults.length >= maxFaults) return faults;
+  if (!complete || faults.length >= MAX_FAULTS) return faults;
   return [...faults, ...checkMetrics(mainPart, main, byId)];
 }
 
--- a/packages/core/src/config/check-main.ts
+++ b/packages/core/src/config/check-main.ts
@@ -1,5 +1,5 @@
 /** Checks within the main part that the schema can't express. */
-import type { PathFault, TextPart } from './text-fault.js';
+import { MAX_FAULTS, type PathFault, type TextPart } from './text-fault.js';
 import type { MainPart, ServiceConfig } from './text-schema.js';
 
 type Fault = Omit<PathFault, 'part'>;
@@ -101,18 +101,26 @@
       return [{ path, message, atKey: true, hint: 'give the link once; it counts both ways' }];
     }),
   );
-  const missing = ids.flatMap((from, index) =>
-    ids
-      .slice(index + 1)
-      .filter((to) => !linkOf(main, from, to) && !linkOf(main, to, from))
-      .map((to) => ({
-        path: ['regions', from],
-        atKey: true,
-        message: `the link between regions '${from}' and '${to}' is missing`,
-        hint: `add links: { ${to}: { one_way: 80ms, mbit_per_s: 1000 } } with the measured figures`,
-      })),
+  return [...given, ...missingLinks(main, ids)];
+}
+
+/** Stops early: a text with thousands of regions has millions of pairs without a link. */
+function missingLinks(main: MainPart, ids: readonly string[]): Fault[] {
+  const faults: Fault[] = [];
+  ids.some((from, index) =>
+    ids.some((to, position) => {
+      if (position > index && !linkOf(main, from, to) && !linkOf(main, to, from)) {
+        faults.push({
+          path: ['regions', from],
+          atKey: true,
+          message: `the link between regions '${from}' and '${to}' is missing`,
+          hint: `add links: { ${to}: { one_way: 80ms, mbit_per_s: 1000 } } with the measured figures`,
+        });
+      }
+      return faults.length >= MAX_FAULTS;
+    }),
   );
-  return [...given, ...missing];
+  return faults;
 }
 
 function linkOf(main: MainPart, from: string, to: string) {
@@ -195,25 +203,44 @@
   return { path, message: `there is no ${kind} '${id}'`, hint: knownIds(kind, known) };
 }
 
-/** Each cycle of dependencies, reported at the service where it was first entered. */
+/** Each cycle of dependencies that a depth-first search meets; without recursion, for long chains. */
 function checkCycles(main: MainPart): Fault[] {
   const done = new Set<string>();
   const faults: Fault[] = [];
-  const visit = (id: string, trail: readonly string[]): void => {
-    const start = trail.indexOf(id);
-    if (start >= 0) {
-      const cycle = [...trail.slice(start), id].join(' -> ');
-      faults.push({
-        path: ['services', id, 'depends_on'],
-        message: `the services depend on each other in a cycle: ${cycle}`,
-        hint: 'remove one of these dependencies',
-      });
-      return;
+  Object.keys(main.services).forEach((root) => {
+    // Services on the path from the root, each with the dependencies that are still to visit.
+    const path = new Map<string, string[]>();
+    const enter = (id: string): void => {
+      path.set(id, [...(main.services[id]?.depends_on ?? [])]);
+    };
+    if (!done.has(root)) enter(root);
+    const stack = [...path.keys()];
+    while (stack.length > 0) {
+      const id = stack.at(-1) ?? root;
+      const next = path.get(id)?.shift();
+      if (next === undefined) {
+        stack.pop();
+        path.delete(id);
+        done.add(id);
+      } else if (path.has(next)) {
+        faults.push(cycleFault(next, stack.slice(stack.indexOf(next))));
+      } else if (!done.has(next) && has(main.services, next)) {
+        enter(next);
+        stack.push(next);
+      }
     }
-    if (done.has(id) || !has(main.services, id)) return;
-    main.services[id]?.depends_on.forEach((next) => visit(next, [...trail, id]));
-    done.add(id);
-  };
-  Object.keys(main.services).forEach((id) => visit(id, []));
+  });
   return faults;
 }
+
+const MAX_SHOWN_SERVICES = 12;
+
+function cycleFault(id: string, cycle: readonly string[]): Fault {
+  const more = cycle.length > MAX_SHOWN_SERVICES ? ['...'] : [];
+  const shown = [...cycle.slice(0, MAX_SHOWN_SERVICES), ...more, id].join(' -> ');
+  return {
+    path: ['services', id, 'depends_on'],
+    message: `the services depend on each other in a cycle: ${shown}`,
+    hint: 'remove one of these dependencies',
+  };
+}
--- a/packages/core/src/config/check-text.fuzz.test.ts
+++ b/packages/core/src/config/check-text.fuzz.test.ts
@@ -2,7 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { checkText, MAX_FAULTS } from './check-text.js';
+import { checkText } from './check-text.js';
+import { MAX_FAULTS } from './text-fault.js';
 import { diffTexts } from './diff-text.js';
 import {
   applyDelta,
--- a/packages/core/src/config/check-text.test.ts
+++ b/packages/core/src/config/check-text.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
-import { checkText, MAX_FAULTS, partsOfValues } from './check-text.js';
+import { checkText, partsOfValues } from './check-text.js';
 import { MAX_VALUE_BYTES } from './parse-part.js';
+import { MAX_FAULTS } from './text-fault.js';
 
 const MAIN = `format: 1
 regions:
@@ -126,6 +127,20 @@
   assert.match(faultsOf('['.repeat(200_000))[0]?.message ?? '', /./);
 });
 
+test('long chains of services and thousands of regions without links are rejected', () => {
+  // Guards against a stack overflow or gigabytes of faults in every control daemon.
+  const chain = Array.from(
+    { length: 9000 },
+    (_, i) =>
+      `  s${i}: { kind: model, model: rigging, regions: [north], depends_on: [s${i + 1}] }\n`,
+  );
+  const faults = faultsOf(MAIN.replace('classes:', `${chain.join('')}classes:`));
+  assert.match(faults[0]?.message ?? '', /no service 's9000'/);
+  const regions = Array.from({ length: 5000 }, (_, i) => `  r${i}: { failure_domains: [d${i}] }\n`);
+  const many = faultsOf(MAIN.replace('models:', `${regions.join('')}models:`));
+  assert.equal(many.length, MAX_FAULTS);
+});
+
 test('a fault of every customer is reported at most MAX_FAULTS times', () => {
   assert.equal(faultsOf(MAIN, customersText(0, 5000, 'gold')).length, MAX_FAULTS);
 });
--- a/packages/core/src/config/check-text.ts
+++ b/packages/core/src/config/check-text.ts
@@ -5,7 +5,13 @@
 import { checkCustomers, type PlacedCustomer } from './check-customers.js';
 import { checkMain } from './check-main.js';
 import { parsePart } from './parse-part.js';
-import { locateFaults, type PathFault, type TextFault, type TextPart } from './text-fault.js';
+import {
+  locateFaults,
+  MAX_FAULTS,
+  type PathFault,
+  type TextFault,
+  type TextPart,
+} from './text-fault.js';
 import {
   customersPartSchema,
   mainPartSchema,
@@ -14,9 +20,6 @@
   type MainPart,
 } from './text-schema.js';
 
-/** Faults that are reported for one text; further ones are dropped. */
-export const MAX_FAULTS = 50;
-
 export type CheckResult =
   | {
       readonly kind: 'accepted';
@@ -52,10 +55,10 @@
   const [mainPart, secondMain] = mainParts;
   if (!mainPart || secondMain) return rejected([wrongMainCount(parts, secondMain)], []);
 
-  const main = parsePart(mainPart, mainPartSchema, MAX_FAULTS);
+  const main = parsePart(mainPart, mainPartSchema);
   const lists = parts
     .filter(isCustomersPart)
-    .map((part) => ({ part, result: parsePart(part, customersPartSchema, MAX_FAULTS) }));
+    .map((part) => ({ part, result: parsePart(part, customersPartSchema) }));
   const results = [main, ...lists.map(({ result }) => result)];
   const unreadable = results.flatMap((result) =>
     result.kind === 'unreadable' ? [result.fault] : [],
@@ -73,7 +76,7 @@
   const found = [
     ...invalid,
     ...checkMain(mainPart, main.value),
-    ...checkCustomers(mainPart, main.value, customers, complete, MAX_FAULTS),
+    ...checkCustomers(mainPart, main.value, customers, complete),
   ];
   return unreadable.length + found.length > 0
     ? rejected(unreadable, found)
--- a/packages/core/src/config/parse-part.ts
+++ b/packages/core/src/config/parse-part.ts
@@ -2,7 +2,7 @@
 import { CORE_SCHEMA, load, YAMLException } from 'js-yaml';
 import type { z } from 'zod';
 import { hintOfIssue } from './schema-hints.js';
-import type { PathFault, TextFault, TextPart } from './text-fault.js';
+import { MAX_FAULTS, type PathFault, type TextFault, type TextPart } from './text-fault.js';
 
 /** Highest size of a value in the configuration service. */
 export const MAX_VALUE_BYTES = 1_048_576;
@@ -12,6 +12,12 @@
   hint: 'write the value out at each place',
 };
 
+/**
+ * Highest number of customers in a value. A correct value can't hold as many; a wrong one with more
+ * entries would take hundreds of MB in faults.
+ */
+const MAX_CUSTOMERS_IN_VALUE = 20_000;
+
 export type PartResult<Value> =
   | { readonly kind: 'parsed'; readonly value: Value }
   /** A fault that ends the check of this part, for example in the YAML syntax. */
@@ -26,7 +32,6 @@
 export function parsePart<Schema extends z.ZodType>(
   part: TextPart,
   schema: Schema,
-  maxFaults: number,
 ): PartResult<z.output<Schema>> {
   const bytes = Buffer.byteLength(part.text);
   if (bytes > MAX_VALUE_BYTES) {
@@ -35,6 +40,11 @@
   }
   try {
     const data = load(part.text, { schema: CORE_SCHEMA });
+    const count = customerCount(data);
+    if (count > MAX_CUSTOMERS_IN_VALUE) {
+      const message = `the value lists ${count} customers; at most ${MAX_CUSTOMERS_IN_VALUE} are allowed`;
+      return unreadable(part, message, 'move customers to another config/customers-* value');
+    }
     const shared = findShared(data, [], new Set());
     if (shared) {
       const fault = { part, path: shared, ...ALIAS_FAULT };
@@ -43,14 +53,19 @@
     const result = schema.safeParse(data ?? {});
     if (result.success) return { kind: 'parsed', value: result.data };
     const faults = result.error.issues
-      .slice(0, maxFaults)
-      .flatMap((issue) => faultsOfIssue(part, issue, maxFaults));
+      .slice(0, MAX_FAULTS)
+      .flatMap((issue) => faultsOfIssue(part, issue));
     return { kind: 'invalid', faults };
   } catch (err) {
     return unreadableFromError(part, err);
   }
 }
 
+function customerCount(data: unknown): number {
+  const list = (data as { customers?: unknown } | null | undefined)?.customers;
+  return Array.isArray(list) ? list.length : 0;
+}
+
 /** Path of a collection that occurs twice: aliases can make a small text expand without bound. */
 function findShared(
   value: unknown,
@@ -68,11 +83,11 @@
   return found.path;
 }
 
-function faultsOfIssue(part: TextPart, issue: z.core.$ZodIssue, maxFaults: number): PathFault[] {
+function faultsOfIssue(part: TextPart, issue: z.core.$ZodIssue): PathFault[] {
   const where = issue.path.map(String).join('.');
   const prefix = where === '' ? '' : `${where}: `;
   if (issue.code === 'unrecognized_keys') {
-    return issue.keys.slice(0, maxFaults).map((key) => ({
+    return issue.keys.slice(0, MAX_FAULTS).map((key) => ({
       part,
       path: [...issue.path, key],
       atKey: true,
@@ -86,7 +101,9 @@
       { part, path: issue.path, atKey: true, message: `${prefix}${reason}`, hint: 'rename the id' },
     ];
   }
-  const message = `${prefix}${issue.message.replace(/^Invalid input: /, '')}`;
+  const message = issue.message.endsWith('received undefined')
+    ? `${prefix}the key is missing`
+    : `${prefix}${issue.message.replace(/^Invalid input: /, '')}`;
   return [{ part, path: issue.path, message, hint: hintOfIssue(issue) }];
 }
 
--- a/packages/core/src/config/schema-hints.ts
+++ b/packages/core/src/config/schema-hints.ts
@@ -45,15 +45,16 @@
  */
 export function hintOfIssue(issue: z.core.$ZodIssue, key?: string): string {
   if (key !== undefined) {
-    const near = KNOWN_KEYS.find((known) => distance(known, key) <= MAX_TYPO_DISTANCE);
-    return near && near !== key
-      ? `did you mean '${near}'?`
-      : 'remove the key; it has no meaning here';
+    const allowed = Math.min(MAX_TYPO_DISTANCE, Math.floor(key.length / 3));
+    const near = KNOWN_KEYS.find((known) => known !== key && distance(known, key) <= allowed);
+    return near ? `did you mean '${near}'?` : 'remove the key; it has no meaning here';
   }
   const last = String(issue.path.at(-1) ?? '');
   if (DURATION_KEYS.includes(last)) {
     return 'write a whole number with a unit: 250ms, 30s or 10m';
   }
+  if (issue.message.endsWith('received undefined')) return `add '${last}'`;
+  if (issue.code === 'invalid_type' && issue.expected === 'int') return 'write a whole number';
   if (issue.code === 'invalid_type' && issue.expected === 'number') {
     return 'write a plain number; the name of the key gives the unit';
   }
--- a/packages/core/src/config/text-fault.ts
+++ b/packages/core/src/config/text-fault.ts
@@ -1,6 +1,9 @@
 /** Faults in the operators' text and their positions. */
 import { isMap, isSeq, LineCounter, parseDocument, type Node, type Pair } from 'yaml';
 
+/** Faults that are reported for one text; further ones are dropped. */
+export const MAX_FAULTS = 50;
+
 /** One part of the text: a platform key or file name and its content. */
 export interface TextPart {
   readonly file: string;
