Show a changed number of targets in the difference of two texts

Cause: diff listed the changed field but not how many targets each failure domain then holds. Change: an effect names the range, the earlier range and the failure domains.

--- a/packages/core/src/config/diff-text.test.ts
+++ b/packages/core/src/config/diff-text.test.ts
@@ -69,3 +69,12 @@
   const after = { main, customers: [{ ...first, key: 'c'.repeat(32) }, second] } as AcceptedText;
   assert.match(diffTexts(before, after).effects.join(), /new API key.*\(c1\)/);
 });
+
+test('a changed number of targets is shown with the failure domains', () => {
+  const copy = structuredClone(main);
+  if (copy.services.answers) copy.services.answers.targets = { min: 2, max: 4 };
+  const after = { main: copy, customers };
+  assert.deepEqual(diffTexts(before, after).effects, [
+    'service answers holds 2 to 4 targets instead of 1 to 1000 in each of north-1, west-1',
+  ]);
+});
--- a/packages/core/src/config/diff-text.ts
+++ b/packages/core/src/config/diff-text.ts
@@ -38,7 +38,11 @@
     ...diffFields('metrics', before.main.metrics, after.main.metrics),
     ...diffRecord('customer', byId(before.customers), byId(after.customers)),
   ];
-  const effects = [...placementEffects(before.main, after.main), ...accessEffects(before, after)];
+  const effects = [
+    ...placementEffects(before.main, after.main),
+    ...targetEffects(before.main, after.main),
+    ...accessEffects(before, after),
+  ];
   return { changes, effects };
 }
 
@@ -161,6 +165,16 @@
   ];
 }
 
+function targetEffects(before: MainPart, after: MainPart): string[] {
+  return Object.entries(after.services).flatMap(([id, { targets, regions }]) => {
+    const old = Object.hasOwn(before.services, id) ? before.services[id]?.targets : undefined;
+    if (!old || (old.min === targets.min && old.max === targets.max)) return [];
+    const domains = regions.flatMap((region) => after.regions[region]?.failure_domains ?? []);
+    const range = `${targets.min} to ${targets.max} targets instead of ${old.min} to ${old.max}`;
+    return [`service ${id} holds ${range} in each of ${domains.join(', ')}`];
+  });
+}
+
 function accessEffects(before: AcceptedText, after: AcceptedText): string[] {
   const oldCustomers = new Map(before.customers.map((customer) => [customer.id, customer]));
   const newCustomers = new Map(after.customers.map((customer) => [customer.id, customer]));
