--- a/packages/core/src/config/check-text.fuzz.test.ts
+++ b/packages/core/src/config/check-text.fuzz.test.ts
@@ -71,6 +71,40 @@
   { maxLength: 3, selector: ({ file }) => file },
 );
 
+const REGIONS = ['north', 'central', 'west'] as const;
+
+/** A text without faults, with up to three regions, five services and twenty customers. */
+const validText = fc
+  .record({
+    regions: fc.subarray([...REGIONS], { minLength: 1 }),
+    services: fc.array(fc.record({ min: fc.nat(5), away: fc.nat(9) }), { maxLength: 5 }),
+    customers: fc.uniqueArray(fc.nat(1000), { maxLength: 20 }),
+  })
+  .map(({ regions, services, customers }) =>
+    JSON.stringify({
+      format: 1,
+      regions: Object.fromEntries(
+        regions.map((region, index) => {
+          const others = regions.slice(index + 1);
+          const links = others.map((other) => [other, { one_way: '80ms', mbit_per_s: 100 }]);
+          return [
+            region,
+            { failure_domains: [region], links: Object.fromEntries(links) as unknown },
+          ];
+        }),
+      ),
+      models: { m: { version: '1', weights_mb: 10 } },
+      services: Object.fromEntries(
+        services.map(({ min, away }, index) => [
+          `s${index}`,
+          { kind: 'model', model: 'm', regions, targets: { min, max: 9 }, weights: { away } },
+        ]),
+      ),
+      classes: { standard: { priority: 10 } },
+      customers: customers.map(customer),
+    }),
+  );
+
 test('no text makes the checker throw, and each fault has a place and a hint', () => {
   // Guards against a value in the configuration service that ends every control daemon.
   fc.assert(
@@ -90,10 +124,10 @@
 
 test('an accepted text gives the same snapshot each time and no difference to itself', () => {
   fc.assert(
-    fc.property(mutatedText, fc.nat(), (text, revision) => {
+    fc.property(validText, fc.nat(), (text, revision) => {
       const [first, second] = [0, 1].map(() => checkText([{ file: 'config/main', text }]));
-      assert.deepEqual(first, second);
-      if (first?.kind !== 'accepted' || second?.kind !== 'accepted') return;
+      assert.ok(first?.kind === 'accepted', JSON.stringify(first));
+      assert.ok(second?.kind === 'accepted');
       const snapshot = buildSnapshot(revision, first.main, first.customers);
       const again = buildSnapshot(revision, second.main, second.customers);
       assert.equal(snapshot.rootHash, again.rootHash);
--- a/packages/core/src/config/check-text.test.ts
+++ b/packages/core/src/config/check-text.test.ts
@@ -69,7 +69,7 @@
 ] as const;
 
 REPLACEMENTS.forEach(([from, to, message, place]) => {
-  test(`a text with '${to}' is rejected at its position`, () => {
+  test(`a text with ${JSON.stringify(to)} is rejected at its position`, () => {
     assert.ok(MAIN.includes(from));
     const text = MAIN.replace(from, to);
     const faults = faultsOf(text);
