Add the policy bench on a virtual clock

Cause: the policies of design sections 10 and 11 are to be chosen by measurement, with the classes that the daemons run.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,4 @@
-/** Placeholder. */
-export const PACKAGE_NAME = 'bench';
+/** Load tool and policy bench. */
+export * from './policies/run-scenario.js';
+export * from './policies/systems.js';
+export * from './policies/workloads.js';
--- /dev/null
+++ b/packages/bench/src/policies/bench.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { VirtualClock } from '../fakes/virtual-clock.js';
+import { jainIndex } from './call-record.js';
+import { spreadOf } from './report.js';
+import { runScenario } from './run-scenario.js';
+import { OWN_SYSTEM, systems } from './systems.js';
+import { scenarios, users } from './workloads.js';
+
+test('actions run in order of time, then of scheduling', () => {
+  const clock = new VirtualClock();
+  const seen: number[] = [];
+  [5, 1, 3, 1, 4].forEach((delay, at) => clock.after(delay, () => seen.push(delay * 10 + at)));
+  clock.runUntil(10);
+  assert.deepEqual(seen, [11, 13, 32, 44, 50]);
+});
+
+test('two runs with one seed give the same figures', () => {
+  // Guards against figures in docs/measurements.md that nobody can reproduce.
+  const [user] = users;
+  const scenario = scenarios.find(({ name }) => name === 'half-lost');
+  const system = systems.find(({ name }) => name === OWN_SYSTEM);
+  assert.ok(user && scenario && system);
+  const first = runScenario(user, scenario, system, 3);
+  assert.deepEqual(runScenario(user, scenario, system, 3), first);
+  assert.notDeepEqual(runScenario(user, scenario, system, 4), first);
+});
+
+test('spread and fairness index of known values', () => {
+  assert.deepEqual(spreadOf([3, 1, 2, 10]), { median: 2.5, min: 1, max: 10 });
+  assert.equal(jainIndex([1, 0, 0, 0]), 0.25);
+});
--- /dev/null
+++ b/packages/bench/src/policies/call-record.ts
@@ -0,0 +1,134 @@
+/** What is recorded of a call, and the figures over all calls of a run. */
+import { FLOOD_CUSTOMER, Workload, type Call } from './workloads.js';
+
+export interface CallRecord {
+  readonly call: Call;
+  attempts: number;
+  away: boolean;
+  firstTokenMs?: number;
+  /** Sum and number of the times between tokens. */
+  stepSumMs: number;
+  steps: number;
+  end?: 'answered' | 'refused' | 'failed';
+}
+
+/** Figures of one run; times in ms. */
+export interface Figures {
+  readonly firstP50: number;
+  readonly firstP95: number;
+  readonly firstP99: number;
+  readonly stepP50: number;
+  readonly stepP95: number;
+  readonly stepP99: number;
+  readonly withinTarget: number;
+  /** Answers within the latency targets, a second. */
+  readonly goodputPerS: number;
+  readonly awayShare: number;
+  readonly acceleratorSPerAnswer: number;
+  readonly linkBytesPerAnswer: number;
+  readonly hitRate: number;
+  readonly attemptsPerRequest: number;
+  readonly refusedShare: number;
+  readonly failedShare: number;
+  /** Of the customers' shares within target. */
+  readonly jain: number;
+  readonly worstCustomerP99: number;
+}
+
+export interface Totals {
+  readonly acceleratorMs: number;
+  readonly linkBytes: number;
+  readonly prefixHits: number;
+  readonly prefixLookups: number;
+}
+
+/** Customers with fewer calls have no meaningful p99. */
+const MIN_CALLS_FOR_P99 = 40;
+
+/** Value below which a share of the sorted values lies. */
+export function quantile(sorted: readonly number[], share: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
+
+function sortedNumbers(values: number[]): number[] {
+  return Array.from(Float64Array.from(values).sort());
+}
+
+function isWithinTarget(record: CallRecord): boolean {
+  const { end, firstTokenMs = Infinity, stepSumMs, steps } = record;
+  return (
+    end === 'answered' &&
+    firstTokenMs <= Workload.FirstTokenTargetMs &&
+    stepSumMs <= steps * Workload.StepTargetMs
+  );
+}
+
+/**
+ * Figures over the measured calls. Calls of the flooding customer count only in the cost; plain
+ * calls count in the shares of answered, refused and failed calls and in the attempts.
+ *
+ * @param measuredMs length of the measured part of the run
+ */
+export function figuresOf(all: readonly CallRecord[], totals: Totals, measuredMs: number): Figures {
+  const records = all.filter(
+    ({ call }) => call.at >= Workload.WarmUpMs && call.customer !== FLOOD_CUSTOMER,
+  );
+  const model = records.filter(({ call }) => !call.plain);
+  const firsts = (list: readonly CallRecord[]): number[] =>
+    sortedNumbers(list.flatMap(({ firstTokenMs }) => firstTokenMs ?? []));
+  const first = firsts(model);
+  const step = sortedNumbers(
+    model.filter(({ steps }) => steps > 0).map(({ stepSumMs, steps }) => stepSumMs / steps),
+  );
+  const within = model.filter(isWithinTarget).length;
+  const answered = all.filter(({ end, call }) => end === 'answered' && !call.plain).length;
+  const share = (test: (record: CallRecord) => boolean): number =>
+    records.filter(test).length / Math.max(1, records.length);
+  const byCustomer = [...groupByCustomer(model).values()];
+  const customerShares = byCustomer.map((list) => list.filter(isWithinTarget).length / list.length);
+  const customerP99s = byCustomer
+    .filter((list) => list.length >= MIN_CALLS_FOR_P99)
+    .map((list) => quantile(firsts(list), 0.99));
+  return {
+    firstP50: quantile(first, 0.5),
+    firstP95: quantile(first, 0.95),
+    firstP99: quantile(first, 0.99),
+    stepP50: quantile(step, 0.5),
+    stepP95: quantile(step, 0.95),
+    stepP99: quantile(step, 0.99),
+    withinTarget: within / Math.max(1, model.length),
+    goodputPerS: (within / measuredMs) * 1000,
+    awayShare: share(({ away }) => away),
+    acceleratorSPerAnswer: totals.acceleratorMs / 1000 / Math.max(1, answered),
+    linkBytesPerAnswer: totals.linkBytes / Math.max(1, answered),
+    hitRate: totals.prefixHits / Math.max(1, totals.prefixLookups),
+    attemptsPerRequest:
+      records.reduce((sum, { attempts }) => sum + attempts, 0) /
+      Math.max(1, records.filter(({ attempts }) => attempts > 0).length),
+    refusedShare: share(({ end }) => end === 'refused'),
+    failedShare: share(({ end }) => end !== 'refused' && end !== 'answered'),
+    jain: jainIndex(customerShares),
+    worstCustomerP99: Math.max(0, ...customerP99s),
+  };
+}
+
+function groupByCustomer(records: readonly CallRecord[]): Map<string, CallRecord[]> {
+  const groups = new Map<string, CallRecord[]>();
+  records.forEach((record) => {
+    const group = groups.get(record.call.customer);
+    if (group) group.push(record);
+    else groups.set(record.call.customer, [record]);
+  });
+  return groups;
+}
+
+/**
+ * Jain's fairness index: 1 when all values are equal, 1/n when one has everything.
+ *
+ * @example jainIndex([1, 1]) // 1
+ */
+export function jainIndex(values: readonly number[]): number {
+  const sum = values.reduce((total, value) => total + value, 0);
+  const squares = values.reduce((total, value) => total + value * value, 0);
+  return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
+}
--- /dev/null
+++ b/packages/bench/src/policies/entry-driver.ts
@@ -0,0 +1,232 @@
+/** Drives the policies of one entry: admission, then a target, retries from the budget. */
+import {
+  RetryBudget,
+  WindowAdmissionController,
+  type AdmissionRequest,
+  type RandomSource,
+  type RoutedRequest,
+  type TargetCandidate,
+  type TargetPolicy,
+} from '@marjoramcart/core';
+import type { FakeReports } from '../fakes/fake-reports.js';
+import type { FakeTarget } from '../fakes/fake-target.js';
+import type { VirtualClock } from '../fakes/virtual-clock.js';
+import type { CallRecord } from './call-record.js';
+import type { System } from './systems.js';
+import { Workload } from './workloads.js';
+
+const RETRY_SHARE = 0.1;
+const QUEUE_PER_CUSTOMER = 64;
+const MAX_QUEUED = 5000;
+const EXPECTED_ANSWER_TOKENS = Workload.MinAnswerTokens + Workload.ExtraAnswerTokens;
+const OUTPUT_COST = 2;
+const FAILURES_TO_EXCLUDE = 3;
+const EXCLUDED_MS = 5000;
+const EXPIRY_INTERVAL_MS = 100;
+
+/** How the answer goes back to where the call arrived. */
+export interface Reply {
+  onFirstToken(): void;
+  onTokens(count: number, stepMs: number): void;
+  onEnd(end: 'answered' | 'failed'): void;
+  /** Not run here. */
+  onRefused(): void;
+}
+
+interface Work {
+  readonly record: CallRecord;
+  readonly reply: Reply;
+  readonly offeredAt: number;
+  firstTokenMs?: number;
+}
+
+interface OwnSends {
+  sent: number[];
+  ended: number[];
+  inFlight: number;
+  failures: number;
+  excludedUntil: number;
+}
+
+export class EntryDriver {
+  private readonly admissions: Readonly<Record<'model' | 'plain', WindowAdmissionController>>;
+
+  private readonly work = new Map<string, Work>();
+
+  private readonly sends = new Map<string, OwnSends>();
+
+  private readonly policy: TargetPolicy;
+
+  private readonly budget = new RetryBudget(RETRY_SHARE, 0);
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly targets: readonly FakeTarget[],
+    private readonly reports: FakeReports,
+    private readonly random: RandomSource,
+    system: System,
+  ) {
+    this.policy = system.target();
+    const admission = (): WindowAdmissionController =>
+      new WindowAdmissionController(system.fairness(), {
+        window: 1,
+        queuePerCustomer: QUEUE_PER_CUSTOMER,
+        maxQueued: MAX_QUEUED,
+        maxWaitTargets: system.maxWaitTargets,
+      });
+    this.admissions = { model: admission(), plain: admission() };
+    targets.forEach(({ vm }) =>
+      this.sends.set(vm, { sent: [], ended: [], inFlight: 0, failures: 0, excludedUntil: 0 }),
+    );
+    clock.every(EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, () => this.expireAndResize());
+    this.expireAndResize();
+  }
+
+  /** Wait before the window for model calls, in ms. */
+  expectedWaitMs(customer: string): number {
+    return this.admissions.model.expectedWaitMs(customer);
+  }
+
+  /** Forgets what was sent before the report of a target was taken. */
+  onReport(vm: string): void {
+    const own = this.sends.get(vm);
+    const takenAt = this.reports.byVm.get(vm)?.takenAt ?? 0;
+    if (!own) return;
+    own.sent = own.sent.filter((at) => at > takenAt);
+    own.ended = own.ended.filter((at) => at > takenAt);
+  }
+
+  offer(record: CallRecord, reply: Reply): void {
+    const { call } = record;
+    const req: AdmissionRequest = {
+      id: call.id,
+      customer: call.customer,
+      customerClass: 'standard',
+      weight: 1,
+      priority: 10,
+      cost: call.plain ? 1 : call.promptTokens + OUTPUT_COST * EXPECTED_ANSWER_TOKENS,
+      arrivedAt: call.at,
+      deadlineAt: call.at + Workload.DeadlineMs,
+      latencyTargetMs: Workload.FirstTokenTargetMs,
+    };
+    this.budget.onRequest();
+    this.work.set(call.id, { record, reply, offeredAt: this.clock.now });
+    const decision = this.admissionOf(record).offer(req, this.clock.now);
+    if (decision.kind === 'admitted') this.dispatch(req.id);
+    if (decision.kind === 'refused') this.refuse(req.id);
+  }
+
+  private admissionOf({ call }: CallRecord): WindowAdmissionController {
+    return call.plain ? this.admissions.plain : this.admissions.model;
+  }
+
+  private dispatch(id: string): void {
+    const work = this.work.get(id);
+    if (!work) return;
+    const { call } = work.record;
+    const req: RoutedRequest = {
+      service: call.plain ? 'plain' : 'model',
+      prefix: call.prefix,
+      promptTokens: call.promptTokens,
+      maxTokens: EXPECTED_ANSWER_TOKENS,
+      bodyBytes: call.bodyBytes,
+    };
+    const chosen = this.policy.choose(req, this.candidates(call.plain), this.random);
+    const target = this.targets.find(({ vm }) => vm === chosen?.state.vm);
+    const own = target && this.sends.get(target.vm);
+    if (!target || !own) {
+      this.finish(id, 'failed');
+      return;
+    }
+    work.record.attempts += 1;
+    own.sent.push(this.clock.now);
+    own.inFlight += 1;
+    let delivered = false;
+    const over = (): void => {
+      own.inFlight -= 1;
+      own.ended.push(this.clock.now);
+    };
+    const failed = (mayRepeat: boolean): void => {
+      over();
+      own.failures += 1;
+      if (own.failures >= FAILURES_TO_EXCLUDE) own.excludedUntil = this.clock.now + EXCLUDED_MS;
+      const retry = mayRepeat && !delivered && this.budget.tryTake(this.clock.now);
+      if (retry) this.dispatch(id);
+      else this.finish(id, 'failed');
+    };
+    const started = target.start({
+      prefix: call.prefix,
+      prefixTokens: Workload.PrefixTokens,
+      promptTokens: call.promptTokens,
+      answerTokens: call.answerTokens,
+      plainMs: call.plain ? Workload.PlainMs : 0,
+      priority: 10,
+      onFirstToken: () => {
+        delivered = true;
+        own.failures = 0;
+        work.firstTokenMs = this.clock.now - call.at;
+        work.reply.onFirstToken();
+      },
+      onTokens: (count, stepMs) => work.reply.onTokens(count, stepMs),
+      onEnd: () => {
+        over();
+        this.finish(id, 'answered');
+      },
+      onBreak: () => failed(call.repeatable),
+    });
+    // A refused connection means that the call was not run, so any call may be tried elsewhere.
+    if (!started) failed(true);
+  }
+
+  private finish(id: string, end: 'answered' | 'failed'): void {
+    const work = this.work.get(id);
+    if (!work) return;
+    this.work.delete(id);
+    work.reply.onEnd(end);
+    const { call } = work.record;
+    const outcome = {
+      cost: call.plain ? 1 : call.promptTokens + OUTPUT_COST * call.answerTokens,
+      firstTokenMs: work.firstTokenMs,
+    };
+    this.admissionOf(work.record)
+      .release(id, outcome, this.clock.now)
+      .forEach((next) => this.dispatch(next.id));
+  }
+
+  private refuse(id: string): void {
+    const work = this.work.get(id);
+    this.work.delete(id);
+    work?.reply.onRefused();
+  }
+
+  private candidates(plain: boolean): TargetCandidate[] {
+    const usable = this.targets
+      .filter((target) => target.plain === plain)
+      .flatMap(({ vm }) => {
+        const seen = this.reports.byVm.get(vm);
+        const own = this.sends.get(vm);
+        return seen && own && seen.state.healthy ? [{ seen, own }] : [];
+      });
+    const included = usable.filter(({ own }) => own.excludedUntil <= this.clock.now);
+    return (included.length > 0 ? included : usable).map(({ seen, own }) => ({
+      state: { ...seen.state, reportAgeMs: this.clock.now - seen.takenAt },
+      sentSinceReport: own.sent.length,
+      endedSinceReport: own.ended.length,
+      inFlight: own.inFlight,
+    }));
+  }
+
+  private expireAndResize(): void {
+    const { now } = this.clock;
+    (['model', 'plain'] as const).forEach((service) => {
+      const admission = this.admissions[service];
+      admission.expire(now).forEach(({ id }) => this.refuse(id));
+      const slots = this.candidates(service === 'plain').reduce(
+        (sum, { state }) => sum + state.concurrency,
+        0,
+      );
+      const window = Math.max(1, Math.floor(slots / Workload.EntriesPerRegion));
+      admission.resize(window, now).forEach(({ id }) => this.dispatch(id));
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policies/goals.ts
@@ -0,0 +1,127 @@
+/** Goals of the policies, each against the best baseline of the same runs. */
+import type { Figures } from './call-record.js';
+import type { Row } from './report.js';
+import { OWN_SYSTEM } from './systems.js';
+
+/** Share within target up to which two combinations count as equal. */
+const EQUAL_SHARE = 0.01;
+
+export interface GoalResult {
+  readonly goal: string;
+  readonly met: boolean;
+  readonly detail: string;
+}
+
+type Key = keyof Figures;
+
+/** Checks the goals for which the rows hold the needed runs. */
+export function checkGoals(rows: readonly Row[]): GoalResult[] {
+  return [
+    ...tailGoal(rows),
+    ...costGoal(rows),
+    ...['telgitoo', 'afilados'].flatMap((user) => [
+      ...floodGoal(rows, user),
+      ...attemptsGoal(rows, user),
+      ...goodputGoal(rows, user),
+    ]),
+  ];
+}
+
+function ownRow(rows: readonly Row[], user: string, scenario: string): Row | undefined {
+  return rows.find(
+    (row) => row.user === user && row.scenario === scenario && row.system === OWN_SYSTEM,
+  );
+}
+
+function baselinesOf(rows: readonly Row[], { user, scenario }: Row): Row[] {
+  return rows.filter((row) => row.user === user && row.scenario === scenario && row.isBaseline);
+}
+
+function least(rows: readonly Row[], key: Key): Row | undefined {
+  return [...rows].sort((a, b) => a.figures[key].median - b.figures[key].median)[0];
+}
+
+function tailGoal(rows: readonly Row[]): GoalResult[] {
+  const own = ownRow(rows, 'telgitoo', 'load-95');
+  const best = own && least(baselinesOf(rows, own), 'firstP99');
+  if (!own || !best) return [];
+  const value = own.figures.firstP99.median;
+  const other = best.figures.firstP99.median;
+  const away = own.figures.awayShare.median;
+  const otherAway = best.figures.awayShare.median;
+  return [
+    {
+      goal: 'telgitoo, 95% load: first-token p99 at least 30% lower, no more sent away',
+      met: value <= 0.7 * other && away <= otherAway,
+      detail: `${value.toFixed(0)} ms against ${other.toFixed(0)} ms (${best.system}); away ${away.toFixed(3)} against ${otherAway.toFixed(3)}`,
+    },
+  ];
+}
+
+/** Only baselines with an equal share within target are compared; without one the goal is moot. */
+function costGoal(rows: readonly Row[]): GoalResult[] {
+  const own = ownRow(rows, 'afilados', 'load-95');
+  if (!own) return [];
+  const all = baselinesOf(rows, own);
+  const within = own.figures.withinTarget.median;
+  const equal = all.filter((row) => row.figures.withinTarget.median >= within - EQUAL_SHARE);
+  const nearest = [...all].sort(
+    (a, b) => b.figures.withinTarget.median - a.figures.withinTarget.median,
+  )[0];
+  const compared = equal.length > 0 ? equal : all.filter((row) => row === nearest);
+  return (['acceleratorSPerAnswer', 'linkBytesPerAnswer', 'awayShare'] as const).flatMap((key) => {
+    const best = least(compared, key);
+    if (!best) return [];
+    const value = own.figures[key].median;
+    const other = best.figures[key].median;
+    const share = best.figures.withinTarget.median;
+    return [
+      {
+        goal: `afilados, 95% load: ${key} at least 30% lower at an equal share within target`,
+        met: value <= 0.7 * other,
+        detail: `${value.toPrecision(3)} against ${other.toPrecision(3)} (${best.system}); within target ${within.toFixed(3)} against ${share.toFixed(3)}`,
+      },
+    ];
+  });
+}
+
+function floodGoal(rows: readonly Row[], user: string): GoalResult[] {
+  const calm = ownRow(rows, user, 'load-70');
+  const flood = ownRow(rows, user, 'flood');
+  if (!calm || !flood) return [];
+  const before = calm.figures.firstP99.median;
+  const during = flood.figures.firstP99.median;
+  return [
+    {
+      goal: `${user}: p99 of the other customers under a flood within 10%`,
+      met: during <= 1.1 * before,
+      detail: `${during.toFixed(0)} ms against ${before.toFixed(0)} ms; refused ${flood.figures.refusedShare.median.toFixed(4)}`,
+    },
+  ];
+}
+
+function attemptsGoal(rows: readonly Row[], user: string): GoalResult[] {
+  const own = ownRow(rows, user, 'half-lost');
+  if (!own) return [];
+  const { median, max } = own.figures.attemptsPerRequest;
+  return [
+    {
+      goal: `${user}: at most 1.1 attempts per request when half a region is lost`,
+      met: max <= 1.1,
+      detail: `median ${median.toFixed(3)}, highest ${max.toFixed(3)}`,
+    },
+  ];
+}
+
+function goodputGoal(rows: readonly Row[], user: string): GoalResult[] {
+  const full = ownRow(rows, user, 'load-100')?.figures.goodputPerS.median;
+  const over = ownRow(rows, user, 'load-130')?.figures.goodputPerS.median;
+  if (full === undefined || over === undefined) return [];
+  return [
+    {
+      goal: `${user}: goodput at 130% at least 95% of that at 100%`,
+      met: over >= 0.95 * full,
+      detail: `${over.toFixed(1)}/s against ${full.toFixed(1)}/s (${((100 * over) / full).toFixed(1)}%)`,
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/policies/run-scenario.ts
@@ -0,0 +1,314 @@
+/** One run: three regions under one scenario with one combination of policies. */
+import {
+  LinkBudget,
+  seededRandom,
+  type DomainDecision,
+  type DomainOption,
+  type DomainPolicy,
+  type RandomSource,
+} from '@marjoramcart/core';
+import { FakeLink } from '../fakes/fake-link.js';
+import { FakeReports } from '../fakes/fake-reports.js';
+import { FakeTarget } from '../fakes/fake-target.js';
+import { VirtualClock } from '../fakes/virtual-clock.js';
+import { figuresOf, type CallRecord, type Figures } from './call-record.js';
+import { EntryDriver, type Reply } from './entry-driver.js';
+import type { System } from './systems.js';
+import {
+  drawCall,
+  FLOOD_CUSTOMER,
+  prefillMs,
+  regionRate,
+  Workload,
+  type Scenario,
+  type User,
+} from './workloads.js';
+
+const SUMMARY_INTERVAL_MS = 1000;
+const SUMMARY_DELAY_MS = 1000;
+const SUMMARY_EXPIRY_MS = 10_000;
+/** Bytes on the link for each token of a streamed answer, and of a whole plain answer. */
+const ANSWER_BYTES_PER_TOKEN = 200;
+const PLAIN_ANSWER_BYTES = 500;
+const LINK_SHARE_PERCENT = 50;
+const KV_BYTES_PER_TOKEN = 131_072;
+const CLIENT_ONE_WAY_MS = 3;
+
+type Summary = Pick<DomainOption, 'readyTargets' | 'waitMs' | 'freeSlots'>;
+
+interface Region {
+  readonly name: string;
+  readonly targets: readonly FakeTarget[];
+  readonly reports: FakeReports;
+  readonly entries: readonly EntryDriver[];
+  readonly policies: readonly DomainPolicy[];
+  /** Summaries of the other regions. */
+  readonly seen: Map<string, { readonly summary: Summary; readonly takenAt: number }>;
+}
+
+class ScenarioRun {
+  private readonly clock = new VirtualClock();
+
+  private readonly records: CallRecord[] = [];
+
+  private readonly regions: readonly Region[];
+
+  /** By `from>to`. */
+  private readonly links = new Map<string, FakeLink>();
+
+  private readonly budgets = new Map<string, LinkBudget>();
+
+  constructor(
+    private readonly user: User,
+    private readonly scenario: Scenario,
+    private readonly system: System,
+    private readonly seed: number,
+  ) {
+    this.regions = user.regions.map((name, at) => this.createRegion(name, at));
+    user.regions.forEach((from) =>
+      user.regions
+        .filter((to) => to !== from)
+        .forEach((to) => {
+          const id = `${from}>${to}`;
+          this.links.set(id, new FakeLink(this.clock, user.oneWayMs, user.mbitPerS));
+          this.budgets.set(id, new LinkBudget(user.mbitPerS, LINK_SHARE_PERCENT, 0));
+        }),
+    );
+  }
+
+  run(): Figures {
+    this.regions.forEach((region, at) => {
+      const random = seededRandom(this.seed * 1000 + at);
+      this.scheduleArrival(region, random, (now) => regionRate(this.scenario, at, now));
+      this.clock.every(SUMMARY_INTERVAL_MS, 300 * at, () => this.publishSummary(region));
+    });
+    this.scheduleFault();
+    this.clock.runUntil(Workload.DayMs + Workload.DrainMs);
+    const targets = this.regions.flatMap((region) => region.targets);
+    const sum = (value: (target: FakeTarget) => number): number =>
+      targets.reduce((total, target) => total + value(target), 0);
+    const totals = {
+      acceleratorMs: sum(({ acceleratorMs }) => acceleratorMs),
+      prefixHits: sum(({ prefixHits }) => prefixHits),
+      prefixLookups: sum(({ prefixLookups }) => prefixLookups),
+      linkBytes: [...this.links.values()].reduce((total, { bytes }) => total + bytes, 0),
+    };
+    return figuresOf(this.records, totals, Workload.DayMs - Workload.WarmUpMs);
+  }
+
+  private createRegion(name: string, at: number): Region {
+    const count = Workload.RunnersPerRegion + Workload.PlainPerRegion;
+    const targets = Array.from(
+      { length: count },
+      (_, target) =>
+        new FakeTarget(`${name}-${target}`, target >= Workload.RunnersPerRegion, this.clock),
+    );
+    const entries: EntryDriver[] = [];
+    const reports = new FakeReports(
+      this.clock,
+      targets,
+      this.scenario,
+      seededRandom(this.seed * 1000 + 100 + at),
+      (vm) => entries.forEach((entry) => entry.onReport(vm)),
+    );
+    Array.from({ length: Workload.EntriesPerRegion }, (_, entry) =>
+      entries.push(
+        new EntryDriver(
+          this.clock,
+          targets,
+          reports,
+          seededRandom(this.seed * 1000 + 200 + 10 * at + entry),
+          this.system,
+        ),
+      ),
+    );
+    const policies = entries.map(() => this.system.domain());
+    return { name, targets, reports, entries, policies, seen: new Map() };
+  }
+
+  private scheduleArrival(
+    region: Region,
+    random: RandomSource,
+    rateOf: (now: number) => number,
+    customer?: string,
+  ): void {
+    const gapMs = (-1000 * Math.log(1 - random.next())) / rateOf(this.clock.now);
+    this.clock.after(gapMs, () => {
+      if (this.clock.now >= Workload.DayMs) return;
+      const id = `${region.name}-${this.records.length}`;
+      this.arrive(region, drawCall(id, region.name, this.clock.now, random, customer), random);
+      this.scheduleArrival(region, random, rateOf, customer);
+    });
+  }
+
+  private scheduleFault(): void {
+    const [first, second] = this.regions;
+    if (!first || !second) return;
+    const linkBetween = [`${first.name}>${second.name}`, `${second.name}>${first.name}`];
+    const setLink = (up: boolean): void =>
+      linkBetween.forEach((id) => Object.assign(this.links.get(id) ?? {}, { up }));
+    this.clock.after(Workload.FaultAtMs, () => {
+      if (this.scenario.fault === 'half-lost') {
+        first.targets.filter((_, at) => at % 2 === 0).forEach((target) => target.kill());
+      }
+      if (this.scenario.fault === 'cut') {
+        setLink(false);
+        this.clock.after(Workload.CutMs, () => setLink(true));
+      }
+      if (this.scenario.fault === 'flood') {
+        const capacity = Workload.RunnersPerRegion * Workload.RunnerCapacityPerS;
+        const random = seededRandom(this.seed * 1000 + 300);
+        this.scheduleArrival(first, random, () => Workload.FloodShare * capacity, FLOOD_CUSTOMER);
+      }
+    });
+  }
+
+  private arrive(region: Region, call: CallRecord['call'], random: RandomSource): void {
+    const record: CallRecord = { call, attempts: 0, away: false, stepSumMs: 0, steps: 0 };
+    this.records.push(record);
+    const at = Math.floor(random.next() * region.entries.length);
+    const home: Reply = {
+      onFirstToken: () => {
+        record.firstTokenMs = this.clock.now - call.at + 2 * CLIENT_ONE_WAY_MS;
+      },
+      onTokens: (count, stepMs) => {
+        record.stepSumMs += count * stepMs;
+        record.steps += count;
+      },
+      onEnd: (end) => {
+        record.end = end;
+      },
+      onRefused: () => {
+        record.end = 'refused';
+      },
+    };
+    const decision = call.bound || call.plain ? undefined : this.decide(region, call, at);
+    const other = this.regions.find(({ name }) => name === decision?.failureDomain);
+    if (!other || other === region) region.entries[at]?.offer(record, home);
+    else this.forward(region, other, at, record, home);
+  }
+
+  private decide(region: Region, call: CallRecord['call'], at: number): DomainDecision | undefined {
+    const { now } = this.clock;
+    const cached = call.prefix !== undefined && region.reports.caches(call.prefix);
+    const home: DomainOption = {
+      ...this.summaryOf(region, (entry) => entry === region.entries[at], call.customer),
+      failureDomain: region.name,
+      region: region.name,
+      ageMs: 0,
+      oneWayMs: 0,
+      prefillMs: prefillMs(call.promptTokens, cached),
+    };
+    const kvExport = {
+      bytes: Workload.PrefixTokens * KV_BYTES_PER_TOKEN,
+      prefillMs: prefillMs(call.promptTokens, true),
+    };
+    const others = [...region.seen]
+      .filter(([, { takenAt }]) => now - takenAt <= SUMMARY_EXPIRY_MS)
+      .map(([name, { summary, takenAt }]) => ({
+        ...summary,
+        failureDomain: name,
+        region: name,
+        ageMs: now - takenAt,
+        oneWayMs: this.user.oneWayMs,
+        linkMbitPerS: this.user.mbitPerS,
+        linkBudgetBytes: this.budgets.get(`${region.name}>${name}`)?.available(now),
+        prefillMs: prefillMs(call.promptTokens, false),
+        ...(cached ? { kvExport } : {}),
+      }));
+    const routed = {
+      service: 'model',
+      prefix: call.prefix,
+      promptTokens: call.promptTokens,
+      maxTokens: Workload.MinAnswerTokens + Workload.ExtraAnswerTokens,
+      bodyBytes: call.bodyBytes,
+    };
+    return region.policies[at]?.choose(routed, home, others, this.user.weights);
+  }
+
+  private forward(from: Region, to: Region, at: number, record: CallRecord, home: Reply): void {
+    const { call } = record;
+    const there = this.links.get(`${from.name}>${to.name}`);
+    const back = this.links.get(`${to.name}>${from.name}`);
+    const budget = this.budgets.get(`${from.name}>${to.name}`);
+    const stayHome = (): void => {
+      Object.assign(record, { away: false });
+      from.entries[at]?.offer(record, home);
+    };
+    const broken = (): void => {
+      Object.assign(record, { attempts: record.attempts + 1 });
+      if (record.firstTokenMs === undefined && call.repeatable) stayHome();
+      else home.onEnd('failed');
+    };
+    // A cut is noticed when the answer does not come; the remote attempt may still run.
+    let isBroken = false;
+    const reply = (bytes: number, deliver: () => void): void => {
+      if (isBroken) return;
+      budget?.spend(bytes, this.clock.now);
+      back?.send(
+        bytes,
+        () => isBroken || deliver(),
+        () => {
+          if (isBroken) return;
+          isBroken = true;
+          broken();
+        },
+      );
+    };
+    Object.assign(record, { away: true });
+    budget?.spend(call.bodyBytes, this.clock.now);
+    const remote: Reply = {
+      onFirstToken: () =>
+        reply(call.plain ? PLAIN_ANSWER_BYTES : ANSWER_BYTES_PER_TOKEN, home.onFirstToken),
+      onTokens: (count, stepMs) =>
+        reply(count * ANSWER_BYTES_PER_TOKEN, () => home.onTokens(count, stepMs)),
+      onEnd: (end) => reply(100, () => home.onEnd(end)),
+      onRefused: () => reply(100, stayHome),
+    };
+    there?.send(call.bodyBytes, () => to.entries[at]?.offer(record, remote), broken);
+  }
+
+  private summaryOf(
+    region: Region,
+    isIncluded: (entry: EntryDriver) => boolean,
+    customer: string,
+  ): Summary {
+    const states = region.targets
+      .filter(({ plain }) => !plain)
+      .flatMap(({ vm }) => region.reports.byVm.get(vm)?.state ?? [])
+      .filter(({ healthy }) => healthy);
+    const mean = (values: readonly number[]): number =>
+      values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+    const free = states.map(({ concurrency, running, queued }) => concurrency - running - queued);
+    const queueWaits = region.entries
+      .filter(isIncluded)
+      .map((entry) => entry.expectedWaitMs(customer));
+    return {
+      readyTargets: states.length,
+      waitMs: mean(states.map(({ waitMs }) => waitMs)) + mean(queueWaits),
+      freeSlots: free.reduce((sum, slots) => sum + Math.max(0, slots), 0),
+    };
+  }
+
+  private publishSummary(region: Region): void {
+    const summary = this.summaryOf(region, () => true, '');
+    const takenAt = this.clock.now;
+    this.regions
+      .filter((other) => other !== region)
+      .forEach((other) =>
+        this.clock.after(SUMMARY_DELAY_MS + this.user.oneWayMs, () => {
+          if (!this.links.get(`${region.name}>${other.name}`)?.up) return;
+          other.seen.set(region.name, { summary, takenAt });
+        }),
+      );
+  }
+}
+
+/**
+ * Runs a scenario; the same arguments give the same figures.
+ *
+ * @example runScenario(users[0], scenarios[0], systems[0], 1).firstP99
+ */
+export function runScenario(user: User, scenario: Scenario, system: System, seed: number): Figures {
+  return new ScenarioRun(user, scenario, system, seed).run();
+}
--- /dev/null
+++ b/packages/bench/src/policies/systems.ts
@@ -0,0 +1,65 @@
+/** Combinations of policies that the bench compares. */
+import {
+  BoundedAffinityTargetPolicy,
+  ExperientialFairnessPolicy,
+  FirstComePolicy,
+  LeastReportedLoadTargetPolicy,
+  LeastWaitDomainPolicy,
+  PrefixAffinityTargetPolicy,
+  RandomTargetPolicy,
+  RoundRobinTargetPolicy,
+  StayHomeDomainPolicy,
+  TokenCountPolicy,
+  WeightedCostDomainPolicy,
+  type DomainPolicy,
+  type FairnessPolicy,
+  type TargetPolicy,
+} from '@marjoramcart/core';
+
+export interface System {
+  readonly name: string;
+  readonly isBaseline: boolean;
+  readonly target: () => TargetPolicy;
+  readonly domain: () => DomainPolicy;
+  readonly fairness: () => FairnessPolicy;
+  /** Early refusal above this multiple of the latency target. */
+  readonly maxWaitTargets?: number;
+}
+
+const targets: Readonly<Record<string, () => TargetPolicy>> = {
+  random: () => new RandomTargetPolicy(),
+  'round-robin': () => new RoundRobinTargetPolicy(),
+  'least-load': () => new LeastReportedLoadTargetPolicy(),
+  'prefix-affinity': () => new PrefixAffinityTargetPolicy(),
+};
+const domains: Readonly<Record<string, () => DomainPolicy>> = {
+  'stay-home': () => new StayHomeDomainPolicy(),
+  'least-wait': () => new LeastWaitDomainPolicy(),
+};
+
+const baselines: readonly System[] = Object.entries(targets).flatMap(([targetName, target]) =>
+  Object.entries(domains).map(([domainName, domain]) => ({
+    name: `${targetName} / ${domainName}`,
+    isBaseline: true,
+    target,
+    domain,
+    fairness: () => new FirstComePolicy(),
+  })),
+);
+
+const own = {
+  isBaseline: false,
+  target: (): TargetPolicy => new BoundedAffinityTargetPolicy(),
+  domain: (): DomainPolicy => new WeightedCostDomainPolicy(),
+  maxWaitTargets: 1,
+};
+
+/** Name of the combination that is the default in the entry daemon. */
+export const OWN_SYSTEM = 'own / token-count';
+
+export const systems: readonly System[] = [
+  ...baselines,
+  { ...own, name: OWN_SYSTEM, fairness: () => new TokenCountPolicy() },
+  { ...own, name: 'own / first-come', fairness: () => new FirstComePolicy() },
+  { ...own, name: 'own / experiential', fairness: () => new ExperientialFairnessPolicy() },
+];
--- /dev/null
+++ b/packages/bench/src/policies/workloads.ts
@@ -0,0 +1,166 @@
+/** Users, loads and faults of the policy bench. */
+import type { RandomSource, ServiceWeights } from '@marjoramcart/core';
+import { EngineTiming } from '../fakes/fake-target.js';
+
+export interface User {
+  readonly name: string;
+  readonly regions: readonly string[];
+  readonly mbitPerS: number;
+  readonly oneWayMs: number;
+  readonly weights: ServiceWeights;
+}
+
+/** The two users of section 1 of the design, with the weights of their model services. */
+export const users: readonly User[] = [
+  {
+    name: 'telgitoo',
+    regions: ['north', 'central', 'west'],
+    mbitPerS: 1500,
+    oneWayMs: 80,
+    weights: { tail: 3, cost: 1, away: 1 },
+  },
+  {
+    name: 'afilados',
+    regions: ['biobio', 'araucania', 'los-rios'],
+    mbitPerS: 100,
+    oneWayMs: 80,
+    weights: { tail: 1, cost: 3, away: 3 },
+  },
+];
+
+export type Fault = 'half-lost' | 'cut' | 'flood';
+
+export interface Scenario {
+  readonly name: string;
+  /** Share of the capacity of all regions. */
+  readonly load: number;
+  readonly lagMs: number;
+  readonly eventLoss: number;
+  readonly fault?: Fault;
+}
+
+const base = { load: 0.7, lagMs: 500, eventLoss: 0 };
+
+export const scenarios: readonly Scenario[] = [
+  { ...base, name: 'load-70' },
+  { ...base, name: 'load-95', load: 0.95 },
+  { ...base, name: 'load-100', load: 1 },
+  { ...base, name: 'load-130', load: 1.3 },
+  { ...base, name: 'half-lost', fault: 'half-lost' },
+  { ...base, name: 'cut', fault: 'cut' },
+  { ...base, name: 'flood', fault: 'flood' },
+  { ...base, name: 'lag-2s', load: 0.95, lagMs: 2000 },
+  { ...base, name: 'lag-5s', load: 0.95, lagMs: 5000 },
+  { ...base, name: 'events-lost', load: 0.95, eventLoss: 0.3 },
+];
+
+/** Sizes and times of the workload. */
+export const Workload = {
+  RunnersPerRegion: 12,
+  PlainPerRegion: 3,
+  EntriesPerRegion: 2,
+  /** Requests a second that one runner answers at a prefix hit rate of about 70%; measured. */
+  RunnerCapacityPerS: 5.5,
+  /** Bookings and orders for each model call. */
+  PlainShare: 0.1,
+  BoundShare: 0.17,
+  /** Share of model calls that may not be repeated. */
+  NotRepeatableShare: 0.05,
+  /** Amplitude of the daily peak; the peaks of the regions are a third of a day apart. */
+  PeakAmplitude: 0.3,
+  DayMs: 90_000,
+  WarmUpMs: 10_000,
+  DrainMs: 25_000,
+  FaultAtMs: 40_000,
+  CutMs: 20_000,
+  CustomersPerRegion: 100,
+  /** Exponent of the customers' shares of the load. */
+  CustomerSkew: 0.8,
+  PrefixTokens: 1200,
+  /** Mean of the part of the prompt that is not shared. */
+  OwnTokens: 400,
+  MinAnswerTokens: 40,
+  ExtraAnswerTokens: 60,
+  MaxAnswerTokens: 300,
+  BytesPerToken: 4,
+  PlainMs: 30,
+  DeadlineMs: 20_000,
+  /** Load that the flooding customer adds, as a share of one region's capacity. */
+  FloodShare: 0.6,
+  FirstTokenTargetMs: 1300,
+  StepTargetMs: 72,
+} as const;
+
+export const FLOOD_CUSTOMER = 'flood';
+
+/** One call of a customer. */
+export interface Call {
+  readonly id: string;
+  readonly customer: string;
+  readonly region: string;
+  readonly at: number;
+  readonly plain: boolean;
+  readonly bound: boolean;
+  readonly repeatable: boolean;
+  readonly prefix?: string;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  readonly bodyBytes: number;
+}
+
+const customerWeights = Array.from(
+  { length: Workload.CustomersPerRegion },
+  (_, at) => 1 / (at + 1) ** Workload.CustomerSkew,
+);
+const totalCustomerWeight = customerWeights.reduce((sum, weight) => sum + weight, 0);
+
+/** Calls a second of a region at a time. */
+export function regionRate(scenario: Scenario, regionAt: number, now: number): number {
+  const phase = 2 * Math.PI * (now / Workload.DayMs - regionAt / 3);
+  const capacity = Workload.RunnersPerRegion * Workload.RunnerCapacityPerS;
+  return scenario.load * capacity * (1 + Workload.PeakAmplitude * Math.cos(phase));
+}
+
+/** Draws a call; `customer` overrides the drawn one. */
+export function drawCall(
+  id: string,
+  region: string,
+  now: number,
+  random: RandomSource,
+  customer?: string,
+): Call {
+  const owner = customer ?? `${region}-${drawCustomer(random)}`;
+  const plain = customer === undefined && random.next() < Workload.PlainShare;
+  const bound = random.next() < Workload.BoundShare;
+  const repeatable = !plain && random.next() >= Workload.NotRepeatableShare;
+  const own = Math.ceil(-Workload.OwnTokens * Math.log(1 - random.next()));
+  const extra = Math.ceil(-Workload.ExtraAnswerTokens * Math.log(1 - random.next()));
+  const promptTokens = plain ? 0 : Workload.PrefixTokens + own;
+  return {
+    id,
+    customer: owner,
+    region,
+    at: now,
+    plain,
+    bound,
+    repeatable,
+    prefix: plain ? undefined : `prefix-${owner}`,
+    promptTokens,
+    answerTokens: Math.min(Workload.MaxAnswerTokens, Workload.MinAnswerTokens + extra),
+    bodyBytes: plain ? 300 : promptTokens * Workload.BytesPerToken,
+  };
+}
+
+function drawCustomer(random: RandomSource): number {
+  let rest = random.next() * totalCustomerWeight;
+  const at = customerWeights.findIndex((weight) => {
+    rest -= weight;
+    return rest < 0;
+  });
+  return Math.max(0, at);
+}
+
+/** Prefill time of a prompt of which the prefix is cached or not, in ms. */
+export function prefillMs(promptTokens: number, cached: boolean): number {
+  return (promptTokens - (cached ? Workload.PrefixTokens : 0)) / EngineTiming.PrefillTokensPerMs;
+}
