Bound affinity by concurrency and keep floods out of the window

Cause: at 130% load goodput was 79% of that at 100%, and a flood raised the other customers' first-token p99 from 333 to 727 ms or more, since the flood filled the window and the engines' batches.

Change: these values as defaults; FairnessPolicy.pop takes an optional test of customers; maxWaitTargets, heavyShare and heavyFill in the admission window. The deadline test now turns the latency rule off, since it guards the deadline rule; a test of its own guards the latency rule.

--- a/packages/bench/src/policies/entry-driver.ts
+++ b/packages/bench/src/policies/entry-driver.ts
@@ -72,7 +72,7 @@
         window: 1,
         queuePerCustomer: QUEUE_PER_CUSTOMER,
         maxQueued: MAX_QUEUED,
-        maxWaitTargets: system.maxWaitTargets,
+        ...system.admission,
       });
     this.admissions = { model: admission(), plain: admission() };
     targets.forEach(({ vm }) =>
--- a/packages/bench/src/policies/systems.ts
+++ b/packages/bench/src/policies/systems.ts
@@ -14,6 +14,7 @@
   type DomainPolicy,
   type FairnessPolicy,
   type TargetPolicy,
+  type WindowAdmissionOptions,
 } from '@marjoramcart/core';
 
 export interface System {
@@ -22,8 +23,7 @@
   readonly target: () => TargetPolicy;
   readonly domain: () => DomainPolicy;
   readonly fairness: () => FairnessPolicy;
-  /** Early refusal above this multiple of the latency target. */
-  readonly maxWaitTargets?: number;
+  readonly admission?: Partial<WindowAdmissionOptions>;
 }
 
 const targets: Readonly<Record<string, () => TargetPolicy>> = {
@@ -44,6 +44,7 @@
     target,
     domain,
     fairness: () => new FirstComePolicy(),
+    admission: { maxWaitTargets: Infinity, heavyShare: Infinity },
   })),
 );
 
@@ -51,7 +52,6 @@
   isBaseline: false,
   target: (): TargetPolicy => new BoundedAffinityTargetPolicy(),
   domain: (): DomainPolicy => new WeightedCostDomainPolicy(),
-  maxWaitTargets: 1,
 };
 
 /** Name of the combination that is the default in the entry daemon. */
--- a/packages/core/src/admission/admission-policy.ts
+++ b/packages/core/src/admission/admission-policy.ts
@@ -28,8 +28,8 @@
 export interface FairnessPolicy {
   readonly name: string;
   push(req: AdmissionRequest): void;
-  /** Takes the next request, if there is one. */
-  pop(now: number): AdmissionRequest | undefined;
+  /** Takes the next request of the customers that may run one now; of all when left out. */
+  pop(now: number, mayRun?: (customer: string) => boolean): AdmissionRequest | undefined;
   /** Takes a request out, for example when its caller has gone. */
   remove(id: string): AdmissionRequest | undefined;
   finished(req: AdmissionRequest, outcome: AdmissionOutcome, now: number): void;
--- a/packages/core/src/admission/admission.test.ts
+++ b/packages/core/src/admission/admission.test.ts
@@ -5,7 +5,10 @@
 import { ExperientialFairnessPolicy } from './experiential-fairness-policy.js';
 import { FirstComePolicy } from './first-come-policy.js';
 import { TokenCountPolicy } from './token-count-policy.js';
-import { WindowAdmissionController } from './window-admission-controller.js';
+import {
+  WindowAdmissionController,
+  type WindowAdmissionOptions,
+} from './window-admission-controller.js';
 
 function request(id: string, customer: string, own: Partial<AdmissionRequest> = {}) {
   return {
@@ -66,6 +69,14 @@
 test('every policy returns each queued request once and forgets removed ones', () => {
   [new FirstComePolicy(), new TokenCountPolicy(), new ExperientialFairnessPolicy()].forEach(
     (policy) => {
+      assert.equal(flooded(policy).pop(0, (customer) => customer === 'quiet')?.customer, 'quiet');
+      policy.push(request('q1', 'quiet'));
+      policy
+        .queued()
+        .slice(0, 50)
+        .forEach(({ id }) => policy.remove(id));
+      assert.equal(policy.size, 1);
+      policy.pop(0);
       flooded(policy).remove('f7');
       assert.equal(policy.queuedOf('flood'), 49);
       const ids = Array.from({ length: 50 }, (_, at) => policy.pop(at * 200)?.id);
@@ -85,11 +96,15 @@
   assert.equal(policy.pop(0)?.customer, 'missed');
 });
 
-function controller(window: number): WindowAdmissionController {
+function controller(
+  window: number,
+  own: Partial<WindowAdmissionOptions> = {},
+): WindowAdmissionController {
   return new WindowAdmissionController(new TokenCountPolicy(), {
     window,
     queuePerCustomer: 2,
     maxQueued: 10,
+    ...own,
   });
 }
 
@@ -105,7 +120,7 @@
 });
 
 test('a request whose deadline cannot be met is refused or expires, and never runs', () => {
-  const admission = controller(1);
+  const admission = controller(1, { maxWaitTargets: Infinity });
   admission.offer(request('1', 'a'), 0);
   admission.release('1', { cost: 100 }, 1000);
   admission.offer(request('2', 'a'), 1000);
@@ -119,6 +134,32 @@
   assert.deepEqual(admission.release('2', { cost: 1 }, 5600), []);
 });
 
+test('a request that would wait beyond its latency target is refused at once', () => {
+  // Guards against a long queue at overload in which every answer is late.
+  const admission = controller(1);
+  admission.offer(request('1', 'a'), 0);
+  admission.release('1', { cost: 100 }, 1000);
+  admission.offer(request('2', 'a', { arrivedAt: 1000 }), 1000);
+  const late = admission.offer(request('3', 'b', { arrivedAt: 1000 }), 1000);
+  assert.deepEqual(late, { kind: 'refused', reason: 'deadline-unreachable' });
+});
+
+test('a heavy customer leaves room in the window and others pass its queue', () => {
+  // Guards against a flood that fills the window, so that every other customer waits for a slot.
+  const admission = controller(10, { queuePerCustomer: 20, maxQueued: 100 });
+  admission.offer(request('q1', 'quiet'), 0);
+  const flood = Array.from({ length: 12 }, (_, at) => admission.offer(request(`f${at}`, 'f'), 0));
+  assert.equal(flood.filter(({ kind }) => kind === 'admitted').length, 5);
+  assert.equal(admission.offer(request('q2', 'quiet'), 0).kind, 'admitted');
+  assert.deepEqual(admission.release('q2', { cost: 100 }, 100), []);
+});
+
+test('the only customer of a service may use the whole window', () => {
+  const admission = controller(10);
+  const all = Array.from({ length: 10 }, (_, at) => admission.offer(request(`${at}`, 'a'), 0));
+  assert.ok(all.every(({ kind }) => kind === 'admitted'));
+});
+
 test('limits of requests, tokens and streams are divided by the share', () => {
   const limits = new CustomerLimits();
   const config = { requests_per_s: 4, tokens_per_s: 2000, streams: 2 };
--- a/packages/core/src/admission/customer-queues.ts
+++ b/packages/core/src/admission/customer-queues.ts
@@ -41,9 +41,12 @@
     return this.byCustomer.get(customer)?.size ?? 0;
   }
 
-  /** The request that arrived first. */
-  oldest(): AdmissionRequest | undefined {
-    return this.byId.values().next().value;
+  /** The request that arrived first, of the customers that pass the test. */
+  oldest(test?: (customer: string) => boolean): AdmissionRequest | undefined {
+    if (!test) return this.byId.values().next().value;
+    const passing = new Set(this.customers.filter(test));
+    if (passing.size === 0) return undefined;
+    return this.all().find(({ customer }) => passing.has(customer));
   }
 
   /** The customer's request with the highest priority; the oldest of equals. */
--- a/packages/core/src/admission/experiential-fairness-policy.ts
+++ b/packages/core/src/admission/experiential-fairness-policy.ts
@@ -64,9 +64,13 @@
     this.order.splice(this.order.length - advance, 0, req);
   }
 
-  pop(now: number): AdmissionRequest | undefined {
+  pop(
+    now: number,
+    mayRun: (customer: string) => boolean = () => true,
+  ): AdmissionRequest | undefined {
     this.runRound(now);
-    const chosen = this.takeBonus() ?? this.takeInOrder();
+    const eligible = this.order.filter(({ customer }) => mayRun(customer));
+    const chosen = this.takeBonus(eligible) ?? this.takeInOrder(eligible);
     return chosen && this.remove(chosen.id);
   }
 
@@ -151,18 +155,18 @@
     });
   }
 
-  private takeBonus(): AdmissionRequest | undefined {
-    const req = this.order.find(({ customer }) => this.account(customer).bonus > 0);
+  private takeBonus(eligible: readonly AdmissionRequest[]): AdmissionRequest | undefined {
+    const req = eligible.find(({ customer }) => this.account(customer).bonus > 0);
     if (req) this.account(req.customer).bonus -= 1;
     return req;
   }
 
-  private takeInOrder(): AdmissionRequest | undefined {
-    const first = this.order[0];
+  private takeInOrder(eligible: readonly AdmissionRequest[]): AdmissionRequest | undefined {
+    const [first] = eligible;
     if (!first) return undefined;
     const debtor = this.account(first.customer);
     if (debtor.debt === 0) return first;
     debtor.debt -= 1;
-    return leastBy(this.order, ({ customer }) => this.account(customer).debt);
+    return leastBy(eligible, ({ customer }) => this.account(customer).debt);
   }
 }
--- a/packages/core/src/admission/first-come-policy.ts
+++ b/packages/core/src/admission/first-come-policy.ts
@@ -15,8 +15,8 @@
     this.queues.add(req);
   }
 
-  pop(): AdmissionRequest | undefined {
-    const req = this.queues.oldest();
+  pop(_now?: number, mayRun?: (customer: string) => boolean): AdmissionRequest | undefined {
+    const req = this.queues.oldest(mayRun);
     return req && this.queues.remove(req.id);
   }
 
--- a/packages/core/src/admission/token-count-policy.ts
+++ b/packages/core/src/admission/token-count-policy.ts
@@ -41,8 +41,12 @@
     this.queues.add(req);
   }
 
-  pop(): AdmissionRequest | undefined {
-    const customer = leastBy(this.queues.customers, (id) => this.counterOf(id));
+  pop(
+    _now?: number,
+    mayRun: (customer: string) => boolean = () => true,
+  ): AdmissionRequest | undefined {
+    const customers = this.queues.customers.filter(mayRun);
+    const customer = leastBy(customers, (id) => this.counterOf(id));
     const req = customer === undefined ? undefined : this.queues.firstOf(customer);
     if (!req) return undefined;
     this.queues.remove(req.id);
--- a/packages/core/src/admission/window-admission-controller.ts
+++ b/packages/core/src/admission/window-admission-controller.ts
@@ -16,13 +16,21 @@
   readonly maxQueued: number;
   /** Bound of the customer's queue by its class. */
   readonly queuePerCustomerOf?: (req: AdmissionRequest) => number | undefined;
-  /**
-   * Also refuses when the expected wait is above this multiple of the latency target; unlimited
-   * when left out.
-   */
+  /** Also refuses when the expected wait is above this multiple of the latency target. */
   readonly maxWaitTargets?: number;
+  /** A customer that holds this share of the window, and an equal share or more, is heavy. */
+  readonly heavyShare?: number;
+  /** Heavy customers get more only while less than this share of the window is used. */
+  readonly heavyFill?: number;
 }
 
+/** Values of the options that are left out; `Infinity` turns a rule off. */
+export const WINDOW_ADMISSION_DEFAULTS = {
+  maxWaitTargets: 0.7,
+  heavyShare: 0.15,
+  heavyFill: 0.5,
+} as const;
+
 interface RunningRequest {
   readonly req: AdmissionRequest;
   readonly admittedAt: number;
@@ -42,6 +50,11 @@
 export class WindowAdmissionController implements AdmissionController {
   private readonly runningById = new Map<string, RunningRequest>();
 
+  private readonly runningByCustomer = new Map<string, number>();
+
+  private readonly options: Required<Omit<WindowAdmissionOptions, 'queuePerCustomerOf'>> &
+    Pick<WindowAdmissionOptions, 'queuePerCustomerOf'>;
+
   private window: number;
 
   private meanHoldMs = 0;
@@ -50,8 +63,9 @@
 
   constructor(
     private readonly fairness: FairnessPolicy,
-    private readonly options: WindowAdmissionOptions,
+    options: WindowAdmissionOptions,
   ) {
+    this.options = { ...WINDOW_ADMISSION_DEFAULTS, ...options };
     this.window = options.window;
   }
 
@@ -65,10 +79,12 @@
 
   offer(req: AdmissionRequest, now: number): AdmissionDecision {
     if (req.deadlineAt <= now) return { kind: 'refused', reason: 'expired' };
-    if (this.fairness.size === 0 && this.running < this.window) {
+    // Requests that wait although the window has room belong to heavy customers; others pass them.
+    if (this.running < this.window && this.mayRun(req.customer)) {
       // The policy sees the request too, since it counts what a customer was given.
       this.fairness.push(req);
-      this.admit(now);
+      this.fairness.pop(now, (customer) => customer === req.customer);
+      this.start(req, now);
       return { kind: 'admitted' };
     }
     const bound = this.options.queuePerCustomerOf?.(req) ?? this.options.queuePerCustomer;
@@ -86,6 +102,7 @@
     const ended = this.runningById.get(id);
     if (!ended) return [];
     this.runningById.delete(id);
+    this.countRunning(ended.req.customer, -1);
     this.recordHold(now - ended.admittedAt);
     this.fairness.finished(ended.req, outcome, now);
     return this.admit(now);
@@ -113,7 +130,7 @@
    * policy that serves customers in turn lets a customer with few requests pass a long queue.
    */
   expectedWaitMs(customer: string): number {
-    if (this.fairness.size === 0 && this.running < this.window) return 0;
+    if (this.running < this.window && this.mayRun(customer)) return 0;
     const customers = this.fairness.customersQueued ?? Infinity;
     const inTurns = (this.fairness.queuedOf(customer) + 1) * (customers + 1);
     const ahead = Math.min(this.fairness.size + 1, inTurns);
@@ -121,7 +138,7 @@
   }
 
   private isReachable(req: AdmissionRequest, waitMs: number, now: number): boolean {
-    const { maxWaitTargets = Infinity } = this.options;
+    const { maxWaitTargets } = this.options;
     if (now + waitMs - req.arrivedAt > maxWaitTargets * req.latencyTargetMs) return false;
     return now + waitMs + this.shortestHoldMs < req.deadlineAt;
   }
@@ -129,14 +146,34 @@
   private admit(now: number): AdmissionRequest[] {
     const admitted: AdmissionRequest[] = [];
     while (this.running < this.window) {
-      const req = this.fairness.pop(now);
+      const req = this.fairness.pop(now, (customer) => this.mayRun(customer));
       if (!req) break;
-      this.runningById.set(req.id, { req, admittedAt: now });
+      this.start(req, now);
       admitted.push(req);
     }
     return admitted;
   }
 
+  private start(req: AdmissionRequest, now: number): void {
+    this.runningById.set(req.id, { req, admittedAt: now });
+    this.countRunning(req.customer, 1);
+  }
+
+  private mayRun(customer: string): boolean {
+    const { heavyShare, heavyFill } = this.options;
+    const own = this.runningByCustomer.get(customer) ?? 0;
+    // Without the equal share the only customer of a service could not use the whole window.
+    const equalShare = 1 / Math.max(1, this.runningByCustomer.size);
+    const isHeavy = own >= Math.max(heavyShare, equalShare) * this.window;
+    return !isHeavy || this.running < heavyFill * this.window;
+  }
+
+  private countRunning(customer: string, change: number): void {
+    const count = (this.runningByCustomer.get(customer) ?? 0) + change;
+    if (count > 0) this.runningByCustomer.set(customer, count);
+    else this.runningByCustomer.delete(customer);
+  }
+
   private recordHold(holdMs: number): void {
     this.meanHoldMs =
       this.meanHoldMs === 0
--- a/packages/core/src/routing/bounded-affinity-target-policy.ts
+++ b/packages/core/src/routing/bounded-affinity-target-policy.ts
@@ -16,7 +16,7 @@
 export const BOUNDED_AFFINITY_DEFAULTS: BoundedAffinityOptions = {
   samples: 2,
   loadFactor: 1.25,
-  replicas: 2,
+  replicas: 1,
 };
 
 /**
@@ -79,7 +79,8 @@
         1,
         sum(({ state }) => state.concurrency),
       );
-    return ({ state }) => Math.ceil(this.options.loadFactor * mean * state.concurrency);
+    return ({ state: { concurrency } }) =>
+      Math.min(concurrency, Math.ceil(this.options.loadFactor * mean * concurrency));
   }
 
   private chooseSampled(
--- a/packages/core/src/routing/weighted-cost-domain-policy.ts
+++ b/packages/core/src/routing/weighted-cost-domain-policy.ts
@@ -22,7 +22,7 @@
 }
 
 export const WEIGHTED_COST_DEFAULTS: WeightedCostOptions = {
-  awayMs: 200,
+  awayMs: 50,
   marginMs: 100,
   answerBytesPerToken: 200,
   maxAgeMs: 10_000,
