Let a customer's weight raise its share of the window

Cause: the rule that keeps a flood out of the window also holds back a customer that is large by contract, once another customer is active.

Ruled out: exempting customers by their past share, since a long flood would then become its own excuse.

Change: the share from which a customer is heavy is multiplied by the weight of its class.

Conclusion: operators give large customers a class with a larger weight. A customer of weight 1 with more than 15% of a service's load still loses the upper half of the window while others are active.

--- a/packages/core/src/admission/admission.test.ts
+++ b/packages/core/src/admission/admission.test.ts
@@ -164,6 +164,15 @@
   assert.ok(all.every(({ kind }) => kind === 'admitted'));
 });
 
+test('a larger weight raises the share that makes a customer heavy', () => {
+  const admission = controller(10);
+  admission.offer(request('q1', 'quiet'), 0);
+  const large = Array.from({ length: 9 }, (_, at) =>
+    admission.offer(request(`l${at}`, 'large', { weight: 10 }), 0),
+  );
+  assert.ok(large.every(({ kind }) => kind === 'admitted'));
+});
+
 test('limits of requests, tokens and streams are divided by the share', () => {
   const limits = new CustomerLimits();
   const config = { requests_per_s: 4, tokens_per_s: 2000, streams: 2 };
--- a/packages/core/src/admission/window-admission-controller.ts
+++ b/packages/core/src/admission/window-admission-controller.ts
@@ -18,7 +18,10 @@
   readonly queuePerCustomerOf?: (req: AdmissionRequest) => number | undefined;
   /** Also refuses when the expected wait is above this multiple of the latency target. */
   readonly maxWaitTargets?: number;
-  /** A customer that holds this share of the window, and an equal share or more, is heavy. */
+  /**
+   * A customer of weight 1 that holds this share of the window, and an equal share or more, is
+   * heavy. The share grows with the weight, for customers that are large by contract.
+   */
   readonly heavyShare?: number;
   /** Heavy customers get more only while less than this share of the window is used. */
   readonly heavyFill?: number;
@@ -31,6 +34,11 @@
   heavyFill: 0.5,
 } as const;
 
+interface CustomerSlots {
+  readonly count: number;
+  readonly weight: number;
+}
+
 interface RunningRequest {
   readonly req: AdmissionRequest;
   readonly admittedAt: number;
@@ -50,7 +58,7 @@
 export class WindowAdmissionController implements AdmissionController {
   private readonly runningById = new Map<string, RunningRequest>();
 
-  private readonly runningByCustomer = new Map<string, number>();
+  private readonly runningByCustomer = new Map<string, CustomerSlots>();
 
   private readonly options: Required<Omit<WindowAdmissionOptions, 'queuePerCustomerOf'>> &
     Pick<WindowAdmissionOptions, 'queuePerCustomerOf'>;
@@ -102,7 +110,7 @@
     const ended = this.runningById.get(id);
     if (!ended) return [];
     this.runningById.delete(id);
-    this.countRunning(ended.req.customer, -1);
+    this.countRunning(ended.req, -1);
     this.recordHold(now - ended.admittedAt);
     this.fairness.finished(ended.req, outcome, now);
     return this.admit(now);
@@ -156,21 +164,21 @@
 
   private start(req: AdmissionRequest, now: number): void {
     this.runningById.set(req.id, { req, admittedAt: now });
-    this.countRunning(req.customer, 1);
+    this.countRunning(req, 1);
   }
 
   private mayRun(customer: string): boolean {
     const { heavyShare, heavyFill } = this.options;
-    const own = this.runningByCustomer.get(customer) ?? 0;
+    const { count, weight } = this.runningByCustomer.get(customer) ?? { count: 0, weight: 1 };
     // Without the equal share the only customer of a service could not use the whole window.
     const equalShare = 1 / Math.max(1, this.runningByCustomer.size);
-    const isHeavy = own >= Math.max(heavyShare, equalShare) * this.window;
+    const isHeavy = count >= Math.max(heavyShare * weight, equalShare) * this.window;
     return !isHeavy || this.running < heavyFill * this.window;
   }
 
-  private countRunning(customer: string, change: number): void {
-    const count = (this.runningByCustomer.get(customer) ?? 0) + change;
-    if (count > 0) this.runningByCustomer.set(customer, count);
+  private countRunning({ customer, weight }: AdmissionRequest, change: number): void {
+    const count = (this.runningByCustomer.get(customer)?.count ?? 0) + change;
+    if (count > 0) this.runningByCustomer.set(customer, { count, weight });
     else this.runningByCustomer.delete(customer);
   }
 
