Keep gossip within 7 KB/s a daemon at the expected size

Change: one peer a second in place of two, with changes of health, leaving marks, revision and list announced to all peers at once; no second push between failure domains, whose choice prefers the oldest of three summaries; versions for the services and the entries in a summary; figures that change by one rounding step wait for the refresh; the second prober speaks only when a prober sees a fault; shorter digests and headers.

--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -65,7 +65,13 @@
   });
   const config = new ConfigTask({ state, platform, peers: gossip, metrics, log });
   const client = new TargetClient(settings.dial_map, count);
-  const probes = new ProbeTask({ state, client, metrics, log });
+  const probes = new ProbeTask({
+    state,
+    client,
+    metrics,
+    log,
+    onTransition: () => gossip.announce('platform'),
+  });
   const orders = new OrderTask({ state, client, metrics, log });
   const peers = new PeerTask({ state, gossip, server, address: settings.listen.peers, log });
   const refresh = metricsRefresher(state, metrics, rpc, server);
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -10,17 +10,19 @@
   type GossipParams,
   type GossipResult,
   type MergedTarget,
-  type ProcessRef,
   type RandomSource,
-  type SummaryVersions,
 } from '@marjoramcart/core';
 import type { Logger, RpcClient, Task } from '@marjoramcart/platform';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ChangeSource, ControlState } from '../control-state.js';
 import type { PeerFetch } from '../config/config-task.js';
 
-/** Peers of the own failure domain that one daemon contacts each second. */
-const FAN_OUT = 2;
+/**
+ * Peers of the own failure domain that one daemon contacts each second. What must be known at once
+ * is announced to all peers, so one is enough for the load figures; each more costs about 1.6 KB/s.
+ */
+const FAN_OUT = 1;
+const REMOTE_CANDIDATES = 3;
 const RPC_TIMEOUT_MS = 1000;
 /** A whole configuration of 25,000 customers is some MB. */
 const FETCH_TIMEOUT_MS = 2500;
@@ -44,6 +46,9 @@
   /** Own heartbeat that each peer is known to hold. */
   private readonly sentTo = new Map<string, number>();
 
+  /** Whether this daemon publishes the summary of its failure domain. */
+  private publishing = false;
+
   private readonly fetching = new Set<string>();
 
   private unsubscribe: (() => void)[] = [];
@@ -88,7 +93,11 @@
     const controls = state.vms.current.vms.filter(({ role }) => role === 'entry');
     const domains = new Set(controls.map(({ failureDomain }) => failureDomain));
     domains.delete(state.self.failureDomain);
-    const [domain] = this.pick([...domains], 1);
+    // Of a few random domains, the one with the oldest summary, so that none expires by bad luck.
+    const nowMs = state.timers.now();
+    const [domain] = this.pick([...domains], REMOTE_CANDIDATES).sort(
+      (a, b) => state.summaries.ageOf(b, nowMs) - state.summaries.ageOf(a, nowMs),
+    );
     const [control] = this.pick(
       controls.filter(({ failureDomain }) => failureDomain === domain),
       1,
@@ -101,7 +110,7 @@
     }
   }
 
-  /** Tells all live peers of the failure domain that there is something new. */
+  /** Tells all live peers of the failure domain at once that there is something new. */
   announce(source: ChangeSource): void {
     // A peer that learnt of it in the failure domain leaves the announcement to the first one.
     if (source === 'own-domain') return;
@@ -126,8 +135,6 @@
       summaries: params.summaryVersions
         ? state.summaries.updatesSince(params.summaryVersions, nowMs)
         : [],
-      // The peer may hold newer summaries than this daemon, which it pushes on its next contact.
-      ...(!own && { summaryVersions: state.summaries.versions() }),
       suspects: state.suspects.messageTo(from.region, state.cfg, nowMs),
     };
   }
@@ -158,20 +165,9 @@
     }
     metrics.gossip.inc({ result: 'ok' });
     this.take(result.value);
-    const { summaryVersions, from } = result.value;
-    if (summaryVersions) await this.pushSummaries(from, summaryVersions);
     this.noteSent(address, params, state.self.bootId);
   }
 
-  /** Sends a peer of another failure domain the summaries that it lacks. */
-  private async pushSummaries(peer: ProcessRef, held: SummaryVersions): Promise<void> {
-    const { state, rpc } = this.options;
-    const summaries = state.summaries.updatesSince(held, state.timers.now());
-    if (summaries.length === 0) return;
-    const params = { ...this.head(), summaries, suspects: [] };
-    await rpc.call(peer.peerAddress, 'gossip.exchange', params, RPC_TIMEOUT_MS);
-  }
-
   private noteSent(address: string, params: GossipParams, self: string): void {
     const sent = params.origins?.find(({ bootId }) => bootId === self);
     if (sent) this.sentTo.set(address, sent.heartbeat);
@@ -252,7 +248,8 @@
     const nowMs = state.timers.now();
     state.members.tick(state.config.revision, nowMs);
     const { failureDomain, bootId } = state.self;
-    if (!isSummarizer(failureDomain, bootId, state.liveControlIds())) return;
+    this.publishing = isSummarizer(failureDomain, bootId, state.liveControlIds());
+    if (!this.publishing) return;
     const services = Object.keys(state.cfg?.services ?? {});
     state.summaries.publish(
       summarizeServices(services, state.targetStates()),
@@ -278,6 +275,7 @@
     region = this.options.state.self.region,
   ): GossipParams {
     const { state } = this.options;
+    const nowMs = state.timers.now();
     return {
       ...this.head(),
       ...(own && {
@@ -285,8 +283,12 @@
         origins: [state.members.ownUpdate(this.sentTo.get(address))],
       }),
       ...(withSummaries && { summaryVersions: state.summaries.versions() }),
-      summaries: [],
-      suspects: state.suspects.messageTo(region, state.cfg, state.timers.now()),
+      // Within the failure domain only its publisher has news about it.
+      summaries:
+        own && !this.publishing
+          ? []
+          : state.summaries.ownUpdate({ nowMs, wallMs: state.timers.wall() }),
+      suspects: state.suspects.messageTo(region, state.cfg, nowMs),
     };
   }
 
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -1,5 +1,6 @@
 /** Probes the targets of the failure domain that this daemon is a prober of. */
 import {
+  FAILURES_TO_EXCLUDE,
   MembershipTiming,
   proberRank,
   quantise,
@@ -18,10 +19,14 @@
   readonly client: TargetClient;
   readonly metrics: ControlMetrics;
   readonly log: Logger;
+  /** Called after a round in which a target's health or leaving mark changed. */
+  readonly onTransition: () => void;
 }
 
-/** The second prober publishes only what matters at once: failures and leaving. */
+/** The first prober publishes the load; the second only speaks when a prober sees a fault. */
 const PUBLISHING_RANK = 0;
+/** Finer ages would only make the messages longer. */
+const AGE_STEP_MS = 100;
 
 export class ProbeTask implements Task {
   readonly name = 'probes';
@@ -53,6 +58,7 @@
   async probeAll(): Promise<void> {
     const { state } = this.options;
     const live = state.liveControlIds();
+    const before = this.marks();
     await Promise.all(
       state.targets.targets.map(async (record) => {
         const rank = proberRank(record.vm, state.self.bootId, live);
@@ -64,6 +70,19 @@
         }
       }),
     );
+    if (this.marks() !== before) this.options.onTransition();
+  }
+
+  /** Own opinions on health and leaving, in a form to compare. */
+  private marks(): string {
+    const { targets, self } = this.options.state;
+    return targets.targets
+      .map(({ vm }) => {
+        const opinion = targets.opinionOf(vm, self.bootId);
+        const excluded = (opinion?.failures ?? 0) >= FAILURES_TO_EXCLUDE;
+        return `${vm} ${excluded} ${opinion?.report.leaving}`;
+      })
+      .join();
   }
 
   private async probe(record: VmRecord, rank: number): Promise<void> {
@@ -92,6 +111,10 @@
     const { state } = this.options;
     const opinion = state.targets.opinionOf(vm, state.self.bootId);
     if (!opinion) return;
+    if (rank !== PUBLISHING_RANK && !state.targets.isInDoubt(vm)) {
+      state.members.withdrawTarget(vm);
+      return;
+    }
     state.members.publishTarget(itemOf(vm, opinion, rank), nowMs);
   }
 }
@@ -109,7 +132,11 @@
     waitMs: load ? quantise(report.waitMs) : 0,
     concurrency: report.concurrency,
     sequence: load ? report.sequence : 0,
-    ageMs: report.ageMs,
+    ageMs: roundTo(report.ageMs, AGE_STEP_MS),
     ...(report.models && { models: report.models }),
   };
 }
+
+function roundTo(value: number, step: number): number {
+  return Math.round(value / step) * step;
+}
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -12,7 +12,7 @@
   TargetItem,
 } from '../messages/messages.js';
 import { MembershipTiming } from './membership-timing.js';
-import { quantise } from './quantise.js';
+import { near, quantise } from './quantise.js';
 
 /** Unchanged items are repeated after this time, before their copies expire. */
 const REFRESH_MS = 3000;
@@ -228,8 +228,14 @@
 }
 
 function sameTarget(a: TargetItem, b: TargetItem): boolean {
-  const figures = ({ sequence: _, ageMs: __, ...rest }: TargetItem): string => JSON.stringify(rest);
-  return figures(a) === figures(b);
+  const facts = ({ services, leaving, failures, concurrency, models }: TargetItem): string =>
+    JSON.stringify([services, leaving, failures, concurrency, models]);
+  return (
+    facts(a) === facts(b) &&
+    near(a.running, b.running) &&
+    near(a.queued, b.queued) &&
+    near(a.waitMs, b.waitMs)
+  );
 }
 
 function dropOlder<Value>(items: Map<string, Stamped<Value>>, limitMs: number): void {
--- a/packages/core/src/membership/quantise.ts
+++ b/packages/core/src/membership/quantise.ts
@@ -2,6 +2,9 @@
 
 const EXACT_BELOW = 4;
 const STEPS_PER_DOUBLING = 2;
+/** Load figures vary with each request; one step of `quantise` up or down is near. */
+const NEAR_ABSOLUTE = 2;
+const NEAR_SHARE = 0.4;
 
 /**
  * Rounds to one of two steps per doubling; numbers below 4 are kept.
@@ -13,3 +16,12 @@
   const exponent = Math.round(Math.log2(value) * STEPS_PER_DOUBLING) / STEPS_PER_DOUBLING;
   return Math.round(2 ** exponent);
 }
+
+/**
+ * Whether a figure changed too little to be gossiped at once.
+ *
+ * @example near(100, 130) // true
+ */
+export function near(a: number, b: number): boolean {
+  return Math.abs(a - b) <= Math.max(NEAR_ABSOLUTE, NEAR_SHARE * Math.max(a, b));
+}
--- a/packages/core/src/membership/summary-table.ts
+++ b/packages/core/src/membership/summary-table.ts
@@ -1,7 +1,7 @@
 /**
  * Summaries of all failure domains, by version. One control daemon of each failure domain publishes
- * its summary; the others only pass it on. The list of entries has a version of its own, since it
- * is large and seldom changes.
+ * its summary; the others only pass it on. Services and entries have versions of their own, so that
+ * a summary that only shows that its failure domain is alive is short.
  */
 import type {
   DomainSummary,
@@ -13,15 +13,18 @@
   TargetState,
 } from '../messages/messages.js';
 import { MembershipTiming } from './membership-timing.js';
-import { quantise } from './quantise.js';
+import { near, quantise } from './quantise.js';
 
 /** Least time between two summaries of a failure domain; a third of the time to expiry. */
 const PUBLISH_INTERVAL_MS = 3000;
 /** Versions count seconds from here, so that a restarted failure domain goes on with higher ones. */
 const VERSION_EPOCH_MS = 1_780_000_000_000;
 
+const PARTS_SENT_UNASKED_S = 5;
+
 interface StoredSummary {
   readonly summary: DomainSummary;
+  readonly servicesVersion: number;
   readonly entriesVersion: number;
   readonly madeAt: number;
 }
@@ -42,16 +45,16 @@
 
   /** Publishes the summary of the own failure domain; false while the last one is too recent. */
   publish(
-    services: readonly ServiceSummary[],
+    latest: readonly ServiceSummary[],
     entries: readonly EntrySummary[],
     { nowMs, wallMs }: SummaryClock,
   ): boolean {
     const before = this.stored.get(this.failureDomain);
     if (before && nowMs - before.madeAt < PUBLISH_INTERVAL_MS) return false;
-    const wallVersion = Math.floor((wallMs - VERSION_EPOCH_MS) / 1000);
-    const version = Math.max((before?.summary.version ?? 0) + 1, wallVersion);
-    const sameEntries =
-      before && JSON.stringify(before.summary.entries) === JSON.stringify(entries);
+    const version = Math.max((before?.summary.version ?? 0) + 1, versionAt(wallMs));
+    const services = latest.map((service) => steady(service, before?.summary.services));
+    const same = (part: 'services' | 'entries', value: unknown): boolean =>
+      JSON.stringify(before?.summary[part]) === JSON.stringify(value);
     this.stored.set(this.failureDomain, {
       summary: {
         failureDomain: this.failureDomain,
@@ -61,18 +64,23 @@
         services,
         entries,
       },
-      entriesVersion: sameEntries ? before.entriesVersion : version,
+      servicesVersion: before && same('services', services) ? before.servicesVersion : version,
+      entriesVersion: before && same('entries', entries) ? before.entriesVersion : version,
       madeAt: nowMs,
     });
     return true;
   }
 
-  /** Versions of the summaries and of their entry lists. */
+  /** Versions of the summaries and of their parts. */
   versions(): SummaryVersions {
     return Object.fromEntries(
-      [...this.stored].map(([domain, { summary, entriesVersion }]) => [
+      [...this.stored].map(([domain, { summary, servicesVersion, entriesVersion }]) => [
         domain,
-        [summary.version, entriesVersion] as const,
+        [
+          summary.version,
+          summary.version - servicesVersion,
+          summary.version - entriesVersion,
+        ] as const,
       ]),
     );
   }
@@ -80,25 +88,51 @@
   /** What a holder of `held` lacks. */
   updatesSince(held: SummaryVersions, nowMs: number): SummaryUpdate[] {
     return [...this.stored.values()]
-      .filter(({ summary }) => summary.version > (held[summary.failureDomain]?.[0] ?? 0))
-      .map(({ summary, entriesVersion, madeAt }) => ({
+      .map((stored) => ({ stored, parts: heldParts(held, stored.summary.failureDomain) }))
+      .filter(({ stored, parts }) => stored.summary.version > parts[0])
+      .map(({ stored: { summary, servicesVersion, entriesVersion, madeAt }, parts }) => ({
         failureDomain: summary.failureDomain,
         region: summary.region,
         version: summary.version,
+        servicesVersion,
         entriesVersion,
         ageMs: Math.round(nowMs - madeAt),
-        services: summary.services.map(
-          (s) => [s.service, s.readyTargets, s.waitMs, s.freeSlots] as const,
-        ),
-        ...(entriesVersion !== held[summary.failureDomain]?.[1] && { entries: summary.entries }),
+        ...(servicesVersion !== parts[1] && {
+          services: summary.services.map(
+            (s) => [s.service, s.readyTargets, s.waitMs, s.freeSlots] as const,
+          ),
+        }),
+        ...(entriesVersion !== parts[2] && { entries: summary.entries }),
       }));
   }
 
-  /** Takes newer summaries. One without its entry list is taken only if the list is held. */
+  /**
+   * The own failure domain's summary, to be sent unasked. Parts that changed a while ago are left
+   * out, since the receiver most likely holds them.
+   */
+  ownUpdate({ nowMs, wallMs }: SummaryClock): SummaryUpdate[] {
+    const own = this.stored.get(this.failureDomain);
+    if (!own) return [];
+    const since = versionAt(wallMs) - PARTS_SENT_UNASKED_S;
+    const parts = [own.servicesVersion, own.entriesVersion].map((version) =>
+      version > since ? 0 : version,
+    );
+    const held = { [this.failureDomain]: [0, -(parts[0] ?? 0), -(parts[1] ?? 0)] as const };
+    return this.updatesSince(held, nowMs).filter(
+      ({ failureDomain }) => failureDomain === this.failureDomain,
+    );
+  }
+
+  /** Takes newer summaries. One without a part is taken only if that part is held. */
   merge(updates: readonly SummaryUpdate[], nowMs: number): boolean {
     return updates.filter((update) => this.mergeOne(update, nowMs)).length > 0;
   }
 
+  /** Age of what is known of a failure domain, in ms; Infinity when nothing is. */
+  ageOf(failureDomain: string, nowMs: number): number {
+    return nowMs - (this.stored.get(failureDomain)?.madeAt ?? -Infinity);
+  }
+
   /** Summaries that are not expired, with their present age. */
   fresh(nowMs: number): DomainSummary[] {
     return [...this.stored.values()]
@@ -109,18 +143,23 @@
   private mergeOne(update: SummaryUpdate, nowMs: number): boolean {
     const before = this.stored.get(update.failureDomain);
     if (before && before.summary.version >= update.version) return false;
-    const held = before?.entriesVersion === update.entriesVersion && before.summary.entries;
-    const entries = update.entries ?? held;
-    if (!entries) return false;
-    const { failureDomain, region, version, entriesVersion, ageMs } = update;
-    const services = update.services.map(([service, readyTargets, waitMs, freeSlots]) => ({
-      service,
-      readyTargets,
-      waitMs,
-      freeSlots,
-    }));
+    const heldEntries =
+      before?.entriesVersion === update.entriesVersion ? before.summary.entries : undefined;
+    const heldServices =
+      before?.servicesVersion === update.servicesVersion ? before.summary.services : undefined;
+    const entries = update.entries ?? heldEntries;
+    const services =
+      update.services?.map(([service, readyTargets, waitMs, freeSlots]) => ({
+        service,
+        readyTargets,
+        waitMs,
+        freeSlots,
+      })) ?? heldServices;
+    if (!entries || !services) return false;
+    const { failureDomain, region, version, servicesVersion, entriesVersion, ageMs } = update;
     this.stored.set(failureDomain, {
       summary: { failureDomain, region, version, ageMs, services, entries },
+      servicesVersion,
       entriesVersion,
       madeAt: nowMs - ageMs,
     });
@@ -128,6 +167,27 @@
   }
 }
 
+/** The figures published before, if the present ones are near them. */
+function steady(present: ServiceSummary, before: readonly ServiceSummary[] = []): ServiceSummary {
+  const last = before.find(({ service }) => service === present.service);
+  const same =
+    last?.readyTargets === present.readyTargets &&
+    near(last.waitMs, present.waitMs) &&
+    near(last.freeSlots, present.freeSlots);
+  return same ? last : present;
+}
+
+/** Versions of a summary and its parts from a digest; 0 for what is not held. */
+function heldParts(held: SummaryVersions, domain: string): [number, number, number] {
+  const [version, servicesBehind, entriesBehind] = held[domain] ?? [0, 0, 0];
+  return [version, version - servicesBehind, version - entriesBehind];
+}
+
+/** Version of a summary made at a time. */
+function versionAt(wallMs: number): number {
+  return Math.floor((wallMs - VERSION_EPOCH_MS) / 1000);
+}
+
 /**
  * Sums up the targets of a failure domain by service, rounded.
  *
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -139,6 +139,13 @@
     return this.cutOff;
   }
 
+  /** Whether any prober reports failures or leaving, so that the others must speak as well. */
+  isInDoubt(vm: string): boolean {
+    return [...(this.opinions.get(vm)?.values() ?? [])].some(
+      ({ failures, report }) => failures > 0 || report.leaving,
+    );
+  }
+
   /** Models of an engine as its probers last saw them; empty when it is not known. */
   modelsOf(vm: string): readonly string[] {
     const newest = [...(this.opinions.get(vm)?.values() ?? [])]
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -173,18 +173,22 @@
   readonly entriesPerRegion: Readonly<Record<string, number>>;
 }
 
-/** By failure domain: version of its summary and version of the list of entries in it. */
-export type SummaryVersions = Readonly<Record<string, readonly [number, number]>>;
+/**
+ * By failure domain: version of its summary, and how far the versions of the services and of the
+ * entries in it are behind that. Differences are short numbers.
+ */
+export type SummaryVersions = Readonly<Record<string, readonly [number, number, number]>>;
 
-/** A summary as it is gossiped; `entries` is left out when the receiver holds that version. */
+/** A summary as it is gossiped; parts that the receiver holds in their version are left out. */
 export interface SummaryUpdate {
   readonly failureDomain: string;
   readonly region: string;
   readonly version: number;
+  readonly servicesVersion: number;
   readonly entriesVersion: number;
   readonly ageMs: number;
   /** Service, ready targets, wait in ms and free slots. */
-  readonly services: readonly (readonly [string, number, number, number])[];
+  readonly services?: readonly (readonly [string, number, number, number])[];
   readonly entries?: readonly EntrySummary[];
 }
 
--- a/packages/platform/src/rpc/compression.ts
+++ b/packages/platform/src/rpc/compression.ts
@@ -6,7 +6,7 @@
 
 /** Smaller messages gain less than the compression costs. */
 const MIN_BYTES = 512;
-const FAST_LEVEL = 3;
+const LEVEL = 6;
 
 const deflate = promisify<Buffer, { level: number }, Buffer>(deflateRaw);
 const inflate = promisify<Buffer, { maxOutputLength: number }, Buffer>(inflateRaw);
@@ -27,7 +27,7 @@
   const data = Buffer.from(text, 'utf8');
   if (data.length < MIN_BYTES) return { data, headers: {} };
   const headers = { 'content-encoding': ENCODING };
-  return { data: await deflate(data, { level: FAST_LEVEL }), headers };
+  return { data: await deflate(data, { level: LEVEL }), headers };
 }
 
 /**
--- a/packages/platform/src/rpc/rpc-client.ts
+++ b/packages/platform/src/rpc/rpc-client.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'error'; readonly error: RpcError };
 
 const DEFAULT_TIMEOUT_MS = 2000;
+/** Request line, host and connection, which Node.js adds. */
+const NODE_HEADER_BYTES = 72;
 
 export class RpcClient {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 8 });
@@ -83,7 +85,8 @@
       [SENDER_HEADER]: this.sender,
       [AUTH_HEADER]: this.auth.sign({ path: RPC_PATH, sender: this.sender, content: body }),
     };
-    this.bytes.sent += body.length + headerBytes(Object.entries(headers).flat().map(String));
+    this.bytes.sent +=
+      body.length + headerBytes(Object.entries(headers).flat().map(String)) + NODE_HEADER_BYTES;
     return new Promise((resolve) => {
       const fail = (error: RpcError): void => resolve({ kind: 'error', error });
       const req = http.request(
--- a/packages/platform/src/rpc/rpc-server.ts
+++ b/packages/platform/src/rpc/rpc-server.ts
@@ -13,7 +13,7 @@
 export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const BODY_TIMEOUT_MS = 5000;
 /** Status line and headers of an answer, with those that Node.js adds. */
-const RESPONSE_HEADER_BYTES = 180;
+const RESPONSE_HEADER_BYTES = 145;
 /** Method whose messages do not leave the VM. */
 const LOCAL_METHOD = '"method":"entry.sync"';
 
@@ -88,6 +88,8 @@
     bytes.received += body.data.length + headerBytes(req.rawHeaders);
     const answer = await encodeBody(JSON.stringify((await this.server.receiveJSON(text)) ?? null));
     bytes.sent += answer.data.length + RESPONSE_HEADER_BYTES;
+    // Saves bytes; daemons do not use the date of an answer.
+    res.sendDate = false;
     res.writeHead(200, {
       'content-type': 'application/json',
       'content-length': answer.data.length,
