--- a/packages/control/src/config/config-task.ts
+++ b/packages/control/src/config/config-task.ts
@@ -12,6 +12,8 @@
 
 const DUTY_CHECK_MS = 250;
 const RETRY_MS = 1000;
+/** The message of a refused text goes with each gossip message. */
+const MAX_MESSAGE_LENGTH = 300;
 /** Pause between two watches that end at once, so that a faulty service is not flooded. */
 const MIN_WATCH_INTERVAL_MS = 50;
 
@@ -38,6 +40,9 @@
 
   private watch: AbortController | undefined;
 
+  /** Revision of the last stale answer, which is logged once. */
+  private lastStale = -1;
+
   constructor(private readonly options: ConfigTaskOptions) {
     this.log = options.log.child('config');
   }
@@ -189,7 +194,7 @@
     }
     const [first] = result.faults;
     const message = first
-      ? `${first.file}:${first.line}:${first.column}: ${first.message}`
+      ? `${first.file}:${first.line}:${first.column}: ${first.message}`.slice(0, MAX_MESSAGE_LENGTH)
       : 'the text is invalid';
     state.config.reject({ revision, message });
     this.log.warn('configuration rejected, the last accepted one stays in force', {
@@ -203,6 +208,8 @@
     const { state, metrics } = this.options;
     metrics.staleAnswers.inc();
     state.text.countStale();
+    if (revision === this.lastStale) return;
+    this.lastStale = revision;
     this.log.warn('configuration service is behind, answer ignored', {
       answered: revision,
       inForce: state.config.revision,
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -28,7 +28,7 @@
 
 /** Fields that change with the time alone; they are no reason to send a view again. */
 const AGE_FIELDS = new Set(['ageMs', 'reportAgeMs', 'expiresInMs', 'heartbeat']);
-const VIEW_REBUILD_MS = 100;
+const VIEW_REBUILD_MS = 200;
 
 export class ControlState {
   readonly config = new ConfigStore();
--- a/packages/control/src/daemon.test.ts
+++ b/packages/control/src/daemon.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { isWatcher } from '@marjoramcart/core';
 import type { ControlDaemon } from './daemon.js';
 import {
   MAIN_TEXT,
@@ -94,14 +95,26 @@
   assert.ok(performance.now() - startedAt < 3000);
 });
 
+test('three control daemons: another one watches when a watcher is lost', async () => {
+  const watchers = daemons.filter(({ state }) =>
+    isWatcher('north-1', state.self.bootId, state.liveControlIds()),
+  );
+  await watchers[0]?.kernel.stop();
+  await until('one watch left', () => platform.pending === 1);
+  await until('two watches again', () => platform.pending === 2);
+  platform.write('config/main', MAIN_TEXT.replace('priority: 10', 'priority: 30'));
+  const left = daemons.filter((daemon) => daemon !== watchers[0]);
+  await until('new revision', () => left.every(({ state }) => state.config.revision === 4), 6000);
+});
+
 test('three control daemons: a daemon starts from a peer while the configuration service is down', async () => {
   platform.close();
   const late = await startDaemon({
     vm: 'e9',
     platformUrl: platform.url,
-    seeds: [addresses[0] ?? ''],
+    seeds: addresses,
   });
   daemons.push(late);
   await until('open', () => late.state.opened);
-  assert.equal(late.state.config.revision, 2);
+  assert.equal(late.state.config.revision, 4);
 });
--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -73,7 +73,16 @@
     onTransition: () => gossip.announce('platform'),
   });
   const orders = new OrderTask({ state, client, metrics, log });
-  const peers = new PeerTask({ state, gossip, server, address: settings.listen.peers, log });
+  const peers = new PeerTask({
+    state,
+    gossip,
+    server,
+    probeNow: (vms) => {
+      void probes.probeAll(vms);
+    },
+    address: settings.listen.peers,
+    log,
+  });
   const refresh = metricsRefresher(state, metrics, rpc, server);
   const { admin: address } = settings.listen;
   const admin = new AdminTask({ state, metrics: registry, refresh, address, log });
--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -3,15 +3,22 @@
 import type { ControlState } from '../control-state.js';
 
 /**
- * Handles one sync of an entry daemon.
+ * Handles one sync of an entry daemon. Targets that failed on the entry's own connections are passed
+ * to `probeNow`.
  *
  * @example syncEntryDaemon(state, params).revision
  */
-export function syncEntryDaemon(state: ControlState, params: EntrySyncParams): EntrySyncResult {
+export function syncEntryDaemon(
+  state: ControlState,
+  params: EntrySyncParams,
+  probeNow: (vms: readonly string[]) => void = () => {},
+): EntrySyncResult {
   const nowMs = state.timers.now();
   state.members.registerEntry(params.process, params.load, params.revision, nowMs);
   state.config.witness(params.witnessedRevision);
   state.suspects.merge(params.suspects, nowMs);
+  const failing = params.observations.filter(({ failures, successes }) => failures > successes);
+  if (failing.length > 0) probeNow(failing.map(({ vm }) => vm));
   // Before the cold start is over, a peer may still hold a newer configuration.
   const current = state.opened ? state.config.current : undefined;
   const view = state.domainView();
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -183,6 +183,7 @@
     state.summaries.merge(message.summaries, nowMs);
     state.suspects.merge(message.suspects, nowMs);
     state.config.witness(message.revision);
+    if (message.rejected) state.config.reject(message.rejected);
     const source = own ? 'own-domain' : 'other-domain';
     if (message.revision > state.config.revision) void this.fetchConfig(from.peerAddress, source);
     if (message.vmListVersion > state.vms.current.version) {
@@ -258,12 +259,13 @@
     );
   }
 
-  private head(): Pick<GossipParams, 'from' | 'revision' | 'rejectedRevision' | 'vmListVersion'> {
+  private head(): Pick<GossipParams, 'from' | 'revision' | 'rejected' | 'vmListVersion'> {
     const { state } = this.options;
+    const { rejected } = state.config;
     return {
       from: state.self,
       revision: state.config.revision,
-      rejectedRevision: state.config.rejected?.revision ?? 0,
+      ...(rejected && { rejected }),
       vmListVersion: state.vms.current.version,
     };
   }
--- a/packages/control/src/peers/peer-task.ts
+++ b/packages/control/src/peers/peer-task.ts
@@ -16,6 +16,8 @@
   readonly state: ControlState;
   readonly gossip: GossipTask;
   readonly server: RpcServer;
+  /** Probes targets that an entry saw failing, before their next turn. */
+  readonly probeNow: (vms: readonly string[]) => void;
   readonly address: string;
   readonly log: Logger;
 }
@@ -27,7 +29,7 @@
 
   constructor(options: PeerTaskOptions) {
     const { state, gossip, server, log } = options;
-    server.method('entry.sync', (params) => syncEntryDaemon(state, params));
+    server.method('entry.sync', (params) => syncEntryDaemon(state, params, options.probeNow));
     server.method('gossip.exchange', (params) => gossip.answer(params));
     server.method('config.fetch', ({ held, revision }) => {
       const { current } = state.config;
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -54,13 +54,14 @@
     return Promise.resolve();
   }
 
-  /** Probes each target that is due; resolves when all answered or failed. */
-  async probeAll(): Promise<void> {
+  /** Probes each target that is due, or those of `only`; resolves when all answered or failed. */
+  async probeAll(only?: readonly string[]): Promise<void> {
     const { state } = this.options;
     const live = state.liveControlIds();
     const before = this.marks();
+    const targets = state.targets.targets.filter(({ vm }) => !only || only.includes(vm));
     await Promise.all(
-      state.targets.targets.map(async (record) => {
+      targets.map(async (record) => {
         const rank = proberRank(record.vm, state.self.bootId, live);
         if (rank < 0) {
           this.reports.delete(record.vm);
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -227,7 +227,8 @@
 export interface GossipParams {
   readonly from: ProcessRef;
   readonly revision: number;
-  readonly rejectedRevision: number;
+  /** Latest refused text above the revision in force. */
+  readonly rejected?: { readonly revision: number; readonly message: string };
   readonly vmListVersion: number;
   /** Digest and newer parts of the process table; between daemons of one failure domain. */
   readonly heartbeats?: Heartbeats;
--- a/packages/platform/src/rpc/rpc-server.ts
+++ b/packages/platform/src/rpc/rpc-server.ts
@@ -64,15 +64,15 @@
       return;
     }
     const sender = String(req.headers[SENDER_HEADER] ?? '');
-    const result = this.auth.verify(req.headers[AUTH_HEADER] as string | undefined, {
+    const verdict = this.auth.verify(req.headers[AUTH_HEADER] as string | undefined, {
       path: RPC_PATH,
       sender,
       content: body.data,
     });
-    if (result.kind === 'refused') {
+    if (verdict.kind === 'refused') {
       this.refusedCount += 1;
       this.log.warn('message refused: not authenticated', {
-        reason: result.failure.kind,
+        reason: verdict.failure.kind,
         from: req.socket.remoteAddress,
       });
       res.writeHead(401, { connection: 'close' }).end();
@@ -84,9 +84,14 @@
       res.writeHead(400, { connection: 'close' }).end();
       return;
     }
-    const bytes = text.includes(LOCAL_METHOD) ? this.localBytes : this.bytes;
+    const local = text.includes(LOCAL_METHOD);
+    const bytes = local ? this.localBytes : this.bytes;
     bytes.received += body.data.length + headerBytes(req.rawHeaders);
-    const answer = await encodeBody(JSON.stringify((await this.server.receiveJSON(text)) ?? null));
+    const result = JSON.stringify((await this.server.receiveJSON(text)) ?? null);
+    // Compression would cost more than it saves on loopback.
+    const answer = local
+      ? { data: Buffer.from(result, 'utf8'), headers: {} }
+      : await encodeBody(result);
     bytes.sent += answer.data.length + RESPONSE_HEADER_BYTES;
     // Saves bytes; daemons do not use the date of an answer.
     res.sendDate = false;
