Test control daemons of two failure domains and check suspects on receipt

Cause: summaries, revisions and refused digests between failure domains were tested on the stores only; a receiver relied on the sender's check of residency.

--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -3,6 +3,7 @@
   MembershipTiming,
   applyDelta,
   isSummarizer,
+  mayKnowSuspect,
   seededRandom,
   sectionHashes,
   summarizeEntries,
@@ -181,7 +182,12 @@
     const own = from.failureDomain === state.self.failureDomain;
     if (own) this.takeTargets(state.members.merge(origins, nowMs), nowMs);
     state.summaries.merge(message.summaries, nowMs);
-    state.suspects.merge(message.suspects, nowMs);
+    const { cfg } = state;
+    // Checked on both sides, since the sender may have another configuration.
+    const allowed = message.suspects.filter(
+      (record) => cfg && mayKnowSuspect(cfg, record, state.self.region),
+    );
+    state.suspects.merge(allowed, nowMs);
     state.config.witness(message.revision);
     if (message.rejected) state.config.reject(message.rejected);
     const source = own ? 'own-domain' : 'other-domain';
--- a/packages/control/src/testing/domain.ts
+++ b/packages/control/src/testing/domain.ts
@@ -38,13 +38,14 @@
   readonly platformUrl: string;
   readonly address?: string;
   readonly seeds?: string[];
+  /** Region and failure domain; north and north-1 when left out. */
+  readonly place?: { region: string; failure_domain: string };
 }
 
-/** Starts a control daemon of failure domain north-1. */
+/** Starts a control daemon. */
 export async function startDaemon(options: DaemonOptions): Promise<ControlDaemon> {
   const settings = controlSettingsSchema.parse({
-    region: 'north',
-    failure_domain: 'north-1',
+    ...(options.place ?? { region: 'north', failure_domain: 'north-1' }),
     vm: options.vm,
     fleet_secret: SECRET,
     listen: { peers: options.address ?? freeAddress(), admin: '127.0.0.1:0' },
