--- a/packages/control/src/control-metrics.ts
+++ b/packages/control/src/control-metrics.ts
@@ -8,7 +8,7 @@
   return {
     bytes: metrics.counter(
       'control_bytes_total',
-      'Bytes of messages with other VMs and the platform, with HTTP headers',
+      'Bytes of gossip, fetches, probes, orders and platform reads, with HTTP headers',
       ['direction'],
     ),
     syncBytes: metrics.counter(
@@ -37,6 +37,7 @@
     orders: metrics.counter('control_orders_total', 'Orders sent to engines', ['result']),
     targets: metrics.gauge('control_targets', 'Targets of the failure domain', ['state']),
     isolated: metrics.gauge('control_isolated', '1 while most targets failed at once'),
+    refused: metrics.gauge('control_refused_messages', 'Messages refused as not authenticated'),
     pauses: metrics.counter('control_pauses_total', 'Pauses of this process'),
   };
 }
--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -135,6 +135,7 @@
     metrics.syncBytes.inc({ direction: 'received' }, localReceived - counted.localReceived);
     Object.assign(counted, { sent, received, localSent, localReceived });
     const { config, vms, targets, timers } = state;
+    metrics.refused.set(server.refused);
     metrics.revision.set(config.revision);
     metrics.rejectedRevision.set(config.rejected?.revision ?? 0);
     metrics.vmListVersion.set(vms.current.version);
--- a/packages/control/src/probes/target-client.ts
+++ b/packages/control/src/probes/target-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of targets: load reports and orders. */
 import http from 'node:http';
+import { headerBytes } from '@marjoramcart/platform';
 import { loadReportSchema, type LoadReport } from './load-report.js';
 
 export type TargetResult<Value> =
@@ -8,6 +9,8 @@
   | { readonly kind: 'failed'; readonly message: string };
 
 const TIMEOUT_MS = 900;
+/** Request line, host and connection, which Node.js adds. */
+const REQUEST_HEADER_BYTES = 75;
 
 export class TargetClient {
   private readonly agent = new http.Agent({ keepAlive: true });
@@ -47,10 +50,11 @@
     body = '',
   ): Promise<TargetResult<unknown>> {
     const [host, port] = (this.dialMap[address] ?? address).split(':');
-    const headers = {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    };
+    // Probes are many and small, so they carry no header that is not needed.
+    const headers =
+      body === ''
+        ? {}
+        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
     return new Promise((resolve) => {
       const fail = (message: string): void => resolve({ kind: 'failed', message });
       const req = http.request({ host, port, path, method, headers, agent: this.agent }, (res) => {
@@ -59,7 +63,10 @@
         res.on('error', (err) => fail(err.message));
         res.on('end', () => {
           const data = Buffer.concat(chunks);
-          this.onBytes({ sent: body.length, received: data.length });
+          this.onBytes({
+            sent: body.length + REQUEST_HEADER_BYTES,
+            received: data.length + headerBytes(res.rawHeaders),
+          });
           resolve(resultOf(res.statusCode ?? 0, data.toString('utf8')));
         });
       });
