--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -65,9 +65,24 @@
   });
   const config = new ConfigTask({ state, platform, peers: gossip, metrics, log });
   const client = new TargetClient(settings.dial_map, count);
-  const probes = new ProbeTask({ state, client, metrics, log });
+  const probes = new ProbeTask({
+    state,
+    client,
+    metrics,
+    log,
+    onTransition: () => gossip.announce('platform'),
+  });
   const orders = new OrderTask({ state, client, metrics, log });
-  const peers = new PeerTask({ state, gossip, server, address: settings.listen.peers, log });
+  const peers = new PeerTask({
+    state,
+    gossip,
+    server,
+    probeNow: (vms) => {
+      void probes.probeAll(vms);
+    },
+    address: settings.listen.peers,
+    log,
+  });
   const refresh = metricsRefresher(state, metrics, rpc, server);
   const { admin: address } = settings.listen;
   const admin = new AdminTask({ state, metrics: registry, refresh, address, log });
@@ -120,6 +135,7 @@
     metrics.syncBytes.inc({ direction: 'received' }, localReceived - counted.localReceived);
     Object.assign(counted, { sent, received, localSent, localReceived });
     const { config, vms, targets, timers } = state;
+    metrics.refused.set(server.refused);
     metrics.revision.set(config.revision);
     metrics.rejectedRevision.set(config.rejected?.revision ?? 0);
     metrics.vmListVersion.set(vms.current.version);
