Check that streams outlast the shutdown and that bytes are recorded

The shutdown scenario could pass when its streams had ended before the signal, and the residency scenario could pass when nothing was recorded.

Streams are longer than the drain notice, none may have ended at the signal, and a scenario checks that a request that may leave is in the recorded bytes. Fleets start engines without a model, which the daemons' orders load.

--- a/tests/features/src/steps/call-steps.ts
+++ b/tests/features/src/steps/call-steps.ts
@@ -132,8 +132,15 @@
 );
 
 Then('the request is in no recorded byte', function then(this: GatewayWorld) {
-  const file = `${this.fleet.folder}/bytes-${this.marker}`;
-  // eslint-disable-next-line n/no-sync
-  const bytes = existsSync(file) ? readFileSync(file, 'latin1') : '';
-  assert.ok(!bytes.includes(`marker:${this.marker}`), 'the request left the region');
+  assert.ok(!recordedBytes(this).includes(`marker:${this.marker}`), 'the request left the region');
+});
+
+Then('the request is in the recorded bytes', function then(this: GatewayWorld) {
+  assert.ok(recordedBytes(this).includes(`marker:${this.marker}`));
 });
+
+function recordedBytes(world: GatewayWorld): string {
+  const file = `${world.fleet.folder}/bytes-${world.marker}`;
+  // eslint-disable-next-line n/no-sync
+  return existsSync(file) ? readFileSync(file, 'latin1') : '';
+}
--- a/tests/features/src/steps/shutdown-steps.ts
+++ b/tests/features/src/steps/shutdown-steps.ts
@@ -7,11 +7,13 @@
   waitFor,
   type CallResult,
   type Exit,
+  type RunRecord,
 } from '@marjoramcart/stand-ins';
 import type { GatewayWorld } from '../support/world.js';
 
 const STREAMS_BOUND_MS = 10_000;
-const STREAM_TOKENS = 200;
+/** Longer than the entry's notice of its shutdown, so that the streams outlast it. */
+const STREAM_TOKENS = 400;
 const MAX_ATTEMPTS = 5;
 
 interface LoadState {
@@ -36,12 +38,12 @@
     load.loops = Array.from({ length: callers }, (_, n) => callInLoop(this, load, region, n));
     await waitFor(
       'engines run all streams',
-      () => countStarted(this, `${this.marker}-stream-`) === streams,
+      () => countRuns(this, 'started', `${this.marker}-stream-`) === streams,
       STREAMS_BOUND_MS,
     );
     await waitFor(
       'the callers in a loop are served',
-      () => countStarted(this, `${this.marker}-loop-`) >= callers,
+      () => countRuns(this, 'started', `${this.marker}-loop-`) >= callers,
       STREAMS_BOUND_MS,
     );
   },
@@ -52,6 +54,8 @@
   async function when(this: GatewayWorld, region: string) {
     const entry = this.fleet.layout.entries.find((plan) => plan.callers === this.entry(region));
     const load = loadOf(this);
+    const prefix = `${this.marker}-stream-`;
+    assert.equal(countRuns(this, 'finished', prefix), 0, 'a stream ended before the shutdown');
     load.exit = await this.fleet.process(entry?.name ?? '').terminate();
     load.stop = true;
   },
@@ -112,10 +116,9 @@
   return callAnyEntry(world, region, marker, attempt + 1);
 }
 
-function countStarted(world: GatewayWorld, prefix: string): number {
-  return world.fleet
-    .runs()
-    .filter(({ event, marker }) => event === 'started' && marker.startsWith(prefix)).length;
+function countRuns(world: GatewayWorld, event: RunRecord['event'], prefix: string): number {
+  return world.fleet.runs().filter((run) => run.event === event && run.marker.startsWith(prefix))
+    .length;
 }
 
 function loadOf(world: GatewayWorld): LoadState {
--- a/tests/features/src/support/fleets.ts
+++ b/tests/features/src/support/fleets.ts
@@ -32,7 +32,6 @@
     config: { 'config/main': exampleConfig({ oneWayMs: ONE_WAY_MS }) },
     delayMs: ONE_WAY_MS,
     seed: SEED,
-    engineArgs: ['--models', 'manual-reader:1'],
     ...changes,
   });
   try {
--- a/tests/stand-ins/src/demo/main.ts
+++ b/tests/stand-ins/src/demo/main.ts
@@ -29,7 +29,6 @@
   domains: exampleDomains,
   config: { 'config/main': exampleConfig({ oneWayMs: ONE_WAY_MS }) },
   delayMs: ONE_WAY_MS,
-  engineArgs: ['--models', 'manual-reader:1'],
 });
 ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, () => stopped.abort()));
 try {
