--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -79,6 +79,24 @@
   assert.equal(target.calls.length, 0);
 });
 
+test('a faulty request on a reused connection gets its code', async (t) => {
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  const closed = new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  socket.write(`GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${API_KEY}\r\n\r\n`);
+  await until(() => Buffer.concat(received).toString('utf8').includes('"object":"list"'));
+  received.length = 0;
+  socket.write(head(API_KEY, [`x: ${'y'.repeat(20_000)}`]));
+  await closed;
+  assert.match(Buffer.concat(received).toString('utf8'), /"code":1105/);
+});
+
 test('residency is refused before the body arrives, with the entries to use', async (t) => {
   // Guards against customer data in a region where it must not be: the body is never sent here.
   const entry = await startEntry({
@@ -112,6 +130,53 @@
   assert.match(answer, /"code":2201/);
   assert.match(answer, /"address":"127.0.0.1:2"/);
   assert.match(answer, /connection: close/i);
+  const expecting = await raw(
+    entry.daemon.callers.address,
+    head(OTHER_API_KEY, ['content-length: 1000', 'expect: 100-continue']),
+  );
+  assert.match(expecting, /^HTTP\/1.1 421 /, 'the client is not asked for the body');
+  const list = await send(entry.daemon.callers.address, {
+    method: 'GET',
+    path: '/v1/entries',
+    apiKey: OTHER_API_KEY,
+  });
+  const { entries } = JSON.parse(list.body) as { entries: { key_prefix: string }[] };
+  assert.deepEqual(
+    entries.map(({ key_prefix: prefix }) => prefix),
+    ['w.'],
+  );
+});
+
+test('a caller that expects 100-continue is asked for its body once it is known', async (t) => {
+  const target = await new FakeTarget((_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).end(streamEvents(1, ['a']) + doneEvent(2));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  t.after(async () => {
+    target.crash();
+    await entry.stop();
+  });
+  const body = JSON.stringify(chatBody('x'));
+  const lines = [`content-length: ${body.length}`, 'expect: 100-continue', 'connection: close'];
+  const answer = await raw(entry.daemon.callers.address, head(API_KEY, lines) + body);
+  assert.match(answer, /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /);
+});
+
+test('status, readiness and metrics tell the state of the entry', async (t) => {
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const get = (path: string): ReturnType<typeof send> =>
+    send(entry.daemon.admin.address, { method: 'GET', path });
+  assert.equal((await get('/readyz')).status, 200);
+  const status = JSON.parse((await get('/status')).body) as Record<string, unknown>;
+  assert.equal(status.revision, 1);
+  assert.equal(status.control_lost, false);
+  await send(entry.daemon.callers.address, { body: chatBody('x') });
+  const metrics = (await get('/metrics')).body;
+  assert.match(metrics, /marjoramcart_requests_total 1/);
+  assert.match(metrics, /marjoramcart_results_total{code="4102",run="not_run"} 1/);
+  entry.daemon.state.draining = true;
+  assert.equal((await get('/readyz')).status, 503);
 });
 
 test('a sender below the minimum rate is given up', async () => {
@@ -150,6 +215,38 @@
   await assert.rejects(send(address, { body: chatBody('x') }));
 });
 
+test('a connection that becomes idle during a shutdown does not delay it', async (t) => {
+  // Guards against a shutdown that waits for the keep-alive timeout of 5 s.
+  const gate = { open: (): void => undefined };
+  const target = await new FakeTarget(async (_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).write(streamEvents(1, ['a']));
+    await new Promise<void>((resolve) => {
+      gate.open = resolve;
+    });
+    res.end(doneEvent(2));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  const body = JSON.stringify(chatBody('x'));
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  t.after(() => {
+    target.crash();
+    socket.destroy();
+  });
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  socket.write(head(API_KEY, [`content-length: ${body.length}`]) + body);
+  await until(() => received.length > 0);
+  const stopped = { done: false };
+  void entry.stop().then(() => {
+    stopped.done = true;
+  });
+  await until(() => entry.control.syncs.some(({ load }) => load.draining));
+  gate.open();
+  await until(() => stopped.done, 3000);
+  assert.match(Buffer.concat(received).toString('utf8'), /\[DONE\]/);
+});
+
 test('a digest refused elsewhere is refused here under any key', async (t) => {
   const entry = await startEntry();
   t.after(() => entry.stop());
--- a/packages/platform/src/http/listener.ts
+++ b/packages/platform/src/http/listener.ts
@@ -11,12 +11,18 @@
   readonly onError: (err: unknown) => void;
   readonly maxHeaderBytes?: number;
   readonly headersTimeoutMs?: number;
+  /**
+   * Leaves `Expect: 100-continue` to the handler, which calls `res.writeContinue()` once it wants
+   * the body. Otherwise the client is told to send the body before the handler has checked anything.
+   */
+  readonly deferContinue?: boolean;
   /** Answers a message that is not HTTP or whose headers are too large or too slow. */
   readonly onClientError?: (err: NodeJS.ErrnoException, socket: import('node:net').Socket) => void;
 }
 
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 const DEFAULT_HEADERS_TIMEOUT_MS = 5000;
+const IDLE_SWEEP_MS = 100;
 
 export class HttpListener {
   private readonly server: http.Server;
@@ -37,6 +43,11 @@
         void this.dispatch(req, res);
       },
     );
+    if (options.deferContinue === true) {
+      this.server.on('checkContinue', (req, res) => {
+        void this.dispatch(req, res);
+      });
+    }
     if (options.onClientError) {
       this.server.on('clientError', (err, socket) =>
         options.onClientError?.(err, socket as import('node:net').Socket),
@@ -71,7 +82,13 @@
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
+      // A connection whose answer began before the close becomes idle later and would stay open
+      // until the keep-alive timeout.
+      const sweep = setInterval(() => this.server.closeIdleConnections(), IDLE_SWEEP_MS);
+      this.server.close(() => {
+        clearInterval(sweep);
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
