--- a/packages/control/src/peers/domains.test.ts
+++ b/packages/control/src/peers/domains.test.ts
@@ -26,7 +26,7 @@
 
 const TWO_REGIONS = MAIN_TEXT.replace(
   'services:',
-  '  west: { failure_domains: [west-1] }\nservices:',
+  '  west: { failure_domains: [west-1], links: { north: { one_way: 1ms, mbit_per_s: 100 } } }\nservices:',
 )
   .replace('regions: [north]', 'regions: [north, west]')
   .replace(
--- /dev/null
+++ b/packages/platform/src/logs/logger.test.ts
@@ -0,0 +1,14 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createLogger } from './logger.js';
+
+test('a field named like a part of the line does not replace it', (t) => {
+  // Guards against a log line that loses its message, as a rejected configuration's once did.
+  const write = t.mock.method(process.stderr, 'write', () => true);
+  const log = createLogger({ level: 'info', format: 'json', name: 'control' });
+  log.child('config').warn('configuration rejected', { message: 'main:1:1', revision: 2 });
+  const line = JSON.parse(String(write.mock.calls[0]?.arguments[0])) as Record<string, unknown>;
+  write.mock.restore();
+  assert.equal(line.message, '[config] configuration rejected');
+  assert.equal(line.revision, 2);
+});
--- a/packages/platform/src/logs/logger.ts
+++ b/packages/platform/src/logs/logger.ts
@@ -47,11 +47,11 @@
     const line =
       options.format === LogFormat.Json
         ? JSON.stringify({
+            ...printable(fields),
             time: meta.date.toISOString(),
             level,
             name: options.name,
             message,
-            ...printable(fields),
           })
         : `${meta.date.toISOString()} ${level.padEnd(5)} ${options.name} ${message}${readable(fields)}`;
     process.stderr.write(`${line}\n`);
--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -141,7 +141,8 @@
 
   /** Publishes a value of the configuration service; returns its revision. */
   async publish(key: string, value: object | string): Promise<number> {
-    const text = typeof value === 'string' ? value : stringify(value);
+    const text =
+      typeof value === 'string' ? value : stringify(value, { aliasDuplicateObjects: false });
     const { revision } = await this.platformTest<{ revision: number }>(
       'PUT',
       `/values/${key}`,
