Measure slopes of the daemons and the hop through an entry

Cause: docs/CAPACITY.md needs figures from real daemons, and nothing measured them. Change: bench:slopes starts control and entry daemons with a farm of engines in one process (each engine has a loopback address of its own), varies one size at a time and fits a line with its residual and bend. bench:hop compares direct calls with calls through one entry and measures events, CPU and memory of that entry. Ruled out: the fleet launcher of the stand-ins, since one process for each target and a proxy link for each pair of addresses do not fit 28 failure domains on this machine.

--- /dev/null
+++ b/packages/bench/src/fleet/bench-fleet.ts
@@ -0,0 +1,210 @@
+/** Real control and entry daemons of a given number, with a farm in place of the targets. */
+import { mkdirSync, rmSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import type { VmRecord } from '@marjoramcart/core';
+import {
+  PortAllocator,
+  ProcessGroup,
+  planLayout,
+  portOf,
+  request,
+  requestJson,
+  vmRecords,
+  waitFor,
+  writeControlSettings,
+  writeEntrySettings,
+  type Layout,
+  type ManagedProcess,
+} from '@marjoramcart/stand-ins';
+import { customerValues, mainValue, modelNames, type ConfigSize } from './scaled-config.js';
+import { farmAddress } from './farm-protocol.js';
+
+/** Size of a fleet. The first failure domain is the measured one. */
+export interface FleetSize {
+  readonly domains: number;
+  /** Control daemons in the measured failure domain. */
+  readonly peers: number;
+  /** Control daemons in each other failure domain. */
+  readonly otherPeers: number;
+  /** Entry processes on each VM of the measured failure domain. */
+  readonly entriesPerVm: number;
+  /** Targets of the measured failure domain. */
+  readonly targets: number;
+  readonly customers: number;
+  readonly models: number;
+}
+
+const READY_BOUND_MS = 60_000;
+const SECRET = 'secret-of-the-bench-fleet';
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+const FARM = fileURLToPath(new URL('target-farm.js', import.meta.url));
+const PLATFORM = `${ROOT}tests/stand-ins/dist/platform/main.js`;
+/** Regions of the measured size: 28 failure domains in 12 regions. */
+const DOMAINS_PER_REGION = 2.34;
+/** More processes at once make boot times longer than the daemons' own timeouts. */
+const BOOT_BATCH = 12;
+
+export class BenchFleet {
+  private constructor(
+    readonly size: FleetSize,
+    readonly layout: Layout,
+    readonly config: ConfigSize,
+    private readonly group: ProcessGroup,
+    /** Port of all engines of the farm. */
+    readonly farmPort: number,
+  ) {}
+
+  static async start(name: string, size: FleetSize): Promise<BenchFleet> {
+    const folder = `${ROOT}out/bench-fleets/${name}-${process.pid}`;
+    // eslint-disable-next-line n/no-sync
+    rmSync(folder, { recursive: true, force: true });
+    // eslint-disable-next-line n/no-sync
+    mkdirSync(folder, { recursive: true });
+    const ports = new PortAllocator();
+    const domains = Array.from({ length: size.domains }, (_, n) => ({
+      name: `domain-${n}`,
+      region: `region-${Math.floor(n / DOMAINS_PER_REGION)}`,
+      entryVms: n === 0 ? size.peers : size.otherPeers,
+      entriesPerVm: n === 0 ? size.entriesPerVm : 0,
+    }));
+    const layout = await planLayout(domains, ports);
+    const config = { domains, models: size.models, customers: size.customers };
+    const group = new ProcessGroup(folder);
+    const fleet = new BenchFleet(size, layout, config, group, await ports.take());
+    try {
+      await fleet.startStandIns();
+      fleet.addDaemons(folder);
+      await fleet.startAll([...layout.controls, ...layout.entries].map((plan) => plan.name));
+      return fleet;
+    } catch (err) {
+      await fleet.stop();
+      throw err;
+    }
+  }
+
+  stop(): Promise<void> {
+    return this.group.stop();
+  }
+
+  process(name: string): ManagedProcess {
+    return this.group.get(name);
+  }
+
+  /** Starts processes and waits until each is ready. */
+  async startAll(names: readonly string[]): Promise<void> {
+    const batches = Array.from({ length: Math.ceil(names.length / BOOT_BATCH) }, (_, n) =>
+      names.slice(n * BOOT_BATCH, (n + 1) * BOOT_BATCH),
+    );
+    await batches.reduce<Promise<unknown>>(
+      (before, batch) =>
+        before.then(() => {
+          batch.forEach((name) => this.process(name).start());
+          return Promise.all(batch.map((name) => this.untilReady(name)));
+        }),
+      Promise.resolve(),
+    );
+  }
+
+  /** Waits until a daemon serves. */
+  async untilReady(name: string): Promise<void> {
+    const admin = this.adminOf(name);
+    const isReady = async (): Promise<boolean> =>
+      (await request('GET', `http://${admin}/readyz`)).status === 200;
+    await waitFor(`${name} is ready`, isReady, READY_BOUND_MS);
+  }
+
+  /** Publishes a value and returns its revision. */
+  async publish(key: string, value: string): Promise<number> {
+    const { revision } = await this.platform<{ revision: number }>('PUT', `/values/${key}`, value);
+    return revision;
+  }
+
+  /** Time in ms until each of the daemons has a revision in force. */
+  async timesToForce(revision: number, startedAt: number): Promise<number[]> {
+    const daemons = [...this.layout.controls, ...this.layout.entries];
+    return Promise.all(
+      daemons.map(async ({ admin, name }) => {
+        await waitFor(
+          `${name} has revision ${revision}`,
+          async () => {
+            const { revision: held } = await requestJson<{ revision: number }>(
+              'GET',
+              `http://${admin}/status`,
+            );
+            return held >= revision;
+          },
+          READY_BOUND_MS,
+        );
+        return performance.now() - startedAt;
+      }),
+    );
+  }
+
+  /** Calls of the configuration service: finished reads and pending watches. */
+  calls(): Promise<Record<'range' | 'watch' | 'pending_watches', number>> {
+    return this.platform('GET', '/calls');
+  }
+
+  private async startStandIns(): Promise<void> {
+    const { platform } = this.layout;
+    const { models, targets } = this.size;
+    this.group.add('platform', PLATFORM, [
+      ...['--port', portOf(platform.address), '--test-port', portOf(platform.testAddress)].map(
+        String,
+      ),
+    ]);
+    this.process('platform').start();
+    if (targets > 0) {
+      const args = ['--port', this.farmPort, '--count', targets, '--models', modelNames(models)];
+      this.group.add('farm', FARM, args.map(String)).start();
+    }
+    await waitFor('the platform answers', () => this.calls(), READY_BOUND_MS);
+    await this.platform('PUT', '/vms', [...vmRecords(this.layout), ...this.farmRecords()]);
+    await this.publish('config/main', mainValue(this.config));
+    await [...customerValues(this.config)].reduce<Promise<unknown>>(
+      (before, [key, value]) => before.then(() => this.publish(key, value)),
+      Promise.resolve(),
+    );
+  }
+
+  private farmRecords(): VmRecord[] {
+    const [domain] = this.config.domains;
+    return Array.from({ length: this.size.targets }, (_, n) => ({
+      vm: `target-${n}`,
+      role: 'target',
+      state: 'live',
+      region: domain?.region ?? '',
+      failureDomain: domain?.name ?? '',
+      address: farmAddress(n, this.farmPort),
+      target: { kind: 'engine', checksFencing: n % 2 === 1 },
+    }));
+  }
+
+  private addDaemons(folder: string): void {
+    const options = {
+      folder,
+      fleetSecret: SECRET,
+      logLevel: 'warn' as const,
+      seed: 1,
+      policies: {},
+    };
+    const dialing = { platformAddress: this.layout.platform.address, dialMap: {} };
+    this.layout.controls.forEach((plan) => {
+      const file = writeControlSettings(plan, this.layout, dialing, options);
+      this.group.add(plan.name, `${ROOT}packages/control/dist/main.js`, ['--config', file]);
+    });
+    this.layout.entries.forEach((plan) => {
+      const file = writeEntrySettings(plan, dialing, options);
+      this.group.add(plan.name, `${ROOT}packages/entry/dist/main.js`, ['--config', file]);
+    });
+  }
+
+  private adminOf(name: string): string {
+    const daemons = [...this.layout.controls, ...this.layout.entries];
+    return daemons.find((plan) => plan.name === name)?.admin ?? '';
+  }
+
+  private platform<Value>(method: string, path: string, body?: object | string): Promise<Value> {
+    return requestJson(method, `http://${this.layout.platform.testAddress}${path}`, body);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/scaled-config.ts
@@ -0,0 +1,92 @@
+/** Configuration texts of a given size. */
+import { createHash } from 'node:crypto';
+import { stringify } from 'yaml';
+
+export interface ConfigSize {
+  readonly domains: readonly { readonly name: string; readonly region: string }[];
+  readonly models: number;
+  readonly customers: number;
+}
+
+const KEY_LENGTH = 32;
+/** Keeps each value below 1 MB. */
+const CUSTOMERS_PER_VALUE = 8000;
+/** Share of the customers that are bound to a region. */
+const BOUND_SHARE = 0.17;
+
+/** API key of the nth customer. */
+export function customerKey(n: number): string {
+  return `key-of-customer-${n}`;
+}
+
+/** Names of the models. */
+export function modelNames(count: number): string[] {
+  return Array.from({ length: count }, (_, n) => `model-${n}`);
+}
+
+/** Value of `config/main`. `stamp` makes a text that differs in one limit. */
+export function mainValue({ domains, models }: ConfigSize, stamp = 0): string {
+  const regions = [...new Set(domains.map(({ region }) => region))];
+  const link = { one_way: '80ms', mbit_per_s: 1500 };
+  const linksOf = (at: number): object =>
+    Object.fromEntries(regions.slice(at + 1).map((name) => [name, link]));
+  return stringify({
+    format: 1,
+    regions: Object.fromEntries(
+      regions.map((region, at) => [
+        region,
+        {
+          failure_domains: domains.filter((d) => d.region === region).map(({ name }) => name),
+          links: linksOf(at),
+        },
+      ]),
+    ),
+    models: Object.fromEntries(
+      modelNames(models).map((name) => [name, { version: '1', weights_mb: 1 }]),
+    ),
+    services: Object.fromEntries(
+      modelNames(models).map((model) => [
+        `${model}-service`,
+        { kind: 'model', model, regions, targets: { min: 1, max: 1000 } },
+      ]),
+    ),
+    classes: { crews: { priority: 50 } },
+    limits: { weight_store_mbit_per_s: 1000 + stamp },
+    customers: [{ id: 'bench', key: keyHash('bench-key'), class: 'crews' }],
+  });
+}
+
+/** Values `config/customers-*`; `changed` names a customer with another limit. */
+export function customerValues(size: ConfigSize, changed = -1, stamp = 0): Map<string, string> {
+  const parts = Math.ceil(size.customers / CUSTOMERS_PER_VALUE);
+  return new Map(
+    Array.from({ length: parts }, (_, part) => [
+      `config/customers-${part}`,
+      customersValue(size, part, changed, stamp),
+    ]),
+  );
+}
+
+/** The part that holds customer `n`, with another limit for that customer. */
+export function changedPart(size: ConfigSize, n: number, stamp: number): [string, string] {
+  const part = Math.floor(n / CUSTOMERS_PER_VALUE);
+  return [`config/customers-${part}`, customersValue(size, part, n, stamp)];
+}
+
+function customersValue(size: ConfigSize, part: number, changed: number, stamp: number): string {
+  const first = part * CUSTOMERS_PER_VALUE;
+  const count = Math.min(CUSTOMERS_PER_VALUE, size.customers - first);
+  const regions = [...new Set(size.domains.map(({ region }) => region))];
+  const lines = Array.from({ length: count }, (_, k) => {
+    const n = first + k;
+    const bound = (n % 100) / 100 < BOUND_SHARE;
+    const home = bound ? `, regions: [${regions[n % regions.length]}]` : '';
+    const limits = n === changed ? `, limits: {requests_per_s: ${1 + stamp}}` : '';
+    return `  - {id: customer-${n}, key: ${keyHash(customerKey(n))}, class: crews${home}${limits}}`;
+  });
+  return `format: 1\ncustomers:\n${lines.join('\n')}\n`;
+}
+
+function keyHash(apiKey: string): string {
+  return createHash('sha256').update(apiKey).digest('hex').slice(0, KEY_LENGTH);
+}
--- /dev/null
+++ b/packages/bench/src/hop/data-path.ts
@@ -0,0 +1,193 @@
+/** Measurements of one entry process: added latency, CPU for each request and token, memory. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { BenchFleet } from '../fleet/bench-fleet.js';
+import { farmAddress, type Pace } from '../fleet/farm-protocol.js';
+import { fitLine, type LineFit, type Point } from '../measure/line-fit.js';
+import { cpuSeconds, machineLoad, residentMb } from '../measure/process-usage.js';
+import { LoadClient, percentile } from './load-client.js';
+
+/** Engines of the bench; enough for 1,000 streams at 32 each. */
+const ENGINES = 64;
+const SERVICE = 'model-0-service';
+/** A short answer, as fast as the entry takes it. */
+const SHORT: Pace = { tokens: 4, everyMs: 0 };
+const LONG_TOKENS = 1_000_000;
+const OPEN_BOUND_MS = 10_000;
+
+export interface HopFigures {
+  readonly perS: number;
+  readonly directP50Ms: number;
+  readonly directP99Ms: number;
+  readonly entryP50Ms: number;
+  readonly entryP99Ms: number;
+  readonly addedP50Ms: number;
+  readonly addedP99Ms: number;
+  readonly failed: number;
+  readonly load1: number;
+}
+
+/** CPU of the entry against a rate; x is the rate a second, y CPU seconds a second. */
+export interface CpuSeries {
+  readonly points: readonly Point[];
+  readonly fit: LineFit;
+}
+
+export class DataPath {
+  private constructor(
+    private readonly fleet: BenchFleet,
+    private readonly pid: number,
+    private readonly entryAddress: string,
+  ) {}
+
+  static async start(name: string): Promise<DataPath> {
+    const fleet = await BenchFleet.start(name, {
+      domains: 1,
+      peers: 1,
+      otherPeers: 1,
+      entriesPerVm: 1,
+      targets: ENGINES,
+      customers: 1000,
+      models: 1,
+    });
+    const [entry] = fleet.layout.entries;
+    // The entry learns of ready targets after the first probes and one sync.
+    await delay(4000);
+    return new DataPath(fleet, fleet.process(entry?.name ?? '').pid ?? 0, entry?.callers ?? '');
+  }
+
+  stop(): Promise<void> {
+    return this.fleet.stop();
+  }
+
+  /** First-token times of direct calls and calls through the entry, side by side. */
+  async hop(perS: number, forMs: number): Promise<HopFigures> {
+    const direct = this.directClient();
+    const through = this.entryClient();
+    await Promise.all([direct.run(perS, 2000, SHORT), through.run(perS, 2000, SHORT)]);
+    const [directMs, entryMs] = await Promise.all([
+      direct.run(perS, forMs, SHORT),
+      through.run(perS, forMs, SHORT),
+    ]);
+    direct.close();
+    through.close();
+    const at = (values: number[], share: number): number => percentile(values, share);
+    return {
+      perS,
+      directP50Ms: at(directMs, 0.5),
+      directP99Ms: at(directMs, 0.99),
+      entryP50Ms: at(entryMs, 0.5),
+      entryP99Ms: at(entryMs, 0.99),
+      addedP50Ms: at(entryMs, 0.5) - at(directMs, 0.5),
+      addedP99Ms: at(entryMs, 0.99) - at(directMs, 0.99),
+      failed: direct.counts.failed + through.counts.failed,
+      load1: machineLoad().load1,
+    };
+  }
+
+  /** CPU against requests a second, each with an answer of 4 events. */
+  requestSeries(rates: readonly number[], forMs: number): Promise<CpuSeries> {
+    return this.series(rates, async (perS) => {
+      const client = this.entryClient();
+      const point = await this.cpuDuring(async () => {
+        await client.run(perS, forMs, SHORT);
+        return (perS * forMs) / 1000;
+      });
+      client.close();
+      return point;
+    });
+  }
+
+  /** CPU against events a second; each event of a stream comes alone, `everyMs` after the last. */
+  tokenSeries(
+    streams: readonly number[],
+    everyMs: number,
+    forMs: number,
+  ): Promise<CpuSeries & { readonly perCore: number }> {
+    return this.series(streams, async (count) => {
+      const client = await this.openStreams(count, { tokens: LONG_TOKENS, everyMs });
+      const before = client.counts.events;
+      const point = await this.cpuDuring(async () => {
+        await delay(forMs);
+        return client.counts.events - before;
+      });
+      client.close();
+      await this.untilIdle(client);
+      return point;
+    }).then((series) => ({ ...series, perCore: 1 / series.fit.slope }));
+  }
+
+  /** Events a second of a few streams whose engines send as fast as the entry takes them. */
+  async burst(streams: number, forMs: number): Promise<{ perS: number; perCpuS: number }> {
+    const client = await this.openStreams(streams, { tokens: LONG_TOKENS, everyMs: 0 });
+    const before = client.counts.events;
+    const startedAt = performance.now();
+    const cpuBefore = await cpuSeconds(this.pid);
+    await delay(forMs);
+    const events = client.counts.events - before;
+    const cpuS = (await cpuSeconds(this.pid)) - cpuBefore;
+    const perS = (events * 1000) / (performance.now() - startedAt);
+    client.close();
+    await this.untilIdle(client);
+    return { perS, perCpuS: events / cpuS };
+  }
+
+  /** Resident memory in MB against open streams, each with an event a second. */
+  async memorySeries(counts: readonly number[], holdMs: number): Promise<CpuSeries> {
+    return this.series(counts, async (count) => {
+      const client = await this.openStreams(count, { tokens: LONG_TOKENS, everyMs: 1000 });
+      await delay(holdMs);
+      const mb = await residentMb(this.pid);
+      const { open, failed } = client.counts;
+      if (open < count) throw new Error(`${open} of ${count} streams are open, ${failed} failed`);
+      client.close();
+      await this.untilIdle(client);
+      return { x: count, y: mb };
+    });
+  }
+
+  private async series(
+    values: readonly number[],
+    measure: (value: number) => Promise<Point>,
+  ): Promise<CpuSeries> {
+    const points = await values.reduce<Promise<Point[]>>(
+      async (before, value) => [...(await before), await measure(value)],
+      Promise.resolve([]),
+    );
+    return { points, fit: fitLine(points) };
+  }
+
+  private async cpuDuring(work: () => Promise<number>): Promise<Point> {
+    const startedAt = performance.now();
+    const before = await cpuSeconds(this.pid);
+    const done = await work();
+    const seconds = (performance.now() - startedAt) / 1000;
+    return { x: done / seconds, y: ((await cpuSeconds(this.pid)) - before) / seconds };
+  }
+
+  private async openStreams(count: number, pace: Pace): Promise<LoadClient> {
+    const client = this.entryClient();
+    Array.from({ length: count }).forEach(() => {
+      void client.call(pace);
+    });
+    const bound = performance.now() + OPEN_BOUND_MS;
+    // eslint-disable-next-line no-await-in-loop
+    while (client.counts.open < count && performance.now() < bound) await delay(100);
+    return client;
+  }
+
+  private async untilIdle(client: LoadClient): Promise<void> {
+    const bound = performance.now() + OPEN_BOUND_MS;
+    // eslint-disable-next-line no-await-in-loop
+    while (client.counts.open > 0 && performance.now() < bound) await delay(100);
+    await delay(1000);
+  }
+
+  private entryClient(): LoadClient {
+    return new LoadClient({ address: this.entryAddress, service: SERVICE, apiKey: 'bench-key' });
+  }
+
+  private directClient(): LoadClient {
+    const address = farmAddress(0, this.fleet.farmPort);
+    return new LoadClient({ address, service: SERVICE, apiKey: 'bench-key' });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measure/process-usage.ts
@@ -0,0 +1,64 @@
+/** CPU time and memory of processes, and the load of the machine, from /proc. */
+import { readFile } from 'node:fs/promises';
+import os from 'node:os';
+import { request } from '@marjoramcart/stand-ins';
+
+const TICKS_PER_S = 100;
+const BYTES_PER_KB = 1024;
+const BYTES_PER_MB = 1024 * 1024;
+const PREFIX = 'marjoramcart_';
+
+/** What a daemon has used since its start. */
+export interface Usage {
+  /** User and system time in seconds. */
+  readonly cpuS: number;
+  readonly residentMb: number;
+  /** Bytes with other VMs and the platform, both directions. */
+  readonly bytes: number;
+  /** Bytes with the entries of the VM over loopback, both directions. */
+  readonly syncBytes: number;
+  readonly platformCalls: number;
+}
+
+/** CPU seconds of a process; the resolution is 10 ms. */
+export async function cpuSeconds(pid: number): Promise<number> {
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S;
+}
+
+/** Resident memory of a process in MB, now or at its highest. */
+export async function residentMb(pid: number, kind: 'VmRSS' | 'VmHWM' = 'VmRSS'): Promise<number> {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  const match = new RegExp(`${kind}:\\s+(\\d+) kB`).exec(status);
+  return (Number(match?.[1] ?? 0) * BYTES_PER_KB) / BYTES_PER_MB;
+}
+
+/** Reads the usage of a control daemon from its admin listener. */
+export async function controlUsage(admin: string): Promise<Usage> {
+  const { text } = await request('GET', `http://${admin}/metrics`);
+  return {
+    cpuS: sumOf(text, 'process_cpu_seconds_total'),
+    residentMb: sumOf(text, 'process_resident_memory_bytes') / BYTES_PER_MB,
+    bytes: sumOf(text, 'control_bytes_total'),
+    syncBytes: sumOf(text, 'control_sync_bytes_total'),
+    platformCalls: sumOf(text, 'control_platform_calls_total'),
+  };
+}
+
+/**
+ * Sum of a metric over all its labels.
+ *
+ * @example sumOf('marjoramcart_x{a="1"} 2\nmarjoramcart_x{a="2"} 3', 'x') // 5
+ */
+export function sumOf(text: string, name: string): number {
+  return text
+    .split('\n')
+    .filter((line) => line.startsWith(`${PREFIX}${name}{`) || line.startsWith(`${PREFIX}${name} `))
+    .reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+}
+
+/** Cores and load average of one minute, recorded with each result. */
+export function machineLoad(): { cores: number; load1: number } {
+  return { cores: os.cpus().length, load1: Number((os.loadavg()[0] ?? 0).toFixed(1)) };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/main.ts
@@ -0,0 +1,78 @@
+/** `npm run bench:slopes`: what the daemons use against the size of the fleet, with line fits. */
+import { mkdir, writeFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+import { Command } from 'commander';
+import { machineLoad } from '../measure/process-usage.js';
+import { fitSeries, formatSeries, type SeriesResult } from './report.js';
+import { allSeries, largestDomain, type Series } from './series.js';
+import { steadyRun, type RunTimes } from './steady-run.js';
+
+const options = new Command('bench:slopes')
+  .option('--quick', 'two series with two sizes each, in under 2 minutes')
+  .option('--series <names>', 'only these series, separated by commas')
+  .option('--largest', 'measure the largest failure domain of the planned size only')
+  .option('--window <s>', 'length of a measurement', Number, 15)
+  .option('--settle <s>', 'time from ready to the measurement', Number, 8)
+  .parse()
+  .opts<{
+    quick?: boolean;
+    series?: string;
+    largest?: boolean;
+    window: number;
+    settle: number;
+  }>();
+
+const QUICK_SERIES = ['peers', 'customers'];
+const QUICK_TIMES: RunTimes = { settleMs: 3000, windowMs: 8000 };
+const OUT = fileURLToPath(new URL('../../../../out/', import.meta.url));
+
+const times = options.quick
+  ? QUICK_TIMES
+  : { settleMs: options.settle * 1000, windowMs: options.window * 1000 };
+
+function chosenSeries(): Series[] {
+  if (options.largest) return [];
+  const names = options.series?.split(',') ?? (options.quick ? QUICK_SERIES : undefined);
+  return allSeries
+    .filter(({ name }) => names === undefined || names.includes(name))
+    .map((series) => ({
+      ...series,
+      points: options.quick
+        ? [...series.points.slice(0, 1), ...series.points.slice(2, 3)]
+        : series.points,
+    }));
+}
+
+async function runSeries({ name, unit, points }: Series): Promise<SeriesResult> {
+  const runs = await points.reduce<Promise<SeriesResult['runs']>>(
+    async (before, { x, size, changesPerDay }) => [
+      ...(await before),
+      { x, figures: await steadyRun(`${name}-${x}`, size, changesPerDay, times) },
+    ],
+    Promise.resolve([]),
+  );
+  return fitSeries({ name, unit, runs });
+}
+
+/** Writes a result as JSON and prints and writes its table. */
+async function save(name: string, result: object, table: string): Promise<void> {
+  await mkdir(OUT, { recursive: true });
+  const json = { at: new Date().toISOString(), machine: machineLoad(), times, ...result };
+  await writeFile(`${OUT}slopes-${name}.json`, `${JSON.stringify(json, null, 2)}\n`);
+  await writeFile(`${OUT}slopes-${name}.md`, `${table}\n`);
+  process.stdout.write(`${table}\n\n`);
+}
+
+await chosenSeries().reduce<Promise<unknown>>(
+  (before, series) =>
+    before.then(async () => {
+      const result = await runSeries(series);
+      await save(series.name, result, formatSeries(result));
+    }),
+  Promise.resolve(),
+);
+if (options.largest) {
+  const figures = await steadyRun('largest', largestDomain, 0, times);
+  const lines = Object.entries(figures).map(([key, value]) => `${key}: ${JSON.stringify(value)}`);
+  await save('largest', { figures }, lines.join('\n'));
+}
