Close refused connections without destroying the answer

Cause: the entry closed the connection of a refused request while its bytes still arrived. The kernel then sends a reset, on which the caller loses an answer that it has not read. After a header flood each further piece of the headers was another parser error, and the second one destroyed the socket.

Ruled out: reading the rest of every refused request. In a region that is not allowed the body must stay unread, so there the connection is only half-closed and destroyed after 1 s.

Change: lingering close. After the answer is written the connection is half-closed; the rest of the request is discarded up to 8 MB or 2 s. Later parser errors of an answered connection only count bytes. A refused forward uses the same, since a reset made a certain refusal an unknown outcome.

Conclusion: callers that send a whole body of up to 8 MB before they read get the 413. Callers that send more and do not read meanwhile may still lose it.

--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -24,6 +24,8 @@
 const MAX_DEADLINE_MS = 3_600_000;
 const BYTES_PER_KB = 1024;
 const MAX_BODY_BYTES = 4096 * BYTES_PER_KB;
+/** For rejections after the residency check and before the end of the body. */
+const READ_REST = { close: true, mayRead: true } as const;
 
 export type ParseResult =
   | { readonly kind: 'call'; readonly call: Call }
@@ -93,9 +95,9 @@
   if (residency) return residency;
   if (service.kind !== 'plain') return rejected(ResultCodes.UnknownService);
   const operations = service.operations.filter((operation) => matchesPath(operation, path));
-  if (operations.length === 0) return rejected(ResultCodes.NoSuchPath, { close: true });
+  if (operations.length === 0) return rejected(ResultCodes.NoSuchPath, READ_REST);
   const operation = operations.find(({ method }) => method === req.method);
-  if (!operation) return rejected(ResultCodes.MethodNotAllowed, { close: true });
+  if (!operation) return rejected(ResultCodes.MethodNotAllowed, READ_REST);
   const early = checkKey(deps, head, operation.repeatable);
   if (early.kind === 'rejected') return early;
   const body = await readBody(deps, head, service.max_body_kb * BYTES_PER_KB);
@@ -181,10 +183,10 @@
   if (text === undefined) {
     if (repeatable) return { kind: 'key', key: undefined };
     const prefix = keyPrefix(deps.state.self.bootId);
-    return rejected(ResultCodes.KeyRequired, { fields: { key_prefix: prefix }, close: true });
+    return rejected(ResultCodes.KeyRequired, { fields: { key_prefix: prefix }, ...READ_REST });
   }
   const key = typeof text === 'string' ? parseIdempotencyKey(text) : undefined;
-  return key ? { kind: 'key', key } : rejected(ResultCodes.KeyMalformed, { close: true });
+  return key ? { kind: 'key', key } : rejected(ResultCodes.KeyMalformed, READ_REST);
 }
 
 function deadlineMs(req: IncomingMessage, config: ServiceConfig): number | undefined {
@@ -209,7 +211,7 @@
     case 'complete':
       return { kind: 'body', body: result.body };
     case 'too-large':
-      return rejected(ResultCodes.BodyTooLarge, { close: true });
+      return rejected(ResultCodes.BodyTooLarge, READ_REST);
     case 'too-slow':
       return rejected(ResultCodes.SenderTooSlow, { close: true });
     default:
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -6,6 +6,7 @@
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
 import { Answer, errorBody, type HeaderFields } from '../relay/answer.js';
 import { rejected, type Rejection } from '../request/call.js';
+import { RefusedConnections, lingeringClose } from '../request/lingering-close.js';
 import type { CallRunner } from '../request/runner.js';
 import type { EntryState } from '../state/entry-state.js';
 import type { SyncTask } from '../sync/sync-task.js';
@@ -36,7 +37,10 @@
   /** Connections with a request in progress. */
   private readonly busy = new WeakSet<Socket>();
 
+  private readonly refused: RefusedConnections;
+
   constructor(private readonly options: CallerTaskOptions) {
+    this.refused = new RefusedConnections(options.timers);
     this.listener = new HttpListener({
       address: options.address,
       handler: (req, res) => this.handle(req, res),
@@ -139,15 +143,18 @@
   }
 
   private reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
-    const { code, detail, fields, close } = rejection;
+    const { code, detail, fields, close, mayRead = false } = rejection;
+    const unread = close === true && !req.complete;
     const answer = new Answer(res, { common: () => this.commonHeaders(), record: false });
     answer.fail(
       { code, run: code.run, attempts: 0 },
-      { fields: { ...(detail === undefined ? {} : { detail }), ...fields }, close },
+      {
+        fields: { ...(detail === undefined ? {} : { detail }), ...fields },
+        close,
+        ...(unread && { onWritten: () => lingeringClose(req, this.options.timers, mayRead) }),
+      },
     );
     this.options.metrics.onResult(code.code, code.run);
-    // The rest of the body is never read.
-    if (close && !req.complete) res.once('finish', () => req.socket.destroySoon());
   }
 
   private json(res: ServerResponse, value: unknown): void {
@@ -166,7 +173,8 @@
   }
 
   /** Answers messages that are no valid HTTP, or whose headers are too large or too slow. */
-  private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+  private onClientError(err: ClientError, socket: Socket): void {
+    if (this.refused.discard(socket, err.rawPacket?.length ?? 0)) return;
     // Within an answer the error text would become part of it.
     if (!socket.writable || this.busy.has(socket) || err.code === 'ECONNRESET') {
       socket.destroy();
@@ -182,11 +190,16 @@
       `marjoramcart-run: ${code.run}`,
       'connection: close',
     ];
-    socket.end(`${lines.join('\r\n')}\r\n\r\n${text}`);
+    this.refused.refuse(socket, `${lines.join('\r\n')}\r\n\r\n${text}`);
     this.options.metrics.onResult(code.code, code.run);
   }
 }
 
+/** Errors of the HTTP parser carry the bytes that it was given. */
+interface ClientError extends NodeJS.ErrnoException {
+  readonly rawPacket?: Buffer;
+}
+
 type Route = 'chat' | 'plain' | 'entries' | 'models';
 
 function routeOf(path: string, method: string): Route | ResultCode {
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import net from 'node:net';
 import { test } from 'node:test';
 import { SuspectTable } from '@marjoramcart/core';
@@ -19,6 +20,8 @@
   until,
 } from '../testing/harness.js';
 
+const LONG_BODY = 5_000_000;
+
 /** Sends raw text and returns all that comes back until the connection ends. */
 function raw(address: string, text: string): Promise<string> {
   const [host, port] = address.split(':');
@@ -261,3 +264,45 @@
   const answer = await send(entry.daemon.callers.address, { body });
   assert.equal(errorCode(answer.body), 4201);
 });
+
+test('a caller that reads only after it has sent a whole body over the limit gets the code', async (t) => {
+  // Guards against a reset by the closing entry, on which the caller loses the unread answer.
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const answer = await new Promise<string>((resolve, reject) => {
+    const socket = net.connect({ host, port: Number(port) });
+    const chunks: Buffer[] = [];
+    socket.on('error', reject).on('data', (chunk) => chunks.push(chunk));
+    socket.on('close', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    socket.pause();
+    socket.write(head(API_KEY, [`content-length: ${LONG_BODY}`]));
+    socket.write(Buffer.alloc(LONG_BODY, 'x'), () => socket.resume());
+  });
+  assert.match(answer, /^HTTP\/1.1 413 /);
+  assert.match(answer, /"code":1103/);
+});
+
+test('headers that are too large have their code in many pieces and on a used connection', async (t) => {
+  // Guards against a close without an answer, since each further piece is another parser error.
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const [host, port] = entry.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port), noDelay: true });
+  const chunks: Buffer[] = [];
+  socket.on('data', (chunk) => chunks.push(chunk));
+  const text = (): string => Buffer.concat(chunks).toString('utf8');
+  const closed = once(socket, 'close');
+  socket.write(`GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${API_KEY}\r\n\r\n`);
+  await until(() => text().includes('"list"'));
+  socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n');
+  await Array.from({ length: 40 }).reduce<Promise<void>>(async (before, _, index) => {
+    await before;
+    await new Promise((resolve) => {
+      socket.write(`x-${index}: ${'n'.repeat(1000)}\r\n`, resolve);
+    });
+  }, Promise.resolve());
+  await closed;
+  assert.match(text(), /HTTP\/1.1 431 /);
+  assert.match(text(), /"code":1105/);
+});
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -23,6 +23,7 @@
 import { Answer, type RecordedAnswer } from '../relay/answer.js';
 import { readLimited } from '../request/body-reader.js';
 import type { Call } from '../request/call.js';
+import { lingeringClose } from '../request/lingering-close.js';
 import type { CallRunner } from '../request/runner.js';
 import type { EntryState } from '../state/entry-state.js';
 import {
@@ -157,8 +158,12 @@
   }
 
   private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode): void {
-    this.answer(res, false).fail({ code, run: code.run, attempts: 0 }, { close: true });
-    if (!req.complete) res.once('finish', () => req.socket.destroySoon());
+    // A reset would turn a certain refusal into an unknown outcome at the sender.
+    const onWritten = (): void => lingeringClose(req, this.options.timers, false);
+    this.answer(res, false).fail(
+      { code, run: code.run, attempts: 0 },
+      { close: true, ...(!req.complete && { onWritten }) },
+    );
   }
 
   private answer(res: ServerResponse, record: boolean): Answer {
--- a/packages/entry/src/relay/answer.ts
+++ b/packages/entry/src/relay/answer.ts
@@ -40,6 +40,11 @@
   readonly headers?: HeaderFields;
   /** Closes the connection, since the rest of the request is not read. */
   readonly close?: boolean;
+  /**
+   * Called once the error body is written, when nothing of an answer was sent before. The answer
+   * is then not ended, and this function closes the connection.
+   */
+  readonly onWritten?: () => void;
 }
 
 export class Answer {
@@ -128,7 +133,10 @@
   }
 
   /** Ends the answer with an error. */
-  fail(meta: AnswerMeta, { fields = {}, headers = {}, close = false }: FailOptions = {}): void {
+  fail(
+    meta: AnswerMeta,
+    { fields = {}, headers = {}, close = false, onWritten }: FailOptions = {},
+  ): void {
     if (this.finished) return;
     this.finished = true;
     if (this.isGone) return;
@@ -143,7 +151,8 @@
         ...headers,
         ...this.metaHeaders(meta),
       });
-      this.res.end(text);
+      if (onWritten) this.res.write(text, onWritten);
+      else this.res.end(text);
       return;
     }
     // A clean end would make the truncated stream look complete.
--- a/packages/entry/src/request/call.ts
+++ b/packages/entry/src/request/call.ts
@@ -40,6 +40,8 @@
   readonly fields?: Readonly<Record<string, unknown>>;
   /** The connection can't be used again, since the rest of the request is not read. */
   readonly close?: boolean;
+  /** Residency allows this entry to read and discard the rest of the request. */
+  readonly mayRead?: boolean;
 }
 
 /**
