Keep idle connections for a second when a listener closes

Cause: http.Server.close destroys idle connections at once, among them connections that were just accepted and whose first request is on its way; the caller sees a reset. Ruled out: a longer notice, since callers that ignore it open connections until the end. Change: the listener stops accepting, answers what still arrives with 'connection: close', and destroys only connections that were idle for 1 s.

--- a/packages/platform/src/http/listener.ts
+++ b/packages/platform/src/http/listener.ts
@@ -1,6 +1,6 @@
 /** HTTP listener with a graceful close. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import net, { type AddressInfo } from 'node:net';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
@@ -17,18 +17,23 @@
    */
   readonly deferContinue?: boolean;
   /** Answers a message that is not HTTP or whose headers are too large or too slow. */
-  readonly onClientError?: (err: NodeJS.ErrnoException, socket: import('node:net').Socket) => void;
+  readonly onClientError?: (err: NodeJS.ErrnoException, socket: net.Socket) => void;
 }
 
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 const DEFAULT_HEADERS_TIMEOUT_MS = 5000;
 const IDLE_SWEEP_MS = 100;
+/** Time for a request that is on its way on an idle connection when the listener closes. */
+const CLOSE_IDLE_AFTER_MS = 1000;
 
 export class HttpListener {
   private readonly server: http.Server;
 
   private closing = false;
 
+  /** When each connection without a request in flight became idle, monotonic ms. */
+  private readonly idleSince = new Map<net.Socket, number>();
+
   constructor(private readonly options: ListenerOptions) {
     const headersTimeoutMs = options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
     this.server = http.createServer(
@@ -43,6 +48,7 @@
         void this.dispatch(req, res);
       },
     );
+    this.server.on('connection', (socket: net.Socket) => this.track(socket));
     if (options.deferContinue === true) {
       this.server.on('checkContinue', (req, res) => {
         void this.dispatch(req, res);
@@ -50,7 +56,7 @@
     }
     if (options.onClientError) {
       this.server.on('clientError', (err, socket) =>
-        options.onClientError?.(err, socket as import('node:net').Socket),
+        options.onClientError?.(err, socket as net.Socket),
       );
     }
   }
@@ -78,18 +84,19 @@
     this.closing = true;
   }
 
-  /** Stops accepting connections, closes idle ones and waits for requests in flight. */
+  /**
+   * Stops accepting connections, waits for requests in flight and closes connections that stay
+   * idle. A connection without a request is kept for a while, since a request may be on its way.
+   */
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
-      // A connection whose answer began before the close becomes idle later and would stay open
-      // until the keep-alive timeout.
-      const sweep = setInterval(() => this.server.closeIdleConnections(), IDLE_SWEEP_MS);
-      this.server.close(() => {
+      const sweep = setInterval(() => this.closeLongIdle(), IDLE_SWEEP_MS);
+      // The close of http.Server destroys idle connections at once, also those just accepted.
+      net.Server.prototype.close.call(this.server, () => {
         clearInterval(sweep);
         resolve();
       });
-      this.server.closeIdleConnections();
     });
   }
 
@@ -99,7 +106,24 @@
     this.server.closeAllConnections();
   }
 
+  private track(socket: net.Socket): void {
+    this.idleSince.set(socket, performance.now());
+    socket.once('close', () => this.idleSince.delete(socket));
+  }
+
+  private closeLongIdle(): void {
+    const limit = performance.now() - CLOSE_IDLE_AFTER_MS;
+    [...this.idleSince]
+      .filter(([, since]) => since < limit)
+      .forEach(([socket]) => socket.destroy());
+  }
+
   private async dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { socket } = req;
+    this.idleSince.delete(socket);
+    res.once('close', () => {
+      if (!socket.destroyed) this.idleSince.set(socket, performance.now());
+    });
     if (this.closing) res.setHeader('connection', 'close');
     try {
       await this.options.handler(req, res);
