Take free ports in the tests of the control daemon

Cause: fixed port ranges can collide with other test runs on the same machine. Change: test daemons listen on ports that the system reported as free.

--- a/packages/control/src/daemon.test.ts
+++ b/packages/control/src/daemon.test.ts
@@ -17,7 +17,7 @@
 
 const platform = new FakePlatform();
 const target = new FakeTarget();
-const addresses = [freeAddress(), freeAddress(), freeAddress()];
+const addresses = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
 const daemons: ControlDaemon[] = [];
 const client = testClient();
 
--- a/packages/control/src/peers/domains.test.ts
+++ b/packages/control/src/peers/domains.test.ts
@@ -20,7 +20,7 @@
 const stale = new FakePlatform();
 const target = new FakeTarget();
 const client = testClient();
-const addresses = { north: freeAddress(), west: freeAddress() };
+const addresses = { north: await freeAddress(), west: await freeAddress() };
 const daemons: ControlDaemon[] = [];
 const west = { region: 'west', failure_domain: 'west-1' };
 
--- a/packages/control/src/testing/domain.ts
+++ b/packages/control/src/testing/domain.ts
@@ -6,6 +6,7 @@
   silentLogger,
 } from '@marjoramcart/platform';
 import type { EntrySyncParams, ProcessRef, VmRecord } from '@marjoramcart/core';
+import { serve } from './fake-server.js';
 import { createControlDaemon, type ControlDaemon } from '../daemon.js';
 
 export const SECRET = 'a-shared-fleet-secret';
@@ -25,12 +26,11 @@
   - { id: c1, key: 0123456789abcdef0123456789abcdef, class: standard }
 `;
 
-let nextPort = 21_000 + (process.pid % 500) * 20;
-
-/** Reserves an address; daemons announce the port of their settings. */
-export function freeAddress(): string {
-  nextPort += 1;
-  return `127.0.0.1:${nextPort}`;
+/** A free loopback address; daemons announce the port of their settings, so it must be known. */
+export async function freeAddress(): Promise<string> {
+  const { address, close } = await serve(() => {});
+  close();
+  return address;
 }
 
 export interface DaemonOptions {
@@ -48,7 +48,7 @@
     ...(options.place ?? { region: 'north', failure_domain: 'north-1' }),
     vm: options.vm,
     fleet_secret: SECRET,
-    listen: { peers: options.address ?? freeAddress(), admin: '127.0.0.1:0' },
+    listen: { peers: options.address ?? (await freeAddress()), admin: '127.0.0.1:0' },
     platform: { config: options.platformUrl, vms: options.platformUrl },
     seeds: options.seeds ?? [],
   });
