Stop the duty check of the control daemon's configuration task with the task

Cause: the check for the watch ran on after the stop and started a new watch; each wait of a stopped task ends at once, so a watch that failed was repeated without a pause. One run of npm test hung for 10 minutes at 99% of a core. Ruled out: a fault of the launcher; the process was the unit test of the daemon, found in the watch loop with the inspector. Change: the check ends with the task. Test files that take over 3 minutes now end and fail. Conclusion: a daemon in its shutdown no longer spins while it finishes other tasks.

--- a/packages/control/src/config/config-task.ts
+++ b/packages/control/src/config/config-task.ts
@@ -1,7 +1,7 @@
 /** Reads and watches the configuration service and the list of VMs; runs the cold start. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { buildSnapshot, checkText, isWatcher, type ConfigRange } from '@marjoramcart/core';
-import type { Logger, Task } from '@marjoramcart/platform';
+import type { Logger, Task, Unsubscribe } from '@marjoramcart/platform';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ControlState } from '../control-state.js';
 import type { PlatformClient, PlatformResult } from '../platform/platform-client.js';
@@ -39,6 +39,8 @@
 
   private watch: AbortController | undefined;
 
+  private stopDutyCheck: Unsubscribe = () => {};
+
   /** Revision of the last stale answer, which is logged once. */
   private lastStale = -1;
 
@@ -49,13 +51,14 @@
   /** Starts the cold start; the daemon opens when it is over. */
   start(): Promise<void> {
     const { state } = this.options;
-    state.timers.every(DUTY_CHECK_MS, () => this.checkDuty());
+    this.stopDutyCheck = state.timers.every(DUTY_CHECK_MS, () => this.checkDuty());
     state.timers.onPause(() => this.watch?.abort());
     void this.coldStart();
     return Promise.resolve();
   }
 
   stop(): Promise<void> {
+    this.stopDutyCheck();
     this.stopped.abort();
     this.watch?.abort();
     return Promise.resolve();
@@ -104,7 +107,10 @@
   private checkDuty(): void {
     const { state } = this.options;
     const { failureDomain, bootId } = state.self;
-    const duty = state.opened && isWatcher(failureDomain, bootId, state.liveControlIds());
+    const duty =
+      !this.stopped.signal.aborted &&
+      state.opened &&
+      isWatcher(failureDomain, bootId, state.liveControlIds());
     if (duty && !this.watch) {
       const watch = new AbortController();
       this.watch = watch;
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -13,6 +13,9 @@
 const root = fileURLToPath(new URL('..', import.meta.url));
 const args = process.argv.slice(2);
 const UNIT_TEST_CONCURRENCY = 4;
+/** A file that takes longer is ended and fails; the slowest one takes about 15 s. */
+const UNIT_TEST_FILE_LIMIT_MS = 180_000;
+const FEATURES_LIMIT_MS = 25 * 60_000;
 
 /** Compiled unit tests, without those whose source is gone. */
 function unitTestFiles() {
@@ -32,7 +35,11 @@
   const results = { passed: [], failed: [] };
   const files = unitTestFiles();
   if (files.length === 0) return results;
-  const stream = run({ files, concurrency: UNIT_TEST_CONCURRENCY });
+  const stream = run({
+    files,
+    concurrency: UNIT_TEST_CONCURRENCY,
+    timeout: UNIT_TEST_FILE_LIMIT_MS,
+  });
   const isTest = ({ details, name }) => details.type !== 'suite' && !name.endsWith('.test.js');
   stream.on('test:pass', (data) => isTest(data) && results.passed.push(data.name));
   stream.on('test:fail', (data) => {
@@ -62,7 +69,7 @@
       '--format',
       'json:out/cucumber.json',
     ],
-    { cwd: root, stdio: 'inherit' },
+    { cwd: root, stdio: 'inherit', timeout: FEATURES_LIMIT_MS },
   );
   const features = JSON.parse(readFileSync(`${root}out/cucumber.json`, 'utf8'));
   features.forEach((feature) =>
