Put the registered policies in force in the entry

Cause: the entry ran simple stand-in policies (home first, least loaded, first come) and a second limits class, while the measured ones of core were only registered. Calls waited for the local window before the choice of a region, so a full window never sent one away.

Ruled out: keeping the admission before the choice. A call that is sent away needs no place at home, and the cost of home contains the wait for one.

Change: `default` names bounded-affinity, weighted-cost and token-count. The window controller of core admits with queue bounds by class; its window follows the ready targets' capacity. The order is now region, place in the window, choice anew, target. LinkBudgets makes a byte budget per region from the text's rate and link_share_percent, divided over the region's entries; forwarded bodies and answers spend it. Reports are corrected by the requests sent and ended after the report was taken. Fairness counts streamed events as output. The customer limits are those of core; the simple classes and their copy of the limits are deleted. AdmissionController has expectedWaitMs.

The dispatch tests depend on the order of targets and name their policy, since the default prefers by prefix.

A KV export is not offered to the policy, since the daemon can't carry one out.

--- a/packages/core/src/admission/admission-policy.ts
+++ b/packages/core/src/admission/admission-policy.ts
@@ -61,6 +61,8 @@
   resize(window: number, now: number): readonly AdmissionRequest[];
   /** Removes and returns queued requests whose deadline has passed or can't be met any more. */
   expire(now: number): readonly AdmissionRequest[];
+  /** Expected wait of a new request of this customer, ms. */
+  expectedWaitMs(customer: string): number;
   readonly running: number;
   readonly queuedCount: number;
 }
--- a/packages/entry/src/admission/admission-gate.ts
+++ b/packages/entry/src/admission/admission-gate.ts
@@ -5,13 +5,19 @@
   type AdmissionOutcome,
   type AdmissionRequest,
   type ResultCode,
+  type WindowAdmissionOptions,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/platform';
 import type { Call } from '../request/call.js';
 import type { EntryState } from '../state/entry-state.js';
 
-/** Window of a service without ready targets here, whose calls are forwarded. */
+/** Window of a service that lost its targets here; queued calls leave through it to be forwarded. */
 const AWAY_WINDOW = 64;
+/** Queued requests of one service. */
+const MAX_QUEUED = 2000;
+/** For customers whose class is not in the configuration. */
+const QUEUE_PER_CUSTOMER = 64;
+const OUTPUT_TOKEN_COST = 2;
 const PLAIN_LATENCY_TARGET_MS = 1000;
 
 export type Admission =
@@ -34,13 +40,18 @@
   constructor(
     private readonly state: EntryState,
     private readonly timers: TimerService,
-    private readonly create: (window: number) => AdmissionController,
+    private readonly create: (options: WindowAdmissionOptions) => AdmissionController,
   ) {}
 
   get queued(): number {
     return this.waiting.size;
   }
 
+  /** Expected wait of a new call of this customer, ms. */
+  expectedWaitMs(call: Call): number {
+    return this.controller(call).expectedWaitMs(call.customer.id);
+  }
+
   /** Waits for a place in the service's window. */
   admit(call: Call, onLeft: (listener: () => void) => () => void): Promise<Admission> {
     const controller = this.controller(call);
@@ -66,11 +77,12 @@
     const now = this.timers.now();
     this.controllers.forEach((controller, service) => {
       this.wake(controller.resize(this.window(service), now));
-      controller
-        .expire(now)
-        .forEach(({ id }) =>
-          this.settle(id, { kind: 'refused', code: ResultCodes.DeadlineExpired }),
-        );
+      controller.expire(now).forEach(({ id, deadlineAt }) =>
+        this.settle(id, {
+          kind: 'refused',
+          code: deadlineAt <= now ? ResultCodes.DeadlineExpired : ResultCodes.DeadlineUnreachable,
+        }),
+      );
     });
   }
 
@@ -94,7 +106,13 @@
   private controller(call: Call): AdmissionController {
     const found = this.controllers.get(call.service);
     if (found) return found;
-    const created = this.create(this.window(call.service));
+    const created = this.create({
+      window: this.window(call.service),
+      queuePerCustomer: QUEUE_PER_CUSTOMER,
+      maxQueued: MAX_QUEUED,
+      queuePerCustomerOf: ({ customerClass }) =>
+        this.state.config?.classes[customerClass]?.queue_per_customer,
+    });
     this.controllers.set(call.service, created);
     return created;
   }
@@ -112,15 +130,13 @@
 
   private request(call: Call): AdmissionRequest {
     const classConfig = this.state.config?.classes[call.customer.class];
-    const { promptTokens, maxTokens } = call.routed;
-    const isModel = call.config.kind === 'model';
     return {
       id: call.id,
       customer: call.customer.id,
       customerClass: call.customer.class,
       weight: classConfig?.weight ?? 1,
       priority: classConfig?.priority ?? 0,
-      cost: isModel ? promptTokens + 2 * maxTokens : 1,
+      cost: callCost(call, call.routed.maxTokens),
       arrivedAt: call.arrivedAt,
       deadlineAt: call.deadlineAt,
       latencyTargetMs:
@@ -128,3 +144,12 @@
     };
   }
 }
+
+/**
+ * Cost of a call in the unit of `AdmissionRequest.cost`.
+ *
+ * @example callCost(call, call.routed.maxTokens)
+ */
+export function callCost({ config, routed }: Call, outputTokens: number): number {
+  return config.kind === 'model' ? routed.promptTokens + OUTPUT_TOKEN_COST * outputTokens : 1;
+}
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -30,7 +30,7 @@
   readonly attempts: number;
   readonly signal: AbortSignal;
   readonly mayWrite: () => boolean;
-  readonly onEvents: () => void;
+  readonly onEvents: (events: number) => void;
 }
 
 const BUSY_STATUSES = new Set([429, 502, 503]);
@@ -83,7 +83,7 @@
     if (body.kind === 'too-large') return body;
     if (body.kind === 'truncated') return { kind: 'broken', reused: false, message: body.message };
     if (call.repeatable && BUSY_STATUSES.has(status)) return { kind: 'busy', status };
-    options.onEvents();
+    options.onEvents(0);
     answer.send(status, passedOnHeaders(res.headers), body.body, completeMeta(target.vm, attempts));
     return { kind: 'complete', status };
   }
--- a/packages/entry/src/dispatch/dispatch-progress.ts
+++ b/packages/entry/src/dispatch/dispatch-progress.ts
@@ -1,4 +1,5 @@
 /** State of one dispatch over its attempts. */
+import type { HomePlace } from '../admission/home-place.js';
 import type { Answer } from '../relay/answer.js';
 import type { Call } from '../request/call.js';
 
@@ -24,8 +25,9 @@
     readonly call: Call,
     readonly answer: Answer,
     private readonly key: KeyMarks,
+    readonly place: HomePlace,
     readonly signal: AbortSignal,
-    readonly onEvents: () => void,
+    readonly onEvents: (events: number) => void,
   ) {}
 
   get attempts(): number {
--- a/packages/entry/src/dispatch/dispatch.test.ts
+++ b/packages/entry/src/dispatch/dispatch.test.ts
@@ -35,7 +35,8 @@
   const states = targets.map((target, index) =>
     targetState(`t${index + 1}`, target, { running: index, ...change }),
   );
-  const entry = await startEntry({ targets: states });
+  // The order of the targets is part of the tests, so the policy is one without affinity.
+  const entry = await startEntry({ targets: states, targetPolicy: 'least-reported-load' });
   t.after(async () => {
     targets.forEach((target) => target.crash());
     await entry.stop();
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -11,6 +11,7 @@
   type TargetState,
 } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/platform';
+import type { HomePlace } from '../admission/home-place.js';
 import type { ForwardExchange } from '../forward/forward-exchange.js';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
 import type { Answer } from '../relay/answer.js';
@@ -66,11 +67,13 @@
 export class Dispatcher {
   constructor(private readonly options: DispatcherOptions) {}
 
+  /** `place` is taken when the call is to run in the own failure domain; the caller releases it. */
   async dispatch(
     call: Call,
     answer: Answer,
     key: KeyMarks,
-    onEvents: () => void,
+    place: HomePlace,
+    onEvents: (events: number) => void,
   ): Promise<DispatchEnd> {
     const { timers, budget, metrics } = this.options;
     const abort = new AbortController();
@@ -81,7 +84,9 @@
     budget.onRequest();
     metrics.onRequest();
     try {
-      return await this.next(new DispatchProgress(call, answer, key, abort.signal, onEvents));
+      return await this.next(
+        new DispatchProgress(call, answer, key, place, abort.signal, onEvents),
+      );
     } finally {
       stopTimer();
       stopWatch();
@@ -96,13 +101,19 @@
     if (ended) return ended;
     const level = suspects.level(call.digest, timers.now());
     if (level === SuspicionLevel.Refused) return this.refusedSuspect(p);
-    if (level === SuspicionLevel.Suspect) return this.runSuspect(p);
+    const isSuspect = level === SuspicionLevel.Suspect;
     const target = this.chooseTarget(p);
-    const forwarded = await this.tryForward(p, target !== undefined);
+    const forwarded = isSuspect ? undefined : await this.tryForward(p, target !== undefined);
     if (forwarded) return forwarded;
-    const again = target ?? this.chooseTarget(p);
-    if (!again) return this.noTarget(p);
-    return this.attempt(p, again);
+    if (!target) return this.noTarget(p);
+    if (!p.place.held) return this.enter(p);
+    return isSuspect ? this.runSuspect(p) : this.attempt(p, target);
+  }
+
+  /** Waits for a place in the own window. Everything is decided anew after the wait. */
+  private async enter(p: DispatchProgress): Promise<DispatchEnd> {
+    const refusal = await p.place.take();
+    return refusal ? this.fail(p, refusal) : this.next(p);
   }
 
   /** After a pause the held state is stale; nothing is sent before the sync that follows it. */
@@ -125,7 +136,7 @@
     localReady: boolean,
   ): Promise<DispatchEnd | undefined> {
     const { domains, forwards, metrics, log } = this.options;
-    const entry = domains.choose(p.call, p.excluded, localReady);
+    const entry = domains.choose(p.call, p.excluded, localReady, p.place.waitMs);
     if (!entry) return undefined;
     this.countAttempt(p);
     metrics.onForward();
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,5 +1,6 @@
 /** Assembles the entry daemon from its settings. */
 import {
+  CustomerLimits,
   KeyTable,
   RetryBudget,
   SuspectTable,
@@ -20,7 +21,6 @@
 } from '@marjoramcart/platform';
 import { AdminTask } from './admin/admin-task.js';
 import { AdmissionGate } from './admission/admission-gate.js';
-import { CustomerLimits } from './admission/customer-limits.js';
 import { CallerTask } from './callers/caller-task.js';
 import { TargetExchange } from './dispatch/attempt.js';
 import { Connections } from './dispatch/connection.js';
@@ -36,6 +36,7 @@
 import { OpenCalls } from './request/open-calls.js';
 import { CallRunner } from './request/runner.js';
 import { DomainChooser } from './routing/domain-chooser.js';
+import { LinkBudgets } from './routing/link-budgets.js';
 import { TargetTable } from './routing/target-table.js';
 import { EntryState } from './state/entry-state.js';
 import { SyncTask } from './sync/sync-task.js';
@@ -93,9 +94,10 @@
   const suspects = new SuspectTable();
   const keys = new KeyTable<RecordedAnswer>({ maxKeys: MAX_KEYS, maxBytes: MAX_KEY_BYTES });
   const entryMetrics = new EntryMetrics(metrics);
-  const gate = new AdmissionGate(state, timers, (window) =>
-    createAdmission(settings.policies.fairness, window),
+  const gate = new AdmissionGate(state, timers, (options) =>
+    createAdmission(settings.policies.fairness, options),
   );
+  const links = new LinkBudgets(state, now);
   const forwards = new ForwardExchange({
     self,
     connections,
@@ -103,6 +105,7 @@
     rpc,
     timers,
     revision: () => state.revision,
+    spend: (region, bytes) => links.spend(region, bytes),
     allowedRegions: (call) =>
       state.config ? allowedRegions(state.config, call.customer, call.config) : [],
   });
@@ -132,6 +135,7 @@
       self,
       state,
       targets,
+      links,
       policy: createDomainPolicy(settings.policies.domain),
       random,
     }),
--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -57,7 +57,7 @@
   readonly reason: ForwardReason;
   readonly signal: AbortSignal;
   readonly mayWrite: () => boolean;
-  readonly onEvents: () => void;
+  readonly onEvents: (events: number) => void;
 }
 
 export interface ForwardDeps {
@@ -67,6 +67,8 @@
   readonly rpc: RpcClient;
   readonly timers: TimerService;
   readonly revision: () => number;
+  /** Counts bytes on the link to a region. */
+  readonly spend: (region: string, bytes: number) => void;
   /** Regions that may handle the call. */
   readonly allowedRegions: (call: Call) => readonly string[];
 }
@@ -104,6 +106,7 @@
       options.signal,
     );
     if (sent.kind === 'vetoed') return sent;
+    this.deps.spend(entry.region, call.body.length);
     if (sent.kind === 'answer') return this.receive(sent.res, options);
     if (!sent.sent) return { kind: 'not-run', message: sent.message };
     return this.lost(options, sent.message);
@@ -138,8 +141,9 @@
   }
 
   private async receive(res: IncomingMessage, options: ForwardOptions): Promise<ForwardEnd> {
-    const { answer } = options;
+    const { answer, entry } = options;
     const meta = metaOf(res);
+    res.on('data', (chunk: Buffer) => this.deps.spend(entry.region, chunk.length));
     const isStream = (res.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (isStream && res.statusCode === 200) return this.stream(res, options, meta);
     const body = await readWhole(res);
@@ -150,7 +154,7 @@
     // refused suspect must not be tried again here, where its deaths may not be known yet.
     const final = options.reason === 'key' || FINAL_CODES.has(meta.code.code);
     if (final) {
-      options.onEvents();
+      options.onEvents(0);
       answer.send(res.statusCode ?? 502, passedOnHeaders(res.headers), body.body, meta);
       return { kind: 'complete', status: res.statusCode ?? 502 };
     }
--- a/packages/entry/src/plugins.ts
+++ b/packages/entry/src/plugins.ts
@@ -1,36 +1,42 @@
-/** Creates the policies named in the settings; this package's own ones stand behind `default`. */
-import { type AdmissionController, type DomainPolicy, type TargetPolicy } from '@marjoramcart/core';
-import { PluginKind, createPlugin, pluginNames } from '@marjoramcart/platform';
-import { FirstComeWindow } from './admission/first-come-window.js';
-import { HomeFirstPolicy } from './routing/home-first-policy.js';
-import { LeastLoadedPolicy } from './routing/least-loaded-policy.js';
+/** Creates the policies named in the settings. */
+import {
+  WindowAdmissionController,
+  type AdmissionController,
+  type DomainPolicy,
+  type FairnessPolicy,
+  type TargetPolicy,
+  type WindowAdmissionOptions,
+} from '@marjoramcart/core';
+import { PluginKind, createPlugin } from '@marjoramcart/platform';
+import './policies/index.js';
 
-const DEFAULT_NAME = 'default';
-
-/** Policy that chooses a target. */
+/**
+ * Policy that chooses a target.
+ *
+ * @throws Error when no policy has the name
+ */
 export function createTargetPolicy(name: string): TargetPolicy {
-  return choose(PluginKind.RoutingPolicy, name, {}, () => new LeastLoadedPolicy());
+  return createPlugin<TargetPolicy>(PluginKind.RoutingPolicy, `target:${name}`);
 }
 
-/** Policy that chooses a failure domain; registered under `domain/<name>`. */
+/**
+ * Policy that chooses a failure domain.
+ *
+ * @throws Error when no policy has the name
+ */
 export function createDomainPolicy(name: string): DomainPolicy {
-  const registered = name === DEFAULT_NAME ? name : `domain/${name}`;
-  return choose(PluginKind.RoutingPolicy, registered, {}, () => new HomeFirstPolicy(), false);
-}
-
-/** Admission controller of one service. */
-export function createAdmission(name: string, window: number): AdmissionController {
-  return choose(PluginKind.AdmissionPolicy, name, { window }, () => new FirstComeWindow(window));
+  return createPlugin<DomainPolicy>(PluginKind.RoutingPolicy, `domain:${name}`);
 }
 
-function choose<Instance>(
-  kind: PluginKind,
+/**
+ * Admission controller of one service, with the named fairness policy.
+ *
+ * @throws Error when no policy has the name
+ */
+export function createAdmission(
   name: string,
-  options: unknown,
-  fallback: () => Instance,
-  replaceable = true,
-): Instance {
-  const registered = replaceable && pluginNames(kind).includes(name);
-  if (name === DEFAULT_NAME && !registered) return fallback();
-  return createPlugin<Instance>(kind, name, options);
+  options: WindowAdmissionOptions,
+): AdmissionController {
+  const fairness = createPlugin<FairnessPolicy>(PluginKind.AdmissionPolicy, name);
+  return new WindowAdmissionController(fairness, options);
 }
--- a/packages/entry/src/relay/relay.ts
+++ b/packages/entry/src/relay/relay.ts
@@ -20,8 +20,8 @@
   readonly frames: SseFrames;
   readonly target: string;
   readonly attempts: number;
-  /** Called for each chunk with whole events. */
-  readonly onEvents: () => void;
+  /** Called for each chunk with whole events, with their number. */
+  readonly onEvents: (events: number) => void;
 }
 
 const NOT_PASSED_ON = new Set([
@@ -64,12 +64,13 @@
       resolve(result);
     };
     res.on('data', (chunk: Buffer) => {
+      const before = frames.events;
       const whole = frames.push(chunk);
       if (whole) {
         if (!answer.delivered) {
           answer.start(200, passedOnHeaders(res.headers), completeMeta(ctx.target, ctx.attempts));
         }
-        ctx.onEvents();
+        ctx.onEvents(frames.events - before);
         if (!answer.write(whole)) {
           res.pause();
           answer.onDrain(() => res.resume());
--- a/packages/entry/src/request/runner.ts
+++ b/packages/entry/src/request/runner.ts
@@ -4,21 +4,22 @@
   ResultCodes,
   RunState,
   allowedRegions,
+  type CustomerLimits,
   type IdempotencyKey,
   type KeyOutcome,
   type KeyTable,
   type ResultCode,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/platform';
-import type { AdmissionGate } from '../admission/admission-gate.js';
-import type { CustomerLimits } from '../admission/customer-limits.js';
+import { callCost, type AdmissionGate } from '../admission/admission-gate.js';
+import { HomePlace } from '../admission/home-place.js';
 import type { KeyMarks } from '../dispatch/dispatch-progress.js';
 import type { DispatchEnd, Dispatcher } from '../dispatch/dispatcher.js';
 import { DIED_HEADER } from '../forward/forward-envelope.js';
 import type { ForwardEnd, ForwardExchange, ForwardTarget } from '../forward/forward-exchange.js';
 import type { CallTimer, EntryMetrics } from '../metrics/entry-metrics.js';
 import type { Answer, RecordedAnswer } from '../relay/answer.js';
-import { linkOf } from '../routing/domain-chooser.js';
+import { linkOf } from '../routing/links.js';
 import type { EntryState } from '../state/entry-state.js';
 import type { Call } from './call.js';
 import type { OpenCalls } from './open-calls.js';
@@ -217,32 +218,42 @@
     timer: CallTimer,
   ): Promise<DispatchEnd> {
     const { gate, limits, dispatcher, timers } = this.options;
-    const tokens = call.routed.promptTokens + call.routed.maxTokens;
     // The entry that accepted a call has counted it already.
     const counted = call.visited.length === 0;
-    const limited =
-      counted && limits.take(call.customer, tokens, call.stream, this.share(call), timers.now());
+    const limited = counted ? this.limit(call) : undefined;
     if (limited) return notRunEnd(limited);
+    const place = new HomePlace(gate, call, (listener) => answer.onAbandoned(listener));
+    const seen = { firstAt: undefined as number | undefined, events: 0 };
     try {
-      const admission = await gate.admit(call, (listener) => answer.onAbandoned(listener));
-      if (admission.kind === 'refused') return notRunEnd(admission.code);
-      if (admission.kind === 'left')
-        return { kind: 'abandoned', run: RunState.NotRun, attempts: 0 };
-      const firstAt = { ms: undefined as number | undefined };
-      try {
-        return await dispatcher.dispatch(call, answer, marks, () => {
-          firstAt.ms ??= timers.now();
-          timer.onEvents();
-        });
-      } finally {
-        const firstTokenMs = firstAt.ms === undefined ? undefined : firstAt.ms - call.arrivedAt;
-        admission.release({ cost: tokens, firstTokenMs });
-      }
+      return await dispatcher.dispatch(call, answer, marks, place, (events) => {
+        seen.firstAt ??= timers.now();
+        seen.events += events;
+        timer.onEvents();
+      });
     } finally {
-      if (counted && call.stream) limits.streamEnded(call.customer);
+      const firstTokenMs = seen.firstAt === undefined ? undefined : seen.firstAt - call.arrivedAt;
+      // A stream has one event for each token; the length of other answers is not known.
+      const outputTokens = call.stream ? seen.events : call.routed.maxTokens;
+      place.release({ cost: callCost(call, outputTokens), firstTokenMs });
+      if (counted && call.stream) limits.endStream(call.customer.id);
     }
   }
 
+  /** Takes the call from the customer's limits; a code when one of them is reached. */
+  private limit(call: Call): ResultCode | undefined {
+    const { limits, timers } = this.options;
+    const { customer, routed, stream } = call;
+    if (!customer.limits) return undefined;
+    const decision = limits.tryStart(
+      customer.id,
+      customer.limits,
+      { share: this.share(call), tokens: routed.promptTokens + routed.maxTokens, stream },
+      timers.now(),
+    );
+    if (decision.kind === 'allowed') return undefined;
+    return decision.limit === 'streams' ? ResultCodes.StreamsLimited : ResultCodes.RateLimited;
+  }
+
   /** This entry's part of a customer's limits: one of the live entries of the allowed regions. */
   private share(call: Call): number {
     const { config, view } = this.options.state;
--- a/packages/entry/src/routing/domain-chooser.ts
+++ b/packages/entry/src/routing/domain-chooser.ts
@@ -3,15 +3,19 @@
   MembershipTiming,
   allowedRegions,
   checkForward,
+  correctedOutstanding,
   type DomainOption,
   type DomainPolicy,
   type DomainSummary,
   type ProcessRef,
   type RandomSource,
+  type TargetCandidate,
 } from '@marjoramcart/core';
 import type { ForwardTarget } from '../forward/forward-exchange.js';
 import type { Call } from '../request/call.js';
 import type { EntryState } from '../state/entry-state.js';
+import type { LinkBudgets } from './link-budgets.js';
+import { linkOf } from './links.js';
 import type { TargetTable } from './target-table.js';
 
 export interface DomainChooserOptions {
@@ -19,17 +23,22 @@
   readonly state: EntryState;
   readonly targets: TargetTable;
   readonly policy: DomainPolicy;
+  readonly links: LinkBudgets;
   readonly random: RandomSource;
 }
 
 export class DomainChooser {
   constructor(private readonly options: DomainChooserOptions) {}
 
-  /** Entry to forward to; undefined to run the call in the own failure domain. */
+  /**
+   * Entry to forward to; undefined to run the call in the own failure domain. `admissionWaitMs` is
+   * the expected wait for a place in the own window.
+   */
   choose(
     call: Call,
     excluded: ReadonlySet<string>,
     localReady: boolean,
+    admissionWaitMs: number,
   ): ForwardTarget | undefined {
     const { self, state, policy, random } = this.options;
     // A call that was forwarded for load runs here or nowhere.
@@ -40,7 +49,7 @@
     if (summaries.length === 0) return undefined;
     const decision = policy.choose(
       call.routed,
-      this.home(call, excluded, localReady),
+      this.home(call, excluded, localReady, admissionWaitMs),
       summaries.map((summary) => this.option(summary, call)),
       call.config.weights,
     );
@@ -77,16 +86,22 @@
     );
   }
 
-  private home(call: Call, excluded: ReadonlySet<string>, localReady: boolean): DomainOption {
+  private home(
+    call: Call,
+    excluded: ReadonlySet<string>,
+    localReady: boolean,
+    admissionWaitMs: number,
+  ): DomainOption {
     const { self, targets } = this.options;
     const candidates = targets.candidates(call.service, excluded);
     return {
       failureDomain: self.failureDomain,
       region: self.region,
       readyTargets: localReady ? candidates.length : 0,
-      waitMs: Math.min(...candidates.map(({ state }) => state.waitMs), Number.MAX_SAFE_INTEGER),
+      waitMs: admissionWaitMs + meanWaitMs(candidates),
       freeSlots: candidates.reduce(
-        (sum, { state }) => sum + Math.max(0, state.concurrency - state.running),
+        (sum, candidate) =>
+          sum + Math.max(0, candidate.state.concurrency - correctedOutstanding(candidate)),
         0,
       ),
       ageMs: 0,
@@ -108,6 +123,7 @@
       ageMs: summary.ageMs + state.viewAgeMs,
       oneWayMs: link.oneWayMs,
       linkMbitPerS: link.mbitPerS,
+      linkBudgetBytes: this.options.links.available(summary.region),
       prefillMs: this.prefillMs(call),
     };
   }
@@ -125,14 +141,7 @@
   return summary.entries.filter(({ draining }) => !draining);
 }
 
-/** Link between two regions; links are configured on either side. */
-export function linkOf(
-  state: Pick<EntryState, 'config'>,
-  from: string,
-  to: string,
-): { oneWayMs: number; mbitPerS: number | undefined } {
-  if (from === to) return { oneWayMs: 1, mbitPerS: undefined };
-  const regions = state.config?.regions ?? {};
-  const link = regions[from]?.links[to] ?? regions[to]?.links[from];
-  return { oneWayMs: link?.one_way ?? 0, mbitPerS: link?.mbit_per_s };
+function meanWaitMs(candidates: readonly TargetCandidate[]): number {
+  const total = candidates.reduce((sum, { state }) => sum + state.waitMs, 0);
+  return total / Math.max(1, candidates.length);
 }
--- /dev/null
+++ b/packages/entry/src/routing/link-budgets.ts
@@ -0,0 +1,46 @@
+/** Byte budgets of the links from the own region, from the configured rate and share. */
+import { LinkBudget } from '@marjoramcart/core';
+import type { EntryState } from '../state/entry-state.js';
+import { linkOf } from './links.js';
+
+interface HeldBudget {
+  readonly mbitPerS: number;
+  readonly sharePercent: number;
+  readonly budget: LinkBudget;
+}
+
+export class LinkBudgets {
+  private readonly held = new Map<string, HeldBudget>();
+
+  constructor(
+    private readonly state: EntryState,
+    private readonly now: () => number,
+  ) {}
+
+  /** Bytes that this process may send to the region now; undefined without a limit. */
+  available(region: string): number | undefined {
+    return this.budget(region)?.available(this.now());
+  }
+
+  /** Counts bytes of forwarded calls and of their answers. */
+  spend(region: string, bytes: number): void {
+    this.budget(region)?.spend(bytes, this.now());
+  }
+
+  private budget(region: string): LinkBudget | undefined {
+    const { config, self, view } = this.state;
+    const { mbitPerS } = linkOf(this.state, self.region, region);
+    if (!config || mbitPerS === undefined) return undefined;
+    // All entries of the region share the link.
+    const entries = Math.max(1, view.entriesPerRegion[self.region] ?? 1);
+    const sharePercent = config.limits.link_share_percent / entries;
+    const held = this.held.get(region);
+    if (held?.mbitPerS === mbitPerS && held.sharePercent === sharePercent) return held.budget;
+    const budget = new LinkBudget(mbitPerS, sharePercent, this.now());
+    // A change of the share must not refill the budget.
+    const level = held?.budget.available(this.now()) ?? Infinity;
+    budget.spend(Math.max(0, budget.available(this.now()) - level), this.now());
+    this.held.set(region, { mbitPerS, sharePercent, budget });
+    return budget;
+  }
+}
--- a/packages/entry/src/routing/target-table.ts
+++ b/packages/entry/src/routing/target-table.ts
@@ -9,10 +9,14 @@
 const MIN_BACKOFF_MS = 1000;
 const MAX_BACKOFF_MS = 16_000;
 
+/** Corrections of a report that is older are dropped; the requests in flight remain a bound. */
+const MAX_CORRECTION_MS = 10_000;
+
 interface OwnRecord {
   inFlight: number;
-  sequence: number;
-  sentSinceReport: number;
+  /** Times at which requests were sent and ended since the report; monotonic ms, in order. */
+  sent: number[];
+  ended: number[];
   consecutiveFailures: number;
   excludedUntil: number;
   failures: number;
@@ -58,19 +62,15 @@
 
   begin(vm: string): void {
     const record = this.record(vm);
-    const sequence = this.find(vm)?.sequence ?? 0;
-    if (sequence !== record.sequence) {
-      record.sequence = sequence;
-      record.sentSinceReport = 0;
-    }
     record.inFlight += 1;
-    record.sentSinceReport += 1;
+    record.sent.push(this.now());
   }
 
   /** Ends a request; `failed` is undefined when it tells nothing about the target. */
   end(vm: string, failed: boolean | undefined): void {
     const record = this.record(vm);
     record.inFlight -= 1;
+    record.ended.push(this.now());
     if (failed === undefined) return;
     if (!failed) {
       record.consecutiveFailures = 0;
@@ -113,14 +113,26 @@
 
   private candidate(state: TargetState): TargetCandidate {
     const record = this.records.get(state.vm);
-    const current = record?.sequence === state.sequence;
+    if (!record) return { state, inFlight: 0, sentSinceReport: 0 };
+    this.forgetReported(record, state);
     return {
       state,
-      inFlight: record?.inFlight ?? 0,
-      sentSinceReport: current ? (record?.sentSinceReport ?? 0) : 0,
+      inFlight: record.inFlight,
+      sentSinceReport: record.sent.length,
+      endedSinceReport: record.ended.length,
     };
   }
 
+  /** Drops the corrections that the report already contains. */
+  private forgetReported(record: OwnRecord, { reportAgeMs }: TargetState): void {
+    const now = this.now();
+    const takenAt = now - Math.min(MAX_CORRECTION_MS, this.state.viewAgeMs + reportAgeMs);
+    Object.assign(record, {
+      sent: laterThan(record.sent, takenAt),
+      ended: laterThan(record.ended, takenAt),
+    });
+  }
+
   private backedOff(vm: string): boolean {
     return (this.records.get(vm)?.excludedUntil ?? 0) > this.now();
   }
@@ -128,10 +140,10 @@
   private record(vm: string): OwnRecord {
     const found = this.records.get(vm);
     if (found) return found;
-    const created = {
+    const created: OwnRecord = {
       inFlight: 0,
-      sequence: 0,
-      sentSinceReport: 0,
+      sent: [],
+      ended: [],
       consecutiveFailures: 0,
       excludedUntil: 0,
       failures: 0,
@@ -145,3 +157,9 @@
 function isReady(target: TargetState, service: string): boolean {
   return target.healthy && !target.leaving && target.services.includes(service);
 }
+
+/** Times after the given one; the same array when that is all of them. */
+function laterThan(times: number[], at: number): number[] {
+  const [first] = times;
+  return first === undefined || first > at ? times : times.filter((time) => time > at);
+}
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -15,7 +15,8 @@
 export const API_KEY = 'key-of-c1';
 export const OTHER_API_KEY = 'key-of-c2';
 
-function keyDigest(apiKey: string): string {
+/** Digest of an API key as in the configuration. */
+export function keyDigest(apiKey: string): string {
   return createHash('sha256').update(apiKey).digest('hex').slice(0, 32);
 }
 
@@ -62,6 +63,8 @@
   readonly failureDomain?: string;
   readonly targets?: readonly TargetState[];
   readonly view?: Partial<DomainView>;
+  /** Target policy; the one that the daemon uses by default when left out. */
+  readonly targetPolicy?: string;
 }
 
 /** Starts an entry of one failure domain with its own control daemon. */
@@ -77,6 +80,7 @@
     listen: { callers: '127.0.0.1:0', peers: '127.0.0.1:0', admin: '127.0.0.1:0' },
     control: control.address,
     seed: 1,
+    policies: { target: options.targetPolicy ?? 'default' },
   });
   const timers = new SystemTimerService();
   const metrics = new Metrics();
