Send section hashes with a sync only when a delta is needed

Cause: entry.sync carried the hashes of all sections in each of four syncs a second.

Change: `held` is optional in entry.sync.

Without them the control daemon sends no delta.

Conclusion: a change still arrives within one poll; it costs one more sync.

--- a/packages/control/src/daemon.test.ts
+++ b/packages/control/src/daemon.test.ts
@@ -55,6 +55,10 @@
   assert.equal(result.value.revision, 1);
   assert.ok(result.value.delta?.changed.some(({ name }) => name === 'services'));
   assert.deepEqual(result.value.view?.targets[0]?.services, ['crane-booking']);
+  const params = { ...newEntryParams('e0'), held: undefined };
+  const second = await client.call(addresses[0] ?? '', 'entry.sync', params);
+  assert.equal(second.kind === 'ok' && second.value.revision, 1);
+  assert.equal(second.kind === 'ok' && second.value.delta, undefined, 'no hashes, no delta');
 });
 
 test('three control daemons: at most two of three daemons hold a pending watch', async () => {
--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -26,6 +26,7 @@
     control: state.self,
     revision: current?.revision ?? 0,
     ...(current &&
+      params.held &&
       current.revision > params.revision && { delta: snapshotDelta(current, params.held) }),
     ...(view.version !== params.viewVersion && { view }),
   };
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -141,7 +141,8 @@
 export interface EntrySyncParams {
   readonly process: ProcessRef;
   readonly load: EntryLoad;
-  readonly held: SectionHashes;
+  /** Sent only when the entry needs a delta; without it the answer has none. */
+  readonly held?: SectionHashes;
   readonly revision: number;
   /** Highest revision seen on any message. */
   readonly witnessedRevision: number;
@@ -154,7 +155,7 @@
 export interface EntrySyncResult {
   readonly control: ProcessRef;
   readonly revision: number;
-  /** Absent when the entry holds this revision. */
+  /** Absent when the entry holds this revision or did not send its hashes. */
   readonly delta?: SnapshotDelta;
   /** Absent when the entry holds this version. */
   readonly view?: DomainView;
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { EntrySyncResult, ProcessRef } from '@marjoramcart/core';
+import type { EntrySyncParams, EntrySyncResult, ProcessRef } from '@marjoramcart/core';
 import { buildSnapshot, mainPartSchema, snapshotDelta } from '@marjoramcart/core';
 import {
   ManualTimerService,
@@ -96,3 +96,36 @@
   assert.equal(state.revision, 1);
   assert.ok(state.ready);
 });
+
+test('section hashes are sent only when a delta is needed, and a change comes with one sync', async () => {
+  // Guards against hashes of all sections in each of four syncs a second.
+  const sent: EntrySyncParams[] = [];
+  const current = { snapshot: snapshotAt(1) };
+  const answer = (_address: string, _method: string, params: EntrySyncParams) => {
+    sent.push(params);
+    const { snapshot } = current;
+    const delta =
+      params.held && snapshot.revision > params.revision
+        ? snapshotDelta(snapshot, params.held)
+        : undefined;
+    return Promise.resolve({
+      kind: 'ok',
+      value: { control: self, revision: snapshot.revision, ...(delta && { delta }) },
+    } as const);
+  };
+  const { state, sync } = setup(answer as never);
+  await sync.sync();
+  await sync.sync();
+  assert.equal(state.revision, 1);
+  current.snapshot = snapshotAt(2);
+  await sync.sync();
+  assert.equal(state.revision, 2);
+  state.witness(3);
+  current.snapshot = snapshotAt(3);
+  await sync.sync();
+  assert.equal(state.revision, 3);
+  assert.deepEqual(
+    sent.map(({ held }) => held !== undefined),
+    [true, false, false, true, true],
+  );
+});
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -106,8 +106,10 @@
     });
   }
 
-  private async exchange(): Promise<boolean> {
+  /** The hashes of all sections are long, so they are sent only when a delta is expected. */
+  private async exchange(higherKnown = false): Promise<boolean> {
     const { state, rpc, control, reports, log } = this.options;
+    const wantsDelta = higherKnown || !state.snapshot || state.witnessedRevision > state.revision;
     const observations = reports.takeObservations();
     const result = await rpc.call(
       control,
@@ -115,7 +117,7 @@
       {
         process: state.self,
         load: reports.load(),
-        held: sectionHashes(state.snapshot),
+        ...(wantsDelta && { held: sectionHashes(state.snapshot) }),
         revision: state.revision,
         witnessedRevision: state.witnessedRevision,
         viewVersion: state.view.version,
@@ -136,6 +138,7 @@
     if (outcome.kind === 'older')
       log.warn('older snapshot ignored', { revision: outcome.revision });
     if (result.value.view) reports.learnSuspects(result.value.view.suspects);
-    return true;
+    const isBehind = result.value.revision > state.revision;
+    return isBehind && !wantsDelta ? this.exchange(true) : true;
   }
 }
