Read a chat body only where every service of the customer allows it

Cause: the service of a chat completion is in its body. Without the header marjoramcart-service the entry read the body in any region that one of the customer's services allowed, also for a service that must not run there.

Ruled out: always demanding the header, since customers whose model services have the same regions need none.

Change: without the header the region must be allowed for every model service that the customer may call. Otherwise the answer is RegionNotAllowed with the entries of the common regions, and `next` says that the header names the service. With the header the named service decides.

Conclusion: a caller whose header names another service than its body still sends its body to this region; the entry then refuses it.

--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -17,9 +17,13 @@
 import { rejected, type Call, type Rejection } from '../request/call.js';
 import { engineBody, parseChat, routedChat } from '../request/chat-request.js';
 import type { EntryState } from '../state/entry-state.js';
-import { checkResidency, customerRegions, findService } from './identity.js';
+import { checkResidency, commonModelRegions, customerRegions, findService } from './identity.js';
 
 export const CHAT_PATH = '/v1/chat/completions';
+const SERVICE_HEADER = 'marjoramcart-service';
+const NAME_SERVICE =
+  `Name the service in the ${SERVICE_HEADER} header, or use an entry of the list. ` +
+  'This region is not allowed for all model services of the customer.';
 const SERVICE_PATH = /^\/svc\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const MAX_DEADLINE_MS = 3_600_000;
 const BYTES_PER_KB = 1024;
@@ -47,13 +51,18 @@
   readonly onBodyWanted: () => void;
 }
 
-/** Parses a chat completion. The service is in the body; the customer's regions are not. */
+/**
+ * Parses a chat completion. The service is in the body, which may only be read where the service
+ * allows it. Without the header that names the service, the region must be allowed for all.
+ */
 export async function parseChatCall(deps: ParserDeps, head: Head): Promise<ParseResult> {
   const { config, customer } = head;
   const { self, view } = deps.state;
   const refusal =
     checkResidency(customerRegions(config, customer), self, config, view) ??
-    checkNamedService(deps, head);
+    (head.req.headers[SERVICE_HEADER] === undefined
+      ? checkResidency(commonModelRegions(config, customer), self, config, view, NAME_SERVICE)
+      : checkNamedService(deps, head));
   if (refusal) return refusal;
   const body = await readBody(deps, head, MAX_BODY_BYTES);
   if (body.kind !== 'body') return body;
@@ -164,10 +173,9 @@
   };
 }
 
-/** Callers may name the service in a header, so that it is checked before the body is read. */
+/** Checks the service that the header names, before the body is read. */
 function checkNamedService(deps: ParserDeps, head: Head): Rejection | undefined {
-  const name = head.req.headers['marjoramcart-service'];
-  if (typeof name !== 'string') return undefined;
+  const name = String(head.req.headers[SERVICE_HEADER]);
   const found = findService(head.config, head.customer, name, 'model');
   if (found.kind === 'rejected') return { ...found, close: true };
   const allowed = allowedRegions(head.config, head.customer, found.service);
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -14,9 +14,11 @@
   OTHER_API_KEY,
   chatBody,
   errorCode,
+  keyDigest,
   send,
   startEntry,
   targetState,
+  testConfig,
   until,
 } from '../testing/harness.js';
 
@@ -306,3 +308,35 @@
   assert.match(text(), /HTTP\/1.1 431 /);
   assert.match(text(), /"code":1105/);
 });
+
+test('a chat body is read only where all services of the customer allow it or the named one does', async (t) => {
+  // Guards against a body that is read in a region where its service must not run.
+  const config = testConfig({
+    services: {
+      chat: { kind: 'model', model: 'chat-model', regions: ['north', 'west'] },
+      'west-chat': { kind: 'model', model: 'chat-model', regions: ['west'] },
+    },
+    customers: [
+      { id: 'c1', key: keyDigest(API_KEY), class: 'standard' },
+      { id: 'c2', key: keyDigest(OTHER_API_KEY), class: 'standard', services: ['chat'] },
+    ],
+  });
+  const entry = await startEntry({ config });
+  t.after(() => entry.stop());
+  const ask = (apiKey: string, lines: readonly string[]): Promise<string> =>
+    raw(
+      entry.daemon.callers.address,
+      `${head(apiKey, ['content-length: 2', 'connection: close', ...lines])}{}`,
+    );
+  const [unnamed, elsewhere, named, only] = await Promise.all([
+    ask(API_KEY, []),
+    ask(API_KEY, ['marjoramcart-service: west-chat']),
+    ask(API_KEY, ['marjoramcart-service: chat']),
+    ask(OTHER_API_KEY, []),
+  ]);
+  assert.match(unnamed, /"code":2201.*"next":"Name the service in the marjoramcart-service header/);
+  assert.match(elsewhere, /"code":2201/);
+  // The body has no model, which is known only once it was read.
+  assert.match(named, /"code":1102/);
+  assert.match(only, /"code":1102/);
+});
--- a/packages/entry/src/callers/identity.ts
+++ b/packages/entry/src/callers/identity.ts
@@ -62,17 +62,31 @@
   return [...new Set(regions)];
 }
 
+/** Regions that are allowed for each model service that the customer may call. */
+export function commonModelRegions(config: ConfigView, customer: CustomerConfig): string[] {
+  const names = customer.services ?? Object.keys(config.services);
+  const [first = [], ...rest] = names
+    .map((name) => config.services[name])
+    .filter((service) => service?.kind === 'model')
+    .map((service) => allowedRegions(config, customer, service as ServiceConfig));
+  return first.filter((region) => rest.every((regions) => regions.includes(region)));
+}
+
 /** Rejects a request that must not be handled in this region; names the entries to use. */
 export function checkResidency(
   allowed: readonly string[],
   self: ProcessRef,
   config: ConfigView,
   view: DomainView,
+  next?: string,
 ): Rejection | undefined {
   if (allowed.includes(self.region)) return undefined;
   return rejected(ResultCodes.RegionNotAllowed, {
     close: true,
-    fields: { entries: listEntries(allowed, self, config, view) },
+    fields: {
+      entries: listEntries(allowed, self, config, view),
+      ...(next !== undefined && { next }),
+    },
   });
 }
 
