Name the place that ran a forwarded call in its answer

Cause: marjoramcart-region of a forwarded answer was the region of the entry that accepted the call, beside a target of another region.

Ruled out: the region of the chosen domain for all answers, since a refusal by the accepting entry is its own.

Change: the region of the other entry's answer goes with its target into the answer's values and into the outcome kept for re-sends. marjoramcart-entry remains the accepting entry.

Conclusion: region and target name one place.

--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -172,6 +172,7 @@
       answer,
       frames: new SseFrames(),
       target: meta?.target ?? entry.bootId,
+      region: meta?.region ?? entry.region,
       attempts: meta?.attempts ?? 1,
       onEvents: options.onEvents,
     });
@@ -215,11 +216,13 @@
   const code = resultCodeByNumber(Number(res.headers['marjoramcart-code']));
   const run = Object.values(RunState).find((state) => state === res.headers['marjoramcart-run']);
   const target = res.headers['marjoramcart-target'];
+  const region = res.headers['marjoramcart-region'];
   if (!code || !run) return undefined;
   return {
     code,
     run,
     target: typeof target === 'string' ? target : undefined,
+    region: typeof region === 'string' ? region : undefined,
     attempts: Number(res.headers['marjoramcart-attempts'] ?? 1),
   };
 }
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -145,6 +145,16 @@
   assert.ok(answer.complete);
   // Guards against a hop that grants the call more time than its caller did.
   assert.ok(Number(target.calls[0]?.headers['marjoramcart-deadline-ms']) < 5000);
+  // Guards against an answer that names the entry's own region as the place that ran the call.
+  const booking = await send(home.daemon.callers.address, {
+    method: 'GET',
+    path: '/svc/booking/slots',
+  });
+  [answer, booking].forEach(({ headers }) => {
+    assert.equal(headers['marjoramcart-region'], 'west');
+    assert.equal(headers['marjoramcart-target'], 't1');
+    assert.equal(headers['marjoramcart-entry'], home.daemon.bootId);
+  });
 });
 
 test('a non-repeatable call is handed over once and its outcome stays with the owner', async (t) => {
--- a/packages/entry/src/relay/answer.ts
+++ b/packages/entry/src/relay/answer.ts
@@ -10,6 +10,8 @@
   readonly code: ResultCode;
   readonly run: RunState;
   readonly target?: string;
+  /** Region that ran the call; the own one when left out. */
+  readonly region?: string;
   readonly attempts: number;
 }
 
@@ -184,6 +186,7 @@
   private metaHeaders(meta: AnswerMeta): HeaderFields {
     return {
       ...this.options.common(),
+      ...(meta.region === undefined ? {} : { 'marjoramcart-region': meta.region }),
       ...(meta.target === undefined ? {} : { 'marjoramcart-target': meta.target }),
       'marjoramcart-code': String(meta.code.code),
       'marjoramcart-run': meta.run,
@@ -206,6 +209,6 @@
 }
 
 /** Meta values of a complete answer. */
-export function completeMeta(target: string, attempts: number): AnswerMeta {
-  return { code: ResultCodes.Ok, run: ResultCodes.Ok.run, target, attempts };
+export function completeMeta(target: string, attempts: number, region?: string): AnswerMeta {
+  return { code: ResultCodes.Ok, run: ResultCodes.Ok.run, target, region, attempts };
 }
--- a/packages/entry/src/relay/relay.ts
+++ b/packages/entry/src/relay/relay.ts
@@ -19,6 +19,8 @@
   /** Survives a resume on another connection. */
   readonly frames: SseFrames;
   readonly target: string;
+  /** Region of the target; the own one when left out. */
+  readonly region?: string;
   readonly attempts: number;
   /** Called for each chunk with whole events, with their number. */
   readonly onEvents: (events: number) => void;
@@ -68,7 +70,11 @@
       const whole = frames.push(chunk);
       if (whole) {
         if (!answer.delivered) {
-          answer.start(200, passedOnHeaders(res.headers), completeMeta(ctx.target, ctx.attempts));
+          answer.start(
+            200,
+            passedOnHeaders(res.headers),
+            completeMeta(ctx.target, ctx.attempts, ctx.region),
+          );
         }
         ctx.onEvents(frames.events - before);
         if (!answer.write(whole)) {
