--- /dev/null
+++ b/tests/features/src/steps/guide-steps.ts
@@ -0,0 +1,51 @@
+/** Steps that run the examples of the callers' guide. */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { ExampleKeys } from '@marjoramcart/stand-ins';
+import {
+  differences,
+  guideExamples,
+  parseAnswer,
+  runCommand,
+  type GuideAnswer,
+  type GuideExample,
+} from '../support/guide.js';
+import type { GatewayWorld } from '../support/world.js';
+
+const KEY_LIFE_S = 600;
+
+const outcomes = new WeakMap<GatewayWorld, { example: GuideExample; actual: GuideAnswer }[]>();
+
+When(
+  'a caller runs the examples of the guide one after the other',
+  async function when(this: GatewayWorld) {
+    const address = this.entry('north');
+    const listed = await this.caller('tent-crew').entries(address);
+    const env = {
+      ENTRY: address,
+      WEST_ENTRY: this.entry('west'),
+      API_KEY: ExampleKeys['tent-crew'],
+      BOUND_API_KEY: ExampleKeys['tartu-archive'],
+      KEY_PREFIX: listed.find((entry) => entry.address === address)?.key_prefix ?? '',
+      EXPIRY: String(Math.floor(Date.now() / 1000) + KEY_LIFE_S),
+    };
+    const done: { example: GuideExample; actual: GuideAnswer }[] = [];
+    outcomes.set(this, done);
+    const examples = await guideExamples();
+    await examples.reduce(async (before, example) => {
+      await before;
+      done.push({ example, actual: parseAnswer(await runCommand(example.command, env)) });
+    }, Promise.resolve());
+  },
+);
+
+Then(
+  'each answer has the status, headers and code that the guide shows',
+  function then(this: GatewayWorld) {
+    const done = outcomes.get(this) ?? [];
+    assert.ok(done.length > 0, 'the guide has no examples');
+    done.forEach(({ example, actual }) =>
+      assert.deepEqual(differences(example.shown, actual), [], example.command),
+    );
+  },
+);
