--- a/packages/entry/src/relay/relay.ts
+++ b/packages/entry/src/relay/relay.ts
@@ -19,9 +19,11 @@
   /** Survives a resume on another connection. */
   readonly frames: SseFrames;
   readonly target: string;
+  /** Region of the target; the own one when left out. */
+  readonly region?: string;
   readonly attempts: number;
-  /** Called for each chunk with whole events. */
-  readonly onEvents: () => void;
+  /** Called for each chunk with whole events, with their number. */
+  readonly onEvents: (events: number) => void;
 }
 
 const NOT_PASSED_ON = new Set([
@@ -64,12 +66,17 @@
       resolve(result);
     };
     res.on('data', (chunk: Buffer) => {
+      const before = frames.events;
       const whole = frames.push(chunk);
       if (whole) {
         if (!answer.delivered) {
-          answer.start(200, passedOnHeaders(res.headers), completeMeta(ctx.target, ctx.attempts));
+          answer.start(
+            200,
+            passedOnHeaders(res.headers),
+            completeMeta(ctx.target, ctx.attempts, ctx.region),
+          );
         }
-        ctx.onEvents();
+        ctx.onEvents(frames.events - before);
         if (!answer.write(whole)) {
           res.pause();
           answer.onDrain(() => res.resume());
