Don't take the word of a later process on an owner's address

Cause: an entry that is restarted on the same address answers a forwarded re-send with forward_refused (4401, not_run), since the key names the process before it. The forwarding entry passed that answer on, because answers to a forwarded key count as the owner's. key.cancel had the same gap: a later process answers 'cancelled' for a key that its predecessor may have run.

Ruled out: a second run (the run log had one run for each booking); a refusal by the re-sent-to entry itself.

Change: an answer to a forwarded key counts only when its marjoramcart-entry header is the owner's boot id; key.cancel names the boot id it is meant for, and any other process answers 'unknown'.

Conclusion: not_run for a keyed call comes only from the process that dispatches the key.

--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -263,6 +263,8 @@
 /** `key.cancel`: asks the owner of a forwarded request to burn it. */
 export interface KeyCancelParams {
   readonly from: ProcessRef;
+  /** Boot id of the process that was handed the request; no other process knows its state. */
+  readonly to: string;
   readonly customer: string;
   readonly key: string;
 }
--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -146,6 +146,9 @@
     if (body.kind !== 'complete') return this.lost(options, body.kind);
     // Without a code the answer does not come from an entry, and nothing is known.
     if (!meta) return this.lost(options, `status ${res.statusCode} without a result code`);
+    // A process that was started later on the owner's address knows nothing of its keys.
+    const isOther = res.headers['marjoramcart-entry'] !== options.entry.bootId;
+    if (options.reason === 'key' && isOther) return this.lost(options, 'the owner is gone');
     // The owner of a key speaks for it, so its answer goes to the caller whatever it says. A
     // refused suspect must not be tried again here, where its deaths may not be known yet.
     const final = options.reason === 'key' || FINAL_CODES.has(meta.code.code);
@@ -189,7 +192,7 @@
     const result = await this.deps.rpc.call(
       entry.peerAddress,
       'key.cancel',
-      { from: this.deps.self, customer: call.customer.id, key: call.key.text },
+      { from: this.deps.self, to: entry.bootId, customer: call.customer.id, key: call.key.text },
       CANCEL_TIMEOUT_MS,
     );
     return result.kind === 'ok' && result.value.state === 'cancelled'
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -2,7 +2,12 @@
 import http from 'node:http';
 import { test, type TestContext } from 'node:test';
 import { SuspectTable, type DomainSummary } from '@marjoramcart/core';
-import { AUTH_HEADER, MessageAuthenticator, SENDER_HEADER } from '@marjoramcart/platform';
+import {
+  AUTH_HEADER,
+  MessageAuthenticator,
+  RpcClient,
+  SENDER_HEADER,
+} from '@marjoramcart/platform';
 import { requestDigest } from '../callers/call-parser.js';
 import { FLEET_SECRET } from '../testing/fake-control.js';
 import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
@@ -178,6 +183,36 @@
   assert.equal(target.calls.length, 1);
 });
 
+test('a process that was started later on an address does not speak for the one before it', async (t) => {
+  // Guards against a `not_run` for a request that ran before its owner was restarted.
+  const { home, away } = await startPair(t);
+  const bootId = `${'b'.repeat(20)}-abc123`;
+  const summary = summaryOf(away, 1);
+  const entries = summary.entries.map((entry) => ({ ...entry, bootId }));
+  await introduce(home, [{ ...summary, entries }]);
+  const key = keyOf({ bootId }, 'nonce-0001');
+  const answer = await send(home.daemon.callers.address, {
+    path: '/svc/booking/slots',
+    body: { crane: 1 },
+    headers: { 'idempotency-key': key },
+  });
+  assert.equal(errorCode(answer.body), 5201);
+  assert.equal(answer.headers['marjoramcart-run'], 'unknown');
+  const { self } = home.daemon.state;
+  const rpc = new RpcClient(new MessageAuthenticator(FLEET_SECRET, Date.now), self.bootId);
+  const cancel = (to: string): ReturnType<typeof rpc.call<'key.cancel'>> =>
+    rpc.call(
+      away.daemon.peers.address,
+      'key.cancel',
+      { from: self, to, customer: 'c1', key },
+      1000,
+    );
+  assert.deepEqual(await cancel(bootId), { kind: 'ok', value: { state: 'unknown' } });
+  const own = await cancel(away.daemon.bootId);
+  assert.deepEqual(own, { kind: 'ok', value: { state: 'cancelled' } });
+  rpc.close();
+});
+
 test('requests do not circle between entries that send each other their work', async (t) => {
   // Guards against a loop when both sides' summaries promise targets that are gone.
   const { home, away } = await startPair(t);
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -63,9 +63,10 @@
 
   constructor(private readonly options: PeerTaskOptions) {
     this.rpc = new RpcServer(options.auth, options.log);
-    this.rpc.method('key.cancel', ({ customer, key }) => {
+    this.rpc.method('key.cancel', ({ to, customer, key }) => {
       const parsed = parseIdempotencyKey(key);
-      if (!parsed) return { state: 'unknown' };
+      // A process that was started later on the same address can't speak for the one before it.
+      if (!parsed || to !== options.state.self.bootId) return { state: 'unknown' };
       return { state: options.keys.cancel(parsed, customer, options.timers.wall()) };
     });
     this.listener = new HttpListener({
