Check at-most-once on random schedules of failures

Cause: the model test of the key table covers one table; nothing covered runners, dispatchers, hand-overs and cancels of several entries together.

Change: an in-process fleet of three entries with the real KeyTable, CallRunner, Dispatcher, TargetExchange, ForwardExchange, SuspectLane and checkForward on a network whose steps (connect, deliver, answer, cancel) wait to be chosen. fast-check chooses sends of two keys to any entry, lost messages, frozen and woken entries, restarts on the same address, passing deadlines and targets that leave. Faked: admission (one step), the choice of the failure domain (random) and the sockets.

--- /dev/null
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -0,0 +1,299 @@
+/** One entry process without sockets: its network steps wait to be chosen by a schedule. */
+import type { ServerResponse } from 'node:http';
+import { Readable } from 'node:stream';
+import {
+  KeyTable,
+  LeastReportedLoadTargetPolicy,
+  ResultCodes,
+  RetryBudget,
+  RunState,
+  SuspectTable,
+  allowedRegions,
+  checkForward,
+  parseIdempotencyKey,
+  snapshotDelta,
+  type DomainView,
+  type ProcessRef,
+  type RandomSource,
+} from '@marjoramcart/core';
+import {
+  ManualTimerService,
+  MessageAuthenticator,
+  Metrics,
+  silentLogger,
+  type RpcClient,
+} from '@marjoramcart/platform';
+import type { AdmissionGate } from '../admission/admission-gate.js';
+import { CustomerLimits } from '../admission/customer-limits.js';
+import { TargetExchange } from '../dispatch/attempt.js';
+import type { Connections, OutgoingRequest, RequestResult } from '../dispatch/connection.js';
+import { DeathProbe } from '../dispatch/death-probe.js';
+import { Dispatcher } from '../dispatch/dispatcher.js';
+import { SuspectLane } from '../dispatch/suspect-lane.js';
+import { FORWARD_HEADER, FORWARD_PATH, decodeEnvelope } from '../forward/forward-envelope.js';
+import { ForwardExchange, hopOf } from '../forward/forward-exchange.js';
+import { EntryMetrics } from '../metrics/entry-metrics.js';
+import { Answer, type RecordedAnswer } from '../relay/answer.js';
+import type { Call } from '../request/call.js';
+import { OpenCalls } from '../request/open-calls.js';
+import { CallRunner } from '../request/runner.js';
+import type { DomainChooser } from '../routing/domain-chooser.js';
+import { TargetTable } from '../routing/target-table.js';
+import { EntryState } from '../state/entry-state.js';
+import { FLEET_SECRET, testSnapshot } from './fake-control.js';
+import { HeldResponse } from './held-response.js';
+import { targetState, testConfig } from './harness.js';
+
+const SNAPSHOT = testSnapshot(1, testConfig());
+const METRICS = new EntryMetrics(new Metrics());
+const EMPTY = Buffer.alloc(0);
+export const PLACES = [
+  { address: 'entry-a', region: 'north', failureDomain: 'north-1' },
+  { address: 'entry-b', region: 'north', failureDomain: 'north-2' },
+  { address: 'entry-c', region: 'west', failureDomain: 'west-1' },
+] as const;
+
+/** The network and the targets that an entry reaches. */
+export interface ScheduledNetwork {
+  readonly random: RandomSource;
+  /** Runs at the targets by key. */
+  readonly runs: Map<string, number>;
+  at(address: string): ScheduledEntry | undefined;
+  /** Resolves when the schedule chooses this step: whether it went well. */
+  wait(at: () => ScheduledEntry | undefined): Promise<boolean>;
+}
+
+export type Place = (typeof PLACES)[number];
+
+/** One entry process. */
+export class ScheduledEntry {
+  state: 'up' | 'frozen' | 'dead' = 'up';
+
+  hasTarget = true;
+
+  /** Time that passed while it was frozen. */
+  missedMs = 0;
+
+  readonly timers = new ManualTimerService();
+
+  private readonly keys = new KeyTable<RecordedAnswer>({ maxKeys: 100, maxBytes: 10_000_000 });
+
+  private readonly known: EntryState;
+
+  private readonly runner: CallRunner;
+
+  private version = 0;
+
+  constructor(
+    private readonly fleet: ScheduledNetwork,
+    readonly place: Place,
+    readonly bootId: string,
+    nowMs: number,
+  ) {
+    const { timers } = this;
+    timers.advance(nowMs);
+    const now = (): number => timers.now();
+    const self: ProcessRef = {
+      ...{ bootId, role: 'entry', vm: place.address, region: place.region },
+      ...{ failureDomain: place.failureDomain, peerAddress: place.address },
+    };
+    this.known = new EntryState(self, timers);
+    const connections = {
+      dial: (address: string) => address,
+      send: this.transmit.bind(this),
+    } as unknown as Connections;
+    const rpc = { call: this.callPeer.bind(this) } as unknown as RpcClient;
+    const targets = new TargetTable(this.known, now);
+    const forwards = new ForwardExchange({
+      ...{ self, connections, rpc, timers, revision: () => 1 },
+      auth: new MessageAuthenticator(FLEET_SECRET, () => timers.wall()),
+      allowedRegions: () => ['north', 'west'],
+    });
+    const dispatcher = new Dispatcher({
+      ...{ targets, forwards, timers, random: fleet.random, log: silentLogger() },
+      targetPolicy: new LeastReportedLoadTargetPolicy(),
+      domains: { choose: this.chooseDomain.bind(this) } as unknown as DomainChooser,
+      exchange: new TargetExchange(connections, timers),
+      probe: new DeathProbe(connections),
+      suspects: new SuspectTable(),
+      lane: new SuspectLane(targets, timers),
+      budget: new RetryBudget(1, 0),
+      metrics: METRICS,
+      afterPause: () => undefined,
+      checkPause: () => undefined,
+    });
+    this.runner = new CallRunner({
+      ...{ state: this.known, timers, keys: this.keys, dispatcher, forwards, metrics: METRICS },
+      limits: new CustomerLimits(),
+      gate: { admit: this.admit.bind(this) } as unknown as AdmissionGate,
+      open: new OpenCalls(),
+    });
+  }
+
+  /** A key that this process dispatches. */
+  key(nonce: string): string {
+    return `${this.bootId}.${Math.floor(this.timers.wall() / 1000) + 600}.${nonce}`;
+  }
+
+  pass(ms: number): void {
+    if (this.state === 'frozen') this.missedMs += ms;
+    else this.timers.advance(ms);
+  }
+
+  learn(entries: readonly ScheduledEntry[]): void {
+    this.version += 1;
+    const others = entries.filter((entry) => entry !== this);
+    const view = {
+      version: this.version,
+      targets: this.hasTarget
+        ? [targetState(`target-of-${this.place.address}`, { address: 'target' })]
+        : [],
+      ...{ processes: [], suspects: [], isolated: false, entriesPerRegion: {} },
+      summaries: others.map((entry) => ({
+        ...entry.place,
+        ...{ version: this.version, ageMs: 0, services: [] },
+        entries: [
+          {
+            ...{ bootId: entry.bootId, peerAddress: entry.place.address, callerAddress: '' },
+            ...{ draining: false, openRequests: 0 },
+          },
+        ],
+      })),
+    } satisfies DomainView;
+    this.known.apply({
+      control: { ...this.known.self, role: 'control' },
+      revision: 1,
+      delta: this.known.config ? undefined : snapshotDelta(SNAPSHOT, {}),
+      view,
+    });
+  }
+
+  /** Starts work on a request of a caller or, with `forwarded`, of another entry. */
+  accept(
+    res: HeldResponse,
+    request: { readonly key: string; readonly deadlineMs: number },
+    forwarded?: NonNullable<ReturnType<typeof decodeEnvelope>>,
+  ): void {
+    const { self } = this.known;
+    const answer = new Answer(res as unknown as ServerResponse, {
+      common: () => ({ 'marjoramcart-entry': self.bootId }),
+      record: true,
+    });
+    const key = parseIdempotencyKey(request.key);
+    if (forwarded) {
+      const { visited, reason } = forwarded;
+      const fault = checkForward(visited, hopOf(self), reason, ['north', 'west']);
+      if (fault ?? (reason === 'key' && key?.bootId !== self.bootId)) {
+        const code = ResultCodes.ForwardLoop;
+        answer.fail({ code, run: code.run, attempts: 0 });
+        return;
+      }
+    }
+    const { config } = this.known;
+    const customer = config?.customersById.get('c1');
+    const service = config?.services.booking;
+    if (!config || !customer || !service) throw new Error('the entry has no configuration');
+    if (allowedRegions(config, customer, service).length < 2)
+      throw new Error('a region is missing');
+    const call: Call = {
+      ...{ id: `${request.key}-${this.fleet.random.next()}`, customer, service: 'booking' },
+      ...{ config: service, method: 'POST', path: '/slots', contentType: undefined, body: EMPTY },
+      ...{ stream: false, repeatable: false, key, digest: `digest-${request.key}` },
+      routed: { service: 'booking', promptTokens: 0, maxTokens: 0, bodyBytes: 0 },
+      arrivedAt: this.timers.now(),
+      deadlineAt: this.timers.now() + request.deadlineMs,
+      visited: forwarded?.visited ?? [],
+    };
+    const handedOver = forwarded?.reason === 'load' && key?.bootId !== self.bootId;
+    void this.runner.run(call, answer, handedOver);
+  }
+
+  private async admit(call: Call): Promise<unknown> {
+    await this.fleet.wait(() => this);
+    if (call.deadlineAt <= this.timers.now()) {
+      return { kind: 'refused', code: ResultCodes.DeadlineExpired };
+    }
+    return { kind: 'admitted', release: () => undefined };
+  }
+
+  private chooseDomain(call: Call, excluded: ReadonlySet<string>, localReady: boolean): unknown {
+    if (call.visited.some((hop) => hop.failureDomain !== this.place.failureDomain))
+      return undefined;
+    if (localReady && this.fleet.random.next() < 0.6) return undefined;
+    const open = this.known.view.summaries.filter((s) => !excluded.has(s.failureDomain));
+    const chosen = open[Math.floor(this.fleet.random.next() * open.length)];
+    const [entry] = chosen?.entries ?? [];
+    return chosen && entry && { ...chosen, ...entry, oneWayMs: 1 };
+  }
+
+  /** As `Connections.send`: connect, the check right before the write, the request, the answer. */
+  private async transmit(
+    out: OutgoingRequest,
+    mayWrite: () => boolean,
+    signal: AbortSignal,
+  ): Promise<RequestResult> {
+    const failed = (sent: boolean): RequestResult => ({
+      kind: 'failed',
+      sent,
+      reused: false,
+      message: 'lost',
+    });
+    const aborted = new Promise<false>((resolve) => {
+      if (signal.aborted) resolve(false);
+      signal.addEventListener('abort', () => resolve(false), { once: true });
+    });
+    const connected = await Promise.race([this.fleet.wait(() => this), aborted]);
+    if (!connected || signal.aborted) return failed(false);
+    if (!mayWrite()) return { kind: 'vetoed' };
+    // What was written goes on although this side stops waiting.
+    return Promise.race([this.exchange(out, failed(true)), aborted.then(() => failed(true))]);
+  }
+
+  private async exchange(out: OutgoingRequest, lost: RequestResult): Promise<RequestResult> {
+    const receiver = (): ScheduledEntry | undefined => this.fleet.at(out.address);
+    if (!(await this.fleet.wait(receiver))) return lost;
+    const res = new HeldResponse();
+    const answered = new Promise((resolve) => {
+      res.once('answered', resolve);
+    });
+    if (out.path === FORWARD_PATH) {
+      const envelope = decodeEnvelope(String(out.headers[FORWARD_HEADER]));
+      if (!envelope) throw new Error('the forward header is malformed');
+      receiver()?.accept(
+        res,
+        { key: envelope.key ?? '', deadlineMs: envelope.deadlineMs },
+        envelope,
+      );
+    } else if (out.path === '/load') res.end('{"sequence":1000}');
+    else {
+      const key = String(out.headers['idempotency-key']);
+      this.fleet.runs.set(key, (this.fleet.runs.get(key) ?? 0) + 1);
+      res.writeHead(201, { 'content-type': 'application/json' });
+      res.end('{"slot":7}');
+    }
+    await answered;
+    if (!(await this.fleet.wait(() => this))) return lost;
+    const { statusCode, headers } = res;
+    const body = Object.assign(Readable.from([res.body]), { statusCode, headers, complete: true });
+    return { kind: 'answer', req: undefined, res: body } as unknown as RequestResult;
+  }
+
+  /** As the RPC `key.cancel` of another entry. */
+  private async callPeer(
+    address: string,
+    _method: string,
+    params: { readonly to: string; readonly customer: string; readonly key: string },
+  ): Promise<unknown> {
+    const peer = (): ScheduledEntry | undefined => this.fleet.at(address);
+    if (!(await this.fleet.wait(peer))) return { kind: 'failed' };
+    const known = peer();
+    const key = parseIdempotencyKey(params.key);
+    const state =
+      known && key && known.bootId === params.to
+        ? known.keys.cancel(key, params.customer, known.timers.wall())
+        : RunState.Unknown;
+    return (await this.fleet.wait(() => this))
+      ? { kind: 'ok', value: { state } }
+      : { kind: 'failed' };
+  }
+}
