Prove at most once and true not_run with real daemons

Change: ten scenarios on one fleet whose targets are reached through the fault proxy and which is repaired after each scenario: owner killed, frozen and woken before or after the deadline, same key at all entries at once, link cut after the forward to the owner, after and during a hand-over, target that closes used connections or loses answers, restart with re-sends all the while. Each compares all answers with the targets' run logs once everything is awake and idle; strict per key: one not_run and any run of the key is a failure.

Not shown: a hand-over that arrives after its caller's answer. The proxy drops held bytes when the entry gives up, so 'during hand-over' also passes without key.cancel; the schedules cover that order.

Conclusion: no second run and no untrue not_run in these scenarios.

--- /dev/null
+++ b/tests/features/scenarios/runs-at-most-once.feature
@@ -0,0 +1,106 @@
+Feature: Runs at most once
+  A booking runs at most once, whatever fails and wherever its caller sends it again. The evidence
+  is the run logs of the booking targets, compared with every answer after all processes are awake
+  and have nothing left to do.
+
+  Background:
+    Given the fleet for failures
+    And every booking takes 800 ms
+
+  Scenario: The entry dies after dispatch
+    When tent-crew starts 6 bookings at an entry in the north
+    And targets run some of them and the entry queues the others
+    And the entry dies
+    And the bookings are sent again to "all other entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every answered re-send says "unknown"
+
+  Scenario: The entry freezes with queued bookings and wakes up within their deadline
+    When tent-crew starts 6 bookings at an entry in the north
+    And targets run some of them and the entry queues the others
+    And the entry freezes
+    And the targets have ended the runs that they had started
+    And the bookings are sent again to "all other entries" with a deadline of 500 ms
+    And the entry wakes up
+    And every answer is there
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+    And every first send says "ran"
+
+  Scenario: The entry freezes with queued bookings and wakes up after their deadline
+    When tent-crew starts 6 bookings at an entry in the north with a deadline of 1500 ms
+    And targets run some of them and the entry queues the others
+    And the entry freezes
+    And the bookings are sent again to "all other entries" with a deadline of 2500 ms
+    And the entry wakes up
+    And every answer is there
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And no queued booking ran
+
+  Scenario: The same key arrives at all entries at the same time
+    When tent-crew sends 8 bookings to all entries at the same time
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+    And every answer says "ran"
+
+  Scenario: The link to the owner is cut after the hand-over and healed
+    When tent-crew starts 3 bookings with keys of the north at an entry in the west with a deadline of 4000 ms
+    And targets run all of them
+    And the west is cut off from the other regions
+    And the bookings are sent again to "all entries" during the cut with a deadline of 4000 ms
+    And the targets have ended the runs that they had started
+    And the links of the west are whole again
+    And every answer is there
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+
+  Scenario: The link is cut after the owner handed its bookings to another region
+    Given the booking targets of the west are leaving
+    When tent-crew starts 3 bookings at an entry in the west with a deadline of 3000 ms
+    And targets run all of them
+    And the west is cut off from the other regions
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    And the links of the west are whole again
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+
+  Scenario: The hand-over itself is held up by the cut and arrives after the answer
+    Given the booking targets of the west are leaving
+    When tent-crew starts 1 bookings at an entry in the west
+    And targets run all of them
+    And the west is cut off from the other regions
+    And tent-crew starts 4 bookings at the same entry with a deadline of 1500 ms
+    And the answers to these bookings are there
+    And the links of the west are whole again
+    And the bookings are sent again to "all entries" with a deadline of 5000 ms
+    Then no booking ran twice and every "not_run" is true
+
+  Scenario: The target closes a used connection as the request is written
+    Given the entries in the north hold used connections to the booking targets
+    And booking targets have "close_reused" set to "true"
+    When tent-crew starts 6 bookings at an entry in the north
+    And every answer is there
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+    And every answer says "ran"
+
+  Scenario: The target runs the booking and closes the connection without an answer
+    Given booking targets have "lose_answers" set to "true"
+    When tent-crew starts 6 bookings at an entry in the north
+    And every answer is there
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every booking ran
+    And every answer says "unknown"
+
+  Scenario: The entry restarts and the bookings are sent to it again
+    When tent-crew starts 6 bookings at an entry in the north
+    And targets run some of them and the entry queues the others
+    And the entry restarts and its callers re-send without a pause until it answers
+    And the bookings are sent again to "all entries" with a deadline of 3000 ms
+    Then no booking ran twice and every "not_run" is true
+    And every answered re-send says "unknown"
--- /dev/null
+++ b/tests/features/src/steps/at-most-once-steps.ts
@@ -0,0 +1,310 @@
+/** Steps that bring about failures around bookings and compare all answers with the run logs. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { waitFor, type EntryPlan } from '@marjoramcart/stand-ins';
+import { Bookings, statusOf } from '../support/bookings.js';
+import { fleetForFailures } from '../support/fleets.js';
+import type { GatewayWorld } from '../support/world.js';
+
+const BOUND_MS = 30_000;
+
+interface Failure {
+  readonly bookings: Bookings;
+  customer: string;
+  owner: EntryPlan;
+  sender: EntryPlan;
+}
+
+const failures = new WeakMap<GatewayWorld, Failure>();
+
+Given('the fleet for failures', async function given(this: GatewayWorld) {
+  this.fleetInUse = await fleetForFailures();
+  this.repairs = true;
+});
+
+When(
+  '{word} starts {int} bookings at an entry in the {word}',
+  async function when(this: GatewayWorld, customer: string, count: number, region: string) {
+    const { bookings, owner } = begin(this, customer, region);
+    const made = await bookings.create(customer, count, owner);
+    this.pending.push(...made.map((booking) => bookings.send(customer, booking, owner)));
+  },
+);
+
+When(
+  '{word} starts {int} bookings at an entry in the {word} with a deadline of {int} ms',
+  async function when(
+    this: GatewayWorld,
+    customer: string,
+    count: number,
+    region: string,
+    deadlineMs: number,
+  ) {
+    const { bookings, owner } = begin(this, customer, region);
+    const made = await bookings.create(customer, count, owner);
+    this.pending.push(
+      ...made.map((booking) => bookings.send(customer, booking, owner, { deadlineMs })),
+    );
+  },
+);
+
+When(
+  '{word} starts {int} bookings with keys of the {word} at an entry in the {word} with a deadline of {int} ms',
+  async function when(
+    this: GatewayWorld,
+    customer: string,
+    count: number,
+    region: string,
+    senderRegion: string,
+    deadlineMs: number,
+  ) {
+    const { bookings, owner } = begin(this, customer, region, senderRegion);
+    const { sender } = failureOf(this);
+    const made = await bookings.create(customer, count, owner);
+    this.pending.push(
+      ...made.map((booking) => bookings.send(customer, booking, sender, { deadlineMs })),
+    );
+  },
+);
+
+When(
+  '{word} sends {int} bookings to all entries at the same time',
+  async function when(this: GatewayWorld, customer: string, count: number) {
+    const { bookings, owner } = begin(this, customer, 'north');
+    const made = await bookings.create(customer, count, owner);
+    const sent = made.flatMap((booking) =>
+      this.fleet.layout.entries.map((entry) =>
+        bookings.send(customer, booking, entry, { resent: entry !== owner }),
+      ),
+    );
+    this.pending.push(...sent);
+  },
+);
+
+When(
+  '{word} starts {int} bookings at the same entry with a deadline of {int} ms',
+  async function when(this: GatewayWorld, customer: string, count: number, deadlineMs: number) {
+    const { bookings, owner } = failureOf(this);
+    // The other regions knew the owner before the cut; the keys need no further wait.
+    const made = bookings.createMore(count);
+    this.pending = made.map((booking) => bookings.send(customer, booking, owner, { deadlineMs }));
+  },
+);
+
+When('the answers to these bookings are there', async function when(this: GatewayWorld) {
+  await Promise.all(this.pending);
+});
+
+When('targets run some of them and the entry queues the others', function when(this: GatewayWorld) {
+  const { bookings, owner } = failureOf(this);
+  return waitFor(
+    'targets run some bookings and the entry queues the others',
+    async () => {
+      const started = bookings.started().length;
+      const { queued } = await statusOf(owner);
+      return started > 0 && queued > 0 && started + queued === bookings.all.length;
+    },
+    BOUND_MS,
+  );
+});
+
+When('targets run all of them', function when(this: GatewayWorld) {
+  const { bookings } = failureOf(this);
+  return waitFor(
+    'targets run all bookings',
+    () => bookings.started().length === bookings.all.length,
+    BOUND_MS,
+  );
+});
+
+When('every answer is there', function when(this: GatewayWorld) {
+  return failureOf(this).bookings.drained();
+});
+
+When('the entry dies', async function when(this: GatewayWorld) {
+  await this.fleet.process(failureOf(this).owner.name).kill();
+});
+
+When('the entry freezes', function when(this: GatewayWorld) {
+  this.fleet.process(failureOf(this).owner.name).freeze();
+});
+
+When('the entry wakes up', function when(this: GatewayWorld) {
+  this.fleet.process(failureOf(this).owner.name).thaw();
+});
+
+When(
+  'the entry restarts and its callers re-send without a pause until it answers',
+  async function when(this: GatewayWorld) {
+    const { bookings, owner, customer } = failureOf(this);
+    const process = this.fleet.process(owner.name);
+    await process.kill();
+    process.start();
+    await Promise.all(
+      bookings.all.map((booking) =>
+        waitFor(
+          `${owner.name} answers`,
+          async () =>
+            (await bookings.send(customer, booking, owner, { resent: true })).run === 'unknown',
+          BOUND_MS,
+        ),
+      ),
+    );
+  },
+);
+
+When('the targets have ended the runs that they had started', function when(this: GatewayWorld) {
+  const { bookings } = failureOf(this);
+  return waitFor(
+    'the started bookings are finished',
+    () => {
+      const started = bookings.started().map(({ run }) => run);
+      const finished = this.fleet.runs().filter(({ event }) => event === 'finished');
+      const ended = new Set(finished.map(({ run }) => run));
+      return started.length > 0 && started.every((run) => ended.has(run));
+    },
+    BOUND_MS,
+  );
+});
+
+When(
+  'the bookings are sent again to {string} with a deadline of {int} ms',
+  async function when(this: GatewayWorld, places: string, deadlineMs: number) {
+    const { bookings, customer, owner } = failureOf(this);
+    const all = this.fleet.layout.entries;
+    const entries = places === 'all other entries' ? all.filter((e) => e !== owner) : all;
+    await Promise.all(
+      bookings.all.flatMap((booking) =>
+        entries.map((entry) =>
+          bookings.send(customer, booking, entry, { resent: true, deadlineMs }),
+        ),
+      ),
+    );
+  },
+);
+
+When(
+  'the bookings are sent again to {string} during the cut with a deadline of {int} ms',
+  function when(this: GatewayWorld, places: string, deadlineMs: number) {
+    const { bookings, customer } = failureOf(this);
+    const entries = this.fleet.layout.entries.filter(
+      ({ region }) => places === 'all entries' || region === places,
+    );
+    const sent = bookings.all.flatMap((booking) =>
+      entries.map((entry) => bookings.send(customer, booking, entry, { resent: true, deadlineMs })),
+    );
+    this.pending.push(...sent);
+  },
+);
+
+When(
+  'the {word} is cut off from the other regions',
+  function when(this: GatewayWorld, region: string) {
+    return this.fleet.isolate(domainOf(this, region), true);
+  },
+);
+
+When('the links of the {word} are whole again', function when(this: GatewayWorld, region: string) {
+  return this.fleet.isolate(domainOf(this, region), false);
+});
+
+Given(
+  'the booking targets of the {word} are leaving',
+  async function given(this: GatewayWorld, region: string) {
+    const targets = this.fleet.layout.targets.filter(
+      (target) => target.region === region && target.service !== undefined,
+    );
+    await Promise.all(targets.map(({ name }) => this.fleet.setTarget(name, { state: 'leaving' })));
+  },
+);
+
+Given(
+  'booking targets have {string} set to {string}',
+  async function given(this: GatewayWorld, setting: string, value: string) {
+    const targets = this.fleet.layout.targets.filter(({ service }) => service !== undefined);
+    await Promise.all(
+      targets.map(({ name }) => this.fleet.setTarget(name, { [setting]: value === 'true' })),
+    );
+  },
+);
+
+Given(
+  'the entries in the {word} hold used connections to the booking targets',
+  async function given(this: GatewayWorld, region: string) {
+    const entries = this.fleet.layout.entries.filter((entry) => entry.region === region);
+    const call = { method: 'GET', path: '/svc/crane-booking/slots' };
+    const calls = entries.flatMap(({ callers }) =>
+      Array.from({ length: 8 }, () => this.caller('tent-crew').call(callers, call)),
+    );
+    const results = await Promise.all(calls);
+    assert.ok(results.every(({ complete }) => complete));
+  },
+);
+
+Then('no booking ran twice and every "not_run" is true', async function then(this: GatewayWorld) {
+  const counts = await failureOf(this).bookings.check();
+  const answers = counts.answers ?? 0;
+  const share = answers === 0 ? 0 : (counts.unknown ?? 0) / answers;
+  this.attach(JSON.stringify({ ...counts, unknown_share: Number(share.toFixed(3)) }));
+  this.log(`${this.marker}: ${JSON.stringify(counts)}, share of unknown ${share.toFixed(3)}`);
+});
+
+Then('every booking ran', function then(this: GatewayWorld) {
+  const { bookings } = failureOf(this);
+  assert.equal(bookings.started().length, bookings.all.length);
+});
+
+Then('no queued booking ran', function then(this: GatewayWorld) {
+  const { bookings } = failureOf(this);
+  assert.ok(bookings.started().length < bookings.all.length);
+});
+
+Then(
+  /^every (answer|answered re-send|first send) says "([a-z_]+)"$/,
+  function then(this: GatewayWorld, which: string, run: string) {
+    const { answers } = failureOf(this).bookings;
+    const chosen = answers.filter(
+      ({ resent, result }) =>
+        which === 'answer' || (which === 'first send' ? !resent : resent && result.status !== 0),
+    );
+    const said = chosen.map(({ result }) => `${result.run} ${result.code}`);
+    assert.ok(said.length > 0, 'there is no such answer');
+    assert.deepEqual(
+      said.filter((text) => text.split(' ')[0] !== run),
+      [],
+    );
+  },
+);
+
+function begin(
+  world: GatewayWorld,
+  customer: string,
+  region: string,
+  senderRegion = region,
+): Failure {
+  const entryIn = (wanted: string): EntryPlan => {
+    const found = world.fleet.layout.entries.find((entry) => entry.region === wanted);
+    if (!found) throw new Error(`there is no entry in the ${wanted}`);
+    return found;
+  };
+  const failure = {
+    bookings: new Bookings(world),
+    customer,
+    owner: entryIn(region),
+    sender: entryIn(senderRegion),
+  };
+  failures.set(world, failure);
+  return failure;
+}
+
+function failureOf(world: GatewayWorld): Failure {
+  const failure = failures.get(world);
+  if (!failure) throw new Error('the scenario has started no booking');
+  return failure;
+}
+
+function domainOf(world: GatewayWorld, region: string): string {
+  const domain = world.fleet.layout.domains.find((spec) => spec.region === region);
+  if (!domain) throw new Error(`there is no region '${region}'`);
+  return domain.name;
+}
--- /dev/null
+++ b/tests/features/src/support/bookings.ts
@@ -0,0 +1,198 @@
+/** Bookings of a scenario, every answer to them, and the verdict of the targets' run logs. */
+import assert from 'node:assert/strict';
+import {
+  makeKey,
+  request,
+  requestJson,
+  waitFor,
+  type CallResult,
+  type EntryPlan,
+  type RunRecord,
+} from '@marjoramcart/stand-ins';
+import type { GatewayWorld } from './world.js';
+
+const BOUND_MS = 30_000;
+
+export interface Booking {
+  readonly marker: string;
+  readonly key: string;
+}
+
+interface Answered {
+  readonly booking: Booking;
+  readonly resent: boolean;
+  readonly result: CallResult;
+}
+
+export interface SendOptions {
+  readonly resent?: boolean;
+  readonly deadlineMs?: number;
+}
+
+export class Bookings {
+  readonly all: Booking[] = [];
+
+  readonly answers: Answered[] = [];
+
+  private prefix = '';
+
+  private readonly pending = new Set<Promise<CallResult>>();
+
+  constructor(private readonly world: GatewayWorld) {}
+
+  /** Makes bookings whose keys `owner` dispatches, once every entry knows it. */
+  async create(customer: string, count: number, owner: EntryPlan): Promise<readonly Booking[]> {
+    const { world } = this;
+    const prefix = await this.prefixOf(customer, owner);
+    await Promise.all(
+      world.fleet.layout.entries.map(({ name, callers }) =>
+        waitFor(
+          `${name} knows ${owner.name}`,
+          async () =>
+            (await world.caller(customer).entries(callers)).some(
+              ({ key_prefix }) => key_prefix === prefix,
+            ),
+          BOUND_MS,
+        ),
+      ),
+    );
+    this.prefix = prefix;
+    return this.createMore(count);
+  }
+
+  /** Makes further bookings with keys of the same owner. */
+  createMore(count: number): readonly Booking[] {
+    const { world } = this;
+    const made = Array.from({ length: count }, (_, n) => ({
+      marker: `${world.marker}-${this.all.length + n}`,
+      key: makeKey(this.prefix, world.nonce()),
+    }));
+    this.all.push(...made);
+    return made;
+  }
+
+  /** Sends a booking on a connection of its own and keeps the answer. */
+  send(
+    customer: string,
+    booking: Booking,
+    entry: EntryPlan,
+    { resent = false, deadlineMs }: SendOptions = {},
+  ): Promise<CallResult> {
+    const deadline = deadlineMs === undefined ? {} : { 'marjoramcart-deadline-ms': deadlineMs };
+    const sent = this.world
+      .caller(customer)
+      .call(entry.callers, {
+        method: 'POST',
+        path: '/svc/crane-booking/slots',
+        body: { note: `a slot, marker:${booking.marker}` },
+        headers: { 'idempotency-key': booking.key, ...deadline },
+        freshConnection: true,
+      })
+      .then((result) => {
+        this.answers.push({ booking, resent, result });
+        this.pending.delete(sent);
+        return result;
+      });
+    this.pending.add(sent);
+    return sent;
+  }
+
+  started(): RunRecord[] {
+    const markers = new Set(this.all.map(({ marker }) => marker));
+    return this.world.fleet
+      .runs()
+      .filter(({ event, marker }) => event === 'started' && markers.has(marker));
+  }
+
+  /** Waits until every caller has its answer and no process of the fleet works on a call. */
+  async drained(): Promise<void> {
+    const { fleet } = this.world;
+    await Promise.all(this.pending);
+    await Promise.all([
+      ...fleet.layout.entries
+        .filter(({ name }) => fleet.process(name).running)
+        .map((entry) =>
+          waitFor(
+            `${entry.name} has no open call`,
+            async () => (await statusOf(entry)).open_requests === 0,
+            BOUND_MS,
+          ),
+        ),
+      ...fleet.layout.targets
+        .filter(({ service }) => service !== undefined)
+        .map(({ name, address }) =>
+          waitFor(
+            `${name} runs nothing`,
+            async () => {
+              const url = `http://${address}/load`;
+              return (await requestJson<{ running: number }>('GET', url)).running === 0;
+            },
+            BOUND_MS,
+          ),
+        ),
+    ]);
+  }
+
+  /** Compares every answer with the targets' run logs; returns the counts for the report. */
+  async check(): Promise<Record<string, number>> {
+    await this.drained();
+    const runs = this.started();
+    const runsOf = ({ marker }: Booking): RunRecord[] => runs.filter((r) => r.marker === marker);
+    const twice = this.all.filter((booking) => runsOf(booking).length > 1);
+    const wronglyNotRun = this.answers.filter(
+      ({ booking, result }) => result.run === 'not_run' && runsOf(booking).length > 0,
+    );
+    const wronglyRan = this.answers.filter(
+      ({ booking, result }) =>
+        result.complete &&
+        (JSON.parse(result.text) as { booking: unknown }).booking !== runsOf(booking)[0]?.run,
+    );
+    assert.deepEqual(
+      {
+        twice: twice.map(({ marker }) => marker),
+        wronglyNotRun: distinct(wronglyNotRun),
+        wronglyRan: distinct(wronglyRan),
+      },
+      { twice: [], wronglyNotRun: [], wronglyRan: [] },
+    );
+    return { bookings: this.all.length, runs: runs.length, ...this.shares() };
+  }
+
+  /** Number of answers by what they say about the run. */
+  private shares(): Record<string, number> {
+    const counts: Record<string, number> = { answers: this.answers.length };
+    this.answers.forEach(({ result }) => {
+      const said = result.run === '' ? 'no answer' : result.run;
+      counts[said] = (counts[said] ?? 0) + 1;
+    });
+    return counts;
+  }
+
+  private async prefixOf(customer: string, { callers }: EntryPlan): Promise<string> {
+    const refused = await this.world.caller(customer).call(callers, {
+      method: 'POST',
+      path: '/svc/crane-booking/slots',
+      body: {},
+      freshConnection: true,
+    });
+    const prefix = refused.error?.key_prefix;
+    if (prefix === undefined) throw new Error(`${callers} gave no key prefix: ${refused.text}`);
+    return prefix;
+  }
+}
+
+/** Status of an entry, from its admin listener. */
+export async function statusOf({
+  admin,
+}: EntryPlan): Promise<{ open_requests: number; queued: number }> {
+  const { text } = await request('GET', `http://${admin}/status`);
+  return JSON.parse(text) as { open_requests: number; queued: number };
+}
+
+/** Answers in short, each once: what failed is read off these lines. */
+function distinct(answers: readonly Answered[]): string[] {
+  const lines = answers.map(
+    ({ booking, result }) => `${booking.marker}: ${result.status} ${result.code} ${result.run}`,
+  );
+  return [...new Set(lines)];
+}
--- a/tests/features/src/support/fleets.ts
+++ b/tests/features/src/support/fleets.ts
@@ -14,7 +14,7 @@
 const ONE_WAY_MS = 20;
 const SERVING_BOUND_MS = 30_000;
 
-const shared: { fleet?: Promise<Fleet> } = {};
+const shared: { fleet?: Promise<Fleet>; forFailures?: Promise<Fleet> } = {};
 const counter = { fleets: 0 };
 
 /** The fleet of scenarios that change nothing in it. */
@@ -23,6 +23,28 @@
   return shared.fleet;
 }
 
+/** The fleet of scenarios that bring about failures; it is repaired after each of them. */
+export function fleetForFailures(): Promise<Fleet> {
+  shared.forFailures ??= startFleet({
+    proxyTargets: true,
+    plainArgs: ['--concurrency', '4'],
+  });
+  return shared.forFailures;
+}
+
+/** Thaws, restarts and resets whatever a scenario changed, and waits until all entries serve. */
+async function repair(fleet: Fleet): Promise<void> {
+  fleet.processes.forEach((process) => process.thaw());
+  await fleet.setFlow({ from: '*', to: '*' }, { cut: false });
+  await fleet.setFaults({ from: '*', to: '*' }, { reset_after: 0, truncate_after: 0 });
+  const dead = fleet.processes.filter(({ running }) => !running);
+  await Promise.all(dead.map(({ name }) => fleet.restart(name)));
+  const bookings = fleet.layout.targets.filter(({ service }) => service !== undefined);
+  const settings = { state: 'live', delay_ms: 5, close_reused: false, lose_answers: false };
+  await Promise.all(bookings.map(({ name }) => fleet.setTarget(name, settings)));
+  await waitServing(fleet);
+}
+
 /** Starts the example fleet and waits until every entry serves both services. */
 export async function startFleet(changes: Partial<FleetSpec> = {}): Promise<Fleet> {
   counter.fleets += 1;
@@ -88,9 +110,12 @@
     this.attach(`seed ${SEED}, marker ${this.marker}, logs in ${this.fleetInUse.folder}`);
   }
   await this.ownFleet?.stop();
+  if (this.repairs && this.fleetInUse) await repair(this.fleetInUse);
 });
 
 AfterAll(async () => {
-  const fleet = await shared.fleet?.catch(() => undefined);
-  await fleet?.stop();
+  const fleets = await Promise.allSettled([shared.fleet, shared.forFailures]);
+  await Promise.all(
+    fleets.map((result) => (result.status === 'fulfilled' ? result.value?.stop() : undefined)),
+  );
 });
--- a/tests/features/src/support/world.ts
+++ b/tests/features/src/support/world.ts
@@ -46,6 +46,9 @@
   /** Ends with the scenario; a shared fleet is not. */
   ownFleet: Fleet | undefined;
 
+  /** Whether the scenario changes the fleet for failures, which is repaired after it. */
+  repairs = false;
+
   private readonly callers = new Map<string, Caller>();
 
   constructor(options: ConstructorParameters<typeof World>[0]) {
