Send section hashes in entry.sync only when there is a newer revision

Cause: an entry sent the hashes of all 262 sections four times a second, 24 KB/s of loopback traffic that the control daemon inflates, authenticates and parses. Ruled out: a longer sync interval, since leaving marks have to arrive within 250 ms. Change: held in EntrySyncParams is optional. Without it the answer has no delta; an entry that reads a higher revision asks again with its hashes within the same sync, so a change is not delayed.

--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -19,6 +19,7 @@
     control: state.self,
     revision: current?.revision ?? 0,
     ...(current &&
+      params.held &&
       current.revision > params.revision && { delta: snapshotDelta(current, params.held) }),
     ...(view.version !== params.viewVersion && { view }),
   };
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -141,7 +141,11 @@
 export interface EntrySyncParams {
   readonly process: ProcessRef;
   readonly load: EntryLoad;
-  readonly held: SectionHashes;
+  /**
+   * Section hashes of the snapshot held. Left out of most syncs, since they are the largest part
+   * of the message; without them the answer holds no delta.
+   */
+  readonly held?: SectionHashes;
   readonly revision: number;
   /** Highest revision seen on any message. */
   readonly witnessedRevision: number;
@@ -154,7 +158,7 @@
 export interface EntrySyncResult {
   readonly control: ProcessRef;
   readonly revision: number;
-  /** Absent when the entry holds this revision. */
+  /** Absent when the entry holds this revision or sent no section hashes. */
   readonly delta?: SnapshotDelta;
   /** Absent when the entry holds this version. */
   readonly view?: DomainView;
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { EntrySyncResult, ProcessRef } from '@marjoramcart/core';
+import type { EntrySyncParams, EntrySyncResult, ProcessRef } from '@marjoramcart/core';
 import { buildSnapshot, mainPartSchema, snapshotDelta } from '@marjoramcart/core';
 import {
   ManualTimerService,
@@ -25,7 +25,13 @@
   return buildSnapshot(revision, main, []);
 }
 
-function setup(answer: () => Promise<RpcResult<EntrySyncResult>>): {
+function setup(
+  answer: (
+    address: string,
+    method: string,
+    params: EntrySyncParams,
+  ) => Promise<RpcResult<EntrySyncResult>>,
+): {
   timers: ManualTimerService;
   state: EntryState;
   sync: SyncTask;
@@ -96,3 +102,24 @@
   assert.equal(state.revision, 1);
   assert.ok(state.ready);
 });
+
+test('section hashes are sent only to ask for a newer revision, which the same sync brings', async () => {
+  // Guards against the hashes of a large configuration in each of four messages a second, and
+  // against a new revision that waits for the next sync.
+  const current = { revision: 1 };
+  const asked: boolean[] = [];
+  const { state, sync } = setup((_address, _method, { held }) => {
+    asked.push(held !== undefined);
+    const { value } = answerAt(current.revision) as { value: EntrySyncResult };
+    return Promise.resolve({
+      kind: 'ok',
+      value: held ? value : { control: value.control, revision: value.revision },
+    });
+  });
+  await sync.sync();
+  await sync.sync();
+  current.revision = 2;
+  await sync.sync();
+  assert.equal(state.revision, 2);
+  assert.deepEqual(asked, [true, false, false, true]);
+});
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -3,6 +3,7 @@
   MembershipTiming,
   sectionHashes,
   type EntryLoad,
+  type EntrySyncResult,
   type SuspectRecord,
   type TargetObservation,
 } from '@marjoramcart/core';
@@ -64,7 +65,7 @@
 
   /** Syncs once; a call during a sync joins it. False when the control daemon did not answer. */
   sync(): Promise<boolean> {
-    this.running ??= this.exchange().finally(() => {
+    this.running ??= this.exchangeAll().finally(() => {
       this.running = undefined;
     });
     return this.running;
@@ -106,7 +107,17 @@
     });
   }
 
-  private async exchange(): Promise<boolean> {
+  /** Exchanges once, and once more with section hashes when there is a newer revision. */
+  private async exchangeAll(): Promise<boolean> {
+    const { state } = this.options;
+    const behind = state.revision === 0 || state.witnessedRevision > state.revision;
+    const result = await this.exchange(behind);
+    if (!result) return false;
+    const missing = !result.delta && result.revision > state.revision;
+    return missing ? (await this.exchange(true)) !== undefined : true;
+  }
+
+  private async exchange(withHashes: boolean): Promise<EntrySyncResult | undefined> {
     const { state, rpc, control, reports, log } = this.options;
     const observations = reports.takeObservations();
     const result = await rpc.call(
@@ -115,7 +126,7 @@
       {
         process: state.self,
         load: reports.load(),
-        held: sectionHashes(state.snapshot),
+        ...(withHashes && { held: sectionHashes(state.snapshot) }),
         revision: state.revision,
         witnessedRevision: state.witnessedRevision,
         viewVersion: state.view.version,
@@ -127,7 +138,7 @@
     if (result.kind === 'error') {
       this.failures += 1;
       if (this.failures === 1) log.warn('control daemon does not answer', { ...result.error });
-      return false;
+      return undefined;
     }
     if (this.failures > 0) log.info('control daemon answers again');
     this.failures = 0;
@@ -136,6 +147,6 @@
     if (outcome.kind === 'older')
       log.warn('older snapshot ignored', { revision: outcome.revision });
     if (result.value.view) reports.learnSuspects(result.value.view.suspects);
-    return true;
+    return result.value;
   }
 }
--- a/packages/entry/src/testing/fake-control.ts
+++ b/packages/entry/src/testing/fake-control.ts
@@ -69,7 +69,7 @@
     return {
       control: { ...params.process, role: 'control' },
       revision: snapshot.revision,
-      delta: newer ? snapshotDelta(snapshot, params.held) : undefined,
+      delta: newer && params.held ? snapshotDelta(snapshot, params.held) : undefined,
       view: view.version === params.viewVersion ? undefined : view,
     };
   }
