--- /dev/null
+++ b/packages/platform/src/rpc/compression.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decodeBody, encodeBody } from './compression.js';
+
+const MAX_BYTES = 1_000_000;
+const OVERSIZE = 2_000_000;
+
+test('messages of every size come back as they were', async () => {
+  // Guards against a size limit that only one of the two sides applies.
+  const texts = [0, 100, 127, 128, 5000, 32_767, 32_769, 500_000].map((length) =>
+    JSON.stringify({ method: 'gossip.exchange', text: 'ä'.repeat(length) }),
+  );
+  const decoded = await Promise.all(
+    texts.map(async (text) => {
+      const { data, headers } = await encodeBody(text);
+      return decodeBody(data, headers['content-encoding'], 2 * MAX_BYTES);
+    }),
+  );
+  assert.deepEqual(decoded, texts);
+});
+
+test('a message that grows beyond the limit is refused', async () => {
+  // Guards against a small message that expands until memory is full.
+  const { data, headers } = await encodeBody('x'.repeat(OVERSIZE));
+  await assert.rejects(decodeBody(data, headers['content-encoding'], MAX_BYTES), RangeError);
+});
