Probe a target every 3 s from the second prober while all is well

The counter also left out the headers of probes. Ruled out: one prober, since a prober that is cut off would exclude healthy targets. Change: the second prober waits 3 s between probes until any prober sees a failure or the target is unknown; then both probe each second, so an exclusion takes three failures of both as before. Probes are counted with their headers and send no content headers.

--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -22,12 +22,19 @@
 
 /** The second prober publishes only what matters at once: failures and leaving. */
 const PUBLISHING_RANK = 0;
+/** Time between the second prober's probes of a target that no prober sees failing. */
+const SECOND_PROBER_INTERVAL_MS = 3000;
+/** A timer that fires a little early does not put a probe off to the next round. */
+const TIMER_TOLERANCE_MS = 100;
 
 export class ProbeTask implements Task {
   readonly name = 'probes';
 
   private readonly inFlight = new Set<string>();
 
+  /** Start of the last probe of each target, in ms. */
+  private readonly probedAt = new Map<string, number>();
+
   /** Latest report of each target that this daemon probes. */
   readonly reports = new Map<string, LoadReport>();
 
@@ -58,19 +65,31 @@
         const rank = proberRank(record.vm, state.self.bootId, live);
         if (rank < 0) {
           this.reports.delete(record.vm);
+          this.probedAt.delete(record.vm);
           state.members.withdrawTarget(record.vm);
-        } else if (state.targets.mayProbe(record.vm, state.timers.now())) {
+        } else if (this.due(record.vm, rank)) {
           await this.probe(record, rank);
         }
       }),
     );
   }
 
+  /** The second prober probes seldom while all is well, and as often as the first otherwise. */
+  private due(vm: string, rank: number): boolean {
+    const { state } = this.options;
+    const nowMs = state.timers.now();
+    if (!state.targets.mayProbe(vm, nowMs)) return false;
+    if (rank === PUBLISHING_RANK || state.targets.doubted(vm, nowMs)) return true;
+    const sinceMs = nowMs - (this.probedAt.get(vm) ?? -Infinity);
+    return sinceMs >= SECOND_PROBER_INTERVAL_MS - TIMER_TOLERANCE_MS;
+  }
+
   private async probe(record: VmRecord, rank: number): Promise<void> {
     const { vm, address } = record;
     if (this.inFlight.has(vm)) return;
     this.inFlight.add(vm);
     const { state, client, metrics, log } = this.options;
+    this.probedAt.set(vm, state.timers.now());
     const result = await client.load(address);
     const nowMs = state.timers.now();
     if (result.kind === 'ok') {
--- a/packages/control/src/probes/target-client.ts
+++ b/packages/control/src/probes/target-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of targets: load reports and orders. */
 import http from 'node:http';
+import { headerBytes } from '@marjoramcart/platform';
 import { loadReportSchema, type LoadReport } from './load-report.js';
 
 export type TargetResult<Value> =
@@ -8,6 +9,10 @@
   | { readonly kind: 'failed'; readonly message: string };
 
 const TIMEOUT_MS = 900;
+/** Request line, host and connection headers that Node.js adds. */
+const REQUEST_HEADER_BYTES = 75;
+/** Status line and the empty line after the headers. */
+const STATUS_LINE_BYTES = 19;
 
 export class TargetClient {
   private readonly agent = new http.Agent({ keepAlive: true });
@@ -47,10 +52,7 @@
     body = '',
   ): Promise<TargetResult<unknown>> {
     const [host, port] = (this.dialMap[address] ?? address).split(':');
-    const headers = {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    };
+    const headers = bodyHeaders(body);
     return new Promise((resolve) => {
       const fail = (message: string): void => resolve({ kind: 'failed', message });
       const req = http.request({ host, port, path, method, headers, agent: this.agent }, (res) => {
@@ -59,7 +61,10 @@
         res.on('error', (err) => fail(err.message));
         res.on('end', () => {
           const data = Buffer.concat(chunks);
-          this.onBytes({ sent: body.length, received: data.length });
+          this.onBytes({
+            sent: body.length + REQUEST_HEADER_BYTES + headerBytes(Object.entries(headers).flat()),
+            received: data.length + STATUS_LINE_BYTES + headerBytes(res.rawHeaders),
+          });
           resolve(resultOf(res.statusCode ?? 0, data.toString('utf8')));
         });
       });
@@ -74,6 +79,14 @@
   }
 }
 
+function bodyHeaders(body: string): Record<string, string> {
+  if (body === '') return {};
+  return {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(body)),
+  };
+}
+
 function resultOf(status: number, text: string): TargetResult<unknown> {
   try {
     const value: unknown = text === '' ? {} : JSON.parse(text);
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -109,6 +109,18 @@
   assert.ok(table.states(3000)[0]?.healthy);
 });
 
+test('a failure that one prober saw puts the target in doubt until a probe succeeds', () => {
+  // Guards against a second prober that goes on probing seldom while a target is failing.
+  const table = tableOf(1);
+  assert.equal(table.doubted('t0', 0), false);
+  const opinion = { report: report(), failures: 1, reportedAt: 0, heardAt: 0 };
+  table.setOpinion('t0', 'other', opinion);
+  assert.equal(table.doubted('t0', 0), true);
+  table.setOpinion('t0', 'other', { ...opinion, failures: 0 });
+  assert.equal(table.doubted('t0', 0), false);
+  assert.equal(table.doubted('t0', 60_000), true);
+});
+
 test('all targets stay in use when more than half fail at once', () => {
   // Guards against a process that is cut off itself and excludes the whole failure domain.
   const table = tableOf(4);
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -123,6 +123,12 @@
     return retryAt === undefined || nowMs >= retryAt;
   }
 
+  /** Whether any prober saw the last probe fail, or none has probed the target lately. */
+  doubted(vm: string, nowMs: number): boolean {
+    const live = this.liveOpinions(vm, nowMs);
+    return live.length === 0 || live.some(({ failures }) => failures > 0);
+  }
+
   /**
    * Whether more than half of the targets failed at once. The process then assumes that it is cut
    * off itself and goes on using all of them, until at most half are failed.
