Tick when a timer is due instead of every 10 ms

Cause: the timer service woke each daemon 100 times a second, and the monitor of the event loop in the default metrics another 100 times; both were a third of the CPU of an idle control daemon. Ruled out: a longer fixed tick, since dispatch and relay use timers of some 10 ms. Change: the next tick is set to the first due timer, at least 10 ms and at most 100 ms ahead; the event loop is sampled each 100 ms. A pause is a jump of more than 1,500 ms beyond a due tick, as before, and is seen at most 100 ms later.

--- a/packages/platform/src/metrics/metrics.ts
+++ b/packages/platform/src/metrics/metrics.ts
@@ -4,6 +4,8 @@
 /** Label value for customers without metrics of their own. */
 export const OTHER_CUSTOMERS = 'other';
 
+/** The default of 10 ms wakes an idle process 100 times a second. */
+const EVENT_LOOP_PRECISION_MS = 100;
 const METRIC_PREFIX = 'marjoramcart_';
 
 export class Metrics {
@@ -11,7 +13,11 @@
 
   constructor(labels: Readonly<Record<string, string>> = {}) {
     this.registry.setDefaultLabels(labels);
-    collectDefaultMetrics({ register: this.registry, prefix: METRIC_PREFIX });
+    collectDefaultMetrics({
+      register: this.registry,
+      prefix: METRIC_PREFIX,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
   }
 
   counter<Label extends string>(
--- /dev/null
+++ b/packages/platform/src/timers/system-timer-service.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SystemTimerService } from './system-timer-service.js';
+
+test('a timer that is added later and due earlier runs first', async () => {
+  // Guards against a tick that stays scheduled for the later timer.
+  const timers = new SystemTimerService();
+  const order: string[] = [];
+  await new Promise<void>((resolve) => {
+    timers.after(90, () => {
+      order.push('late');
+      resolve();
+    });
+    timers.after(15, () => order.push('early'));
+  });
+  timers.close();
+  assert.deepEqual(order, ['early', 'late']);
+});
+
+test('a blocked process announces the pause once, before the timers that came due', async () => {
+  // Guards against a pause that a tick without due timers or a second check hides or repeats.
+  const timers = new SystemTimerService();
+  const order: string[] = [];
+  timers.onPause(() => order.push('pause'));
+  await new Promise<void>((resolve) => {
+    timers.after(20, () => {
+      order.push('timer');
+      resolve();
+    });
+    const until = performance.now() + 1700;
+    // eslint-disable-next-line no-empty
+    while (performance.now() < until) {}
+  });
+  timers.checkPause();
+  timers.close();
+  assert.deepEqual(order, ['pause', 'timer']);
+});
--- a/packages/platform/src/timers/system-timer-service.ts
+++ b/packages/platform/src/timers/system-timer-service.ts
@@ -2,7 +2,13 @@
 import type { Pause, TimerService, Unsubscribe } from './timer-service.js';
 import { TimerTable } from './timer-table.js';
 
+/** Least time between two ticks; timers that are due within it run together. */
 const TICK_MS = 10;
+/**
+ * Longest time between two ticks, which bounds how late a pause is seen. A tick each 10 ms cost an
+ * idle daemon a large part of its CPU.
+ */
+const MAX_TICK_MS = 100;
 const PAUSE_THRESHOLD_MS = 1500;
 
 /** Timer service on the process's monotonic clock. */
@@ -11,12 +17,15 @@
 
   private readonly anchorWallMs = Date.now() - performance.now();
 
-  private lastTickAt = performance.now();
+  /** Time at which the next tick is due. */
+  private tickDueAt = 0;
 
-  private readonly handle: NodeJS.Timeout;
+  private handle: NodeJS.Timeout | undefined;
+
+  private closed = false;
 
   constructor() {
-    this.handle = setInterval(() => this.tick(), TICK_MS);
+    this.schedule();
   }
 
   now(): number {
@@ -28,11 +37,11 @@
   }
 
   every(intervalMs: number, fn: () => void): Unsubscribe {
-    return this.table.add({ dueAt: this.now() + intervalMs, intervalMs, fn });
+    return this.add(this.now() + intervalMs, intervalMs, fn);
   }
 
   after(delayMs: number, fn: () => void): Unsubscribe {
-    return this.table.add({ dueAt: this.now() + delayMs, intervalMs: undefined, fn });
+    return this.add(this.now() + delayMs, undefined, fn);
   }
 
   onPause(fn: (pause: Pause) => void): Unsubscribe {
@@ -42,17 +51,39 @@
   /** Checks for a pause without waiting for the next tick, for example before a dispatch. */
   checkPause(): void {
     const now = performance.now();
-    const gapMs = now - this.lastTickAt - TICK_MS;
-    this.lastTickAt = now;
-    if (gapMs > PAUSE_THRESHOLD_MS) this.table.announcePause(gapMs);
+    const gapMs = now - this.tickDueAt;
+    if (gapMs <= PAUSE_THRESHOLD_MS) return;
+    this.tickDueAt = now;
+    this.table.announcePause(gapMs);
   }
 
   close(): void {
-    clearInterval(this.handle);
+    this.closed = true;
+    clearTimeout(this.handle);
+  }
+
+  private add(dueAt: number, intervalMs: number | undefined, fn: () => void): Unsubscribe {
+    const unsubscribe = this.table.add({ dueAt, intervalMs, fn });
+    if (dueAt < this.tickDueAt) this.schedule();
+    return unsubscribe;
   }
 
   private tick(): void {
     this.checkPause();
-    this.table.runDue(performance.now());
+    try {
+      this.table.runDue(performance.now());
+    } finally {
+      this.schedule();
+    }
+  }
+
+  private schedule(): void {
+    if (this.closed) return;
+    clearTimeout(this.handle);
+    const now = performance.now();
+    const dueAt = this.table.nextDue() ?? Infinity;
+    const delayMs = Math.min(Math.max(dueAt - now, TICK_MS), MAX_TICK_MS);
+    this.tickDueAt = now + delayMs;
+    this.handle = setTimeout(() => this.tick(), delayMs);
   }
 }
