Fetch configuration and list of VMs from one holder at a time

Ruled out: a fetch from the nearest seed only, since it may hold an older revision or be gone. Conclusion: a cold start costs one copy from the configuration service and one from a peer.

--- /dev/null
+++ b/packages/bench/src/slopes/recovery.ts
@@ -0,0 +1,99 @@
+/** Recovery at full configuration: cold daemons, a rack of replaced VMs, failure domains that heal. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { ControlPlan } from '@marjoramcart/stand-ins';
+import { BenchFleet, type FleetSize } from '../fleet/bench-fleet.js';
+import { changedPart } from '../fleet/scaled-config.js';
+import { controlUsage, machineLoad } from '../measure/process-usage.js';
+
+export interface RecoveryFigures {
+  readonly event: string;
+  /** Daemons that recover at the same time. */
+  readonly daemons: number;
+  /** Time until the last of them serves or has the newest revision, in ms. */
+  readonly ms: number;
+  /** Bytes of both directions of one recovering control daemon, the highest. */
+  readonly bytes: number;
+  /** Reads of the configuration service during the event. */
+  readonly configReads: number;
+  readonly load1: number;
+}
+
+const SETTLE_MS = 6000;
+/** Longer than a silent daemon stays in the tables. */
+const PARTITION_MS = 18_000;
+/** Traffic that follows readiness, for example the summaries of all failure domains. */
+const AFTERMATH_MS = 3000;
+
+/** Runs all events on one fleet. */
+export async function recoveryRun(size: FleetSize): Promise<RecoveryFigures[]> {
+  const fleet = await BenchFleet.start('recovery', size);
+  try {
+    await delay(SETTLE_MS);
+    const own = fleet.layout.controls.filter(({ domain }) => domain === 'domain-0');
+    const vm = own.slice(0, 1);
+    const rack = own.slice(0, Math.ceil(own.length / 2));
+    const others = fleet.layout.controls.filter(({ domain }) => domain !== 'domain-0');
+    return [
+      await restart(fleet, 'one VM, control and entries', vm),
+      await restart(fleet, 'half of the VMs of a failure domain', rack),
+      await restart(fleet, 'cold start of all other failure domains', others),
+      await heal(fleet, others.slice(0, Math.floor(others.length / 2))),
+    ];
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Kills the daemons of some VMs at once and starts them again as new processes. */
+async function restart(
+  fleet: BenchFleet,
+  event: string,
+  controls: readonly ControlPlan[],
+): Promise<RecoveryFigures> {
+  const vms = new Set(controls.map(({ vm }) => vm));
+  const entries = fleet.layout.entries.filter(({ vm }) => vms.has(vm));
+  const names = [...controls, ...entries].map(({ name }) => name);
+  const before = await fleet.calls();
+  await Promise.all(names.map((name) => fleet.process(name).kill()));
+  const startedAt = performance.now();
+  names.forEach((name) => fleet.process(name).start());
+  await Promise.all(names.map((name) => fleet.untilReady(name)));
+  const ms = performance.now() - startedAt;
+  await delay(AFTERMATH_MS);
+  const usage = await Promise.all(controls.map(({ admin }) => controlUsage(admin)));
+  const bytes = Math.max(...usage.map((used) => used.bytes));
+  return figures(fleet, { event, daemons: names.length, ms, bytes }, before.range);
+}
+
+/**
+ * Stops the control daemons of failure domains for longer than their silence is tolerated, changes
+ * the configuration and lets all go on at once.
+ */
+async function heal(fleet: BenchFleet, controls: readonly ControlPlan[]): Promise<RecoveryFigures> {
+  const bytesOf = async (): Promise<number[]> =>
+    Promise.all(controls.map(async ({ admin }) => (await controlUsage(admin)).bytes));
+  const bytesBefore = await bytesOf();
+  controls.forEach(({ name }) => fleet.process(name).freeze());
+  await delay(PARTITION_MS);
+  const [key, value] = changedPart(fleet.config, 11, 77);
+  const revision = await fleet.publish(key, value);
+  await delay(SETTLE_MS);
+  const before = await fleet.calls();
+  controls.forEach(({ name }) => fleet.process(name).thaw());
+  const times = await fleet.timesToForce(revision, performance.now());
+  await delay(AFTERMATH_MS);
+  const bytesAfter = await bytesOf();
+  const bytes = Math.max(...bytesAfter.map((after, n) => after - (bytesBefore[n] ?? 0)));
+  const event = 'failure domains go on after 24 s of silence';
+  const ms = Math.max(...times);
+  return figures(fleet, { event, daemons: controls.length, ms, bytes }, before.range);
+}
+
+async function figures(
+  fleet: BenchFleet,
+  measured: Pick<RecoveryFigures, 'event' | 'daemons' | 'ms' | 'bytes'>,
+  readsBefore: number,
+): Promise<RecoveryFigures> {
+  const { range } = await fleet.calls();
+  return { ...measured, configReads: range - readsBefore, load1: machineLoad().load1 };
+}
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -18,6 +18,7 @@
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ChangeSource, ControlState } from '../control-state.js';
 import type { PeerFetch } from '../config/config-task.js';
+import { NewestFetch } from './newest-fetch.js';
 
 /** Peers of the own failure domain that one daemon contacts each second. */
 const FAN_OUT = 2;
@@ -44,13 +45,27 @@
   /** Own heartbeat that each peer is known to hold. */
   private readonly sentTo = new Map<string, number>();
 
-  private readonly fetching = new Set<string>();
+  private readonly configFetch: NewestFetch;
+
+  private readonly vmsFetch: NewestFetch;
 
   private unsubscribe: (() => void)[] = [];
 
   constructor(private readonly options: GossipTaskOptions) {
     this.log = options.log.child('gossip');
     this.random = seededRandom(options.seed);
+    const { config, vms, timers } = options.state;
+    const now = (): number => timers.now();
+    this.configFetch = new NewestFetch({
+      held: () => config.revision,
+      fetch: (address, source) => this.fetchConfig(address, source),
+      now,
+    });
+    this.vmsFetch = new NewestFetch({
+      held: () => vms.current.version,
+      fetch: (address, source) => this.fetchVms(address, source),
+      now,
+    });
     options.state.onChange((source) => this.announce(source));
   }
 
@@ -140,12 +155,16 @@
       ...this.liveAddresses(),
     ]);
     addresses.delete(this.options.state.self.peerAddress);
-    await Promise.allSettled(
-      [...addresses].flatMap((address) => [
-        this.fetchConfig(address, 'own-domain'),
-        this.fetchVms(address, 'own-domain'),
-      ]),
-    );
+    // The answers tell who holds what; only one of the holders is then asked for it.
+    const params = {
+      ...this.head(),
+      heartbeats: {},
+      summaryVersions: this.options.state.summaries.versions(),
+      summaries: [],
+      suspects: [],
+    };
+    await Promise.allSettled([...addresses].map((address) => this.exchange(address, params)));
+    await Promise.all([this.configFetch.settled(), this.vmsFetch.settled()]);
   }
 
   private async exchange(address: string, params: GossipParams): Promise<void> {
@@ -188,10 +207,8 @@
     state.suspects.merge(message.suspects, nowMs);
     state.config.witness(message.revision);
     const source = own ? 'own-domain' : 'other-domain';
-    if (message.revision > state.config.revision) void this.fetchConfig(from.peerAddress, source);
-    if (message.vmListVersion > state.vms.current.version) {
-      void this.fetchVms(from.peerAddress, source);
-    }
+    this.configFetch.offer(from.peerAddress, message.revision, source);
+    this.vmsFetch.offer(from.peerAddress, message.vmListVersion, source);
   }
 
   private takeTargets(items: readonly MergedTarget[], nowMs: number): void {
@@ -204,47 +221,32 @@
   }
 
   private async fetchConfig(address: string, source: ChangeSource): Promise<void> {
-    await this.once(`config ${address}`, async () => {
-      const { state, rpc } = this.options;
-      const base = state.config.current;
-      const params = {
-        from: state.self,
-        held: sectionHashes(base),
-        revision: state.config.revision,
-      };
-      const result = await rpc.call(address, 'config.fetch', params, FETCH_TIMEOUT_MS);
-      const delta = result.kind === 'ok' ? result.value.delta : undefined;
-      if (!delta) return;
-      const applied = applyDelta(base, delta);
-      if (applied.kind === 'rejected') {
-        this.log.warn('configuration of a peer is corrupt, ignored', {
-          peer: address,
-          reason: applied.error.kind,
-        });
-      } else if (state.takeSnapshot(applied.snapshot, source)) {
-        this.log.info('configuration taken from a peer', { revision: delta.revision });
-      }
-    });
+    const { state, rpc } = this.options;
+    const base = state.config.current;
+    const params = {
+      from: state.self,
+      held: sectionHashes(base),
+      revision: state.config.revision,
+    };
+    const result = await rpc.call(address, 'config.fetch', params, FETCH_TIMEOUT_MS);
+    const delta = result.kind === 'ok' ? result.value.delta : undefined;
+    if (!delta) return;
+    const applied = applyDelta(base, delta);
+    if (applied.kind === 'rejected') {
+      this.log.warn('configuration of a peer is corrupt, ignored', {
+        peer: address,
+        reason: applied.error.kind,
+      });
+    } else if (state.takeSnapshot(applied.snapshot, source)) {
+      this.log.info('configuration taken from a peer', { revision: delta.revision });
+    }
   }
 
   private async fetchVms(address: string, source: ChangeSource): Promise<void> {
-    await this.once(`vms ${address}`, async () => {
-      const { state, rpc } = this.options;
-      const params = { from: state.self, version: state.vms.current.version };
-      const result = await rpc.call(address, 'vms.fetch', params, FETCH_TIMEOUT_MS);
-      if (result.kind === 'ok' && result.value.list) state.takeVms(result.value.list, source);
-    });
-  }
-
-  /** Runs `fn` unless the same fetch is under way. */
-  private async once(name: string, fn: () => Promise<void>): Promise<void> {
-    if (this.fetching.has(name)) return;
-    this.fetching.add(name);
-    try {
-      await fn();
-    } finally {
-      this.fetching.delete(name);
-    }
+    const { state, rpc } = this.options;
+    const params = { from: state.self, version: state.vms.current.version };
+    const result = await rpc.call(address, 'vms.fetch', params, FETCH_TIMEOUT_MS);
+    if (result.kind === 'ok' && result.value.list) state.takeVms(result.value.list, source);
   }
 
   private tick(): void {
