--- a/packages/control/src/probes/target-client.ts
+++ b/packages/control/src/probes/target-client.ts
@@ -9,8 +9,10 @@
   | { readonly kind: 'failed'; readonly message: string };
 
 const TIMEOUT_MS = 900;
-/** Request line, host and connection, which Node.js adds. */
+/** Request line, host and connection headers that Node.js adds. */
 const REQUEST_HEADER_BYTES = 75;
+/** Status line and the empty line after the headers. */
+const STATUS_LINE_BYTES = 19;
 
 export class TargetClient {
   private readonly agent = new http.Agent({ keepAlive: true });
@@ -50,11 +52,7 @@
     body = '',
   ): Promise<TargetResult<unknown>> {
     const [host, port] = (this.dialMap[address] ?? address).split(':');
-    // Probes are many and small, so they carry no header that is not needed.
-    const headers =
-      body === ''
-        ? {}
-        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+    const headers = bodyHeaders(body);
     return new Promise((resolve) => {
       const fail = (message: string): void => resolve({ kind: 'failed', message });
       const req = http.request({ host, port, path, method, headers, agent: this.agent }, (res) => {
@@ -64,8 +62,8 @@
         res.on('end', () => {
           const data = Buffer.concat(chunks);
           this.onBytes({
-            sent: body.length + REQUEST_HEADER_BYTES,
-            received: data.length + headerBytes(res.rawHeaders),
+            sent: body.length + REQUEST_HEADER_BYTES + headerBytes(Object.entries(headers).flat()),
+            received: data.length + STATUS_LINE_BYTES + headerBytes(res.rawHeaders),
           });
           resolve(resultOf(res.statusCode ?? 0, data.toString('utf8')));
         });
@@ -81,6 +79,14 @@
   }
 }
 
+function bodyHeaders(body: string): Record<string, string> {
+  if (body === '') return {};
+  return {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(body)),
+  };
+}
+
 function resultOf(status: number, text: string): TargetResult<unknown> {
   try {
     const value: unknown = text === '' ? {} : JSON.parse(text);
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -25,7 +25,13 @@
   return buildSnapshot(revision, main, []);
 }
 
-function setup(answer: () => Promise<RpcResult<EntrySyncResult>>): {
+function setup(
+  answer: (
+    address: string,
+    method: string,
+    params: EntrySyncParams,
+  ) => Promise<RpcResult<EntrySyncResult>>,
+): {
   timers: ManualTimerService;
   state: EntryState;
   sync: SyncTask;
@@ -113,7 +119,7 @@
       value: { control: self, revision: snapshot.revision, ...(delta && { delta }) },
     } as const);
   };
-  const { state, sync } = setup(answer as never);
+  const { state, sync } = setup(answer);
   await sync.sync();
   await sync.sync();
   assert.equal(state.revision, 1);
--- a/packages/entry/src/testing/scheduled-entry.ts
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
 import {
+  CustomerLimits,
   KeyTable,
   LeastReportedLoadTargetPolicy,
   ResultCodes,
@@ -24,7 +25,6 @@
   type RpcClient,
 } from '@marjoramcart/platform';
 import type { AdmissionGate } from '../admission/admission-gate.js';
-import { CustomerLimits } from '../admission/customer-limits.js';
 import { TargetExchange } from '../dispatch/attempt.js';
 import type { Connections, OutgoingRequest, RequestResult } from '../dispatch/connection.js';
 import { DeathProbe } from '../dispatch/death-probe.js';
@@ -107,6 +107,7 @@
     const forwards = new ForwardExchange({
       ...{ self, connections, rpc, timers, revision: () => 1 },
       auth: new MessageAuthenticator(FLEET_SECRET, () => timers.wall()),
+      spend: () => undefined,
       allowedRegions: () => ['north', 'west'],
     });
     const dispatcher = new Dispatcher({
@@ -125,7 +126,10 @@
     this.runner = new CallRunner({
       ...{ state: this.known, timers, keys: this.keys, dispatcher, forwards, metrics: METRICS },
       limits: new CustomerLimits(),
-      gate: { admit: this.admit.bind(this) } as unknown as AdmissionGate,
+      gate: {
+        admit: this.admit.bind(this),
+        expectedWaitMs: () => 0,
+      } as unknown as AdmissionGate,
       open: new OpenCalls(),
     });
   }
--- a/packages/platform/src/rpc/compression.test.ts
+++ b/packages/platform/src/rpc/compression.test.ts
@@ -2,6 +2,9 @@
 import { test } from 'node:test';
 import { ENCODING, decodeBody, encodeBody } from './compression.js';
 
+const MAX_BYTES = 1_000_000;
+const OVERSIZE = 2_000_000;
+
 test('a long message is compressed and restored, a short one is sent as it is', async () => {
   const long = JSON.stringify(Array.from({ length: 200 }, (_, index) => ({ index, name: 'x' })));
   const encoded = await encodeBody(long);
@@ -11,8 +14,22 @@
   assert.deepEqual((await encodeBody('{}')).headers, {});
 });
 
-test('a message that expands beyond the bound is rejected', async () => {
-  // Guards against a small message that fills the memory of a daemon.
-  const encoded = await encodeBody('a'.repeat(100_000));
-  await assert.rejects(decodeBody(encoded.data, ENCODING, 50_000));
+test('messages of every size come back as they were', async () => {
+  // Guards against a size limit that only one of the two sides applies.
+  const texts = [0, 100, 127, 128, 5000, 32_767, 32_769, 500_000].map((length) =>
+    JSON.stringify({ method: 'gossip.exchange', text: 'ä'.repeat(length) }),
+  );
+  const decoded = await Promise.all(
+    texts.map(async (text) => {
+      const { data, headers } = await encodeBody(text);
+      return decodeBody(data, headers['content-encoding'], 2 * MAX_BYTES);
+    }),
+  );
+  assert.deepEqual(decoded, texts);
+});
+
+test('a message that grows beyond the limit is refused', async () => {
+  // Guards against a small message that expands until memory is full.
+  const { data, headers } = await encodeBody('x'.repeat(OVERSIZE));
+  await assert.rejects(decodeBody(data, headers['content-encoding'], MAX_BYTES), RangeError);
 });
