Say unknown when a re-send is rejected by an entry that does not own its key

Cause: the caller listener answers rejections that come before the key table (entry not ready after a restart, unknown service, region not allowed) with not_run, also for a re-send whose key belongs to another process that may have run it.

Ruled out: calls that reach the runner, which asks the owner.

Change: a rejection of a request with a well-formed key of another process has run 'unknown'; the numbered code stays. Keys of this process and requests without a key are as before.

Before: the new unit test fails with 2103 not_run for a key of another process.

Open: the owner itself still says not_run when it rejects before it looks at the key.

--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -1,7 +1,7 @@
 /** Listener for callers: routes requests and answers rejections. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { ResultCodes, type ResultCode } from '@marjoramcart/core';
+import { ResultCodes, RunState, parseIdempotencyKey, type ResultCode } from '@marjoramcart/core';
 import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/platform';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
 import { Answer, errorBody, type HeaderFields } from '../relay/answer.js';
@@ -141,15 +141,23 @@
   private reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
     const { code, detail, fields, close } = rejection;
     const answer = new Answer(res, { common: () => this.commonHeaders(), record: false });
+    const run = this.mayHaveRunElsewhere(req) ? RunState.Unknown : code.run;
     answer.fail(
-      { code, run: code.run, attempts: 0 },
+      { code, run, attempts: 0 },
       { fields: { ...(detail === undefined ? {} : { detail }), ...fields }, close },
     );
-    this.options.metrics.onResult(code.code, code.run);
+    this.options.metrics.onResult(code.code, run);
     // The rest of the body is never read.
     if (close && !req.complete) res.once('finish', () => req.socket.destroySoon());
   }
 
+  /** Only the owner of a key knows that its request was not run; a re-send may come here. */
+  private mayHaveRunElsewhere({ headers }: IncomingMessage): boolean {
+    const text = headers['idempotency-key'];
+    const key = typeof text === 'string' ? parseIdempotencyKey(text) : undefined;
+    return key !== undefined && key.bootId !== this.options.state.self.bootId;
+  }
+
   private json(res: ServerResponse, value: unknown): void {
     res
       .writeHead(200, { 'content-type': 'application/json', ...this.commonHeaders() })
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -13,6 +13,7 @@
   OTHER_API_KEY,
   chatBody,
   errorCode,
+  keyOf,
   send,
   startEntry,
   targetState,
@@ -261,3 +262,19 @@
   const answer = await send(entry.daemon.callers.address, { body });
   assert.equal(errorCode(answer.body), 4201);
 });
+
+test('a rejection of a re-send says not_run only at the owner of its key', async (t) => {
+  // Guards against an untrue not_run from an entry that can't know what the owner did.
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const runOf = async (bootId: string, apiKey: string, path: string): Promise<unknown> => {
+    const headers = { 'idempotency-key': keyOf({ bootId }, 'nonce-0001') };
+    const answer = await send(entry.daemon.callers.address, { path, body: {}, headers, apiKey });
+    return [errorCode(answer.body), answer.headers['marjoramcart-run']];
+  };
+  const { bootId } = entry.daemon;
+  const other = `${'b'.repeat(20)}-abc123`;
+  assert.deepEqual(await runOf(bootId, API_KEY, '/svc/none/slots'), [2103, 'not_run']);
+  assert.deepEqual(await runOf(other, API_KEY, '/svc/none/slots'), [2103, 'unknown']);
+  assert.deepEqual(await runOf(other, OTHER_API_KEY, '/svc/booking/slots'), [2201, 'unknown']);
+});
