--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -15,6 +15,7 @@
   chatBody,
   errorCode,
   keyDigest,
+  keyOf,
   send,
   startEntry,
   targetState,
@@ -340,3 +341,19 @@
   assert.match(named, /"code":1102/);
   assert.match(only, /"code":1102/);
 });
+
+test('a rejection of a re-send says not_run only at the owner of its key', async (t) => {
+  // Guards against an untrue not_run from an entry that can't know what the owner did.
+  const entry = await startEntry();
+  t.after(() => entry.stop());
+  const runOf = async (bootId: string, apiKey: string, path: string): Promise<unknown> => {
+    const headers = { 'idempotency-key': keyOf({ bootId }, 'nonce-0001') };
+    const answer = await send(entry.daemon.callers.address, { path, body: {}, headers, apiKey });
+    return [errorCode(answer.body), answer.headers['marjoramcart-run']];
+  };
+  const { bootId } = entry.daemon;
+  const other = `${'b'.repeat(20)}-abc123`;
+  assert.deepEqual(await runOf(bootId, API_KEY, '/svc/none/slots'), [2103, 'not_run']);
+  assert.deepEqual(await runOf(other, API_KEY, '/svc/none/slots'), [2103, 'unknown']);
+  assert.deepEqual(await runOf(other, OTHER_API_KEY, '/svc/booking/slots'), [2201, 'unknown']);
+});
