Compute the placement again only for a new configuration or list of VMs

Cause: each second every control daemon scored all pairs of engine and model for its failure domain and sorted them, though they change only with the configuration and the list of VMs. Change: the order task keeps the last placement with the configuration and list it was made from.

--- a/packages/control/src/orders/order-task.ts
+++ b/packages/control/src/orders/order-task.ts
@@ -48,6 +48,11 @@
   readonly permits: DomainPermits;
 }
 
+/** A placement with what it was computed from. */
+interface Placed extends Pick<Plan, 'cfg' | 'groups' | 'placement'> {
+  readonly listed: readonly VmRecord[];
+}
+
 export class OrderTask implements Task {
   readonly name = 'orders';
 
@@ -65,6 +70,8 @@
 
   private readonly busy = new Set<string>();
 
+  private placed: Placed | undefined;
+
   private readonly log: Logger;
 
   private unsubscribe = (): void => {};
@@ -112,12 +119,8 @@
     const { state } = this.options;
     const { cfg } = state;
     if (!cfg || !state.opened) return undefined;
-    const groups = placementGroups(cfg, state.self.region);
     const records = this.engineRecords();
-    const placement = placeModels(
-      groups,
-      records.map(({ vm }) => vm),
-    );
+    const { groups, placement } = this.placementOf(cfg, state.targets.targets, records);
     const usable = new Set(
       state.targets
         .states(state.timers.now())
@@ -133,6 +136,20 @@
     return { cfg, groups, placement, engines, permits: domainPermits(placement, groups, engines) };
   }
 
+  /** The wanted models, computed again only for a new configuration or list of VMs. */
+  private placementOf(
+    cfg: ConfigView,
+    listed: readonly VmRecord[],
+    engines: readonly VmRecord[],
+  ): Placed {
+    if (this.placed?.cfg !== cfg || this.placed.listed !== listed) {
+      const groups = placementGroups(cfg, this.options.state.self.region);
+      const vms = engines.map(({ vm }) => vm);
+      this.placed = { cfg, listed, groups, placement: placeModels(groups, vms) };
+    }
+    return this.placed;
+  }
+
   /** Live engine targets of the failure domain by the list of VMs. */
   private engineRecords(): VmRecord[] {
     return this.options.state.targets.targets.filter(
