Bench small customer values and faster changes

Cause: with 8,000 customers in a value each change made the watchers read 640 KB again. Conclusion: the size of a value, not the number of customers, sets the cost of a change.

--- a/packages/bench/src/fleet/scaled-config.ts
+++ b/packages/bench/src/fleet/scaled-config.ts
@@ -9,8 +9,8 @@
 }
 
 const KEY_LENGTH = 32;
-/** Keeps each value below 1 MB. */
-const CUSTOMERS_PER_VALUE = 8000;
+/** A change of one customer makes the watchers read the whole value, so values are small. */
+const CUSTOMERS_PER_VALUE = 100;
 /** Share of the customers that are bound to a region. */
 const BOUND_SHARE = 0.17;
 
--- a/packages/bench/src/slopes/series.ts
+++ b/packages/bench/src/slopes/series.ts
@@ -48,7 +48,7 @@
   series(
     'changes',
     'change a day at 25,000 customers',
-    [0, 5400, 10_800, 21_600],
+    [0, 10_800, 21_600, 43_200],
     () => ({ customers: 25_000 }),
     (x) => x,
   ),
