Prove that configuration changes reach every daemon and never revert

Cause: invariant 9 and the bound on reads had unit tests only. The platform stand-in can serve values some revisions old (`stale_behind`), as a replica that lags. Scenarios about operation share a fleet.

--- a/tests/features/src/steps/fleet-steps.ts
+++ b/tests/features/src/steps/fleet-steps.ts
@@ -1,13 +1,17 @@
 /** Steps that start fleets and change their processes. */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { sharedFleet, startFleet } from '../support/fleets.js';
+import { operationsFleet, sharedFleet, startFleet } from '../support/fleets.js';
 import type { GatewayWorld } from '../support/world.js';
 
 Given('the example fleet', async function given(this: GatewayWorld) {
   this.fleetInUse = await sharedFleet();
 });
 
+Given('the operations fleet', async function given(this: GatewayWorld) {
+  this.fleetInUse = await operationsFleet();
+});
+
 Given('an example fleet of its own', async function given(this: GatewayWorld) {
   this.ownFleet = await startFleet();
   this.fleetInUse = this.ownFleet;
--- a/tests/features/src/support/fleets.ts
+++ b/tests/features/src/support/fleets.ts
@@ -14,7 +14,12 @@
 const ONE_WAY_MS = 20;
 const SERVING_BOUND_MS = 30_000;
 
-const shared: { fleet?: Promise<Fleet> } = {};
+/** Three control daemons in the north, so that one of them is no watcher. */
+const operationsDomains = exampleDomains.map((domain) =>
+  domain.region === 'north' ? { ...domain, entryVms: 3 } : domain,
+);
+
+const shared: { fleet?: Promise<Fleet>; operations?: Promise<Fleet> } = {};
 const counter = { fleets: 0 };
 
 /** The fleet of scenarios that change nothing in it. */
@@ -23,6 +28,12 @@
   return shared.fleet;
 }
 
+/** The fleet of scenarios about operation, which leave all its processes running. */
+export function operationsFleet(): Promise<Fleet> {
+  shared.operations ??= startFleet({ domains: operationsDomains });
+  return shared.operations;
+}
+
 /** Starts the example fleet and waits until every entry serves both services. */
 export async function startFleet(changes: Partial<FleetSpec> = {}): Promise<Fleet> {
   counter.fleets += 1;
@@ -88,9 +99,16 @@
     this.attach(`seed ${SEED}, marker ${this.marker}, logs in ${this.fleetInUse.folder}`);
   }
   await this.ownFleet?.stop();
+  if (result?.status === Status.FAILED && this.fleetInUse === (await shared.operations)) {
+    // A failed scenario may leave processes frozen or ended; the next one starts a new fleet.
+    await this.fleetInUse?.stop();
+    shared.operations = undefined;
+  }
 });
 
 AfterAll(async () => {
-  const fleet = await shared.fleet?.catch(() => undefined);
-  await fleet?.stop();
+  const fleets = await Promise.all(
+    [shared.fleet, shared.operations].map((fleet) => fleet?.catch(() => undefined)),
+  );
+  await Promise.all(fleets.map((fleet) => fleet?.stop()));
 });
--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -161,6 +161,11 @@
     await this.platformTest('POST', '/states', states);
   }
 
+  /** Changes settings of the platform, such as `vm_lag_ms` and `stale_behind`. */
+  async setPlatformSettings(settings: Record<string, number>): Promise<void> {
+    await this.platformTest('POST', '/settings', settings);
+  }
+
   /** Calls of the configuration service so far. */
   platformCalls(): Promise<Record<string, number>> {
     return this.platformTest('GET', '/calls');
--- a/tests/stand-ins/src/platform/config-store.ts
+++ b/tests/stand-ins/src/platform/config-store.ts
@@ -10,7 +10,8 @@
 export const MAX_VALUE_BYTES = 1024 * 1024;
 
 export class ConfigStore {
-  private values = new Map<string, StoredValue>();
+  /** All values ever published, oldest first. */
+  private readonly history: StoredValue[] = [];
 
   private currentRevision = 0;
 
@@ -26,21 +27,25 @@
   /** Publishes a value, or deletes it with `null`; returns its revision. */
   put(key: string, value: string | null): number {
     this.currentRevision += 1;
-    this.values.set(key, { key, revision: this.currentRevision, value });
+    this.history.push({ key, revision: this.currentRevision, value });
     if (!this.frozen) this.changes.emit('change');
     return this.currentRevision;
   }
 
   range(prefix: string, after: number): StoredValue[] {
-    const values = this.frozen?.values ?? [...this.values.values()];
+    const values = this.frozen?.values ?? this.valuesAt(this.currentRevision);
     return values.filter(({ key, revision }) => key.startsWith(prefix) && revision > after);
   }
 
-  /** While stale, readers see the values of the moment it became stale. */
-  setStale(stale: boolean): void {
-    if (stale)
-      this.frozen ??= { revision: this.currentRevision, values: [...this.values.values()] };
-    else this.frozen = undefined;
+  /**
+   * While stale, readers see the values of the moment it became stale, or of `behind` revisions
+   * before it, as from a replica that lags.
+   */
+  setStale(stale: boolean, behind = 0): void {
+    if (stale) {
+      const revision = Math.max(0, this.currentRevision - behind);
+      this.frozen ??= { revision, values: this.valuesAt(revision) };
+    } else this.frozen = undefined;
     this.changes.emit('change');
   }
 
@@ -48,4 +53,9 @@
     this.changes.on('change', fn);
     return () => this.changes.off('change', fn);
   }
+
+  private valuesAt(atRevision: number): StoredValue[] {
+    const known = this.history.filter(({ revision }) => revision <= atRevision);
+    return [...new Map(known.map((stored) => [stored.key, stored])).values()];
+  }
 }
--- a/tests/stand-ins/src/platform/main.ts
+++ b/tests/stand-ins/src/platform/main.ts
@@ -39,6 +39,8 @@
   weights_mbit_per_s: options.weightsMbit,
   weights_mb: options.weightsMb,
   calls_per_s: options.callsPerS,
+  /** Revisions by which a stale configuration service is behind the moment it became stale. */
+  stale_behind: 0,
 };
 const states: Record<string, PartState> = {
   config: 'up',
@@ -167,7 +169,7 @@
     sendJson(res, 200, {});
   } else if (route === 'POST /states') {
     Object.assign(states, await readJson<Record<string, PartState>>(req));
-    config.setStale(states.config === 'stale');
+    config.setStale(states.config === 'stale', settings.stale_behind);
     vms.setStale(states.vms === 'stale');
     sendJson(res, 200, states);
   } else sendJson(res, 404, { error: 'no such path' });
