Prove that leaving targets get no new work

Cause: invariant 7 had unit tests only. Change: a scenario marks an engine and a booking target as leaving under load, with a lag of the list of 500 ms; the run logs are the evidence. Conclusion: the promise holds while the control daemons are reachable. An entry without its control daemon is not covered.

--- /dev/null
+++ b/tests/features/src/steps/leaving-steps.ts
@@ -0,0 +1,193 @@
+/** Steps about targets that leave under load. */
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { waitFor, type CallResult, type RunRecord } from '@marjoramcart/stand-ins';
+import type { GatewayWorld } from '../support/world.js';
+
+const BOUND_MS = 30_000;
+const LIST_LAG_MS = 500;
+const LEAVING_BOUND_MS = 3000;
+/** Tokens of 10 ms each: 8 s. */
+const LONG_STREAM_TOKENS = 800;
+const LOOPS_PER_ENTRY = 25;
+
+interface State {
+  stopped: boolean;
+  streams: Promise<CallResult>[];
+  loops: Promise<void>[];
+  /** Time at which each call in a loop was sent, by marker. */
+  readonly sentAt: Map<string, number>;
+  /** VMs that leave. */
+  leaving: string[];
+  /** When the list shows them, ms; never later than it does. */
+  shownAt: number;
+}
+
+const states = new WeakMap<GatewayWorld, State>();
+
+Given(
+  '{int} streams of 8 s and callers who complete and book in a loop at each entry in the {word}',
+  async function given(this: GatewayWorld, streams: number, region: string) {
+    const state: State = {
+      stopped: false,
+      streams: [],
+      loops: [],
+      sentAt: new Map(),
+      leaving: [],
+      shownAt: Infinity,
+    };
+    states.set(this, state);
+    const entries = this.fleet.layout.entries.filter((entry) => entry.region === region);
+    const callers = Array.from({ length: LOOPS_PER_ENTRY }, (_, n) => n);
+    state.loops = entries.flatMap(({ callers: address }, e) =>
+      callers.map((n) => callInLoop(this, address, `${this.marker}-loop-${e}-${n}`, 0)),
+    );
+    await waitFor(
+      'calls in a loop have started',
+      () => runs(this, 'started', '-loop-').length >= LOOPS_PER_ENTRY,
+      BOUND_MS,
+    );
+    state.streams = Array.from({ length: streams }, (_, n) =>
+      this.caller('tent-crew').chat(
+        this.entry(region),
+        this.chat(`${this.marker}-stream-${n}`, LONG_STREAM_TOKENS),
+      ),
+    );
+    await waitFor(
+      'the streams have started',
+      () => runs(this, 'started', '-stream-').length >= streams,
+      BOUND_MS,
+    );
+  },
+);
+
+After(async function endLoad(this: GatewayWorld) {
+  const state = states.get(this);
+  if (!state) return;
+  state.stopped = true;
+  await Promise.all(state.loops);
+});
+
+When(
+  'the list of VMs marks an engine and a booking target of the {word} as leaving',
+  async function when(this: GatewayWorld, region: string) {
+    const state = stateOf(this);
+    const targets = this.fleet.layout.targets.filter((target) => target.region === region);
+    const streams = runs(this, 'started', '-stream-');
+    const engine = targets.find(({ vm }) => streams.some((run) => run.vm === vm));
+    const booking = targets.find(({ service }) => service !== undefined);
+    state.leaving = [engine?.vm ?? '', booking?.vm ?? ''];
+    await this.fleet.setPlatformSettings({ vm_lag_ms: LIST_LAG_MS });
+    state.shownAt = Date.now() + LIST_LAG_MS;
+    await Promise.all(state.leaving.map((vm) => this.fleet.changeVm(vm, { state: 'leaving' })));
+  },
+);
+
+When(
+  'the other targets of the {word} have started {int} more requests 3 s after that',
+  async function when(this: GatewayWorld, region: string, count: number) {
+    const { leaving } = stateOf(this);
+    const others = this.fleet.layout.targets
+      .filter((target) => target.region === region && !leaving.includes(target.vm))
+      .map(({ vm }) => vm);
+    await waitFor(
+      'the other targets run the load',
+      () => startedAfterBound(this).filter(({ vm }) => others.includes(vm)).length >= count,
+      BOUND_MS,
+    );
+  },
+);
+
+Then(
+  'a leaving target has started nothing since 3 s after the list showed it',
+  function then(this: GatewayWorld) {
+    const { leaving, shownAt } = stateOf(this);
+    const last = runs(this, 'started', '').filter(({ vm }) => leaving.includes(vm));
+    const lastAt = Math.max(...last.map(({ at }) => at));
+    const late = startedAfterBound(this).filter(({ vm }) => leaving.includes(vm));
+    this.log(
+      `${startedAfterBound(this).length} starts after the bound, ${late.length} of them on a ` +
+        `leaving target; its last start ${lastAt - shownAt} ms after the list showed it`,
+    );
+    assert.deepEqual(
+      late.map(({ vm, marker, at }) => ({ vm, marker, afterMs: at - shownAt })),
+      [],
+    );
+  },
+);
+
+Then(
+  'requests that were queued when the list showed it ran elsewhere',
+  function then(this: GatewayWorld) {
+    const { leaving, sentAt, shownAt } = stateOf(this);
+    const queued = runs(this, 'started', '-loop-').filter(
+      ({ marker, at }) => at > shownAt && (sentAt.get(marker) ?? Infinity) < shownAt,
+    );
+    const elsewhere = queued.filter(({ vm }) => !leaving.includes(vm));
+    this.log(`${queued.length} were queued, ${elsewhere.length} of them ran elsewhere`);
+    assert.ok(elsewhere.length > 0, 'no request was queued');
+  },
+);
+
+Then(
+  'the long streams on the leaving engine ended there, complete',
+  async function then(this: GatewayWorld) {
+    const { leaving, streams, shownAt } = stateOf(this);
+    const results = await Promise.all(streams);
+    assert.deepEqual(
+      results.map(({ complete }) => complete),
+      results.map(() => true),
+    );
+    const started = runs(this, 'started', '-stream-').filter(({ vm }) => leaving.includes(vm));
+    const finished = runs(this, 'finished', '-stream-').filter(({ vm }) => leaving.includes(vm));
+    assert.deepEqual(markers(finished), markers(started));
+    const late = finished.filter(({ at }) => at > shownAt + LEAVING_BOUND_MS);
+    this.log(`${finished.length} streams ended there, ${late.length} after the bound`);
+    assert.ok(late.length > 0, 'no stream outlasted the bound');
+  },
+);
+
+Then('the targets are back in the list', async function then(this: GatewayWorld) {
+  const { leaving } = stateOf(this);
+  await this.fleet.setPlatformSettings({ vm_lag_ms: 0 });
+  await Promise.all(leaving.map((vm) => this.fleet.changeVm(vm, { state: 'live' })));
+});
+
+/** Completes and books in turn until told to stop; a refused call is followed by the next. */
+async function callInLoop(
+  world: GatewayWorld,
+  address: string,
+  name: string,
+  done: number,
+): Promise<void> {
+  const state = stateOf(world);
+  if (state.stopped) return;
+  const marker = `${name}-${done}`;
+  state.sentAt.set(marker, Date.now());
+  const caller = world.caller('blade-mill');
+  const path = `/svc/crane-booking/slots?marker:${marker}`;
+  if (done % 2 === 0) await caller.chat(address, world.chat(marker, 20));
+  else await caller.call(address, { method: 'GET', path });
+  await callInLoop(world, address, name, done + 1);
+}
+
+function startedAfterBound(world: GatewayWorld): RunRecord[] {
+  const { shownAt } = stateOf(world);
+  return runs(world, 'started', '').filter(({ at }) => at > shownAt + LEAVING_BOUND_MS);
+}
+
+/** Runs of the scenario whose marker goes on with `part`. */
+function runs(world: GatewayWorld, event: RunRecord['event'], part: string): RunRecord[] {
+  const prefix = `${world.marker}${part}`;
+  return world.fleet.runs().filter((run) => run.event === event && run.marker.startsWith(prefix));
+}
+
+function markers(records: readonly RunRecord[]): string[] {
+  return records.map(({ marker }) => marker).sort();
+}
+
+function stateOf(world: GatewayWorld): State {
+  const state = states.get(world);
+  if (!state) throw new Error('the scenario has no load');
+  return state;
+}
