--- /dev/null
+++ b/tests/features/scenarios/replacement.feature
@@ -0,0 +1,12 @@
+Feature: Rolling replacement
+  Every daemon is replaced in turn, and callers who follow the entry list lose nothing.
+
+  Scenario: All control and entry daemons are replaced under load
+    Given the operations fleet
+    And 10 callers who follow the entry list, half of them with long streams
+    When each control daemon is told to shut down and replaced in turn
+    And each entry of the north is told to shut down and replaced in turn
+    And each entry of the central is told to shut down and replaced in turn
+    And each entry of the west is told to shut down and replaced in turn
+    Then every replaced process exited with code 0
+    And every call of these callers got its complete answer
--- /dev/null
+++ b/tests/features/src/steps/replacement-steps.ts
@@ -0,0 +1,179 @@
+/** Steps about replacing daemons in turn while callers follow the entry list. */
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  chatText,
+  expectedAnswer,
+  waitFor,
+  type CallResult,
+  type Exit,
+} from '@marjoramcart/stand-ins';
+import type { GatewayWorld } from '../support/world.js';
+
+const BOUND_MS = 20_000;
+/** Tokens of 10 ms each: the streams outlast the entry's notice of 1 s. */
+const LONG_STREAM_TOKENS = 200;
+const SHORT_STREAM_TOKENS = 8;
+const MAX_ATTEMPTS = 5;
+
+interface Answered {
+  readonly result: CallResult;
+  readonly expected: string;
+}
+
+interface State {
+  stopped: boolean;
+  readonly answers: Answered[];
+  readonly exits: { readonly name: string; readonly exit: Exit }[];
+  loops: Promise<void>[];
+}
+
+interface Follower {
+  readonly name: string;
+  readonly tokens: number;
+  /** Entries of the last list, best first. */
+  addresses: string[];
+  calls: number;
+}
+
+const states = new WeakMap<GatewayWorld, State>();
+
+Given(
+  '{int} callers who follow the entry list, half of them with long streams',
+  async function given(this: GatewayWorld, count: number) {
+    const state: State = { stopped: false, answers: [], exits: [], loops: [] };
+    states.set(this, state);
+    const addresses = this.fleet.layout.entries.map(({ callers }) => callers);
+    state.loops = Array.from({ length: count }, (_, n) => {
+      const tokens = n % 2 === 0 ? LONG_STREAM_TOKENS : SHORT_STREAM_TOKENS;
+      const first = [...addresses.slice(n), ...addresses.slice(0, n)];
+      return follow(this, { name: `${this.marker}-${n}`, tokens, addresses: first, calls: 0 });
+    });
+    await served(this);
+  },
+);
+
+After(async function endLoad(this: GatewayWorld) {
+  const state = states.get(this);
+  if (!state) return;
+  state.stopped = true;
+  await Promise.all(state.loops);
+});
+
+When(
+  'each control daemon is told to shut down and replaced in turn',
+  async function when(this: GatewayWorld) {
+    await replaceAll(this, this.fleet.layout.controls);
+  },
+);
+
+When(
+  'each entry of the {word} is told to shut down and replaced in turn',
+  async function when(this: GatewayWorld, region: string) {
+    await replaceAll(
+      this,
+      this.fleet.layout.entries.filter((entry) => entry.region === region),
+    );
+  },
+);
+
+Then(
+  'every replaced process exited with code {int}',
+  function then(this: GatewayWorld, code: number) {
+    const { exits } = stateOf(this);
+    const { controls, entries } = this.fleet.layout;
+    assert.equal(exits.length, controls.length + entries.length);
+    assert.deepEqual(
+      exits.filter(({ exit }) => exit.code !== code),
+      [],
+    );
+  },
+);
+
+Then(
+  'every call of these callers got its complete answer',
+  async function then(this: GatewayWorld) {
+    const state = stateOf(this);
+    state.stopped = true;
+    await Promise.all(state.loops);
+    const lost = state.answers.filter(
+      ({ result, expected }) => !result.complete || chatText(result) !== expected,
+    );
+    const cancelled = this.fleet
+      .runs()
+      .filter((run) => run.event === 'cancelled' && run.marker.startsWith(this.marker));
+    this.log(`${state.answers.length} calls, ${lost.length} lost, ${cancelled.length} cancelled`);
+    assert.deepEqual(
+      lost.map(({ result: { status, code, run, broken } }) => ({ status, code, run, broken })),
+      [],
+    );
+    assert.deepEqual(cancelled, []);
+  },
+);
+
+/** Replaces each daemon while the callers are served; the next one follows when it is ready. */
+function replaceAll(world: GatewayWorld, plans: readonly { name: string }[]): Promise<void> {
+  return plans.reduce<Promise<void>>(async (before, { name }) => {
+    await before;
+    const exit = await world.fleet.process(name).terminate();
+    stateOf(world).exits.push({ name, exit });
+    await world.fleet.restart(name);
+    await served(world);
+  }, Promise.resolve());
+}
+
+/** Waits until targets have started another call of the callers. */
+async function served(world: GatewayWorld): Promise<void> {
+  const count = (): number =>
+    world.fleet.runs().filter((run) => run.marker.startsWith(`${world.marker}-`)).length;
+  const before = count();
+  await waitFor('the callers are served', () => count() > before, BOUND_MS);
+}
+
+/** Sends calls to the first listed entry; takes a new list when an entry announces its end. */
+async function follow(world: GatewayWorld, follower: Follower): Promise<void> {
+  const state = stateOf(world);
+  if (state.stopped) return;
+  const next = { ...follower, calls: follower.calls + 1 };
+  const chat = world.chat(`${follower.name}-${next.calls}`, follower.tokens);
+  const result = await call(world, next, chat, 1);
+  state.answers.push({ result, expected: expectedAnswer(chat) });
+  await follow(world, next);
+}
+
+/** A call that was certainly not run is sent to the next listed entry. */
+async function call(
+  world: GatewayWorld,
+  follower: Follower,
+  chat: ReturnType<GatewayWorld['chat']>,
+  attempt: number,
+): Promise<CallResult> {
+  const [address = '', ...others] = follower.addresses;
+  const result = await world.caller('tent-crew').chat(address, chat);
+  const notRun = result.run === 'not_run' || (result.broken ?? '').includes('ECONNREFUSED');
+  if (notRun || result.headers.connection === 'close') {
+    Object.assign(follower, { addresses: await listed(world, [...others, address]) });
+  }
+  if (result.complete || !notRun || attempt >= MAX_ATTEMPTS) return result;
+  return call(world, follower, chat, attempt + 1);
+}
+
+/** The entry list of the first entry that answers, without the entry that was last. */
+async function listed(world: GatewayWorld, addresses: readonly string[]): Promise<string[]> {
+  const left = addresses.at(-1);
+  const caller = world.caller('tent-crew');
+  const list = await addresses.reduce<Promise<string[]>>(async (before, address) => {
+    const found = await before;
+    if (found.length > 0) return found;
+    const entries = await caller.entries(address).catch(() => []);
+    return entries.map((entry) => entry.address);
+  }, Promise.resolve([]));
+  const others = list.filter((address) => address !== left);
+  return others.length > 0 ? others : [...addresses];
+}
+
+function stateOf(world: GatewayWorld): State {
+  const state = states.get(world);
+  if (!state) throw new Error('the scenario has no callers');
+  return state;
+}
