--- a/tests/features/src/support/fleets.ts
+++ b/tests/features/src/support/fleets.ts
@@ -11,7 +11,8 @@
 } from '@marjoramcart/stand-ins';
 import { SEED, type GatewayWorld } from './world.js';
 
-const ONE_WAY_MS = 20;
+/** One-way delay between the regions of a fleet, ms. */
+export const ONE_WAY_MS = 20;
 const SERVING_BOUND_MS = 30_000;
 
 const shared: { fleet?: Promise<Fleet> } = {};
