Count crossings between regions when views contradict each other

Cause: no scenario counted forwards between two regions that have no engines and each believe that the other one has.

Each request's marker is counted in the recorded bytes of each pair of failure domains.

--- a/tests/features/src/steps/call-steps.ts
+++ b/tests/features/src/steps/call-steps.ts
@@ -1,9 +1,9 @@
 /** Steps that send calls and look at their answers. */
 import assert from 'node:assert/strict';
-import { existsSync, readFileSync } from 'node:fs';
 import { Then, When, type DataTable } from '@cucumber/cucumber';
 import { chatText, expectedAnswer } from '@marjoramcart/stand-ins';
 import { badInput } from '../support/bad-input.js';
+import { recordedBytes } from '../support/wire.js';
 import type { GatewayWorld } from '../support/world.js';
 
 When(
@@ -138,9 +138,3 @@
 Then('the request is in the recorded bytes', function then(this: GatewayWorld) {
   assert.ok(recordedBytes(this).includes(`marker:${this.marker}`));
 });
-
-function recordedBytes(world: GatewayWorld): string {
-  const file = `${world.fleet.folder}/bytes-${world.marker}`;
-  // eslint-disable-next-line n/no-sync
-  return existsSync(file) ? readFileSync(file, 'latin1') : '';
-}
--- /dev/null
+++ b/tests/features/src/support/wire.ts
@@ -0,0 +1,40 @@
+/** Recorded bytes between failure domains: the evidence of what crossed a region's border. */
+import { existsSync, readFileSync } from 'node:fs';
+import type { GatewayWorld } from './world.js';
+
+/** Two failure domains; requests go from the first to the second. */
+export interface Wire {
+  readonly from: string;
+  readonly to: string;
+}
+
+/** All pairs of failure domains of the fleet. */
+export function wiresOf(world: GatewayWorld): Wire[] {
+  const names = world.fleet.layout.domains.map(({ name }) => name);
+  return names.flatMap((from) => names.filter((to) => to !== from).map((to) => ({ from, to })));
+}
+
+/** Records each pair in a file of its own. */
+export async function recordWires(world: GatewayWorld): Promise<void> {
+  await Promise.all(
+    wiresOf(world).map((wire) => world.fleet.setFaults(wire, { record: fileOf(world, wire) })),
+  );
+}
+
+/** How often `text` is in the recorded bytes of a pair. */
+export function countOnWire(world: GatewayWorld, wire: Wire, text: string): number {
+  const file = fileOf(world, wire);
+  // eslint-disable-next-line n/no-sync
+  return existsSync(file) ? readFileSync(file, 'latin1').split(text).length - 1 : 0;
+}
+
+/** Bytes that the step for a region's border has recorded. */
+export function recordedBytes(world: GatewayWorld): string {
+  const file = `${world.fleet.folder}/bytes-${world.marker}`;
+  // eslint-disable-next-line n/no-sync
+  return existsSync(file) ? readFileSync(file, 'latin1') : '';
+}
+
+function fileOf(world: GatewayWorld, { from, to }: Wire): string {
+  return `${world.fleet.folder}/bytes-${from}-${to}`;
+}
