Prove residency of a customer whose region loses all targets

Cause: the residency scenarios left the region's targets alive, so nothing had a reason to send the request away.

Change: a bound customer's request crashes both engines of the north; the entry that took it is killed; the caller sends it again at the other entry of the north and in the central and the west, and an ordinary request in the north. The marker, the digest and the API key are looked for in all bytes that the proxy recorded at the border. A second scenario shows that the digest of an unbound customer's crash is found there, so that the search can succeed.

Conclusion: neither the request nor its digest or API key left through the proxy. The hash of the API key is part of the configuration and is sent to every region; it is not looked for.

--- a/tests/features/scenarios/residency.feature
+++ b/tests/features/scenarios/residency.feature
@@ -34,3 +34,28 @@
   Scenario: The entry list names allowed regions only
     Given the example fleet
     Then the entry list of tartu-archive in the west has entries in the north only
+
+  Scenario: A region without targets keeps a bound request
+    Given an example fleet of its own
+    And all bytes that leave the north are recorded
+    When tartu-archive asks entry 1 in the north for a completion that crashes its target
+    Then the call is refused with status 422 and code 4201
+    And the central knows that the north has no engine
+    When entry 1 in the north is killed
+    And tartu-archive sends the completion again to entry 2 in the north
+    Then the call is refused and was not run again
+    When tartu-archive sends an ordinary completion to entry 2 in the north
+    Then the call is refused and was not run again
+    When tartu-archive sends the completion again to entry 1 in the central
+    Then the call is refused with status 421 and code 2201
+    When tartu-archive sends the completion again to entry 1 in the west
+    Then the call is refused with status 421 and code 2201
+    And only targets in the north started the request
+    And the request is in no recorded byte
+    And neither its digest nor the API key of tartu-archive is in the recorded bytes
+
+  Scenario: The digest of a crash that other regions may know is in the recorded bytes
+    Given an example fleet of its own
+    And all bytes that leave the north are recorded
+    When tent-crew asks entry 1 in the north for a completion that crashes its target
+    Then its digest gets into the recorded bytes
--- /dev/null
+++ b/tests/features/src/steps/residency-steps.ts
@@ -0,0 +1,111 @@
+/** Steps about requests of customers bound to a region that loses its targets. */
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { Then, When } from '@cucumber/cucumber';
+import { ExampleKeys, requestJson, waitFor, type ChatRequest } from '@marjoramcart/stand-ins';
+import { recordedBytes } from '../support/wire.js';
+import type { CustomerName, GatewayWorld } from '../support/world.js';
+
+const GOSSIP_BOUND_MS = 20_000;
+const SERVICE = 'crew-answers';
+
+interface Status {
+  readonly summaries: readonly {
+    readonly region: string;
+    readonly services: readonly { readonly service: string; readonly readyTargets: number }[];
+  }[];
+}
+
+const digests = new WeakMap<GatewayWorld, string>();
+
+When(
+  '{word} asks entry {int} in the {word} for a completion that crashes its target',
+  async function when(this: GatewayWorld, customer: string, n: number, region: string) {
+    const body = JSON.stringify(crashing(this));
+    const parts = createHash('sha256').update(`${customer}\n${SERVICE}\n`).update(body);
+    digests.set(this, parts.digest('hex'));
+    this.results.push(await this.caller(customer).chat(this.entry(region, n), crashing(this)));
+  },
+);
+
+When(
+  '{word} sends the completion again to entry {int} in the {word}',
+  async function when(this: GatewayWorld, customer: string, n: number, region: string) {
+    this.results.push(await this.caller(customer).chat(this.entry(region, n), crashing(this)));
+  },
+);
+
+When(
+  '{word} sends an ordinary completion to entry {int} in the {word}',
+  async function when(this: GatewayWorld, customer: string, n: number, region: string) {
+    this.results.push(await this.caller(customer).chat(this.entry(region, n), this.chat()));
+  },
+);
+
+When(
+  'entry {int} in the {word} is killed',
+  async function when(this: GatewayWorld, n: number, region: string) {
+    const entry = this.fleet.layout.entries.find(
+      ({ callers }) => callers === this.entry(region, n),
+    );
+    await this.fleet.process(entry?.name ?? '').kill();
+  },
+);
+
+Then(
+  'the {word} knows that the {word} has no engine',
+  async function then(this: GatewayWorld, at: string, region: string) {
+    const controls = this.fleet.layout.controls.filter((plan) => plan.region === at);
+    await Promise.all(
+      controls.map(({ name, admin }) =>
+        waitFor(
+          `${name} knows that the ${region} has no engine`,
+          async () => {
+            const status = await requestJson<Status>('GET', `http://${admin}/status`);
+            const summary = status.summaries.find((known) => known.region === region);
+            const ready = summary?.services.find(({ service }) => service === SERVICE);
+            return summary !== undefined && (ready?.readyTargets ?? 0) === 0;
+          },
+          GOSSIP_BOUND_MS,
+        ),
+      ),
+    );
+  },
+);
+
+Then('the call is refused and was not run again', function then(this: GatewayWorld) {
+  const { complete, code, broken } = this.result;
+  assert.equal(complete && code === 1000, false);
+  assert.ok(code > 0, `no numbered code: ${broken}`);
+  assert.equal(this.started().length, 2);
+});
+
+Then(
+  'neither its digest nor the API key of {word} is in the recorded bytes',
+  function then(this: GatewayWorld, customer: string) {
+    const bytes = recordedBytes(this);
+    assert.ok(bytes.length > 0, 'nothing was recorded');
+    assert.ok(!bytes.includes(digestOf(this)), 'the digest left the region');
+    const key = ExampleKeys[customer as CustomerName];
+    assert.ok(!bytes.includes(key), 'the API key left the region');
+  },
+);
+
+Then('its digest gets into the recorded bytes', async function then(this: GatewayWorld) {
+  await waitFor(
+    'the digest is recorded',
+    () => recordedBytes(this).includes(digestOf(this)),
+    GOSSIP_BOUND_MS,
+  );
+});
+
+function crashing(world: GatewayWorld): ChatRequest {
+  const content = `crash-the-target marker:${world.marker}`;
+  return { ...world.chat(), messages: [{ role: 'user', content }] };
+}
+
+function digestOf(world: GatewayWorld): string {
+  const digest = digests.get(world);
+  if (!digest) throw new Error('the scenario has sent no request that crashes its target');
+  return digest;
+}
