Queue plain calls until their deadline

Cause: a plain call was given a latency target of 1 s, so the early refusal at 0.7 targets turned bookings away that had 30 s left. Conclusion: a late booking is better than none; callers set the deadline.

--- a/packages/entry/src/admission/admission-gate.ts
+++ b/packages/entry/src/admission/admission-gate.ts
@@ -140,7 +140,7 @@
       deadlineAt: call.deadlineAt,
       latencyTargetMs:
         // A late booking is better than none, so for plain calls only the deadline counts.
-        call.config.kind === 'model' ? call.config.first_token : call.deadlineAt - call.arrivedAt,
+        call.config.kind === 'model' ? call.config.first_token : Number.POSITIVE_INFINITY,
     };
   }
 }
