Send entries no view of a control daemon before it is complete

Cause: a replaced control daemon sent its entries a view before its first probes and summaries had arrived; it replaced the fuller view that they held. Change: an entry that holds a view gets a new one once all targets were probed and all failure domains of the list have a summary, and after 2.5 s at the latest.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -29,6 +29,8 @@
 /** Fields that change with the time alone; they are no reason to send a view again. */
 const AGE_FIELDS = new Set(['ageMs', 'reportAgeMs', 'expiresInMs', 'heartbeat']);
 const VIEW_REBUILD_MS = 200;
+/** Bound on the wait for a complete view, so that leaving marks reach entries within 3 s. */
+const WARM_UP_LIMIT_MS = 2500;
 
 export class ControlState {
   readonly config = new ConfigStore();
@@ -63,12 +65,17 @@
 
   private viewVersion: number;
 
+  private warm = false;
+
+  private readonly startedAt: number;
+
   private readonly listeners: Listener[] = [];
 
   constructor(
     readonly self: ProcessRef,
     readonly timers: TimerService,
   ) {
+    this.startedAt = timers.now();
     this.targets = new TargetTable(self.bootId);
     this.members = new MemberTable(self, timers.now());
     this.summaries = new SummaryTable(self.failureDomain, self.region);
@@ -154,6 +161,26 @@
     return this.view;
   }
 
+  /**
+   * Whether the view covers all targets and failure domains of the list. A daemon that has just
+   * started knows few of them; its view must not replace the fuller one that an entry holds.
+   */
+  get viewComplete(): boolean {
+    if (this.warm) return true;
+    const nowMs = this.timers.now();
+    const { version, vms } = this.vms.current;
+    const fresh = new Set(this.summaries.fresh(nowMs).map(({ failureDomain }) => failureDomain));
+    const covered =
+      version > 0 &&
+      this.targets.allProbed &&
+      vms.every(
+        ({ failureDomain }) =>
+          failureDomain === this.self.failureDomain || fresh.has(failureDomain),
+      );
+    this.warm = covered || nowMs - this.startedAt >= WARM_UP_LIMIT_MS;
+    return this.warm;
+  }
+
   private buildView(nowMs: number): Omit<DomainView, 'version'> {
     const processes = this.processes();
     const summaries = this.summaries
--- /dev/null
+++ b/packages/control/src/peers/entry-sync.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualTimerService } from '@marjoramcart/platform';
+import { ControlState } from '../control-state.js';
+import { entryRecord, newEntryParams, targetRecord } from '../testing/domain.js';
+import { syncEntryDaemon } from './entry-sync.js';
+
+const OTHER_DOMAIN = { region: 'west', failureDomain: 'west-1' };
+
+function newState(timers: ManualTimerService): ControlState {
+  const state = new ControlState(
+    {
+      bootId: 'control-1',
+      role: 'control',
+      vm: 'e1',
+      region: 'north',
+      failureDomain: 'north-1',
+      peerAddress: '127.0.0.1:1',
+    },
+    timers,
+  );
+  const vms = [
+    targetRecord('t1', '127.0.0.1:2'),
+    entryRecord('e1', '127.0.0.1:1'),
+    { ...entryRecord('e2', '127.0.0.1:3'), ...OTHER_DOMAIN },
+  ];
+  state.takeVms({ version: 1, vms }, 'platform');
+  return state;
+}
+
+test('a daemon that has just started replaces no view before it knows targets and domains', () => {
+  // Guards against calls refused for want of a target each time a control daemon is replaced.
+  const timers = new ManualTimerService();
+  const state = newState(timers);
+  const held = { ...newEntryParams('e1'), viewVersion: 5 };
+  assert.equal(syncEntryDaemon(state, held).view, undefined);
+  assert.ok(syncEntryDaemon(state, newEntryParams('e3')).view);
+  state.targets.recordFailure('t1', timers.now());
+  assert.equal(syncEntryDaemon(state, held).view, undefined);
+  timers.advance(2500);
+  assert.ok(syncEntryDaemon(state, held).view);
+});
--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -22,12 +22,14 @@
   // Before the cold start is over, a peer may still hold a newer configuration.
   const current = state.opened ? state.config.current : undefined;
   const view = state.domainView();
+  const wantsView = view.version !== params.viewVersion;
+  const holdsNone = params.viewVersion === 0;
   return {
     control: state.self,
     revision: current?.revision ?? 0,
     ...(current &&
       params.held &&
       current.revision > params.revision && { delta: snapshotDelta(current, params.held) }),
-    ...(view.version !== params.viewVersion && { view }),
+    ...(wantsView && (holdsNone || state.viewComplete) && { view }),
   };
 }
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -68,6 +68,11 @@
     return this.records;
   }
 
+  /** Whether each target was probed at least once, here or by another prober. */
+  get allProbed(): boolean {
+    return this.records.every(({ vm }) => this.opinions.has(vm));
+  }
+
   /** Notes a successful probe of this process. */
   recordReport(vm: string, report: TargetReport, nowMs: number): void {
     this.setOpinion(vm, this.self, {
