Report a request that a target died of to other entries before its caller is answered

Cause: a refusal reached other entries by sync and gossip only, which takes seconds between regions. A caller that sent the crashing request to the 5 other entries right after its refusal lost 6 of 6 engines instead of 2. Ruled out: faster gossip, which still loses the race against a caller that re-sends at once. Both sides check residency. Before: 6 engines lost. Conclusion: the bound holds for entries that can be reached; one cut off still learns it by gossip.

--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -276,6 +276,13 @@
   readonly state: 'cancelled' | 'sent' | 'unknown';
 }
 
+/** `suspect.report`: an entry tells another of a request that a target died of. */
+export interface SuspectReportParams {
+  readonly from: ProcessRef;
+  readonly records: readonly SuspectRecord[];
+}
+export type SuspectReportResult = Record<string, never>;
+
 /** One failure domain's difference between text and engines. */
 export interface PlacementGap {
   readonly failureDomain: string;
@@ -305,6 +312,7 @@
   'config.fetch': { params: ConfigFetchParams; result: ConfigFetchResult };
   'vms.fetch': { params: VmsFetchParams; result: VmsFetchResult };
   'key.cancel': { params: KeyCancelParams; result: KeyCancelResult };
+  'suspect.report': { params: SuspectReportParams; result: SuspectReportResult };
   'status.get': { params: Record<string, never>; result: StatusResult };
 }
 export type RpcMethod = keyof RpcMethods;
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -55,6 +55,8 @@
   readonly timers: TimerService;
   readonly log: Logger;
   readonly metrics: EntryMetrics;
+  /** Tells other entries of a request that a target died of. */
+  readonly announceSuspect: (call: Call) => Promise<void>;
   /** Waits for the sync after a pause; undefined when the state is fresh. */
   readonly afterPause: () => Promise<void> | undefined;
   /**
@@ -159,7 +161,10 @@
       return this.retry(p, ResultCodes.TargetUnreachable);
     }
     p.onSent();
-    if (end.died) this.options.suspects.onDeath(identity(p.call), this.options.timers.now());
+    if (end.died) {
+      this.options.suspects.onDeath(identity(p.call), this.options.timers.now());
+      await this.options.announceSuspect(p.call);
+    }
     return this.retry(p, ResultCodes.TargetFailed, entry.bootId);
   }
 
@@ -221,6 +226,7 @@
     if (verdict !== 'died') return this.retry(p, ResultCodes.TargetFailed, target.vm);
     const level = suspects.onDeath(identity(p.call), timers.now());
     log.warn('target died while running a request', { target: target.vm, level });
+    await this.options.announceSuspect(p.call);
     if (level === SuspicionLevel.Refused) return this.refusedSuspect(p, target.vm);
     return this.retry(p, ResultCodes.TargetFailed, target.vm, true);
   }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -26,6 +26,7 @@
 import { Connections } from './dispatch/connection.js';
 import { DeathProbe } from './dispatch/death-probe.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
+import { SuspectBroadcast } from './dispatch/suspect-broadcast.js';
 import { SuspectLane } from './dispatch/suspect-lane.js';
 import { HousekeepingTask } from './dispatch/housekeeping-task.js';
 import { ForwardExchange } from './forward/forward-exchange.js';
@@ -88,7 +89,7 @@
   );
   const state = new EntryState(self, timers);
   const auth = new MessageAuthenticator(settings.fleet_secret, () => timers.wall());
-  const rpc = new RpcClient(auth, bootId, settings.dial_map);
+  const rpc = new RpcClient(auth, bootId, settings.dial_map, settings.compress_messages);
   const connections = new Connections(settings.dial_map);
   const targets = new TargetTable(state, now);
   const suspects = new SuspectTable();
@@ -128,6 +129,7 @@
     },
   });
   const budget = new RetryBudget(DEFAULT_RETRY_SHARE, timers.now());
+  const broadcast = new SuspectBroadcast({ self, state, suspects, rpc, timers });
   const dispatcher = new Dispatcher({
     targets,
     targetPolicy: createTargetPolicy(settings.policies.target),
@@ -149,6 +151,7 @@
     timers,
     log: log.child('dispatch'),
     metrics: entryMetrics,
+    announceSuspect: (call) => broadcast.announce(call),
     afterPause: () => sync.afterPause,
     checkPause: deps.checkPause ?? (() => undefined),
   });
@@ -185,6 +188,7 @@
     runner,
     keys,
     onRevision: (revision) => sync.onHint(revision),
+    onSuspects: (records) => suspects.learn(records, timers.now()),
     log: log.child('peers'),
   });
   const callers = new CallerTask({
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -4,10 +4,12 @@
   ResultCodes,
   allowedRegions,
   checkForward,
+  mayKnowSuspect,
   parseIdempotencyKey,
   type ConfigView,
   type KeyTable,
   type ResultCode,
+  type SuspectRecord,
 } from '@marjoramcart/core';
 import {
   AUTH_HEADER,
@@ -48,6 +50,8 @@
   readonly keys: KeyTable<RecordedAnswer>;
   /** Follows a revision seen on a message. */
   readonly onRevision: (revision: number) => Promise<void>;
+  /** Takes over what another entry reports of requests that targets died of. */
+  readonly onSuspects: (records: readonly SuspectRecord[]) => void;
   readonly log: Logger;
 }
 
@@ -70,6 +74,14 @@
       if (!parsed || to !== options.state.self.bootId) return { state: 'unknown' };
       return { state: options.keys.cancel(parsed, customer, options.timers.wall()) };
     });
+    this.rpc.method('suspect.report', ({ records }) => {
+      const { config, self } = options.state;
+      // Checked on both sides, since the sender may have another configuration.
+      options.onSuspects(
+        records.filter((record) => config && mayKnowSuspect(config, record, self.region)),
+      );
+      return {};
+    });
     this.listener = new HttpListener({
       address: options.address,
       handler: (req, res) => this.handle(req, res),
--- a/packages/entry/src/testing/scheduled-entry.ts
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -120,6 +120,7 @@
       lane: new SuspectLane(targets, timers),
       budget: new RetryBudget(1, 0),
       metrics: METRICS,
+      announceSuspect: () => Promise.resolve(),
       afterPause: () => undefined,
       checkPause: () => undefined,
     });
