Hold back orders while an engine shows a newer configuration, and after a pause

Cause: a control daemon that was frozen and cut off loaded version 2 and unloaded version 3 on an engine that ignores fencing, though another engine had told it a newer fencing number. Change: the highest revision that any engine of the failure domain took an order of holds back all orders of a daemon that is behind it; after a pause engines are observed only for 2.5 s. The test of orders after a pause expected an order in the next round; it now expects none in that round and the order after the 2.5 s, which is stricter. Conclusion: in a failure domain whose engines all ignore fencing the order is still corrected only after healing.

--- a/packages/control/src/orders/order-task.test.ts
+++ b/packages/control/src/orders/order-task.test.ts
@@ -34,7 +34,7 @@
 
   constructor(
     name: string,
-    private readonly engine: FakeEngine,
+    public engine: FakeEngine,
     readonly timers: ManualTimerService,
   ) {
     const place = { vm: name, region: 'north', failureDomain: 'north-1' };
@@ -50,7 +50,11 @@
       target: { kind: 'engine' },
     };
     this.state.takeVms({ version: 1, vms: [target] }, 'platform');
-    const client = engine as never;
+    // The engine behind the address may be exchanged.
+    const client = {
+      load: () => this.engine.load(),
+      order: (...args: Parameters<FakeEngine['order']>) => this.engine.order(...args),
+    } as never;
     this.task = new OrderTask({ state: this.state, client, metrics, log: silentLogger() });
   }
 
@@ -126,9 +130,29 @@
   assert.deepEqual(kinds(engine), []);
   engine.onLoad = () => {};
   await orderer.round();
+  assert.deepEqual(kinds(engine), []);
+  orderer.timers.advance(2500);
+  await orderer.round();
   assert.deepEqual(kinds(engine), ['load 1']);
 });
 
+test('one engine with a newer order holds back the orders to the others', async () => {
+  // Guards against a resumed process, cut off from its peers, that undoes a newer version on an
+  // engine that ignores fencing, although another engine shows that there is one.
+  const checking = new FakeEngine(true);
+  const ignoring = new FakeEngine(false);
+  const timers = new ManualTimerService();
+  const ahead = new Orderer('b', checking, timers);
+  ahead.state.takeSnapshot(configOf(2, '2'), 'platform');
+  await ahead.round();
+  const behind = new Orderer('a', checking, timers);
+  behind.state.takeSnapshot(configOf(1, '1'), 'platform');
+  await behind.round();
+  behind.engine = ignoring;
+  await behind.round();
+  assert.deepEqual(kinds(ignoring), []);
+});
+
 test('a failed load is not repeated and is told as a gap', async () => {
   const engine = new FakeEngine(false);
   const orderer = new Orderer('a', engine, new ManualTimerService());
--- a/packages/control/src/orders/order-task.ts
+++ b/packages/control/src/orders/order-task.ts
@@ -13,6 +13,7 @@
   nextStep,
   placeModels,
   placementGroups,
+  revisionOfFencing,
   type ConfigView,
   type DomainEngine,
   type DomainPermits,
@@ -29,6 +30,8 @@
 import type { TargetClient } from '../probes/target-client.js';
 
 const PLAN_INTERVAL_MS = 1000;
+/** Two rounds: one engine that saw a newer order holds back the orders to all others. */
+const OBSERVE_AFTER_PAUSE_MS = 2500;
 /** Role and adapters are not gossiped, so a target in the expected state is observed too. */
 const CHECK_INTERVAL_MS = 10_000;
 
@@ -72,6 +75,12 @@
 
   private placed: Placed | undefined;
 
+  /** Highest revision that an engine of the failure domain took an order of. */
+  private newestOrdered = 0;
+
+  /** Until then engines are observed only: what was believed before a pause may be old. */
+  private observeOnlyUntil = 0;
+
   private readonly log: Logger;
 
   private unsubscribe = (): void => {};
@@ -79,7 +88,7 @@
   constructor(private readonly options: OrderTaskOptions) {
     this.log = options.log.child('orders');
     const { timers } = options.state;
-    timers.onPause(() => this.ledger.afterPause(timers.now()));
+    timers.onPause(() => this.afterPause());
   }
 
   start(): Promise<void> {
@@ -90,6 +99,13 @@
     return Promise.resolve();
   }
 
+  private afterPause(): void {
+    const nowMs = this.options.state.timers.now();
+    this.ledger.afterPause(nowMs);
+    this.checkedAt.clear();
+    this.observeOnlyUntil = nowMs + OBSERVE_AFTER_PAUSE_MS;
+  }
+
   stop(): Promise<void> {
     this.unsubscribe();
     return Promise.resolve();
@@ -118,7 +134,7 @@
   private plan(): Plan | undefined {
     const { state } = this.options;
     const { cfg } = state;
-    if (!cfg || !state.opened) return undefined;
+    if (!cfg || !state.opened || this.newestOrdered > cfg.revision) return undefined;
     const records = this.engineRecords();
     const { groups, placement } = this.placementOf(cfg, state.targets.targets, records);
     const usable = new Set(
@@ -200,6 +216,11 @@
       const result = await client.load(address);
       if (result.kind !== 'ok' || result.value.state === 'leaving') return;
       const engine = observedEngine(result.value, observedAt);
+      // An engine with a newer order shows that a newer configuration is in force elsewhere.
+      this.newestOrdered = Math.max(this.newestOrdered, revisionOfFencing(engine.highestFencing));
+      state.config.witness(this.newestOrdered);
+      const behind = this.newestOrdered > plan.cfg.revision;
+      if (behind || observedAt < this.observeOnlyUntil) return;
       const order = this.choose(vm, engine, plan);
       if (order) await this.send(record, engine, order, plan.cfg.revision);
     } finally {
