Say unknown of a refused re-send whose first request may have run

Cause: an owner that refuses a re-send before its key is claimed (its service or region was taken from the configuration since) said not_run, although the first request may have run or be queued. Ruled out: claiming the key before the checks, since the body is not read yet. Change: the key table tells whether an earlier request may have run; the exploration has this event. Before: as written in docs/proofs-at-most-once.md as an open point; with a check of sent and done only, the exploration shows a queued request that is run after the refusal. After: holds. Conclusion: not_run before the claim is said only of keys without a pending or ended request.

--- a/packages/core/src/idempotency/key-table.model.test.ts
+++ b/packages/core/src/idempotency/key-table.model.test.ts
@@ -27,6 +27,9 @@
 
   resends = 0;
 
+  /** A refusal said not_run of a re-send whose first request had run or could still run. */
+  refusedWhilePending = false;
+
   requestReachesOwner(): boolean {
     if (this.resends >= MAX_RESENDS) return false;
     this.resends += 1;
@@ -100,6 +103,14 @@
     return this.table.size !== before;
   }
 
+  /** The owner refuses a re-send before the claim, for example when its service is gone. */
+  refuseResend(): boolean {
+    const burned = this.table.stateOf(KEY_TEXT) === 'burned';
+    const pending = this.runs > 0 || (this.dispatcher !== 'none' && !burned);
+    if (!this.table.mayHaveRun(key, this.wallMs)) this.refusedWhilePending ||= pending;
+    return true;
+  }
+
   private claim(): void {
     const claim = this.table.claim(key, 'crew', 'digest', this.wallMs);
     if (claim.kind === 'new') this.dispatcher = 'ready';
@@ -118,6 +129,7 @@
   'answer arrives': (model) => model.end({ kind: 'answer', answer: 'booked', bytes: 6 }),
   'answer is lost': (model) => model.end({ kind: 'unknown' }),
   'deadline passes at the owner': (model) => model.deadlinePasses(),
+  'owner refuses a re-send unread': (model) => model.refuseResend(),
   'key expires': (model) => model.keyExpires(),
   'owner forgets expired keys': (model) => model.forgetExpired(),
 };
@@ -128,7 +140,8 @@
     create: () => new KeyModel(),
     actions,
     depth: DEPTH,
-    violation: ({ runs, saidNotRun }) => {
+    violation: ({ runs, saidNotRun, refusedWhilePending }) => {
+      if (refusedWhilePending) return 'a re-send was refused as not_run, but its request may run';
       if (runs > 1) return `the request ran ${runs} times`;
       return runs > 0 && saidNotRun ? 'not_run was said of a request that ran' : undefined;
     },
--- a/packages/core/src/idempotency/key-table.ts
+++ b/packages/core/src/idempotency/key-table.ts
@@ -67,6 +67,13 @@
     return this.bytesHeld;
   }
 
+  /** Whether an earlier request with the key was run or may still be; an expired key is forgotten. */
+  mayHaveRun(key: IdempotencyKey, wallMs: number): boolean {
+    const state = this.stateOf(key.text);
+    if (state === undefined) return key.expiresAtWallMs <= wallMs;
+    return state !== KeyState.Burned;
+  }
+
   stateOf(keyText: string): KeyState | undefined {
     return this.records.get(keyText)?.state;
   }
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -1,7 +1,13 @@
 /** Listener for callers: routes requests and answers rejections. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { ResultCodes, RunState, parseIdempotencyKey, type ResultCode } from '@marjoramcart/core';
+import {
+  ResultCodes,
+  RunState,
+  parseIdempotencyKey,
+  type IdempotencyKey,
+  type ResultCode,
+} from '@marjoramcart/core';
 import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/platform';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
 import { Answer, errorBody, type HeaderFields } from '../relay/answer.js';
@@ -25,6 +31,8 @@
   readonly runner: CallRunner;
   readonly sync: SyncTask;
   readonly metrics: EntryMetrics;
+  /** Whether an earlier request with this key of the own process may have been run. */
+  readonly keyMayHaveRun: (key: IdempotencyKey) => boolean;
   readonly log: Logger;
   readonly drainNoticeMs?: number;
 }
@@ -146,7 +154,7 @@
     const { code, detail, fields, close, mayRead = false } = rejection;
     const unread = close === true && !req.complete;
     const answer = new Answer(res, { common: () => this.commonHeaders(), record: false });
-    const run = this.mayHaveRunElsewhere(req) ? RunState.Unknown : code.run;
+    const run = this.mayHaveRun(req) ? RunState.Unknown : code.run;
     answer.fail(
       { code, run, attempts: 0 },
       {
@@ -158,11 +166,12 @@
     this.options.metrics.onResult(code.code, run);
   }
 
-  /** Only the owner of a key knows that its request was not run; a re-send may come here. */
-  private mayHaveRunElsewhere({ headers }: IncomingMessage): boolean {
+  /** Only the owner of a key knows whether an earlier request with it was run. */
+  private mayHaveRun({ headers }: IncomingMessage): boolean {
     const text = headers['idempotency-key'];
     const key = typeof text === 'string' ? parseIdempotencyKey(text) : undefined;
-    return key !== undefined && key.bootId !== this.options.state.self.bootId;
+    if (!key) return false;
+    return key.bootId !== this.options.state.self.bootId || this.options.keyMayHaveRun(key);
   }
 
   private json(res: ServerResponse, value: unknown): void {
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -193,6 +193,7 @@
   });
   const callers = new CallerTask({
     address: settings.listen.callers,
+    keyMayHaveRun: (key) => keys.mayHaveRun(key, timers.wall()),
     state,
     timers,
     runner,
