--- a/tests/features/src/support/fleets.ts
+++ b/tests/features/src/support/fleets.ts
@@ -140,8 +140,9 @@
 });
 
 AfterAll(async () => {
-  const fleets = await Promise.allSettled(Object.values(shared) as Promise<Fleet>[]);
+  // A fleet is undefined again after a failed scenario has stopped it.
+  const fleets = await Promise.allSettled(Object.values(shared) as (Promise<Fleet> | undefined)[]);
   await Promise.all(
-    fleets.map((result) => (result.status === 'fulfilled' ? result.value.stop() : undefined)),
+    fleets.map((result) => (result.status === 'fulfilled' ? result.value?.stop() : undefined)),
   );
 });
