Probe steady targets each 2 s, and the second prober each 6 s

Cause: probes were the largest part of a control daemon's traffic, 6.4 KB/s of 14.7 in the largest failure domain.

Change: the first prober polls each 2 s while the figures stay near those published, the second each 6 s while all is well; both each second while a prober sees a failure or a leaving mark. The first failure is announced at once. A failed or unanswered probe is followed after 500 ms, and the result of an older probe doesn't override that of a newer one.

Exclusion in the new unit test, from the last success: at most 3.0 s if the target refuses and 3.9 s if it hangs, as with a probe each second.

Cost: a target that refuses connections for 1 s in place of 2 can be excluded until the next success.

--- /dev/null
+++ b/packages/control/src/probes/probe-task.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/platform';
+import { FAILURES_TO_EXCLUDE, proberRank, type TargetItem } from '@marjoramcart/core';
+import { controlMetrics } from '../control-metrics.js';
+import { ControlState } from '../control-state.js';
+import { entryRef, targetRecord } from '../testing/domain.js';
+import { loadReportSchema } from './load-report.js';
+import { ProbeTask } from './probe-task.js';
+import type { TargetClient } from './target-client.js';
+
+type Answer = Awaited<ReturnType<TargetClient['load']>>;
+
+const ok = (more: object = {}): Answer => {
+  const report = { sequence: 1, state: 'live', kind: 'plain', services: ['crane-booking'] };
+  return { kind: 'ok', value: loadReportSchema.parse({ ...report, ...more }) };
+};
+const refused: Answer = { kind: 'failed', message: 'refused' };
+
+/** A control daemon with one target and, if given, a peer that probes it first. */
+class Fixture {
+  readonly timers = new ManualTimerService();
+
+  readonly state = new ControlState(ref('self'), this.timers);
+
+  readonly starts: number[] = [];
+
+  /** The next answers come from here; a probe of a hanging target fails after 900 ms. */
+  answer: Answer | 'hang' = ok();
+
+  constructor() {
+    this.state.takeVms({ version: 1, vms: [targetRecord('t1', '10.0.0.9:1')] }, 'platform');
+    const client = {
+      load: () => {
+        this.starts.push(this.timers.now());
+        const { answer } = this;
+        if (answer !== 'hang') return Promise.resolve(answer);
+        return new Promise((resolve) => {
+          this.timers.after(900, () => resolve(refused));
+        });
+      },
+      close: () => {},
+    };
+    const metrics = controlMetrics(new Metrics());
+    const log = silentLogger();
+    const options = { state: this.state, client: client as never, metrics, log };
+    void new ProbeTask({ ...options, onTransition: () => {} }).start();
+  }
+
+  async run(ms: number, step = 100): Promise<void> {
+    if (ms <= 0) return;
+    this.timers.advance(step);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    await this.run(ms - step, step);
+  }
+
+  /** Time from now until the target is excluded, in ms. */
+  async untilExcluded(waitedMs = 0): Promise<number> {
+    const failures = this.state.targets.opinionOf('t1', 'self')?.failures ?? 0;
+    if (failures >= FAILURES_TO_EXCLUDE) return waitedMs;
+    await this.run(100);
+    return this.untilExcluded(waitedMs + 100);
+  }
+
+  /** Makes this daemon the second prober, after a peer that sees `seen`. */
+  hearFirstProber(seen: Partial<TargetItem> = {}): void {
+    const names = Array.from({ length: 20 }, (_, n) => `peer-${n}`);
+    const first = names.find((name) => proberRank('t1', 'self', ['self', name]) === 1) ?? '';
+    const load = { running: 0, queued: 0, waitMs: 0, concurrency: 1, sequence: 1, ageMs: 0 };
+    const report = { services: [], leaving: false, ...load, ...seen };
+    const nowMs = this.timers.now();
+    const update = { bootId: first, heartbeat: nowMs + 1, revision: 1, process: ref(first) };
+    this.state.members.merge([update], nowMs);
+    const times = { reportedAt: nowMs, heardAt: nowMs };
+    const failures = seen.failures ?? 0;
+    this.state.targets.setOpinion('t1', first, { report, failures, ...times });
+  }
+}
+
+function ref(bootId: string) {
+  return { ...entryRef(bootId), bootId, role: 'control' as const };
+}
+
+test('a target with steady figures is probed each 2 s, one with changing figures each second', async () => {
+  const fixture = new Fixture();
+  await fixture.run(10_000);
+  assert.ok(fixture.starts.length <= 6, `${fixture.starts.length} probes`);
+  fixture.starts.length = 0;
+  await [...Array(8).keys()].reduce(async (before, n) => {
+    await before;
+    fixture.answer = ok({ running: n % 2 === 0 ? 5 : 30 });
+    await fixture.run(1000);
+  }, Promise.resolve());
+  assert.ok(fixture.starts.length >= 7, `${fixture.starts.length} probes`);
+});
+
+['refuses', 'hangs'].forEach((how) => {
+  test(`a steady target that ${how} is excluded as early as with a probe each second`, async () => {
+    // Guards against a longer probe interval that delays the exclusion of a failed target.
+    const limitMs = how === 'hangs' ? 3900 : 3000;
+    const offsets = [0, 500, 1000, 1500];
+    const times = await Promise.all(
+      offsets.map(async (offset) => {
+        const fixture = new Fixture();
+        await fixture.run(8100 + offset);
+        fixture.answer = how === 'hangs' ? 'hang' : refused;
+        return fixture.untilExcluded();
+      }),
+    );
+    assert.ok(Math.max(...times) <= limitMs, `${times.join()} ms`);
+  });
+});
+
+test('a target that answers a later probe is not failed by an earlier one', async () => {
+  // Guards against a late failure that overrides the newer success.
+  const fixture = new Fixture();
+  await fixture.run(4000);
+  fixture.answer = 'hang';
+  const before = fixture.starts.length;
+  while (fixture.starts.length === before) {
+    // eslint-disable-next-line no-await-in-loop
+    await fixture.run(100);
+  }
+  fixture.answer = ok();
+  await fixture.run(1000);
+  assert.equal(fixture.state.targets.opinionOf('t1', 'self')?.failures, 0);
+});
+
+test('the second prober probes each 6 s, and each second once a prober sees a fault', async () => {
+  const fixture = new Fixture();
+  const probesIn = async (seconds: number, seen?: Partial<TargetItem>): Promise<number> => {
+    fixture.starts.length = 0;
+    await [...Array(seconds).keys()].reduce(async (before) => {
+      await before;
+      fixture.hearFirstProber(seen);
+      await fixture.run(1000);
+    }, Promise.resolve());
+    return fixture.starts.length;
+  };
+  assert.ok((await probesIn(18)) <= 4);
+  assert.ok((await probesIn(5, { failures: 1 })) >= 5);
+  assert.ok((await probesIn(5, { leaving: true })) >= 5);
+});
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -27,19 +27,35 @@
 const PUBLISHING_RANK = 0;
 /** Finer ages would only make the messages longer. */
 const AGE_STEP_MS = 100;
-/** Time between the second prober's probes of a target that no prober sees failing. */
-const SECOND_PROBER_INTERVAL_MS = 3000;
+/** Times between the starts of a daemon's probes of one target, in ms. */
+const IntervalMs = {
+  /** A probe failed or has no answer yet: the third failure comes 3 s after the last success. */
+  Failing: 500,
+  /** A prober sees a failure or a leaving mark, or the load figures change. */
+  Fast: 1000,
+  /** First prober, while the report stays near the one published. */
+  Steady: 2000,
+  /** Second prober, while all is well. */
+  Second: 6000,
+} as const;
 /** A timer that fires a little early does not put a probe off to the next round. */
 const TIMER_TOLERANCE_MS = 100;
 
 export class ProbeTask implements Task {
   readonly name = 'probes';
 
-  private readonly inFlight = new Set<string>();
+  /** Probes of each target that have no result yet. */
+  private readonly inFlight = new Map<string, number>();
 
   /** Start of the last probe of each target, in ms. */
   private readonly probedAt = new Map<string, number>();
 
+  /** Start of the newest probe of each target that has a result, in ms. */
+  private readonly resultOf = new Map<string, number>();
+
+  /** Targets whose last report was near the published one. */
+  private readonly steady = new Set<string>();
+
   /** Latest report of each target that this daemon probes. */
   readonly reports = new Map<string, LoadReport>();
 
@@ -49,7 +65,7 @@
 
   start(): Promise<void> {
     const { state } = this.options;
-    this.unsubscribe = state.timers.every(MembershipTiming.ProbeIntervalMs, () => {
+    this.unsubscribe = state.timers.every(MembershipTiming.ProbeTickMs, () => {
       void this.probeAll();
     });
     return Promise.resolve();
@@ -71,10 +87,9 @@
       targets.map(async (record) => {
         const rank = proberRank(record.vm, state.self.bootId, live);
         if (rank < 0) {
-          this.reports.delete(record.vm);
-          this.probedAt.delete(record.vm);
+          this.forget(record.vm);
           state.members.withdrawTarget(record.vm);
-        } else if (this.due(record.vm, rank)) {
+        } else if (this.due(record.vm, rank, only !== undefined)) {
           await this.probe(record, rank);
         }
       }),
@@ -82,51 +97,79 @@
     if (this.marks() !== before) this.options.onTransition();
   }
 
-  /** Own opinions on health and leaving, in a form to compare. */
+  private forget(vm: string): void {
+    this.reports.delete(vm);
+    this.probedAt.delete(vm);
+    this.resultOf.delete(vm);
+    this.steady.delete(vm);
+  }
+
+  /**
+   * Own opinions on health and leaving, in a form to compare. The first failure counts, so that the
+   * second prober learns of it at once.
+   */
   private marks(): string {
     const { targets, self } = this.options.state;
     return targets.targets
       .map(({ vm }) => {
         const opinion = targets.opinionOf(vm, self.bootId);
-        const excluded = (opinion?.failures ?? 0) >= FAILURES_TO_EXCLUDE;
-        return `${vm} ${excluded} ${opinion?.report.leaving}`;
+        const failures = opinion?.failures ?? 0;
+        const health = [failures > 0, failures >= FAILURES_TO_EXCLUDE];
+        return `${vm} ${health.join()} ${opinion?.report.leaving}`;
       })
       .join();
   }
 
-  /** The second prober probes seldom while all is well, and as often as the first otherwise. */
-  private due(vm: string, rank: number): boolean {
+  /** Whether the next probe is due; an entry that saw a failure does not wait for the interval. */
+  private due(vm: string, rank: number, urgent: boolean): boolean {
     const { state } = this.options;
     const nowMs = state.timers.now();
     if (!state.targets.mayProbe(vm, nowMs)) return false;
-    if (rank === PUBLISHING_RANK || state.targets.doubted(vm, nowMs)) return true;
+    if (urgent && rank === PUBLISHING_RANK && !this.inFlight.has(vm)) return true;
     const sinceMs = nowMs - (this.probedAt.get(vm) ?? -Infinity);
-    return sinceMs >= SECOND_PROBER_INTERVAL_MS - TIMER_TOLERANCE_MS;
+    return sinceMs >= this.intervalMs(vm, rank, nowMs) - TIMER_TOLERANCE_MS;
+  }
+
+  private intervalMs(vm: string, rank: number, nowMs: number): number {
+    const { targets, self } = this.options.state;
+    const failures = targets.opinionOf(vm, self.bootId)?.failures ?? 0;
+    if (failures > 0 || this.inFlight.has(vm)) return IntervalMs.Failing;
+    if (targets.doubted(vm, nowMs)) return IntervalMs.Fast;
+    if (rank !== PUBLISHING_RANK) return IntervalMs.Second;
+    return this.steady.has(vm) ? IntervalMs.Steady : IntervalMs.Fast;
   }
 
   private async probe(record: VmRecord, rank: number): Promise<void> {
     const { vm, address } = record;
-    if (this.inFlight.has(vm)) return;
-    this.inFlight.add(vm);
     const { state, client, metrics, log } = this.options;
-    this.probedAt.set(vm, state.timers.now());
+    const startedAt = state.timers.now();
+    this.probedAt.set(vm, startedAt);
+    this.inFlight.set(vm, (this.inFlight.get(vm) ?? 0) + 1);
     const result = await client.load(address);
+    this.ended(vm);
     const nowMs = state.timers.now();
+    metrics.probes.inc({ result: result.kind === 'ok' ? 'ok' : 'failed' });
+    // The result of a later probe is the newer one, although its answer came first.
+    if (startedAt < (this.resultOf.get(vm) ?? -Infinity)) return;
+    this.resultOf.set(vm, startedAt);
     if (result.kind === 'ok') {
-      metrics.probes.inc({ result: 'ok' });
       this.reports.set(vm, result.value);
       const report = targetReport(result.value, record, state.cfg?.services ?? {});
       state.targets.recordReport(vm, report, nowMs);
     } else {
-      metrics.probes.inc({ result: 'failed' });
       this.reports.delete(vm);
       state.targets.recordFailure(vm, nowMs);
       log.debug('[probes] probe failed', { vm, kind: result.kind });
     }
-    this.inFlight.delete(vm);
     this.publish(vm, rank, nowMs);
   }
 
+  private ended(vm: string): void {
+    const left = (this.inFlight.get(vm) ?? 1) - 1;
+    if (left > 0) this.inFlight.set(vm, left);
+    else this.inFlight.delete(vm);
+  }
+
   private publish(vm: string, rank: number, nowMs: number): void {
     const { state } = this.options;
     const opinion = state.targets.opinionOf(vm, state.self.bootId);
@@ -135,7 +178,9 @@
       state.members.withdrawTarget(vm);
       return;
     }
-    state.members.publishTarget(itemOf(vm, opinion, rank), nowMs);
+    const changed = state.members.publishTarget(itemOf(vm, opinion, rank), nowMs);
+    if (changed) this.steady.delete(vm);
+    else this.steady.add(vm);
   }
 }
 
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -90,12 +90,14 @@
     entries.set(process.bootId, { stamp: heartbeat + 1, value: entry, atMs: nowMs });
   }
 
-  /** Publishes what this process saw of a target. */
-  publishTarget(item: TargetItem, nowMs: number): void {
+  /** Publishes what this process saw of a target; whether it differs from what was published. */
+  publishTarget(item: TargetItem, nowMs: number): boolean {
     const { targets, heartbeat } = this.own;
     const before = targets.get(item.vm);
-    if (before && sameTarget(before.value, item) && nowMs - before.atMs < REFRESH_MS) return;
+    const same = before !== undefined && sameTarget(before.value, item);
+    if (same && nowMs - before.atMs < REFRESH_MS) return false;
     targets.set(item.vm, { stamp: heartbeat + 1, value: item, atMs: nowMs });
+    return !same;
   }
 
   /** Withdraws a target that this process no longer probes; copies expire at the peers. */
--- a/packages/core/src/membership/membership-timing.ts
+++ b/packages/core/src/membership/membership-timing.ts
@@ -5,6 +5,7 @@
   SuspectAfterMs: 5000,
   DropAfterMs: 15_000,
   SummaryExpiryMs: 10_000,
-  ProbeIntervalMs: 1000,
+  /** Which probes are due is checked this often. */
+  ProbeTickMs: 500,
   EntrySyncIntervalMs: 250,
 } as const;
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -128,10 +128,10 @@
     return retryAt === undefined || nowMs >= retryAt;
   }
 
-  /** Whether any prober saw the last probe fail, or none has probed the target lately. */
+  /** Whether a prober saw the last probe fail or a leaving mark, or none has probed it lately. */
   doubted(vm: string, nowMs: number): boolean {
     const live = this.liveOpinions(vm, nowMs);
-    return live.length === 0 || live.some(({ failures }) => failures > 0);
+    return live.length === 0 || live.some(({ failures, report }) => failures > 0 || report.leaving);
   }
 
   /**
