Count the death of a target once when its call was forwarded

Cause: an entry that sees a target die reports the request to all other entries before it answers, and then marks its answer to the entry that had forwarded the request. That entry learned one death from the report, counted the mark as another one and refused the request with 4201 for 10 minutes, after a single death. Any call that was forwarded to a region as it lost its targets met this. It was found while a region lost all engines on thin links: calls of other regions, which had been forwarded there, were refused with 4201.

Ruled out: that the request had met two dead targets. In the unit test only one target exists.

Change: the answer's mark counts only when no report has told the entry of a death. A forwarded call is not a suspect when it is sent, so a report that is known by then is of this death. The bound of two lost targets stays: a re-run at home that kills its target is the second death.

--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -161,13 +161,18 @@
       return this.retry(p, ResultCodes.TargetUnreachable);
     }
     p.onSent();
-    if (end.died) {
-      this.options.suspects.onDeath(identity(p.call), this.options.timers.now());
-      await this.options.announceSuspect(p.call);
-    }
+    if (end.died) await this.noteDeathElsewhere(p.call);
     return this.retry(p, ResultCodes.TargetFailed, entry.bootId);
   }
 
+  /** The entry that saw the death has reported it, and one death must not count as two. */
+  private async noteDeathElsewhere(call: Call): Promise<void> {
+    const { suspects, timers, announceSuspect } = this.options;
+    if (suspects.level(call.digest, timers.now()) !== SuspicionLevel.None) return;
+    suspects.onDeath(identity(call), timers.now());
+    await announceSuspect(call);
+  }
+
   /** `release` is called when the target no longer runs the call, before any further attempt. */
   private async attempt(
     p: DispatchProgress,
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -65,9 +65,14 @@
 }
 
 /** An entry without targets in north-1 and one with a target in west-1. */
-async function startPair(t: TestContext, config = testConfig()): Promise<Pair> {
-  const target = await new FakeTarget((req, res) => {
-    if (req.url.startsWith('/v1/')) res.writeHead(200, STREAM_HEADERS).end(STREAM);
+async function startPair(
+  t: TestContext,
+  config = testConfig(),
+  targetCrashes = false,
+): Promise<Pair> {
+  const target = await new FakeTarget((req, res, self) => {
+    if (targetCrashes) self.crash();
+    else if (req.url.startsWith('/v1/')) res.writeHead(200, STREAM_HEADERS).end(STREAM);
     else res.writeHead(201, { 'content-type': 'application/json' }).end('{"slot":7}');
   }).listen();
   const home = await startEntry({ config });
@@ -271,3 +276,22 @@
   const metrics = await home.metrics.text();
   assert.match(metrics, /marjoramcart_attempts_total 1\n/);
 });
+
+test('a target that dies of a forwarded call counts as one death at the entry that forwarded it', async (t) => {
+  // Guards against the refusal of a call that met one dead target, such as any call that ran in a
+  // region as its targets were lost: the other entry's report and its answer tell the same death.
+  const { home, away } = await startPair(t, testConfig(), true);
+  await introduce(away, [summaryOf(home, 0)]);
+  const body = chatBody('unlucky');
+  const lost = await send(home.daemon.callers.address, { body });
+  assert.equal(errorCode(lost.body), 4301);
+  const healthy = await new FakeTarget((_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).end(STREAM);
+  }).listen();
+  t.after(() => healthy.crash());
+  home.control.setView({ targets: [targetState('t2', healthy)] });
+  const { version } = home.control.view;
+  await until(() => home.daemon.state.view.version === version);
+  const answer = await send(home.daemon.callers.address, { body });
+  assert.equal(answer.body, STREAM);
+});
