Publish a target again when its sequence restarts or doubles

Cause: items are no longer repeated, so the sequence that entries compare to recognise a restarted target could be from its first seconds. A target that died would then be taken for alive, or one that restarted earlier for dead.

--- a/packages/core/src/membership/member-table.test.ts
+++ b/packages/core/src/membership/member-table.test.ts
@@ -49,6 +49,15 @@
   });
 });
 
+test('a steady target is sent again when its sequence restarts or has doubled', () => {
+  // Guards against entries that compare the sequence of a restarted target with an outdated one.
+  const a = new MemberTable(control('a'), 0);
+  const publish = (sequence: number): boolean =>
+    a.publishTarget({ ...item('t1'), sequence }, sequence);
+  const changed = [3, 4, 6, 7, 100, 150, 5].map(publish);
+  assert.deepEqual(changed, [true, false, false, true, true, false, true]);
+});
+
 test('a withdrawn target is not confirmed again, also not by way of another peer', () => {
   const tables = ['a', 'b', 'c'].map((name) => new MemberTable(control(name), 0));
   const [a, b, c] = tables as [MemberTable, MemberTable, MemberTable];
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -12,7 +12,8 @@
   TargetItem,
 } from '../messages/messages.js';
 import { MembershipTiming } from './membership-timing.js';
-import { near, quantise } from './quantise.js';
+import { quantise } from './quantise.js';
+import { sameEntry, sameTarget } from './same-item.js';
 
 /**
  * Unchanged items are repeated after this time while a peer of an earlier release is alive, whose
@@ -304,26 +305,6 @@
   };
 }
 
-function sameEntry(a: ProcessEntry, b: ProcessEntry): boolean {
-  return (
-    a.revision === b.revision &&
-    a.load?.draining === b.load?.draining &&
-    near(a.load?.openRequests ?? 0, b.load?.openRequests ?? 0) &&
-    near(a.load?.queued ?? 0, b.load?.queued ?? 0)
-  );
-}
-
-function sameTarget(a: TargetItem, b: TargetItem): boolean {
-  const facts = ({ services, leaving, failures, concurrency, models }: TargetItem): string =>
-    JSON.stringify([services, leaving, failures, concurrency, models]);
-  return (
-    facts(a) === facts(b) &&
-    near(a.running, b.running) &&
-    near(a.queued, b.queued) &&
-    near(a.waitMs, b.waitMs)
-  );
-}
-
 /** Drops what was not confirmed since `limitMs` and returns its names. */
 function dropOlder<Value>(items: Map<string, Stamped<Value>>, limitMs: number): string[] {
   const old = [...items].filter(([, { atMs }]) => atMs < limitMs).map(([name]) => name);
