Send entries only what changed of the view

Cause: the view was built, turned into text with a replacer for comparison and sent whole up to 4 times a second to each entry. In a CPU profile of the largest failure domain (12 VMs, 120 targets, 28 failure domains) at rest, 222 of 10,000 ms were busy, 36 of them in the handler of entry.sync and 34 of those in domainView, and 12 in RpcServer.handle itself, which includes the text of the answer.

Change: ViewLog keeps for each target, process, summary and suspect the version of the view at which it changed, and what was removed. An entry names the control process whose view it holds. If it is this one, it gets the changes since its version; otherwise, or when too many removals were forgotten, the whole view. The entry takes changes only into the view that they were made for. Ages are those at the time of the answer. Fields are optional, so that two releases can run side by side; an entry of an older release gets whole views.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -6,18 +6,19 @@
   GossipedSuspectTable,
   SummaryTable,
   TargetTable,
+  ViewLog,
   VmStore,
   summarizeEntries,
   viewOfSnapshot,
   withReadyServices,
   type ConfigView,
-  type DomainView,
   type ParsedSnapshot,
   type PlacementGap,
   type ProcessEntry,
   type ProcessRef,
   type Snapshot,
   type TargetState,
+  type ViewContent,
   type VmList,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/platform';
@@ -27,8 +28,6 @@
 
 type Listener = (source: ChangeSource) => void;
 
-/** Fields that change with the time alone; they are no reason to send a view again. */
-const AGE_FIELDS = new Set(['ageMs', 'reportAgeMs', 'expiresInMs', 'heartbeat']);
 const VIEW_REBUILD_MS = 200;
 /** Bound on the wait for a complete view, so that leaving marks reach entries within 3 s. */
 const WARM_UP_LIMIT_MS = 2500;
@@ -58,14 +57,10 @@
 
   private parsed: ParsedSnapshot | undefined;
 
-  private view: DomainView | undefined;
-
-  private viewText = '';
+  private readonly view: ViewLog;
 
   private viewBuiltAt = -Infinity;
 
-  private viewVersion: number;
-
   private warm = false;
 
   private readonly startedAt: number;
@@ -81,7 +76,7 @@
     this.members = new MemberTable(self, timers.now());
     this.summaries = new SummaryTable(self.failureDomain, self.region);
     // A restarted daemon goes on with higher versions than entries may hold from its predecessor.
-    this.viewVersion = Math.floor(timers.wall());
+    this.view = new ViewLog(Math.floor(timers.wall()));
     timers.onPause(({ durationMs }) => {
       this.members.afterPause(durationMs);
       this.targets.afterPause(durationMs);
@@ -148,17 +143,12 @@
   }
 
   /** View for the entries; its version changes only when more than ages changed. */
-  domainView(): DomainView {
+  viewLog(): ViewLog {
     const nowMs = this.timers.now();
-    if (this.view && nowMs - this.viewBuiltAt < VIEW_REBUILD_MS) return this.view;
-    const content = this.buildView(nowMs);
-    const text = JSON.stringify(content, (name, value: unknown) =>
-      AGE_FIELDS.has(name) ? undefined : value,
-    );
-    if (text !== this.viewText) this.viewVersion += 1;
-    this.viewText = text;
-    this.view = { version: this.viewVersion, ...content };
-    this.viewBuiltAt = nowMs;
+    if (nowMs - this.viewBuiltAt >= VIEW_REBUILD_MS) {
+      this.view.update(this.buildView(nowMs), nowMs);
+      this.viewBuiltAt = nowMs;
+    }
     return this.view;
   }
 
@@ -182,7 +172,7 @@
     return this.warm;
   }
 
-  private buildView(nowMs: number): Omit<DomainView, 'version'> {
+  private buildView(nowMs: number): ViewContent {
     const processes = this.processes();
     const summaries = this.summaries
       .fresh(nowMs)
--- a/packages/control/src/peers/entry-sync.test.ts
+++ b/packages/control/src/peers/entry-sync.test.ts
@@ -40,3 +40,24 @@
   timers.advance(2500);
   assert.ok(syncEntryDaemon(state, held).view);
 });
+
+test('changes go only to an entry that holds a view of this process', () => {
+  // Guards against a view of an entry that is put together from those of two control daemons.
+  const timers = new ManualTimerService();
+  const state = newState(timers);
+  timers.advance(2500);
+  const first = syncEntryDaemon(state, newEntryParams('e1'));
+  assert.ok(first.view && !first.changes);
+  const { version } = first.view;
+  const held = { ...newEntryParams('e1'), viewVersion: version, viewOf: state.self.bootId };
+  state.targets.recordFailure('t1', timers.now());
+  timers.advance(200);
+  const second = syncEntryDaemon(state, held);
+  assert.equal(second.view, undefined);
+  assert.equal(second.changes?.from, version);
+  const newest = second.changes.version;
+  const upToDate = syncEntryDaemon(state, { ...held, viewVersion: newest });
+  assert.ok(!upToDate.view && !upToDate.changes);
+  const ofOther = syncEntryDaemon(state, { ...held, viewVersion: newest, viewOf: 'control-0' });
+  assert.ok(ofOther.view && !ofOther.changes);
+});
--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -21,15 +21,27 @@
   if (failing.length > 0) probeNow(failing.map(({ vm }) => vm));
   // Before the cold start is over, a peer may still hold a newer configuration.
   const current = state.opened ? state.config.current : undefined;
-  const view = state.domainView();
-  const wantsView = view.version !== params.viewVersion;
-  const holdsNone = params.viewVersion === 0;
   return {
     control: state.self,
     revision: current?.revision ?? 0,
     ...(current &&
       params.held &&
       current.revision > params.revision && { delta: snapshotDelta(current, params.held) }),
-    ...(wantsView && (holdsNone || state.viewComplete) && { view }),
+    ...viewUpdate(state, params),
   };
 }
+
+/** What the entry lacks of the view: changes, or all when it holds no version of this daemon. */
+function viewUpdate(
+  state: ControlState,
+  { viewVersion, viewOf }: EntrySyncParams,
+): Pick<EntrySyncResult, 'view' | 'changes'> {
+  const log = state.viewLog();
+  const nowMs = state.timers.now();
+  const ownView = viewOf === state.self.bootId;
+  // An entry of an older release does not tell whose view it holds.
+  if (log.version === viewVersion && (ownView || viewOf === undefined)) return {};
+  if (viewVersion !== 0 && !state.viewComplete) return {};
+  const changes = ownView ? log.changesSince(viewVersion, nowMs) : undefined;
+  return changes ? { changes } : { view: log.whole(nowMs) };
+}
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -8,4 +8,5 @@
 export * from './summary-table.js';
 export * from './gossiped-suspect-table.js';
 export * from './target-table.js';
+export { ViewLog, applyViewChanges, type ViewContent } from './view-log.js';
 export * from './vm-store.js';
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -149,8 +149,10 @@
   readonly revision: number;
   /** Highest revision seen on any message. */
   readonly witnessedRevision: number;
-  /** Version of the view that the entry holds. */
+  /** Version of the view that the entry holds; 0 for none. */
   readonly viewVersion: number;
+  /** Boot id of the control daemon that the view held is of. */
+  readonly viewOf?: string;
   readonly observations: readonly TargetObservation[];
   readonly suspects: readonly SuspectRecord[];
 }
@@ -160,8 +162,10 @@
   readonly revision: number;
   /** Absent when the entry holds this revision or sent no section hashes. */
   readonly delta?: SnapshotDelta;
-  /** Absent when the entry holds this version. */
+  /** The whole view, unless the entry holds it or gets the changes. */
   readonly view?: DomainView;
+  /** What changed since the version held, when that is of this control daemon. */
+  readonly changes?: ViewChanges;
 }
 
 /** What a control daemon tells its entries about the fleet. */
@@ -177,6 +181,22 @@
   readonly entriesPerRegion: Readonly<Record<string, number>>;
 }
 
+/** What changed in a view between two versions of one control daemon. */
+export interface ViewChanges {
+  readonly from: number;
+  readonly version: number;
+  readonly targets: readonly TargetState[];
+  readonly processes: readonly ProcessEntry[];
+  readonly summaries: readonly DomainSummary[];
+  readonly suspects: readonly SuspectRecord[];
+  /** Ids of items that are gone; absent when there are none. */
+  readonly removed?: Readonly<
+    Record<'targets' | 'processes' | 'summaries' | 'suspects', readonly string[]>
+  >;
+  readonly isolated: boolean;
+  readonly entriesPerRegion: Readonly<Record<string, number>>;
+}
+
 /**
  * By failure domain: version of its summary, and how far the versions of the services and of the
  * entries in it are behind that. Differences are short numbers.
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -1,6 +1,7 @@
 /** What the entry knows of the fleet: the last snapshot and the last view of its control daemon. */
 import {
   applyDelta,
+  applyViewChanges,
   viewOfSnapshot,
   type ConfigView,
   type DomainView,
@@ -34,6 +35,8 @@
 
   private viewHeld: DomainView = EMPTY_VIEW;
 
+  private viewOfHeld: string | undefined;
+
   private viewAt = 0;
 
   private syncedAt = Number.NEGATIVE_INFINITY;
@@ -60,6 +63,11 @@
     return this.viewHeld;
   }
 
+  /** Boot id of the control daemon whose view is held; absent while there is none. */
+  get viewOf(): string | undefined {
+    return this.viewOfHeld;
+  }
+
   /** Time since the view was received, ms; ages in the view grow by it. */
   get viewAgeMs(): number {
     return this.timers.now() - this.viewAt;
@@ -95,10 +103,7 @@
     this.syncedAt = now;
     // A caller's echo is only a hint: a revision that does not exist is forgotten after one sync.
     this.witnessed = 0;
-    if (result.view) {
-      this.viewHeld = result.view;
-      this.viewAt = now;
-    }
+    this.applyView(result, now);
     const { delta } = result;
     if (!delta) return { kind: 'applied' };
     if (delta.revision <= this.revision) return { kind: 'older', revision: delta.revision };
@@ -108,4 +113,15 @@
     this.parsed = { snapshot, view: viewOfSnapshot(snapshot, this.parsed) };
     return { kind: 'applied' };
   }
+
+  /** Takes a whole view, or changes to the view held if they were made for it. */
+  private applyView({ view, changes, control }: EntrySyncResult, now: number): void {
+    const { viewHeld: held } = this;
+    if (view) this.viewHeld = view;
+    else if (changes?.from === held.version && this.viewOf === control.bootId) {
+      this.viewHeld = applyViewChanges(held, changes, now - this.viewAt);
+    } else return;
+    this.viewOfHeld = control.bootId;
+    this.viewAt = now;
+  }
 }
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -135,3 +135,36 @@
     [true, false, false, true, true],
   );
 });
+
+test('changes are taken only into the view of the control daemon that they were made for', async () => {
+  // Guards against a view that is put together from those of two control daemons.
+  const items = { targets: [], processes: [], summaries: [], suspects: [] };
+  const rest = { isolated: false, entriesPerRegion: { north: 1 } };
+  const other = { ...self, bootId: 'other' };
+  const changed = { ...items, isolated: true, entriesPerRegion: { north: 2 } };
+  const values: EntrySyncResult[] = [
+    { control: self, revision: 1, view: { version: 5, ...items, ...rest } },
+    { control: other, revision: 1, changes: { from: 5, version: 6, ...changed } },
+    { control: self, revision: 1, changes: { from: 4, version: 6, ...changed } },
+    { control: self, revision: 1, changes: { from: 5, version: 6, ...changed } },
+    { control: other, revision: 1, view: { version: 3, ...items, ...rest } },
+  ];
+  const sent: EntrySyncParams[] = [];
+  const { state, sync } = setup((_address, _method, params) => {
+    sent.push(params);
+    return Promise.resolve({ kind: 'ok', value: values[sent.length - 1] as EntrySyncResult });
+  });
+  state.apply({ control: self, revision: 1, delta: snapshotDelta(snapshotAt(1), {}) });
+  const versions: number[] = [];
+  await values.reduce(async (before) => {
+    await before;
+    await sync.sync();
+    versions.push(state.view.version);
+  }, Promise.resolve());
+  assert.deepEqual(versions, [5, 5, 5, 6, 3]);
+  assert.deepEqual(
+    sent.map(({ viewOf }) => viewOf),
+    [undefined, 'b', 'b', 'b', 'b'],
+  );
+  assert.equal(state.viewOf, 'other');
+});
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -130,6 +130,7 @@
         revision: state.revision,
         witnessedRevision: state.witnessedRevision,
         viewVersion: state.view.version,
+        ...(state.viewOf !== undefined && { viewOf: state.viewOf }),
         observations,
         suspects: reports.suspects(),
       },
@@ -146,7 +147,9 @@
     if (outcome.kind === 'rejected') log.error('snapshot rejected', { reason: outcome.reason });
     if (outcome.kind === 'older')
       log.warn('older snapshot ignored', { revision: outcome.revision });
-    if (result.value.view) reports.learnSuspects(result.value.view.suspects);
+    const { view, changes } = result.value;
+    const suspects = (view ?? changes)?.suspects;
+    if (suspects) reports.learnSuspects(suspects);
     return result.value;
   }
 }
