Compute duties once for each list of live daemons

Cause: in a CPU profile of the largest failure domain at rest, rendezvous hashing took 12.5 of 222 busy ms in 10 s: the rank of each daemon for each of 120 targets was computed twice a second, for probes and for orders. The planning of orders took 33 ms, 6 of them for that and 5 for a second copy of the target states.

Change: the list of live daemons stays the same object while it is the same, and orders are kept for each list. The planning of orders uses one copy of the target states.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -61,6 +61,8 @@
 
   private viewBuiltAt = -Infinity;
 
+  private liveIds: readonly string[] = [];
+
   private warm = false;
 
   private readonly startedAt: number;
@@ -114,9 +116,14 @@
     return taken;
   }
 
-  /** Boot ids of the live control daemons of the own failure domain. */
-  liveControlIds(): string[] {
-    return this.members.liveControls(this.timers.now()).map(({ bootId }) => bootId);
+  /**
+   * Boot ids of the live control daemons of the own failure domain: the same list as long as they
+   * are the same, since duties are computed once for each list.
+   */
+  liveControlIds(): readonly string[] {
+    const ids = this.members.liveControls(this.timers.now()).map(({ bootId }) => bootId);
+    if (ids.join() !== this.liveIds.join()) this.liveIds = ids;
+    return this.liveIds;
   }
 
   /** States of the own targets, without services whose dependencies are not ready. */
--- a/packages/control/src/orders/order-task.ts
+++ b/packages/control/src/orders/order-task.ts
@@ -21,6 +21,7 @@
   type ObservedEngine,
   type Placement,
   type PlacementGroup,
+  type TargetState,
   type VmRecord,
 } from '@marjoramcart/core';
 import type { Logger, Task } from '@marjoramcart/platform';
@@ -49,6 +50,7 @@
   readonly placement: Placement;
   readonly engines: readonly DomainEngine[];
   readonly permits: DomainPermits;
+  readonly states: readonly TargetState[];
 }
 
 /** A placement with what it was computed from. */
@@ -137,11 +139,9 @@
     if (!cfg || !state.opened || this.newestOrdered > cfg.revision) return undefined;
     const records = this.engineRecords();
     const { groups, placement } = this.placementOf(cfg, state.targets.targets, records);
+    const states = state.targetStates();
     const usable = new Set(
-      state.targets
-        .states(state.timers.now())
-        .filter(({ healthy, leaving }) => healthy && !leaving)
-        .map(({ vm }) => vm),
+      states.filter(({ healthy, leaving }) => healthy && !leaving).map(({ vm }) => vm),
     );
     const engines = records.map(({ vm }) => ({
       vm,
@@ -149,7 +149,8 @@
       tags: state.targets.modelsOf(vm),
     }));
     this.paceLoads(cfg, groups, engines);
-    return { cfg, groups, placement, engines, permits: domainPermits(placement, groups, engines) };
+    const permits = domainPermits(placement, groups, engines);
+    return { cfg, groups, placement, engines, permits, states };
   }
 
   /** The wanted models, computed again only for a new configuration or list of VMs. */
@@ -197,11 +198,7 @@
   private noteGaps(plan: Plan): void {
     const { state } = this.options;
     const { region, failureDomain } = state.self;
-    const states = state.targetStates();
-    state.gaps = this.gaps.track(
-      findGaps({ ...plan, region, failureDomain, states }),
-      state.timers.now(),
-    );
+    state.gaps = this.gaps.track(findGaps({ ...plan, region, failureDomain }), state.timers.now());
   }
 
   /** Observes a target and sends the next order, if it is still wanted then. */
--- a/packages/control/src/peers/entry-sync.test.ts
+++ b/packages/control/src/peers/entry-sync.test.ts
@@ -61,3 +61,15 @@
   const ofOther = syncEntryDaemon(state, { ...held, viewVersion: newest, viewOf: 'control-0' });
   assert.ok(ofOther.view && !ofOther.changes);
 });
+
+test('the list of live control daemons is a new one only when it differs', () => {
+  // Guards against duties that are computed for all targets again each second, or never again.
+  const timers = new ManualTimerService();
+  const state = newState(timers);
+  const before = state.liveControlIds();
+  timers.advance(1000);
+  assert.equal(state.liveControlIds(), before);
+  const process = { ...state.self, bootId: 'control-2', vm: 'e3', peerAddress: '127.0.0.1:4' };
+  state.members.merge([{ bootId: 'control-2', heartbeat: 1, revision: 0, process }], timers.now());
+  assert.deepEqual(state.liveControlIds(), ['control-1', 'control-2']);
+});
--- a/packages/core/src/membership/duties.ts
+++ b/packages/core/src/membership/duties.ts
@@ -4,8 +4,25 @@
 const WATCHERS_PER_DOMAIN = 2;
 const PROBERS_PER_TARGET = 2;
 
+/** Orders by list of live daemons; a daemon asks for those of all targets each second. */
+const orders = new WeakMap<readonly string[], Map<string, readonly string[]>>();
+/** Bounds the orders kept of one list; a failure domain has some hundred keys. */
+const MAX_KEYS = 2000;
+
+/** The order of a key, hashed once for each list; lists are never modified. */
+function orderOf(key: string, live: readonly string[]): readonly string[] {
+  const known = orders.get(live) ?? new Map<string, readonly string[]>();
+  orders.set(live, known);
+  const held = known.get(key);
+  if (held) return held;
+  if (known.size >= MAX_KEYS) known.clear();
+  const order = rendezvousOrder(key, live);
+  known.set(key, order);
+  return order;
+}
+
 function ranksBelow(key: string, self: string, live: readonly string[], limit: number): boolean {
-  return rendezvousOrder(key, live).slice(0, limit).includes(self);
+  return orderOf(key, live).slice(0, limit).includes(self);
 }
 
 /**
@@ -28,7 +45,7 @@
 
 /** Rank of `self` among the probers of a target: 0, 1, or -1 for none. */
 export function proberRank(vm: string, self: string, live: readonly string[]): number {
-  return rendezvousOrder(`probe/${vm}`, live).slice(0, PROBERS_PER_TARGET).indexOf(self);
+  return orderOf(`probe/${vm}`, live).slice(0, PROBERS_PER_TARGET).indexOf(self);
 }
 
 /** Whether `self` sends the orders of a target. */
