--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -2,16 +2,18 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 import { Command } from 'commander';
+import type { FleetSize } from '../fleet/bench-fleet.js';
 import { machineLoad } from '../measure/process-usage.js';
 import { fitSeries, formatSeries, short, type SeriesResult } from './report.js';
 import { recoveryRun } from './recovery.js';
-import { allSeries, largestDomain, type Series } from './series.js';
+import { allSeries, averageDomain, largestDomain, type Series } from './series.js';
 import { steadyRun, type RunTimes } from './steady-run.js';
 
 const options = new Command('bench:slopes')
   .option('--quick', 'two series with two sizes each, in under 2 minutes')
   .option('--series <names>', 'only these series, separated by commas')
   .option('--largest', 'measure the largest failure domain of the planned size only')
+  .option('--average', 'measure an average failure domain of the planned size only')
   .option('--recovery', 'measure recovery at the planned size only')
   .option('--window <s>', 'length of a measurement', Number, 15)
   .option('--settle <s>', 'time from ready to the measurement', Number, 8)
@@ -20,6 +22,7 @@
     quick?: boolean;
     series?: string;
     largest?: boolean;
+    average?: boolean;
     recovery?: boolean;
     window: number;
     settle: number;
@@ -34,7 +37,7 @@
   : { settleMs: options.settle * 1000, windowMs: options.window * 1000 };
 
 function chosenSeries(): Series[] {
-  if (options.largest || options.recovery) return [];
+  if (options.largest || options.average || options.recovery) return [];
   const names = options.series?.split(',') ?? (options.quick ? QUICK_SERIES : undefined);
   return allSeries
     .filter(({ name }) => names === undefined || names.includes(name))
@@ -74,13 +77,18 @@
     }),
   Promise.resolve(),
 );
-const whole = !options.quick && options.series === undefined && !options.recovery;
-if (options.largest || whole) {
-  const figures = await steadyRun('largest', largestDomain, 0, times);
+const single = options.largest || options.average || options.recovery;
+const whole = !options.quick && options.series === undefined && !single;
+
+async function saveDomain(name: string, size: FleetSize): Promise<void> {
+  const figures = await steadyRun(name, size, 0, times);
   const lines = Object.entries(figures).map(([key, value]) => `${key}: ${JSON.stringify(value)}`);
-  await save('largest', { figures }, lines.join('\n'));
+  await save(name, { figures }, lines.join('\n'));
 }
-if (options.recovery || (whole && !options.largest)) {
+
+if (options.largest || whole) await saveDomain('largest', largestDomain);
+if (options.average || whole) await saveDomain('average', averageDomain);
+if (options.recovery || whole) {
   const events = await recoveryRun({ ...largestDomain, entriesPerVm: 1 });
   const rows = events.map(({ event, daemons, ms, bytes, configReads, load1 }) =>
     [event, daemons, short(ms), short(bytes), configReads, load1].join(' | '),
--- a/packages/bench/src/slopes/series.ts
+++ b/packages/bench/src/slopes/series.ts
@@ -71,3 +71,6 @@
   customers: 25_000,
   models: 11,
 };
+
+/** An average failure domain of the same size: 3.8 VMs, rounded up. */
+export const averageDomain: FleetSize = { ...largestDomain, peers: 4, targets: 39 };
