--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -6,17 +6,19 @@
   GossipedSuspectTable,
   SummaryTable,
   TargetTable,
+  ViewLog,
   VmStore,
   summarizeEntries,
   viewOfSnapshot,
   withReadyServices,
   type ConfigView,
-  type DomainView,
+  type ParsedSnapshot,
   type PlacementGap,
   type ProcessEntry,
   type ProcessRef,
   type Snapshot,
   type TargetState,
+  type ViewContent,
   type VmList,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/platform';
@@ -26,8 +28,6 @@
 
 type Listener = (source: ChangeSource) => void;
 
-/** Fields that change with the time alone; they are no reason to send a view again. */
-const AGE_FIELDS = new Set(['ageMs', 'reportAgeMs', 'expiresInMs', 'heartbeat']);
 const VIEW_REBUILD_MS = 200;
 /** Bound on the wait for a complete view, so that leaving marks reach entries within 3 s. */
 const WARM_UP_LIMIT_MS = 2500;
@@ -55,15 +55,13 @@
   /** Time of the last answer from the configuration service, in ms; undefined before the first. */
   configServiceSeenAt: number | undefined;
 
-  private configView: ConfigView | undefined;
+  private parsed: ParsedSnapshot | undefined;
 
-  private view: DomainView | undefined;
-
-  private viewText = '';
+  private readonly view: ViewLog;
 
   private viewBuiltAt = -Infinity;
 
-  private viewVersion: number;
+  private liveIds: readonly string[] = [];
 
   private warm = false;
 
@@ -80,7 +78,7 @@
     this.members = new MemberTable(self, timers.now());
     this.summaries = new SummaryTable(self.failureDomain, self.region);
     // A restarted daemon goes on with higher versions than entries may hold from its predecessor.
-    this.viewVersion = Math.floor(timers.wall());
+    this.view = new ViewLog(Math.floor(timers.wall()));
     timers.onPause(({ durationMs }) => {
       this.members.afterPause(durationMs);
       this.targets.afterPause(durationMs);
@@ -95,10 +93,10 @@
   /** The configuration in force, parsed. */
   get cfg(): ConfigView | undefined {
     const { current } = this.config;
-    if (current && current.revision !== this.configView?.revision) {
-      this.configView = viewOfSnapshot(current);
+    if (current && current !== this.parsed?.snapshot) {
+      this.parsed = { snapshot: current, view: viewOfSnapshot(current, this.parsed) };
     }
-    return this.configView;
+    return this.parsed?.view;
   }
 
   /** Takes a snapshot into force if it is newer. */
@@ -118,9 +116,14 @@
     return taken;
   }
 
-  /** Boot ids of the live control daemons of the own failure domain. */
-  liveControlIds(): string[] {
-    return this.members.liveControls(this.timers.now()).map(({ bootId }) => bootId);
+  /**
+   * Boot ids of the live control daemons of the own failure domain: the same list as long as they
+   * are the same, since duties are computed once for each list.
+   */
+  liveControlIds(): readonly string[] {
+    const ids = this.members.liveControls(this.timers.now()).map(({ bootId }) => bootId);
+    if (ids.join() !== this.liveIds.join()) this.liveIds = ids;
+    return this.liveIds;
   }
 
   /** States of the own targets, without services whose dependencies are not ready. */
@@ -147,17 +150,12 @@
   }
 
   /** View for the entries; its version changes only when more than ages changed. */
-  domainView(): DomainView {
+  viewLog(): ViewLog {
     const nowMs = this.timers.now();
-    if (this.view && nowMs - this.viewBuiltAt < VIEW_REBUILD_MS) return this.view;
-    const content = this.buildView(nowMs);
-    const text = JSON.stringify(content, (name, value: unknown) =>
-      AGE_FIELDS.has(name) ? undefined : value,
-    );
-    if (text !== this.viewText) this.viewVersion += 1;
-    this.viewText = text;
-    this.view = { version: this.viewVersion, ...content };
-    this.viewBuiltAt = nowMs;
+    if (nowMs - this.viewBuiltAt >= VIEW_REBUILD_MS) {
+      this.view.update(this.buildView(nowMs), nowMs);
+      this.viewBuiltAt = nowMs;
+    }
     return this.view;
   }
 
@@ -181,7 +179,7 @@
     return this.warm;
   }
 
-  private buildView(nowMs: number): Omit<DomainView, 'version'> {
+  private buildView(nowMs: number): ViewContent {
     const processes = this.processes();
     const summaries = this.summaries
       .fresh(nowMs)
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -9,4 +9,5 @@
 export * from './gossip-codec.js';
 export * from './gossiped-suspect-table.js';
 export * from './target-table.js';
+export { ViewLog, applyViewChanges, type ViewContent } from './view-log.js';
 export * from './vm-store.js';
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -1,10 +1,12 @@
 /** What the entry knows of the fleet: the last snapshot and the last view of its control daemon. */
 import {
   applyDelta,
+  applyViewChanges,
   viewOfSnapshot,
   type ConfigView,
   type DomainView,
   type EntrySyncResult,
+  type ParsedSnapshot,
   type ProcessRef,
   type Snapshot,
 } from '@marjoramcart/core';
@@ -29,12 +31,12 @@
 };
 
 export class EntryState {
-  private snapshotHeld: Snapshot | undefined;
-
-  private configHeld: ConfigView | undefined;
+  private parsed: ParsedSnapshot | undefined;
 
   private viewHeld: DomainView = EMPTY_VIEW;
 
+  private viewOfHeld: string | undefined;
+
   private viewAt = 0;
 
   private syncedAt = Number.NEGATIVE_INFINITY;
@@ -49,25 +51,30 @@
   ) {}
 
   get snapshot(): Snapshot | undefined {
-    return this.snapshotHeld;
+    return this.parsed?.snapshot;
   }
 
   /** Configuration in force; absent until the first sync. */
   get config(): ConfigView | undefined {
-    return this.configHeld;
+    return this.parsed?.view;
   }
 
   get view(): DomainView {
     return this.viewHeld;
   }
 
+  /** Boot id of the control daemon whose view is held; absent while there is none. */
+  get viewOf(): string | undefined {
+    return this.viewOfHeld;
+  }
+
   /** Time since the view was received, ms; ages in the view grow by it. */
   get viewAgeMs(): number {
     return this.timers.now() - this.viewAt;
   }
 
   get revision(): number {
-    return this.snapshotHeld?.revision ?? 0;
+    return this.snapshot?.revision ?? 0;
   }
 
   get witnessedRevision(): number {
@@ -80,7 +87,7 @@
   }
 
   get ready(): boolean {
-    return this.configHeld !== undefined && !this.draining;
+    return this.config !== undefined && !this.draining;
   }
 
   /** Notes a revision seen on a message; true when it is higher than the held one. */
@@ -96,17 +103,25 @@
     this.syncedAt = now;
     // A caller's echo is only a hint: a revision that does not exist is forgotten after one sync.
     this.witnessed = 0;
-    if (result.view) {
-      this.viewHeld = result.view;
-      this.viewAt = now;
-    }
+    this.applyView(result, now);
     const { delta } = result;
     if (!delta) return { kind: 'applied' };
     if (delta.revision <= this.revision) return { kind: 'older', revision: delta.revision };
-    const applied = applyDelta(this.snapshotHeld, delta);
+    const applied = applyDelta(this.snapshot, delta);
     if (applied.kind === 'rejected') return { kind: 'rejected', reason: applied.error.kind };
-    this.snapshotHeld = applied.snapshot;
-    this.configHeld = viewOfSnapshot(applied.snapshot);
+    const { snapshot } = applied;
+    this.parsed = { snapshot, view: viewOfSnapshot(snapshot, this.parsed) };
     return { kind: 'applied' };
   }
+
+  /** Takes a whole view, or changes to the view held if they were made for it. */
+  private applyView({ view, changes, control }: EntrySyncResult, now: number): void {
+    const { viewHeld: held } = this;
+    if (view) this.viewHeld = view;
+    else if (changes?.from === held.version && this.viewOf === control.bootId) {
+      this.viewHeld = applyViewChanges(held, changes, now - this.viewAt);
+    } else return;
+    this.viewOfHeld = control.bootId;
+    this.viewAt = now;
+  }
 }
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -26,6 +26,7 @@
 export interface SyncOptions {
   readonly control: string;
   readonly state: EntryState;
+  /** Client for these messages only; closed with the task. */
   readonly rpc: RpcClient;
   readonly timers: TimerService;
   readonly log: Logger;
@@ -61,6 +62,7 @@
   async stop(): Promise<void> {
     this.subscriptions.forEach((unsubscribe) => unsubscribe());
     await this.running;
+    this.options.rpc.close();
   }
 
   /** Syncs once; a call during a sync joins it. False when the control daemon did not answer. */
@@ -130,6 +132,7 @@
         revision: state.revision,
         witnessedRevision: state.witnessedRevision,
         viewVersion: state.view.version,
+        ...(state.viewOf !== undefined && { viewOf: state.viewOf }),
         observations,
         suspects: reports.suspects(),
       },
@@ -146,7 +149,9 @@
     if (outcome.kind === 'rejected') log.error('snapshot rejected', { reason: outcome.reason });
     if (outcome.kind === 'older')
       log.warn('older snapshot ignored', { revision: outcome.revision });
-    if (result.value.view) reports.learnSuspects(result.value.view.suspects);
+    const { view, changes } = result.value;
+    const suspects = (view ?? changes)?.suspects;
+    if (suspects) reports.learnSuspects(suspects);
     return result.value;
   }
 }
