Share the admin listener and the command line of both daemons

Cause: both daemons had an admin task and a main.ts of their own that differed in small ways. The entry printed only the first fault of its settings, answered plain text on /healthz, /readyz and unknown paths and took no query string; the control daemon answered JSON.

Change: AdminTask and runDaemonCli are in packages/platform; a daemon keeps its readiness, its status and its start. The control daemon's readiness is now `no_configuration`, as it is in the entry, in place of `no configuration yet`.

--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -1,6 +1,7 @@
 /** Wiring of the control daemon. */
 import type { ProcessRef } from '@marjoramcart/core';
 import {
+  AdminTask,
   Kernel,
   MessageAuthenticator,
   Metrics,
@@ -11,7 +12,6 @@
   type Logger,
   type Task,
 } from '@marjoramcart/platform';
-import { AdminTask } from './admin-task.js';
 import { ConfigTask } from './config/config-task.js';
 import { controlMetrics, type ControlMetrics } from './control-metrics.js';
 import { ControlState } from './control-state.js';
@@ -21,6 +21,7 @@
 import { PlatformClient } from './platform/platform-client.js';
 import { ProbeTask } from './probes/probe-task.js';
 import { TargetClient } from './probes/target-client.js';
+import { statusOf } from './status.js';
 
 /** A control daemon and those of its parts that tests and the main program use. */
 export interface ControlDaemon {
@@ -85,7 +86,18 @@
   });
   const refresh = metricsRefresher(state, metrics, rpc, server);
   const { admin: address } = settings.listen;
-  const admin = new AdminTask({ state, metrics: registry, refresh, address, log });
+  const admin = new AdminTask({
+    address,
+    metrics: registry,
+    log: log.child('admin'),
+    readiness: () => ({
+      ready: state.opened,
+      status: state.opened ? 'ready' : 'no_configuration',
+      revision: state.config.revision,
+    }),
+    status: () => statusOf(state),
+    refresh,
+  });
   timers.onPause(({ durationMs }) => {
     metrics.pauses.inc();
     log.warn('process was paused', { durationMs: Math.round(durationMs) });
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -173,7 +173,9 @@
   t.after(() => entry.stop());
   const get = (path: string): ReturnType<typeof send> =>
     send(entry.daemon.admin.address, { method: 'GET', path });
-  assert.equal((await get('/readyz')).status, 200);
+  const ready = await get('/readyz');
+  assert.equal(ready.status, 200);
+  assert.deepEqual(JSON.parse(ready.body), { status: 'ready', revision: 1 });
   const status = JSON.parse((await get('/status')).body) as Record<string, unknown>;
   assert.equal(status.revision, 1);
   assert.equal(status.control_lost, false);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -10,6 +10,7 @@
   type ProcessRef,
 } from '@marjoramcart/core';
 import {
+  AdminTask,
   MessageAuthenticator,
   RpcClient,
   makeBootId,
@@ -19,7 +20,7 @@
   type Task,
   type TimerService,
 } from '@marjoramcart/platform';
-import { AdminTask } from './admin/admin-task.js';
+import { readinessOf, statusOf } from './admin/entry-status.js';
 import { AdmissionGate } from './admission/admission-gate.js';
 import { CallerTask } from './callers/caller-task.js';
 import { TargetExchange } from './dispatch/attempt.js';
@@ -168,17 +169,18 @@
   });
   const admin = new AdminTask({
     address: settings.listen.admin,
-    state,
     metrics,
     log: log.child('admin'),
-    details: () => ({
-      open_requests: open.count,
-      queued: gate.queued,
-      keys: keys.size,
-      key_bytes: keys.bytes,
-      suspects: suspects.size,
-      rpc_bytes: rpc.traffic,
-    }),
+    readiness: () => readinessOf(state),
+    status: () =>
+      statusOf(state, {
+        open_requests: open.count,
+        queued: gate.queued,
+        keys: keys.size,
+        key_bytes: keys.bytes,
+        suspects: suspects.size,
+        rpc_bytes: rpc.traffic,
+      }),
   });
   const peers = new PeerTask({
     address: settings.listen.peers,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,6 @@
 /** Node.js side of the daemons: kernel, timers, RPC, HTTP, logs, metrics and settings. */
+export * from './admin/admin-task.js';
+export * from './cli/daemon-cli.js';
 export * from './http/body.js';
 export * from './http/listener.js';
 export * from './kernel/boot-id.js';
