Locate faults of settings and of the text with the same code

Cause: load-settings.ts and text-fault.ts found the line and column of a path in a YAML document each in its own way, and load-settings.ts printed the schema's messages as they are. An unknown key in the settings was reported at the map that holds it.

Change: yaml-position.ts (positions) and schema-issues.ts (messages and places of schema issues) in core serve both. Settings now say `unknown key 'x'` at the key, one fault for each key, and `the key is missing`, as the check of the text does. Faults of the text are unchanged; hints stay with the text.

Tests: the test of the command line now compares whole messages, with an unknown key.

--- a/packages/core/src/config/parse-part.ts
+++ b/packages/core/src/config/parse-part.ts
@@ -2,6 +2,7 @@
 import { CORE_SCHEMA, load, YAMLException } from 'js-yaml';
 import type { z } from 'zod';
 import { hintOfIssue } from './schema-hints.js';
+import { faultsOfIssue } from './schema-issues.js';
 import { MAX_FAULTS, type PathFault, type TextFault, type TextPart } from './text-fault.js';
 
 /** Highest size of a value in the configuration service. */
@@ -54,7 +55,7 @@
     if (result.success) return { kind: 'parsed', value: result.data };
     const faults = result.error.issues
       .slice(0, MAX_FAULTS)
-      .flatMap((issue) => faultsOfIssue(part, issue));
+      .flatMap((issue) => faultsInPart(part, issue));
     return { kind: 'invalid', faults };
   } catch (err) {
     return unreadableFromError(part, err);
@@ -83,28 +84,12 @@
   return found.path;
 }
 
-function faultsOfIssue(part: TextPart, issue: z.core.$ZodIssue): PathFault[] {
-  const where = issue.path.map(String).join('.');
-  const prefix = where === '' ? '' : `${where}: `;
-  if (issue.code === 'unrecognized_keys') {
-    return issue.keys.slice(0, MAX_FAULTS).map((key) => ({
-      part,
-      path: [...issue.path, key],
-      atKey: true,
-      message: `${prefix}unknown key '${key}'`,
-      hint: hintOfIssue(issue, key),
-    }));
-  }
-  if (issue.code === 'invalid_key') {
-    const reason = issue.issues[0]?.message ?? 'invalid key';
-    return [
-      { part, path: issue.path, atKey: true, message: `${prefix}${reason}`, hint: 'rename the id' },
-    ];
-  }
-  const message = issue.message.endsWith('received undefined')
-    ? `${prefix}the key is missing`
-    : `${prefix}${issue.message.replace(/^Invalid input: /, '')}`;
-  return [{ part, path: issue.path, message, hint: hintOfIssue(issue) }];
+function faultsInPart(part: TextPart, issue: z.core.$ZodIssue): PathFault[] {
+  return faultsOfIssue(issue).map(({ at, path, atKey, message, unknownKey }) => {
+    const prefix = at.length === 0 ? '' : `${at.map(String).join('.')}: `;
+    const hint = issue.code === 'invalid_key' ? 'rename the id' : hintOfIssue(issue, unknownKey);
+    return { part, path, atKey, message: prefix + message, hint };
+  });
 }
 
 function unreadable(part: TextPart, message: string, hint: string): PartResult<never> {
--- a/packages/core/src/config/text-fault.ts
+++ b/packages/core/src/config/text-fault.ts
@@ -1,6 +1,7 @@
 /** Faults in the operators' text and their positions. */
 import { CORE_SCHEMA, load } from 'js-yaml';
-import { isMap, isSeq, LineCounter, parseDocument, type Node, type Pair } from 'yaml';
+import { LineCounter, parseDocument } from 'yaml';
+import { positionIn, type Position } from './yaml-position.js';
 
 /** Faults that are reported for one text; further ones are dropped. */
 export const MAX_FAULTS = 50;
@@ -46,11 +47,6 @@
   });
 }
 
-interface Position {
-  readonly line: number;
-  readonly column: number;
-}
-
 const START: Position = { line: 1, column: 1 };
 
 /** A piece of a part: where it starts, counted from 0, and its text. */
@@ -91,8 +87,8 @@
     logLevel: 'silent',
   });
   return (path, atKey) => {
-    const { line, col } = lines.linePos(offsetAt(doc.contents, path, atKey));
-    return { line: piece.line + Math.max(line, 1), column: Math.max(col, 1) };
+    const { line, column } = positionIn(doc, lines, path, atKey);
+    return { line: piece.line + line, column };
   };
 }
 
@@ -120,26 +116,3 @@
   const list = (data as { customers?: unknown }).customers;
   return Array.isArray(list) ? list.map((item) => pieces.get(item)) : [];
 }
-
-/** Offset of the node at the path, or of its nearest parent that exists. */
-function offsetAt(root: Node | null, path: readonly PropertyKey[], atKey: boolean): number {
-  const start = { node: root as unknown, offset: root?.range?.[0] ?? 0 };
-  return path.reduce<{ node: unknown; offset: number }>((at, segment, index) => {
-    if (isSeq(at.node)) {
-      const item = at.node.items[Number(segment)];
-      return { node: item, offset: rangeStart(item) ?? at.offset };
-    }
-    if (!isMap(at.node)) return { node: undefined, offset: at.offset };
-    const pair = at.node.items.find(({ key }: Pair) => String(key) === String(segment));
-    const key = rangeStart(pair?.key) ?? at.offset;
-    const wantsKey = atKey && index === path.length - 1;
-    return {
-      node: pair?.value,
-      offset: wantsKey ? key : (rangeStart(pair?.value) ?? key),
-    };
-  }, start).offset;
-}
-
-function rangeStart(node: unknown): number | undefined {
-  return (node as Node | null | undefined)?.range?.[0];
-}
--- a/packages/platform/src/cli/daemon-cli.test.ts
+++ b/packages/platform/src/cli/daemon-cli.test.ts
@@ -34,12 +34,16 @@
 
 test('all faults of the settings are printed and nothing is run', async (t) => {
   // Guards against one fault a run, and against a daemon that starts with wrong settings.
-  const { exitCode, ran, lines } = await runOn(t, 'region: 1\nvm: 2\n');
+  const { exitCode, ran, lines } = await runOn(t, 'region: 1\nvm: 2\nwm: a\n');
   assert.equal(exitCode, 2);
   assert.deepEqual(ran, []);
   assert.deepEqual(
-    lines.map((line) => line.split(': ').slice(0, 3).join(': ')),
-    ['d: file:1:9: region', 'd: file:2:5: vm'],
+    lines.map((line) => line.trim()),
+    [
+      'd: file:1:9: region: expected string, received number',
+      'd: file:2:5: vm: expected string, received number',
+      "d: file:3:1: unknown key 'wm'",
+    ],
   );
 });
 
--- a/packages/platform/src/settings/load-settings.ts
+++ b/packages/platform/src/settings/load-settings.ts
@@ -1,7 +1,8 @@
 /** Loads the YAML settings of a process and checks them against a schema. */
 import { readFileSync } from 'node:fs';
-import { LineCounter, parseDocument, type Document } from 'yaml';
+import { LineCounter, parseDocument } from 'yaml';
 import type { z } from 'zod';
+import { faultsOfIssue, positionAt, positionIn } from '@marjoramcart/core';
 
 /** A fault in a settings file; `line` and `column` count from 1. */
 export interface SettingsFault {
@@ -49,7 +50,7 @@
     return {
       kind: 'invalid',
       faults: doc.errors.map((err) => ({
-        ...position(lines, err.pos[0]),
+        ...positionAt(lines, err.pos[0]),
         path: '',
         message: err.message.split('\n')[0] ?? '',
       })),
@@ -57,22 +58,10 @@
   }
   const result = schema.safeParse(doc.toJS());
   if (result.success) return { kind: 'valid', value: result.data };
-  const faults = result.error.issues.map((issue) => ({
-    ...position(lines, offsetOf(doc, issue.path)),
-    path: issue.path.join('.'),
-    message: issue.message,
+  const faults = result.error.issues.flatMap(faultsOfIssue).map((fault) => ({
+    ...positionIn(doc, lines, fault.path, fault.atKey),
+    path: fault.at.map(String).join('.'),
+    message: fault.message,
   }));
   return { kind: 'invalid', faults };
 }
-
-/** Offset of the node at `path`, or of its nearest parent that exists. */
-function offsetOf(doc: Document, path: readonly PropertyKey[]): number {
-  const node = doc.getIn(path, true) as { range?: [number, number, number] } | undefined;
-  if (node?.range) return node.range[0];
-  return path.length === 0 ? 0 : offsetOf(doc, path.slice(0, -1));
-}
-
-function position(lines: LineCounter, offset: number): { line: number; column: number } {
-  const { line, col } = lines.linePos(offset);
-  return { line: Math.max(line, 1), column: Math.max(col, 1) };
-}
