Share the steps that start real daemons between scenarios and bench

Cause: BenchFleet repeated steps of Fleet: the folder, the settings and processes of the daemons, the wait for /readyz and the platform's test port.

Change: fleet-parts.ts in the stand-ins has these steps; both launchers keep what differs (fault proxy, farm, boot in batches). The bench's wait now also ends early for a process that is not running, and names its log.

Scenarios were not run.

--- a/packages/bench/src/fleet/bench-fleet.ts
+++ b/packages/bench/src/fleet/bench-fleet.ts
@@ -1,18 +1,18 @@
 /** Real control and entry daemons of a given number, with a farm in place of the targets. */
-import { mkdirSync, rmSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import type { VmRecord } from '@marjoramcart/core';
 import {
+  PlatformTestPort,
   PortAllocator,
   ProcessGroup,
+  addDaemons,
+  emptyFolder,
   planLayout,
   portOf,
-  request,
   requestJson,
   vmRecords,
   waitFor,
-  writeControlSettings,
-  writeEntrySettings,
+  waitReady,
   type Layout,
   type ManagedProcess,
 } from '@marjoramcart/stand-ins';
@@ -45,6 +45,8 @@
 const BOOT_BATCH = 12;
 
 export class BenchFleet {
+  private readonly platform: PlatformTestPort;
+
   private constructor(
     readonly size: FleetSize,
     readonly layout: Layout,
@@ -52,14 +54,13 @@
     private readonly group: ProcessGroup,
     /** Port of all engines of the farm. */
     readonly farmPort: number,
-  ) {}
+  ) {
+    this.platform = new PlatformTestPort(layout.platform.testAddress);
+  }
 
   static async start(name: string, size: FleetSize): Promise<BenchFleet> {
     const folder = `${ROOT}out/bench-fleets/${name}-${process.pid}`;
-    // eslint-disable-next-line n/no-sync
-    rmSync(folder, { recursive: true, force: true });
-    // eslint-disable-next-line n/no-sync
-    mkdirSync(folder, { recursive: true });
+    emptyFolder(folder);
     const ports = new PortAllocator();
     const domains = Array.from({ length: size.domains }, (_, n) => ({
       name: `domain-${n}`,
@@ -73,8 +74,7 @@
     const fleet = new BenchFleet(size, layout, config, group, await ports.take());
     try {
       await fleet.startStandIns();
-      fleet.addDaemons(folder);
-      await fleet.startAll([...layout.controls, ...layout.entries].map((plan) => plan.name));
+      await fleet.startAll(fleet.addDaemons(folder));
       return fleet;
     } catch (err) {
       await fleet.stop();
@@ -106,17 +106,13 @@
   }
 
   /** Waits until a daemon serves. */
-  async untilReady(name: string): Promise<void> {
-    const admin = this.adminOf(name);
-    const isReady = async (): Promise<boolean> =>
-      (await request('GET', `http://${admin}/readyz`)).status === 200;
-    await waitFor(`${name} is ready`, isReady, READY_BOUND_MS);
+  untilReady(name: string): Promise<void> {
+    return waitReady(this.process(name), this.adminOf(name), READY_BOUND_MS);
   }
 
   /** Publishes a value and returns its revision. */
-  async publish(key: string, value: string): Promise<number> {
-    const { revision } = await this.platform<{ revision: number }>('PUT', `/values/${key}`, value);
-    return revision;
+  publish(key: string, value: string): Promise<number> {
+    return this.platform.publish(key, value);
   }
 
   /** Time in ms until each of the daemons has a revision in force. */
@@ -142,7 +138,7 @@
 
   /** Calls of the configuration service: finished reads and pending watches. */
   calls(): Promise<Record<'range' | 'watch' | 'pending_watches', number>> {
-    return this.platform('GET', '/calls');
+    return this.platform.send('GET', '/calls');
   }
 
   private async startStandIns(): Promise<void> {
@@ -159,12 +155,9 @@
       this.group.add('farm', FARM, args.map(String)).start();
     }
     await waitFor('the platform answers', () => this.calls(), READY_BOUND_MS);
-    await this.platform('PUT', '/vms', [...vmRecords(this.layout), ...this.farmRecords()]);
+    await this.platform.send('PUT', '/vms', [...vmRecords(this.layout), ...this.farmRecords()]);
     await this.publish('config/main', mainValue(this.config));
-    await [...customerValues(this.config)].reduce<Promise<unknown>>(
-      (before, [key, value]) => before.then(() => this.publish(key, value)),
-      Promise.resolve(),
-    );
+    await this.platform.publishAll(customerValues(this.config));
   }
 
   private farmRecords(): VmRecord[] {
@@ -180,7 +173,8 @@
     }));
   }
 
-  private addDaemons(folder: string): void {
+  private addDaemons(folder: string): string[] {
+    const dialing = { platformAddress: this.layout.platform.address, dialMap: {} };
     const options = {
       folder,
       fleetSecret: SECRET,
@@ -188,23 +182,11 @@
       seed: 1,
       policies: {},
     };
-    const dialing = { platformAddress: this.layout.platform.address, dialMap: {} };
-    this.layout.controls.forEach((plan) => {
-      const file = writeControlSettings(plan, this.layout, dialing, options);
-      this.group.add(plan.name, `${ROOT}packages/control/dist/main.js`, ['--config', file]);
-    });
-    this.layout.entries.forEach((plan) => {
-      const file = writeEntrySettings(plan, dialing, options);
-      this.group.add(plan.name, `${ROOT}packages/entry/dist/main.js`, ['--config', file]);
-    });
+    return addDaemons(this.group, { layout: this.layout, dialingOf: () => dialing }, options);
   }
 
   private adminOf(name: string): string {
     const daemons = [...this.layout.controls, ...this.layout.entries];
     return daemons.find((plan) => plan.name === name)?.admin ?? '';
   }
-
-  private platform<Value>(method: string, path: string, body?: object | string): Promise<Value> {
-    return requestJson(method, `http://${this.layout.platform.testAddress}${path}`, body);
-  }
 }
--- /dev/null
+++ b/tests/stand-ins/src/fleet/fleet-parts.ts
@@ -0,0 +1,88 @@
+/** Steps that every launcher of real daemons takes: folder, platform, settings, readiness. */
+import { mkdirSync, rmSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { stringify } from 'yaml';
+import { request, requestJson } from './http-client.js';
+import type { Layout } from './layout.js';
+import type { ManagedProcess } from './managed-process.js';
+import type { ProcessGroup } from './process-group.js';
+import type { DomainDialing } from './proxy-links.js';
+import {
+  writeControlSettings,
+  writeEntrySettings,
+  type SettingsOptions,
+} from './settings-files.js';
+import { waitFor } from './wait.js';
+
+const PACKAGES = fileURLToPath(new URL('../../../../packages/', import.meta.url));
+
+/** Makes a folder without content. */
+export function emptyFolder(folder: string): void {
+  // eslint-disable-next-line n/no-sync
+  rmSync(folder, { recursive: true, force: true });
+  // eslint-disable-next-line n/no-sync
+  mkdirSync(folder, { recursive: true });
+}
+
+/** Writes the settings of all daemons and adds their processes, control daemons first. */
+export function addDaemons(
+  group: ProcessGroup,
+  { layout, dialingOf }: { layout: Layout; dialingOf: (domain: string) => DomainDialing },
+  options: SettingsOptions,
+): string[] {
+  layout.controls.forEach((plan) => {
+    const file = writeControlSettings(plan, layout, dialingOf(plan.domain), options);
+    group.add(plan.name, `${PACKAGES}control/dist/main.js`, ['--config', file]);
+  });
+  layout.entries.forEach((plan) => {
+    const file = writeEntrySettings(plan, dialingOf(plan.domain), options);
+    group.add(plan.name, `${PACKAGES}entry/dist/main.js`, ['--config', file]);
+  });
+  return [...layout.controls, ...layout.entries].map(({ name }) => name);
+}
+
+/**
+ * Waits until `/readyz` of a process answers 200.
+ *
+ * @throws Error that names the process when it is not ready after `boundMs`
+ */
+export async function waitReady(
+  managed: ManagedProcess,
+  address: string,
+  boundMs: number,
+): Promise<void> {
+  await waitFor(
+    `${managed.name} is ready (log: ${managed.logFile})`,
+    async () => {
+      if (!managed.running) return false;
+      return (await request('GET', `http://${address}/readyz`)).status === 200;
+    },
+    boundMs,
+  );
+}
+
+/** Client of the test port of the platform's stand-in. */
+export class PlatformTestPort {
+  constructor(private readonly address: string) {}
+
+  send<Value>(method: string, path: string, body?: object | string): Promise<Value> {
+    return requestJson<Value>(method, `http://${this.address}${path}`, body);
+  }
+
+  /** Publishes a value of the configuration service; returns its revision. */
+  async publish(key: string, value: object | string): Promise<number> {
+    // The checker refuses aliases, which `stringify` makes of a value that is used twice.
+    const text =
+      typeof value === 'string' ? value : stringify(value, { aliasDuplicateObjects: false });
+    const { revision } = await this.send<{ revision: number }>('PUT', `/values/${key}`, text);
+    return revision;
+  }
+
+  /** Publishes values one after the other. */
+  async publishAll(values: Iterable<readonly [string, object | string]>): Promise<void> {
+    await [...values].reduce<Promise<unknown>>(
+      (before, [key, value]) => before.then(() => this.publish(key, value)),
+      Promise.resolve(),
+    );
+  }
+}
--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -1,13 +1,12 @@
 /** Starts a whole fleet on loopback: platform, fault proxy, targets and daemons. */
-import { mkdirSync, rmSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-import { stringify } from 'yaml';
 import type { VmRecord } from '@marjoramcart/core';
 import type { EntrySettings } from '@marjoramcart/platform';
 import { readRunLog, type RunRecord } from '../common/run-log.js';
 import type { FlowSettings } from '../fault-proxy/flow.js';
 import type { LinkFaults } from '../fault-proxy/link.js';
-import { request, requestJson } from './http-client.js';
+import { PlatformTestPort, addDaemons, emptyFolder, waitReady } from './fleet-parts.js';
+import { requestJson } from './http-client.js';
 import {
   planLayout,
   portOf,
@@ -20,12 +19,6 @@
 import type { ManagedProcess } from './managed-process.js';
 import { ProcessGroup } from './process-group.js';
 import { planProxy, type DomainDialing, type ProxyPlan } from './proxy-links.js';
-import {
-  writeControlSettings,
-  writeEntrySettings,
-  type SettingsOptions,
-} from './settings-files.js';
-import { waitFor } from './wait.js';
 
 /** What to start. */
 export interface FleetSpec {
@@ -60,9 +53,10 @@
 const READY_BOUND_MS = 20_000;
 const STAND_INS = fileURLToPath(new URL('..', import.meta.url));
 const OUT = fileURLToPath(new URL('../../../../out/fleets/', import.meta.url));
-const PACKAGES = fileURLToPath(new URL('../../../../packages/', import.meta.url));
 
 export class Fleet {
+  private readonly platformPort: PlatformTestPort;
+
   private constructor(
     private readonly spec: FleetSpec,
     /** Settings files and logs of all processes. */
@@ -70,7 +64,9 @@
     readonly layout: Layout,
     private readonly proxyPlan: ProxyPlan,
     private readonly group: ProcessGroup,
-  ) {}
+  ) {
+    this.platformPort = new PlatformTestPort(layout.platform.testAddress);
+  }
 
   /**
    * Starts a fleet and waits until every process is ready. A fleet that can't start leaves no
@@ -80,10 +76,7 @@
    */
   static async start(spec: FleetSpec): Promise<Fleet> {
     const folder = `${OUT}${spec.name}-${process.pid}`;
-    // eslint-disable-next-line n/no-sync
-    rmSync(folder, { recursive: true, force: true });
-    // eslint-disable-next-line n/no-sync
-    mkdirSync(folder, { recursive: true });
+    emptyFolder(folder);
     const ports = new PortAllocator();
     const layout = await planLayout(spec.domains, ports);
     const proxyPlan = await planProxy(layout, ports, spec.proxyTargets ?? false);
@@ -142,36 +135,28 @@
   }
 
   /** Publishes a value of the configuration service; returns its revision. */
-  async publish(key: string, value: object | string): Promise<number> {
-    // The checker refuses aliases, which `stringify` makes of a value that is used twice.
-    const text =
-      typeof value === 'string' ? value : stringify(value, { aliasDuplicateObjects: false });
-    const { revision } = await this.platformTest<{ revision: number }>(
-      'PUT',
-      `/values/${key}`,
-      text,
-    );
-    return revision;
+  publish(key: string, value: object | string): Promise<number> {
+    return this.platformPort.publish(key, value);
   }
 
   /** Changes a record of the list of VMs; it is shown after the list's lag. */
   async changeVm(vm: string, patch: Partial<VmRecord> & { gone?: boolean }): Promise<void> {
-    await this.platformTest('PATCH', `/vms/${vm}`, patch);
+    await this.platformPort.send('PATCH', `/vms/${vm}`, patch);
   }
 
   /** Sets parts of the platform (config, vms, directory, weights) up, down or stale. */
   async setPlatform(states: Record<string, 'up' | 'down' | 'stale'>): Promise<void> {
-    await this.platformTest('POST', '/states', states);
+    await this.platformPort.send('POST', '/states', states);
   }
 
   /** Changes settings of the platform, such as `vm_lag_ms` and `stale_behind`. */
   async setPlatformSettings(settings: Record<string, number>): Promise<void> {
-    await this.platformTest('POST', '/settings', settings);
+    await this.platformPort.send('POST', '/settings', settings);
   }
 
   /** Calls of the configuration service so far. */
   platformCalls(): Promise<Record<string, number>> {
-    return this.platformTest('GET', '/calls');
+    return this.platformPort.send('GET', '/calls');
   }
 
   /** Changes settings of a target's stand-in. */
@@ -216,17 +201,8 @@
     );
   }
 
-  async waitReady(name: string): Promise<void> {
-    const address = this.readyAddressOf(name);
-    const managed = this.process(name);
-    await waitFor(
-      `${name} is ready (log: ${this.folder}/${name}.log)`,
-      async () => {
-        if (!managed.running) return false;
-        return (await request('GET', `http://${address}/readyz`)).status === 200;
-      },
-      READY_BOUND_MS,
-    );
+  waitReady(name: string): Promise<void> {
+    return waitReady(this.process(name), this.readyAddressOf(name), READY_BOUND_MS);
   }
 
   private async startStandIns(): Promise<void> {
@@ -255,33 +231,26 @@
     await this.startAll(['platform', 'fault-proxy', ...targets.map(({ name }) => name)]);
     await this.proxyTest('/links', this.proxyPlan.links);
     await this.setDelays();
-    await this.platformTest('PUT', '/vms', vmRecords(this.layout));
-    await this.platformTest('PUT', '/directory', this.directory());
-    await Object.entries(this.spec.config).reduce<Promise<unknown>>(
-      (before, [key, value]) => before.then(() => this.publish(key, value)),
-      Promise.resolve(),
-    );
+    await this.platformPort.send('PUT', '/vms', vmRecords(this.layout));
+    await this.platformPort.send('PUT', '/directory', this.directory());
+    await this.platformPort.publishAll(Object.entries(this.spec.config));
   }
 
   private async startDaemons(): Promise<void> {
-    const options: SettingsOptions = {
-      folder: this.folder,
-      fleetSecret: FLEET_SECRET,
-      logLevel: this.spec.logLevel ?? 'info',
-      compressMessages: this.spec.compressMessages,
-      seed: this.spec.seed ?? 1,
-      policies: this.spec.policies ?? {},
-    };
-    const { controls, entries } = this.layout;
-    controls.forEach((plan) => {
-      const file = writeControlSettings(plan, this.layout, this.dialingOf(plan.domain), options);
-      this.add(plan.name, `${PACKAGES}control/dist/main.js`, ['--config', file]);
-    });
-    entries.forEach((plan) => {
-      const file = writeEntrySettings(plan, this.dialingOf(plan.domain), options);
-      this.add(plan.name, `${PACKAGES}entry/dist/main.js`, ['--config', file]);
-    });
-    await this.startAll([...controls, ...entries].map(({ name }) => name));
+    const dialingOf = (domain: string): DomainDialing => this.dialingOf(domain);
+    const names = addDaemons(
+      this.group,
+      { layout: this.layout, dialingOf },
+      {
+        folder: this.folder,
+        fleetSecret: FLEET_SECRET,
+        logLevel: this.spec.logLevel ?? 'info',
+        compressMessages: this.spec.compressMessages,
+        seed: this.spec.seed ?? 1,
+        policies: this.spec.policies ?? {},
+      },
+    );
+    await this.startAll(names);
   }
 
   private add(name: string, script: string, args: readonly (string | number)[]): void {
@@ -321,11 +290,6 @@
     return `${this.folder}/${name}.runs.jsonl`;
   }
 
-  private platformTest<Value>(method: string, path: string, body?: object | string) {
-    const url = `http://${this.layout.platform.testAddress}${path}`;
-    return requestJson<Value>(method, url, body);
-  }
-
   private proxyTest(path: string, body: object): Promise<object> {
     return requestJson('POST', `http://${this.layout.proxy.testAddress}${path}`, body);
   }
--- a/tests/stand-ins/src/fleet/managed-process.ts
+++ b/tests/stand-ins/src/fleet/managed-process.ts
@@ -22,7 +22,7 @@
     readonly name: string,
     private readonly script: string,
     private readonly args: readonly string[],
-    private readonly logFile: string,
+    readonly logFile: string,
     private readonly onSpawn: (pid: number) => void,
   ) {}
 
