Give each client of the hop bench its own process

Cause: the direct calls and the calls through the entry were made by one process and fell due in the same turn of its event loop. Each call waited for the work of the other one, at the client and, since both are answered by one farm, there too. The warm-up of 2 s (400 calls) ended before the code of farm and entry was optimised.

Change: a process for each client, calls of the two half a period apart, a warm-up of 8 s. Rates, goals and the way the added time is computed are the same.

Ruled out: log lines (none at the bench's level), `entry.sync` (8.6 ms of 1,165 ms of work in 8 s at 200 requests/s), Nagle's algorithm (off on both sides). A part of the bench still measures itself: all engines, with 64 load reports a second, are in one process.

--- a/packages/bench/src/hop/data-path.ts
+++ b/packages/bench/src/hop/data-path.ts
@@ -1,18 +1,29 @@
 /** Measurements of one entry process: added latency, CPU for each request and token, memory. */
+import { execFile } from 'node:child_process';
 import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 import { BenchFleet } from '../fleet/bench-fleet.js';
 import { farmAddress, type Pace } from '../fleet/farm-protocol.js';
 import { fitLine, type LineFit, type Point } from '../measure/line-fit.js';
 import { cpuSeconds, machineLoad, residentMb } from '../measure/process-usage.js';
-import { LoadClient, percentile } from './load-client.js';
+import { LoadClient, percentile, type ClientResult } from './load-client.js';
 
 /** Engines of the bench; enough for 1,000 streams at 32 each. */
 const ENGINES = 64;
 const SERVICE = 'model-0-service';
+const API_KEY = 'bench-key';
 /** A short answer, as fast as the entry takes it. */
 const SHORT: Pace = { tokens: 4, everyMs: 0 };
 const LONG_TOKENS = 1_000_000;
 const OPEN_BOUND_MS = 10_000;
+const CLIENT = fileURLToPath(new URL('client-main.js', import.meta.url));
+/** The farm and the entry optimise their code within the first thousand or two of calls. */
+const WARM_UP_MS = 8000;
+/** Time for the client processes to start. */
+const START_MS = 1000;
+const MAX_RESULT_BYTES = 16 * 1024 * 1024;
+const run = promisify(execFile);
 
 export interface HopFigures {
   readonly perS: number;
@@ -59,17 +70,19 @@
     return this.fleet.stop();
   }
 
-  /** First-token times of direct calls and calls through the entry, side by side. */
+  /**
+   * First-token times of direct calls and calls through the entry, side by side. Each client has a
+   * process of its own and they call in turn, so that neither waits for work of the other.
+   */
   async hop(perS: number, forMs: number): Promise<HopFigures> {
-    const direct = this.directClient();
-    const through = this.entryClient();
-    await Promise.all([direct.run(perS, 2000, SHORT), through.run(perS, 2000, SHORT)]);
-    const [directMs, entryMs] = await Promise.all([
-      direct.run(perS, forMs, SHORT),
-      through.run(perS, forMs, SHORT),
-    ]);
-    direct.close();
-    through.close();
+    const startAt = Date.now() + START_MS;
+    const halfPeriodMs = 500 / perS;
+    const direct = farmAddress(0, this.fleet.farmPort);
+    const [{ firstMs: directMs, ...directRest }, { firstMs: entryMs, ...entryRest }] =
+      await Promise.all([
+        runClient(direct, perS, forMs, startAt),
+        runClient(this.entryAddress, perS, forMs, startAt + halfPeriodMs),
+      ]);
     const at = (values: number[], share: number): number => percentile(values, share);
     return {
       perS,
@@ -79,7 +92,7 @@
       entryP99Ms: at(entryMs, 0.99),
       addedP50Ms: at(entryMs, 0.5) - at(directMs, 0.5),
       addedP99Ms: at(entryMs, 0.99) - at(directMs, 0.99),
-      failed: direct.counts.failed + through.counts.failed,
+      failed: directRest.failed + entryRest.failed,
       load1: machineLoad().load1,
     };
   }
@@ -183,11 +196,28 @@
   }
 
   private entryClient(): LoadClient {
-    return new LoadClient({ address: this.entryAddress, service: SERVICE, apiKey: 'bench-key' });
+    return new LoadClient({ address: this.entryAddress, service: SERVICE, apiKey: API_KEY });
   }
+}
 
-  private directClient(): LoadClient {
-    const address = farmAddress(0, this.fleet.farmPort);
-    return new LoadClient({ address, service: SERVICE, apiKey: 'bench-key' });
-  }
+async function runClient(
+  address: string,
+  perS: number,
+  forMs: number,
+  startAt: number,
+): Promise<ClientResult> {
+  const args = {
+    address,
+    service: SERVICE,
+    key: API_KEY,
+    'per-s': perS,
+    'warm-up-ms': WARM_UP_MS,
+    'for-ms': forMs,
+    tokens: SHORT.tokens,
+    'start-at': startAt,
+  };
+  const list = Object.entries(args).flatMap(([name, value]) => [`--${name}`, String(value)]);
+  const options = { maxBuffer: MAX_RESULT_BYTES };
+  const { stdout } = await run(process.execPath, [CLIENT, ...list], options);
+  return JSON.parse(stdout) as ClientResult;
 }
--- a/packages/bench/src/hop/load-client.ts
+++ b/packages/bench/src/hop/load-client.ts
@@ -22,6 +22,13 @@
   open: number;
 }
 
+/** What the process of one load client reports. */
+export interface ClientResult {
+  /** Times to the first event, ms. */
+  readonly firstMs: number[];
+  readonly failed: number;
+}
+
 export class LoadClient {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 4096 });
 
