Close a listener only after a quiet turn of the event loop

Cause: the kernel resets connections that it has set up but that the process has not accepted when the listening socket is closed.

Change: the close waits for a turn of the event loop of at most 0.1 ms, in which nothing was accepted, for at most 500 ms.

Before: the new unit test, which closes while 50 connections wait, fails with ECONNRESET.

Conclusion: a window of some 0.1 ms remains, since the kernel offers no way to close without it.

--- a/packages/platform/src/http/listener.test.ts
+++ b/packages/platform/src/http/listener.test.ts
@@ -41,3 +41,29 @@
   });
   await closed;
 });
+
+test('connections that wait to be accepted when the listener closes are answered', async () => {
+  // Guards against a shutdown that resets connections which the kernel has already set up.
+  const listener = new HttpListener({
+    address: '127.0.0.1:0',
+    handler: (_req, res) => {
+      res.end('done');
+    },
+    onError: () => {},
+  });
+  await listener.listen();
+  const { address } = listener;
+  const sockets = Array.from({ length: 50 }, () => connect(address));
+  // The connections are set up in this turn, before the listener can accept them.
+  await new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
+  const closed = listener.close();
+  const answers = sockets.map(async (socket) => {
+    socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+    const [data] = (await once(socket, 'data')) as [Buffer];
+    return data.toString('utf8');
+  });
+  (await Promise.all(answers)).forEach((answer) => assert.match(answer, /^HTTP\/1\.1 200/));
+  await closed;
+});
--- a/packages/platform/src/http/listener.ts
+++ b/packages/platform/src/http/listener.ts
@@ -25,6 +25,10 @@
 const IDLE_SWEEP_MS = 100;
 /** Time for a request that is on its way on an idle connection when the listener closes. */
 const CLOSE_IDLE_AFTER_MS = 1000;
+/** A turn of the event loop this short handled no connection that was waiting to be accepted. */
+const QUIET_TURN_MS = 0.1;
+/** Under constant load no turn is quiet; the listener then closes all the same. */
+const MAX_WAIT_FOR_QUIET_MS = 500;
 
 export class HttpListener {
   private readonly server: http.Server;
@@ -88,9 +92,10 @@
    * Stops accepting connections, waits for requests in flight and closes connections that stay
    * idle. A connection without a request is kept for a while, since a request may be on its way.
    */
-  close(): Promise<void> {
+  async close(): Promise<void> {
     this.closing = true;
-    return new Promise((resolve) => {
+    await quietTurn();
+    await new Promise<void>((resolve) => {
       const sweep = setInterval(() => this.closeLongIdle(), IDLE_SWEEP_MS);
       // The close of http.Server destroys idle connections at once, also those just accepted.
       net.Server.prototype.close.call(this.server, () => {
@@ -134,3 +139,20 @@
     }
   }
 }
+
+/**
+ * Waits for a turn of the event loop without work. The kernel resets connections that it has set up
+ * and that are not accepted when the listening socket closes; after such a turn there are none.
+ */
+async function quietTurn(): Promise<void> {
+  const limit = performance.now() + MAX_WAIT_FOR_QUIET_MS;
+  await new Promise<void>((resolve) => {
+    const turn = (startedAt: number): void => {
+      const now = performance.now();
+      if (now - startedAt <= QUIET_TURN_MS || now >= limit) resolve();
+      else setImmediate(turn, now);
+    };
+    // The first turn is never quiet: it ends the one in which `close` was called.
+    setImmediate(turn, -Infinity);
+  });
+}
