Tell only the other prober of a first failure, and send small load changes

Announcing each first failure to all peers makes each slow probe cost an exchange with every peer. Items were also left one step off for as long as the figures stayed near them, where they were repeated each 3 s before.

Change: a prober tells only the target's other prober of the first failure. A load figure that differs by a step is published after 3 s.

--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -71,6 +71,7 @@
     metrics,
     log,
     onTransition: () => gossip.announce('platform'),
+    onDoubt: (probers) => gossip.tell(probers),
   });
   const orders = new OrderTask({ state, client, metrics, log });
   const peers = new PeerTask({
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -10,7 +10,6 @@
   summarizeServices,
   type GossipParams,
   type GossipResult,
-  type MergedTarget,
   type OriginUpdate,
   type RandomSource,
 } from '@marjoramcart/core';
@@ -20,6 +19,8 @@
 import type { PeerFetch } from '../config/config-task.js';
 import { GossipPacking } from './gossip-packing.js';
 import { NewestFetch } from './newest-fetch.js';
+import { pickRandom } from './pick-random.js';
+import { takeOpinions } from './take-opinions.js';
 
 /**
  * Peers of the own failure domain that one daemon contacts each second. What must be known at once
@@ -105,8 +106,8 @@
   round(): void {
     const { state } = this.options;
     this.tick();
-    const unknown = this.pick(this.unknownAddresses(), 1);
-    const known = this.pick(this.liveAddresses(), FAN_OUT);
+    const unknown = pickRandom(this.random, this.unknownAddresses(), 1);
+    const known = pickRandom(this.random, this.liveAddresses(), FAN_OUT);
     [...known, ...unknown].forEach((address, index) => {
       void this.exchange(address, this.message(address, true, index === 0));
     });
@@ -121,10 +122,11 @@
     domains.delete(state.self.failureDomain);
     // Of a few random domains, the one with the oldest summary, so that none expires by bad luck.
     const nowMs = state.timers.now();
-    const [domain] = this.pick([...domains], REMOTE_CANDIDATES).sort(
+    const [domain] = pickRandom(this.random, [...domains], REMOTE_CANDIDATES).sort(
       (a, b) => state.summaries.ageOf(b, nowMs) - state.summaries.ageOf(a, nowMs),
     );
-    const [control] = this.pick(
+    const [control] = pickRandom(
+      this.random,
       controls.filter(({ failureDomain }) => failureDomain === domain),
       1,
     );
@@ -140,10 +142,14 @@
   announce(source: ChangeSource): void {
     // A peer that learnt of it in the failure domain leaves the announcement to the first one.
     if (source === 'own-domain') return;
-    this.tick();
-    this.liveAddresses().forEach((address) => {
-      void this.exchange(address, this.message(address, true, false));
-    });
+    this.push(this.liveAddresses());
+  }
+
+  /** Tells some peers of the failure domain at once what this daemon observed. */
+  tell(bootIds: ReadonlySet<string>): void {
+    const live = this.options.state.members.liveControls(this.options.state.timers.now());
+    const told = live.filter(({ bootId }) => bootIds.has(bootId));
+    this.push(told.map(({ peerAddress }) => peerAddress));
   }
 
   /** Answers `gossip.exchange`. */
@@ -185,6 +191,13 @@
     await Promise.all([this.configFetch.settled(), this.vmsFetch.settled()]);
   }
 
+  private push(addresses: readonly string[]): void {
+    this.tick();
+    addresses.forEach((address) => {
+      void this.exchange(address, this.message(address, true, false));
+    });
+  }
+
   private async exchange(address: string, params: GossipParams): Promise<void> {
     const { rpc, metrics, state } = this.options;
     const message = this.packing.pack(params, address);
@@ -210,7 +223,7 @@
     const nowMs = state.timers.now();
     const { from, origins = [] } = message;
     const own = from.failureDomain === state.self.failureDomain;
-    if (own) this.takeTargets(state.members.merge(origins, nowMs), nowMs);
+    if (own) takeOpinions(state.targets, state.members.merge(origins, nowMs), nowMs);
     state.summaries.merge(message.summaries, nowMs);
     const { cfg } = state;
     // Checked on both sides, since the sender may have another configuration.
@@ -225,16 +238,6 @@
     this.vmsFetch.offer(from.peerAddress, message.vmListVersion, source);
   }
 
-  private takeTargets(items: readonly MergedTarget[], nowMs: number): void {
-    const { targets } = this.options.state;
-    items.forEach(({ prober, item, confirmed }) => {
-      const { vm, failures, ...report } = item;
-      if (confirmed && targets.confirm(vm, prober, nowMs)) return;
-      const reportedAt = nowMs - item.ageMs;
-      targets.setOpinion(vm, prober, { report, failures, reportedAt, heardAt: nowMs });
-    });
-  }
-
   private async fetchConfig(address: string, source: ChangeSource): Promise<void> {
     const { state, rpc } = this.options;
     const base = state.config.current;
@@ -339,12 +342,4 @@
     const others = state.vms.current.version === 0 ? seeds : [];
     return [...new Set([...listed, ...others])].filter((address) => !known.has(address));
   }
-
-  private pick<Value>(values: readonly Value[], count: number): Value[] {
-    return values
-      .map((value) => ({ value, rank: this.random.next() }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, count)
-      .map(({ value }) => value);
-  }
 }
--- /dev/null
+++ b/packages/control/src/peers/take-opinions.ts
@@ -0,0 +1,15 @@
+/** Takes what gossip brought of other probers' opinions into the target table. */
+import type { MergedTarget, TargetTable } from '@marjoramcart/core';
+
+export function takeOpinions(
+  targets: TargetTable,
+  merged: readonly MergedTarget[],
+  nowMs: number,
+): void {
+  merged.forEach(({ prober, item, confirmed }) => {
+    const { vm, failures, ...report } = item;
+    if (confirmed && targets.confirm(vm, prober, nowMs)) return;
+    const reportedAt = nowMs - item.ageMs;
+    targets.setOpinion(vm, prober, { report, failures, reportedAt, heardAt: nowMs });
+  });
+}
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -2,6 +2,7 @@
 import {
   FAILURES_TO_EXCLUDE,
   MembershipTiming,
+  otherProber,
   proberRank,
   quantise,
   type Opinion,
@@ -21,6 +22,8 @@
   readonly log: Logger;
   /** Called after a round in which a target's health or leaving mark changed. */
   readonly onTransition: () => void;
+  /** Called after a round with the other probers of targets whose first probe failed in it. */
+  readonly onDoubt: (probers: ReadonlySet<string>) => void;
 }
 
 /** The first prober publishes the load; the second only speaks when a prober sees a fault. */
@@ -59,6 +62,9 @@
   /** Latest report of each target that this daemon probes. */
   readonly reports = new Map<string, LoadReport>();
 
+  /** Other probers of targets that failed once; not yet told. */
+  private toTell = new Set<string>();
+
   private unsubscribe = (): void => {};
 
   constructor(private readonly options: ProbeTaskOptions) {}
@@ -94,7 +100,10 @@
         }
       }),
     );
+    const told = this.toTell;
+    this.toTell = new Set();
     if (this.marks() !== before) this.options.onTransition();
+    else if (told.size > 0) this.options.onDoubt(told);
   }
 
   private forget(vm: string): void {
@@ -104,18 +113,14 @@
     this.steady.delete(vm);
   }
 
-  /**
-   * Own opinions on health and leaving, in a form to compare. The first failure counts, so that the
-   * second prober learns of it at once.
-   */
+  /** Own opinions on health and leaving, in a form to compare. */
   private marks(): string {
     const { targets, self } = this.options.state;
     return targets.targets
       .map(({ vm }) => {
         const opinion = targets.opinionOf(vm, self.bootId);
-        const failures = opinion?.failures ?? 0;
-        const health = [failures > 0, failures >= FAILURES_TO_EXCLUDE];
-        return `${vm} ${health.join()} ${opinion?.report.leaving}`;
+        const excluded = (opinion?.failures ?? 0) >= FAILURES_TO_EXCLUDE;
+        return `${vm} ${excluded} ${opinion?.report.leaving}`;
       })
       .join();
   }
@@ -159,11 +164,19 @@
     } else {
       this.reports.delete(vm);
       state.targets.recordFailure(vm, nowMs);
+      this.noteDoubt(vm);
       log.debug('[probes] probe failed', { vm, kind: result.kind });
     }
     this.publish(vm, rank, nowMs);
   }
 
+  private noteDoubt(vm: string): void {
+    const { targets, self } = this.options.state;
+    if (targets.opinionOf(vm, self.bootId)?.failures !== 1) return;
+    const other = otherProber(vm, self.bootId, this.options.state.liveControlIds());
+    if (other) this.toTell.add(other);
+  }
+
   private ended(vm: string): void {
     const left = (this.inFlight.get(vm) ?? 1) - 1;
     if (left > 0) this.inFlight.set(vm, left);
--- a/packages/core/src/membership/duties.ts
+++ b/packages/core/src/membership/duties.ts
@@ -31,6 +31,12 @@
   return rendezvousOrder(`probe/${vm}`, live).slice(0, PROBERS_PER_TARGET).indexOf(self);
 }
 
+/** The other prober of a target that `self` probes; undefined if there is none. */
+export function otherProber(vm: string, self: string, live: readonly string[]): string | undefined {
+  const probers = rendezvousOrder(`probe/${vm}`, live).slice(0, PROBERS_PER_TARGET);
+  return probers.find((bootId) => bootId !== self);
+}
+
 /** Whether `self` sends the orders of a target. */
 export function isOrderer(vm: string, self: string, live: readonly string[]): boolean {
   return ranksBelow(`orders/${vm}`, self, live, 1);
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -13,11 +13,12 @@
 } from '../messages/messages.js';
 import { MembershipTiming } from './membership-timing.js';
 import { quantise } from './quantise.js';
-import { sameEntry, sameTarget } from './same-item.js';
+import { equalLoad, sameEntry, sameTarget } from './same-item.js';
 
 /**
- * Unchanged items are repeated after this time while a peer of an earlier release is alive, whose
- * copies expire. Other peers take a heartbeat as a sign that all items are unchanged.
+ * A load figure that is near the published one is published after this time. Unchanged items are
+ * repeated only while a peer of an earlier release is alive, whose copies expire; other peers take
+ * a heartbeat as a sign that all items are unchanged.
  */
 const REFRESH_MS = 3000;
 /** Heartbeats of dropped processes are kept, so that a late copy does not bring them back. */
@@ -104,7 +105,7 @@
     const entry: ProcessEntry = { process, heartbeat, revision, load: rounded };
     const same = before !== undefined && sameEntry(before.value, entry);
     this.own.gone.delete(process.bootId);
-    if (same && !this.mustRepeat(before.publishedMs, nowMs)) before.atMs = nowMs;
+    if (same && !this.mustRepeat(before, nowMs)) before.atMs = nowMs;
     else entries.set(process.bootId, stamped(heartbeat + 1, entry, nowMs));
   }
 
@@ -114,7 +115,8 @@
     const before = targets.get(item.vm);
     const same = before !== undefined && sameTarget(before.value, item);
     this.own.gone.delete(item.vm);
-    if (same && !this.mustRepeat(before.publishedMs, nowMs)) before.atMs = nowMs;
+    const left = same && (equalLoad(before.value, item) || this.recent(before, nowMs));
+    if (left && !this.mustRepeat(before, nowMs)) before.atMs = nowMs;
     else targets.set(item.vm, stamped(heartbeat + 1, item, nowMs));
     return !same;
   }
@@ -245,8 +247,12 @@
     this.own.gone.set(name, stamped(this.own.heartbeat + 1, name, nowMs));
   }
 
-  private mustRepeat(publishedMs: number, nowMs: number): boolean {
-    if (nowMs - publishedMs < REFRESH_MS) return false;
+  private recent({ publishedMs }: Stamped<unknown>, nowMs: number): boolean {
+    return nowMs - publishedMs < REFRESH_MS;
+  }
+
+  private mustRepeat(item: Stamped<unknown>, nowMs: number): boolean {
+    if (this.recent(item, nowMs)) return false;
     const limitMs = nowMs - MembershipTiming.DropAfterMs;
     return [...this.origins.values()].some(({ spans, heardAt }) => !spans && heardAt >= limitMs);
   }
--- a/packages/core/src/membership/same-item.ts
+++ b/packages/core/src/membership/same-item.ts
@@ -29,3 +29,8 @@
     near(a.waitMs, b.waitMs)
   );
 }
+
+/** Whether the rounded load figures are equal too; a small difference is not left for long. */
+export function equalLoad(a: TargetItem, b: TargetItem): boolean {
+  return a.running === b.running && a.queued === b.queued && a.waitMs === b.waitMs;
+}
