Send requests elsewhere when a region loses most of its targets

Cause: when more than half of the targets of a failure domain fail at once, the control daemon and the entry take themselves to be cut off and go on using all targets. A region that really loses its engines met the same rule: its entries connected to dead engines, the retries of these calls were beyond the budget, and almost every call was refused with 4103 for as long as the engines were gone.

Ruled out: the link budget.

Change: a process that holds a fresh summary of another failure domain is not cut off, so its failed targets are excluded as lost and its summary says so. The entry applies it to its own connection results, the control daemon to its probes.

After: unit tests of both tables.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -125,7 +125,8 @@
 
   /** States of the own targets, without services whose dependencies are not ready. */
   targetStates(): TargetState[] {
-    const states = this.targets.states(this.timers.now());
+    const nowMs = this.timers.now();
+    const states = this.targets.states(nowMs, this.inContact(nowMs));
     return withReadyServices(states, this.cfg?.services ?? {});
   }
 
@@ -181,6 +182,17 @@
     return this.warm;
   }
 
+  /** Whether this process takes itself to be cut off, and not its targets to be lost. */
+  isolated(nowMs: number): boolean {
+    return this.targets.isolated(nowMs, this.inContact(nowMs));
+  }
+
+  /** Whether another failure domain was heard of lately. */
+  private inContact(nowMs: number): boolean {
+    const { failureDomain: own } = this.self;
+    return this.summaries.fresh(nowMs).some(({ failureDomain }) => failureDomain !== own);
+  }
+
   private buildView(nowMs: number): Omit<DomainView, 'version'> {
     const processes = this.processes();
     const summaries = this.summaries
@@ -198,7 +210,7 @@
       processes,
       summaries,
       suspects: this.suspects.visibleTo(this.self.region, this.cfg, nowMs),
-      isolated: this.targets.isolated(nowMs),
+      isolated: this.isolated(nowMs),
       entriesPerRegion,
     };
   }
--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -134,12 +134,12 @@
     metrics.syncBytes.inc({ direction: 'sent' }, localSent - counted.localSent);
     metrics.syncBytes.inc({ direction: 'received' }, localReceived - counted.localReceived);
     Object.assign(counted, { sent, received, localSent, localReceived });
-    const { config, vms, targets, timers } = state;
+    const { config, vms, timers } = state;
     metrics.refused.set(server.refused);
     metrics.revision.set(config.revision);
     metrics.rejectedRevision.set(config.rejected?.revision ?? 0);
     metrics.vmListVersion.set(vms.current.version);
-    metrics.isolated.set(targets.isolated(timers.now()) ? 1 : 0);
+    metrics.isolated.set(state.isolated(timers.now()) ? 1 : 0);
     const states = state.targetStates();
     metrics.targets.set({ state: 'healthy' }, states.filter((t) => t.healthy).length);
     metrics.targets.set({ state: 'failed' }, states.filter((t) => !t.healthy).length);
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -132,6 +132,14 @@
   assert.equal(table.states(4000).filter(({ healthy }) => !healthy).length, 1);
 });
 
+test('a process that hears other domains excludes targets that fail at once', () => {
+  // Guards against a region that lost its engines and sends requests to them, not to other regions.
+  const table = tableOf(4);
+  ['t0', 't1', 't2'].forEach((vm) => fail(table, vm, 1000));
+  assert.ok(!table.isolated(3000, true));
+  assert.equal(table.states(3000, true).filter(({ healthy }) => !healthy).length, 3);
+});
+
 test('targets that fail one after the other are excluded each', () => {
   const table = tableOf(3);
   ['t0', 't1'].forEach((vm, index) => fail(table, vm, 1000 + index * 20_000));
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -136,9 +136,10 @@
 
   /**
    * Whether more than half of the targets failed at once. The process then assumes that it is cut
-   * off itself and goes on using all of them, until at most half are failed.
+   * off itself and goes on using all of them, until at most half are failed. A process that hears
+   * other failure domains (`inContact`) is not cut off: its targets are lost.
    */
-  isolated(nowMs: number): boolean {
+  isolated(nowMs: number, inContact = false): boolean {
     const candidates = this.records.filter(({ state }) => state !== 'leaving');
     const failed = candidates.filter(({ vm }) => this.excluded(vm, nowMs));
     const starts = failed.map(({ vm }) => this.failingSince(vm, nowMs)).sort((a, b) => a - b);
@@ -147,7 +148,7 @@
       (start, index) => (starts[index + half] ?? Infinity) - start <= MASS_FAILURE_WINDOW_MS,
     );
     this.cutOff = failed.length > candidates.length / 2 && (this.cutOff || together);
-    return this.cutOff;
+    return this.cutOff && !inContact;
   }
 
   /** Whether any prober reports failures or leaving, so that the others must speak as well. */
@@ -166,8 +167,8 @@
   }
 
   /** State of each target, as entries use it. */
-  states(nowMs: number): TargetState[] {
-    const isolated = this.isolated(nowMs);
+  states(nowMs: number, inContact = false): TargetState[] {
+    const isolated = this.isolated(nowMs, inContact);
     return this.records.map((record) => {
       const live = this.liveOpinions(record.vm, nowMs);
       const best = live
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -93,3 +93,20 @@
   apply({ targets: [report({ reportAgeMs: 50, sequence: 3, running: 1 })] });
   assert.deepEqual(corrections(), [0, 0, 1]);
 });
+
+test('targets that all refuse are left out while another domain is heard, and used without one', () => {
+  // Guards against a region that lost its targets and tries them again with each call, and against
+  // an entry that is cut off itself and excludes them all.
+  const { timers, state, apply } = setup();
+  const targets = new TargetTable(state, () => timers.now());
+  const summary = { failureDomain: 'west-1', region: 'west', version: 1, ageMs: 0 };
+  apply({ targets: [report({})], summaries: [{ ...summary, services: [], entries: [] }] });
+  Array.from({ length: 6 }).forEach(() => {
+    targets.begin('t1');
+    targets.end('t1', true);
+  });
+  const used = (): number => targets.candidates('chat', new Set()).length;
+  assert.equal(used(), 0);
+  apply({ summaries: [] });
+  assert.equal(used(), 1);
+});
--- a/packages/entry/src/routing/target-table.ts
+++ b/packages/entry/src/routing/target-table.ts
@@ -2,7 +2,12 @@
  * Targets of the own failure domain as this process sees them: the control daemon's view corrected
  * by the results of its own connections and by what it has sent since each report.
  */
-import type { TargetCandidate, TargetObservation, TargetState } from '@marjoramcart/core';
+import {
+  MembershipTiming,
+  type TargetCandidate,
+  type TargetObservation,
+  type TargetState,
+} from '@marjoramcart/core';
 import type { EntryState } from '../state/entry-state.js';
 
 const FAILURES_TO_EXCLUDE = 3;
@@ -39,8 +44,10 @@
       (target) => !excluded.has(target.vm) && isReady(target, service),
     );
     const connected = usable.filter(({ vm }) => !this.backedOff(vm));
-    // When most targets fail at once, the fault is on this side and none is excluded.
-    const isolated = this.state.view.isolated || connected.length * 2 < usable.length;
+    // When most targets fail at once and no other domain is heard, the fault is on this side and
+    // none is excluded.
+    const mostFail = connected.length * 2 < usable.length;
+    const isolated = this.state.view.isolated || (mostFail && !this.inContact());
     const open = isolated ? usable : connected;
     const unreserved = open.filter(({ vm }) => !this.reservedVms.has(vm));
     return (unreserved.length > 0 ? unreserved : open).map((state) => this.candidate(state));
@@ -133,6 +140,14 @@
     });
   }
 
+  /** Whether the view has a summary of another failure domain that has not expired. */
+  private inContact(): boolean {
+    const { view, viewAgeMs } = this.state;
+    return view.summaries.some(
+      ({ ageMs }) => ageMs + viewAgeMs <= MembershipTiming.SummaryExpiryMs,
+    );
+  }
+
   private backedOff(vm: string): boolean {
     return (this.records.get(vm)?.excludedUntil ?? 0) > this.now();
   }
