Sync with another control daemon while the local one does not answer

Cause: an entry learned of leaving targets only from the control daemon of its VM. While that one was frozen or dead the entry went on with its last view and could send new work to a leaving target for as long as that lasted.

Ruled out: fetching the list of VMs in the entry, which would add a reader for each process, and using the first answer of a control daemon that comes back, which may hold its state from before the freeze and would take marks back.

Change: an entry whose control daemon fails a sync (1 s) syncs with another one that its view names, chosen by rendezvous hashing, tries its own every 2 s and returns to it with the second answer in a row. View versions of different daemons are not compared. `control_lost` still tells of the VM's own daemon. The message is unchanged.

--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -74,7 +74,7 @@
     return Math.max(this.witnessed, this.revision);
   }
 
-  /** Whether the control daemon has not answered lately; the entry serves from its last state. */
+  /** Whether the control daemon of this VM has not answered lately. */
   get controlLost(): boolean {
     return this.timers.now() - this.syncedAt > CONTROL_LOST_AFTER_MS;
   }
@@ -90,10 +90,13 @@
     return true;
   }
 
-  /** Takes over the answer of the control daemon; an older revision is ignored. */
-  apply(result: EntrySyncResult): SyncOutcome {
+  /**
+   * Takes over the answer of a control daemon; an older revision is ignored. `isLocal` tells
+   * whether it came from the one on this VM.
+   */
+  apply(result: EntrySyncResult, isLocal = true): SyncOutcome {
     const now = this.timers.now();
-    this.syncedAt = now;
+    if (isLocal) this.syncedAt = now;
     // A caller's echo is only a hint: a revision that does not exist is forgotten after one sync.
     this.witnessed = 0;
     if (result.view) {
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -103,6 +103,48 @@
   assert.ok(state.ready);
 });
 
+test('another control daemon of the domain is asked while the local one does not answer', async () => {
+  // Guards against leaving marks that never reach an entry whose control daemon is frozen.
+  const local = { answers: true };
+  const asked: [string, number][] = [];
+  const peer: ProcessRef = { ...self, role: 'control', bootId: 'c', peerAddress: '127.0.0.1:3' };
+  const processes = [{ process: peer, heartbeat: 1, revision: 1 }];
+  const view = { targets: [], summaries: [], suspects: [], isolated: false, entriesPerRegion: {} };
+  const { timers, state, sync } = setup((address, _method, { viewVersion }) => {
+    asked.push([address, viewVersion]);
+    const isLocal = address === '127.0.0.1:2';
+    if (isLocal && !local.answers) {
+      return Promise.resolve({ kind: 'error', error: { kind: 'timeout', timeoutMs: 1000 } });
+    }
+    const version = isLocal ? 10 : 20;
+    const value = { control: self, revision: 0, view: { ...view, version, processes } };
+    return Promise.resolve({ kind: 'ok', value });
+  });
+  await sync.sync();
+  local.answers = false;
+  assert.equal(await sync.sync(), true);
+  assert.equal(state.view.version, 20);
+  await sync.sync();
+  timers.advance(4000);
+  assert.equal(state.controlLost, true);
+  local.answers = true;
+  await sync.sync();
+  assert.equal(state.view.version, 20, 'the state of a daemon that was frozen is not used');
+  timers.advance(2000);
+  await sync.sync();
+  assert.equal(state.view.version, 10);
+  assert.equal(state.controlLost, false);
+  assert.deepEqual(asked, [
+    ['127.0.0.1:2', 0],
+    ['127.0.0.1:2', 10],
+    ['127.0.0.1:3', -1],
+    ['127.0.0.1:3', 20],
+    ['127.0.0.1:2', -1],
+    ['127.0.0.1:3', 20],
+    ['127.0.0.1:2', -1],
+  ]);
+});
+
 test('section hashes are sent only when a delta is needed, and a change comes with one sync', async () => {
   // Guards against hashes of all sections in each of four syncs a second.
   const sent: EntrySyncParams[] = [];
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -1,16 +1,33 @@
-/** Keeps the entry's state up to date by `entry.sync` with the control daemon of the VM. */
+/**
+ * Keeps the entry's state up to date by `entry.sync` with the control daemon of the VM, or with
+ * another one of the failure domain while that one does not answer.
+ */
 import {
   MembershipTiming,
+  ProcessRole,
+  rendezvousOrder,
   sectionHashes,
   type EntryLoad,
+  type EntrySyncParams,
   type EntrySyncResult,
   type SuspectRecord,
   type TargetObservation,
 } from '@marjoramcart/core';
-import type { Logger, RpcClient, Task, TimerService, Unsubscribe } from '@marjoramcart/platform';
+import type {
+  Logger,
+  RpcClient,
+  RpcResult,
+  Task,
+  TimerService,
+  Unsubscribe,
+} from '@marjoramcart/platform';
 import type { EntryState } from '../state/entry-state.js';
 
 const SYNC_TIMEOUT_MS = 1000;
+/** Pause between attempts to reach a local control daemon that did not answer. */
+const LOCAL_RETRY_MS = 2000;
+/** Names no view: versions of different control daemons can't be compared. */
+const OTHER_VIEW = -1;
 const HINT_INTERVAL_MS = 100;
 const HINT_WAIT_MS = 500;
 const PAUSE_WAIT_MS = 1000;
@@ -43,6 +60,21 @@
 
   private failures = 0;
 
+  /**
+   * Whether the local control daemon answered the last attempt. Its first answer after a failure is
+   * not used: a daemon that was frozen still holds its state from before.
+   */
+  private localAnswered = true;
+
+  /** Monotonic time of the next attempt to reach the local control daemon, ms. */
+  private localRetryAt = Number.NEGATIVE_INFINITY;
+
+  /** Failed syncs with other control daemons; each one moves on to the next of them. */
+  private peerFailures = 0;
+
+  /** Control daemon that the held view came from. */
+  private viewFrom = '';
+
   private readonly subscriptions: Unsubscribe[] = [];
 
   constructor(private readonly options: SyncOptions) {}
@@ -63,7 +95,7 @@
     await this.running;
   }
 
-  /** Syncs once; a call during a sync joins it. False when the control daemon did not answer. */
+  /** Syncs once; a call during a sync joins it. False when no control daemon answered. */
   sync(): Promise<boolean> {
     this.running ??= this.exchangeAll().finally(() => {
       this.running = undefined;
@@ -118,35 +150,76 @@
   }
 
   private async exchange(withHashes: boolean): Promise<EntrySyncResult | undefined> {
-    const { state, rpc, control, reports, log } = this.options;
+    const { control, reports, timers } = this.options;
     const observations = reports.takeObservations();
-    const result = await rpc.call(
-      control,
-      'entry.sync',
-      {
-        process: state.self,
-        load: reports.load(),
-        ...(withHashes && { held: sectionHashes(state.snapshot) }),
-        revision: state.revision,
-        witnessedRevision: state.witnessedRevision,
-        viewVersion: state.view.version,
-        observations,
-        suspects: reports.suspects(),
-      },
-      SYNC_TIMEOUT_MS,
-    );
-    if (result.kind === 'error') {
-      this.failures += 1;
-      if (this.failures === 1) log.warn('control daemon does not answer', { ...result.error });
-      return undefined;
+    const peer = this.otherControl();
+    if (timers.now() >= this.localRetryAt) {
+      const result = await this.ask(control, withHashes, observations);
+      const isUsed = this.localAnswered || peer === undefined;
+      this.localAnswered = result !== undefined;
+      if (result && isUsed) return this.take(result, control);
+      this.localRetryAt = timers.now() + LOCAL_RETRY_MS;
+    }
+    if (peer === undefined) return undefined;
+    const result = await this.ask(peer, withHashes, observations);
+    if (result) return this.take(result, peer);
+    this.peerFailures += 1;
+    return undefined;
+  }
+
+  /** Another control daemon of the failure domain; entries of one VM spread over them. */
+  private otherControl(): string | undefined {
+    const { control, state } = this.options;
+    const others = state.view.processes
+      .map(({ process }) => process)
+      .filter(({ role, peerAddress }) => role === ProcessRole.Control && peerAddress !== control)
+      .map(({ peerAddress }) => peerAddress);
+    return rendezvousOrder(state.self.bootId, others)[this.peerFailures % others.length];
+  }
+
+  private async ask(
+    address: string,
+    withHashes: boolean,
+    observations: readonly TargetObservation[],
+  ): Promise<EntrySyncResult | undefined> {
+    const { state, rpc, control, reports } = this.options;
+    const { version } = state.view;
+    const params: EntrySyncParams = {
+      process: state.self,
+      load: reports.load(),
+      ...(withHashes && { held: sectionHashes(state.snapshot) }),
+      revision: state.revision,
+      witnessedRevision: state.witnessedRevision,
+      viewVersion: version === 0 || address === this.viewFrom ? version : OTHER_VIEW,
+      observations,
+      suspects: reports.suspects(),
+    };
+    const result = await rpc.call(address, 'entry.sync', params, SYNC_TIMEOUT_MS);
+    if (address === control) this.noteLocal(result);
+    return result.kind === 'ok' ? result.value : undefined;
+  }
+
+  private noteLocal(result: RpcResult<EntrySyncResult>): void {
+    const { log } = this.options;
+    if (result.kind === 'ok') {
+      if (this.failures > 0) log.info('control daemon answers again');
+      this.failures = 0;
+      return;
     }
-    if (this.failures > 0) log.info('control daemon answers again');
-    this.failures = 0;
-    const outcome = state.apply(result.value);
+    this.failures += 1;
+    if (this.failures === 1) log.warn('control daemon does not answer', { ...result.error });
+  }
+
+  private take(result: EntrySyncResult, address: string): EntrySyncResult {
+    const { state, reports, log, control } = this.options;
+    const outcome = state.apply(result, address === control);
     if (outcome.kind === 'rejected') log.error('snapshot rejected', { reason: outcome.reason });
     if (outcome.kind === 'older')
       log.warn('older snapshot ignored', { revision: outcome.revision });
-    if (result.value.view) reports.learnSuspects(result.value.view.suspects);
-    return result.value;
+    if (result.view) {
+      this.viewFrom = address;
+      reports.learnSuspects(result.view.suspects);
+    }
+    return result;
   }
 }
--- a/tests/features/src/steps/leaving-steps.ts
+++ b/tests/features/src/steps/leaving-steps.ts
@@ -1,7 +1,13 @@
 /** Steps about targets that leave under load. */
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { waitFor, type CallResult, type RunRecord } from '@marjoramcart/stand-ins';
+import {
+  requestJson,
+  waitFor,
+  type CallResult,
+  type EntryPlan,
+  type RunRecord,
+} from '@marjoramcart/stand-ins';
 import type { GatewayWorld } from '../support/world.js';
 
 const BOUND_MS = 30_000;
@@ -10,6 +16,9 @@
 /** Tokens of 10 ms each: 8 s. */
 const LONG_STREAM_TOKENS = 800;
 const LOOPS_PER_ENTRY = 25;
+/** Which entry of the region loses its control daemon, from 0. */
+const LOST_ENTRY = 1;
+const USED_MS = 2000;
 
 interface State {
   stopped: boolean;
@@ -21,6 +30,8 @@
   leaving: string[];
   /** When the list shows them, ms; never later than it does. */
   shownAt: number;
+  /** Entry whose control daemon is frozen or killed. */
+  lost?: EntryPlan;
 }
 
 const states = new WeakMap<GatewayWorld, State>();
@@ -74,7 +85,10 @@
     const state = stateOf(this);
     const targets = this.fleet.layout.targets.filter((target) => target.region === region);
     const streams = runs(this, 'started', '-stream-');
-    const engine = targets.find(({ vm }) => streams.some((run) => run.vm === vm));
+    // The streams may all run in other regions; then any engine of the region leaves.
+    const engine =
+      targets.find(({ vm }) => streams.some((run) => run.vm === vm)) ??
+      targets.find(({ service }) => service === undefined);
     const booking = targets.find(({ service }) => service !== undefined);
     state.leaving = [engine?.vm ?? '', booking?.vm ?? ''];
     await this.fleet.setPlatformSettings({ vm_lag_ms: LIST_LAG_MS });
@@ -147,6 +161,49 @@
   },
 );
 
+When(
+  /^the control daemon of an entry in the (\w+) is (frozen|killed)$/,
+  async function when(this: GatewayWorld, region: string, change: string) {
+    const state = stateOf(this);
+    const { controls, entries } = this.fleet.layout;
+    state.lost = entries.filter((entry) => entry.region === region)[LOST_ENTRY];
+    const control = controls.find(({ peers }) => peers === state.lost?.control);
+    const process = this.fleet.process(control?.name ?? '');
+    if (change === 'frozen') process.freeze();
+    else await process.kill();
+  },
+);
+
+When(
+  'the control daemon answers again and the entry has used it for 2 s',
+  async function when(this: GatewayWorld) {
+    const { lost } = stateOf(this);
+    const control = this.fleet.layout.controls.find(({ peers }) => peers === lost?.control);
+    const name = control?.name ?? '';
+    this.fleet.process(name).thaw();
+    if (!this.fleet.process(name).running) await this.fleet.restart(name);
+    const used = { since: 0 };
+    await waitFor(
+      'the entry uses its control daemon',
+      async () => {
+        const url = `http://${lost?.admin}/status`;
+        const status = await requestJson<{ control_lost: boolean }>('GET', url);
+        if (status.control_lost) used.since = 0;
+        else if (used.since === 0) used.since = Date.now();
+        return used.since > 0 && Date.now() - used.since > USED_MS;
+      },
+      BOUND_MS,
+    );
+  },
+);
+
+Then('targets have started requests of that entry since then', function then(this: GatewayWorld) {
+  const prefix = `${this.marker}-loop-${LOST_ENTRY}-`;
+  const started = startedAfterBound(this).filter(({ marker }) => marker.startsWith(prefix));
+  this.log(`${started.length} starts of the entry without a control daemon after the bound`);
+  assert.ok(started.length > 0);
+});
+
 Then('the targets are back in the list', async function then(this: GatewayWorld) {
   const { leaving } = stateOf(this);
   await this.fleet.setPlatformSettings({ vm_lag_ms: 0 });
