--- a/tests/features/scenarios/replacement.feature
+++ b/tests/features/scenarios/replacement.feature
@@ -10,3 +10,15 @@
     And each entry of the west is told to shut down and replaced in turn
     Then every replaced process exited with code 0
     And every call of these callers got its complete answer
+
+  Scenario: All daemons are replaced while callers book with keys
+    Given the operations fleet
+    And every booking takes 300 ms
+    And 9 callers who book with keys of the listed entries and send each booking to a second entry, too
+    When each control daemon is told to shut down and replaced in turn
+    And each entry of the north is told to shut down and replaced in turn
+    And each entry of the central is told to shut down and replaced in turn
+    And each entry of the west is told to shut down and replaced in turn
+    Then every replaced process exited with code 0
+    And no booking ran twice, every "not_run" is true and the owner of a key answered each booking
+    And every booking takes 5 ms
--- a/tests/features/src/steps/replacement-steps.ts
+++ b/tests/features/src/steps/replacement-steps.ts
@@ -7,7 +7,9 @@
   waitFor,
   type CallResult,
   type Exit,
+  type ListedEntry,
 } from '@marjoramcart/stand-ins';
+import { Bookings } from '../support/bookings.js';
 import type { GatewayWorld } from '../support/world.js';
 
 const BOUND_MS = 20_000;
@@ -26,6 +28,8 @@
   readonly answers: Answered[];
   readonly exits: { readonly name: string; readonly exit: Exit }[];
   loops: Promise<void>[];
+  /** Bookings of callers who use keys. */
+  bookings?: Bookings;
 }
 
 interface Follower {
@@ -53,6 +57,17 @@
   },
 );
 
+Given(
+  '{int} callers who book with keys of the listed entries and send each booking to a second entry, too',
+  async function given(this: GatewayWorld, count: number) {
+    const bookings = new Bookings(this);
+    const state: State = { stopped: false, answers: [], exits: [], loops: [], bookings };
+    states.set(this, state);
+    state.loops = Array.from({ length: count }, (_, n) => book(this, bookings, n));
+    await served(this);
+  },
+);
+
 After(async function endLoad(this: GatewayWorld) {
   const state = states.get(this);
   if (!state) return;
@@ -111,6 +126,30 @@
   },
 );
 
+Then(
+  'no booking ran twice, every "not_run" is true and the owner of a key answered each booking',
+  async function then(this: GatewayWorld) {
+    const state = stateOf(this);
+    state.stopped = true;
+    await Promise.all(state.loops);
+    const counts = await state.bookings?.check();
+    const first = (state.bookings?.answers ?? []).filter(({ resent }) => !resent);
+    const unanswered = first.filter(({ result }) => !result.complete && !isNotRun(result));
+    const refused = first.filter(({ result }) => isNotRun(result)).length;
+    this.log(JSON.stringify({ ...counts, refused, unanswered: unanswered.length }));
+    assert.deepEqual(
+      unanswered.map(({ result: { status, code, run, broken } }) => ({
+        status,
+        code,
+        run,
+        broken,
+      })),
+      [],
+    );
+    assert.ok(first.length > refused);
+  },
+);
+
 /** Replaces each daemon while the callers are served; the next one follows when it is ready. */
 function replaceAll(world: GatewayWorld, plans: readonly { name: string }[]): Promise<void> {
   return plans.reduce<Promise<void>>(async (before, { name }) => {
@@ -150,7 +189,7 @@
 ): Promise<CallResult> {
   const [address = '', ...others] = follower.addresses;
   const result = await world.caller('tent-crew').chat(address, chat);
-  const notRun = result.run === 'not_run' || (result.broken ?? '').includes('ECONNREFUSED');
+  const notRun = isNotRun(result);
   if (notRun || result.headers.connection === 'close') {
     Object.assign(follower, { addresses: await listed(world, [...others, address]) });
   }
@@ -158,18 +197,44 @@
   return call(world, follower, chat, attempt + 1);
 }
 
+/** Books in turn at all listed entries; a second entry gets each booking at the same time. */
+async function book(world: GatewayWorld, bookings: Bookings, n: number): Promise<void> {
+  if (stateOf(world).stopped) return;
+  const addresses = world.fleet.layout.entries.map(({ callers }) => callers);
+  const first = n % addresses.length;
+  const list = await entryList(world, [...addresses.slice(first), ...addresses.slice(0, first)]);
+  const [owner, second] = [list[n % list.length], list[(n + 1) % list.length]];
+  if (owner && second) {
+    const made = bookings.createMore(1, owner.key_prefix);
+    await Promise.all(
+      made.flatMap((booking) => [
+        bookings.send('tent-crew', booking, { callers: owner.address }),
+        bookings.send('tent-crew', booking, { callers: second.address }, { resent: true }),
+      ]),
+    );
+  }
+  await book(world, bookings, n + 1);
+}
+
+function isNotRun({ run, broken }: CallResult): boolean {
+  return run === 'not_run' || (broken ?? '').includes('ECONNREFUSED');
+}
+
 /** The entry list of the first entry that answers, without the entry that was last. */
 async function listed(world: GatewayWorld, addresses: readonly string[]): Promise<string[]> {
   const left = addresses.at(-1);
+  const list = (await entryList(world, addresses)).map(({ address }) => address);
+  const others = list.filter((address) => address !== left);
+  return others.length > 0 ? others : [...addresses];
+}
+
+/** The entry list of the first of these entries that answers. */
+function entryList(world: GatewayWorld, addresses: readonly string[]): Promise<ListedEntry[]> {
   const caller = world.caller('tent-crew');
-  const list = await addresses.reduce<Promise<string[]>>(async (before, address) => {
+  return addresses.reduce<Promise<ListedEntry[]>>(async (before, address) => {
     const found = await before;
-    if (found.length > 0) return found;
-    const entries = await caller.entries(address).catch(() => []);
-    return entries.map((entry) => entry.address);
+    return found.length > 0 ? found : caller.entries(address).catch(() => []);
   }, Promise.resolve([]));
-  const others = list.filter((address) => address !== left);
-  return others.length > 0 ? others : [...addresses];
 }
 
 function stateOf(world: GatewayWorld): State {
--- a/tests/features/src/support/bookings.ts
+++ b/tests/features/src/support/bookings.ts
@@ -60,12 +60,12 @@
     return this.createMore(count);
   }
 
-  /** Makes further bookings with keys of the same owner. */
-  createMore(count: number): readonly Booking[] {
+  /** Makes further bookings with keys of the same owner, or of another prefix. */
+  createMore(count: number, prefix = this.prefix): readonly Booking[] {
     const { world } = this;
     const made = Array.from({ length: count }, (_, n) => ({
       marker: `${world.marker}-${this.all.length + n}`,
-      key: makeKey(this.prefix, world.nonce()),
+      key: makeKey(prefix, world.nonce()),
     }));
     this.all.push(...made);
     return made;
@@ -75,7 +75,7 @@
   send(
     customer: string,
     booking: Booking,
-    entry: EntryPlan,
+    entry: Pick<EntryPlan, 'callers'>,
     { resent = false, deadlineMs }: SendOptions = {},
   ): Promise<CallResult> {
     const deadline = deadlineMs === undefined ? {} : { 'marjoramcart-deadline-ms': deadlineMs };
--- a/tests/features/src/support/wire.ts
+++ b/tests/features/src/support/wire.ts
@@ -21,6 +21,19 @@
   );
 }
 
+/** How often the request with each marker was sent between regions. */
+export function requestsOnWire(world: GatewayWorld): Map<string, number> {
+  const counts = new Map<string, number>();
+  wiresOf(world)
+    .map((wire) => fileOf(world, wire))
+    // eslint-disable-next-line n/no-sync
+    .filter((file) => existsSync(file))
+    // eslint-disable-next-line n/no-sync
+    .flatMap((file) => [...readFileSync(file, 'latin1').matchAll(/marker:([\w-]+)/g)])
+    .forEach(([, marker = '']) => counts.set(marker, (counts.get(marker) ?? 0) + 1));
+  return counts;
+}
+
 /** How often `text` is in the recorded bytes of a pair. */
 export function countOnWire(world: GatewayWorld, wire: Wire, text: string): number {
   const file = fileOf(world, wire);
