--- a/tests/stand-ins/src/fault-proxy/flow.ts
+++ b/tests/stand-ins/src/fault-proxy/flow.ts
@@ -10,6 +10,12 @@
   cut: boolean;
 }
 
+/** A direction as its control port shows it. */
+export interface FlowState extends FlowSettings {
+  /** Bytes passed on since the start. */
+  readonly bytes: number;
+}
+
 export class Flow {
   readonly settings: FlowSettings = { delay_ms: 0, rate_bytes_per_s: 0, cut: false };
 
--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -5,7 +5,7 @@
 import type { VmRecord } from '@marjoramcart/core';
 import type { EntrySettings } from '@marjoramcart/platform';
 import { readRunLog, type RunRecord } from '../common/run-log.js';
-import type { FlowSettings } from '../fault-proxy/flow.js';
+import type { FlowSettings, FlowState } from '../fault-proxy/flow.js';
 import type { LinkFaults } from '../fault-proxy/link.js';
 import { request, requestJson } from './http-client.js';
 import {
@@ -187,6 +187,11 @@
     await this.proxyTest('/flows', { ...between, ...settings });
   }
 
+  /** Settings and bytes of each direction, by `from>to`. */
+  flows(): Promise<Readonly<Record<string, FlowState>>> {
+    return requestJson('GET', `http://${this.layout.proxy.testAddress}/flows`);
+  }
+
   /** Faults of the connections between two places. */
   async setFaults(between: Between, faults: Partial<LinkFaults>): Promise<void> {
     await this.proxyTest('/faults', { ...between, ...faults });
--- a/tests/stand-ins/src/index.ts
+++ b/tests/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 /** Library side of the stand-ins: run logs, expected answers, fleet launcher and caller client. */
 export * from './common/run-log.js';
 export * from './engine/answer.js';
+export type { FlowState } from './fault-proxy/flow.js';
 export * from './fleet/fleet.js';
 export * from './fleet/http-client.js';
 export * from './fleet/layout.js';
