--- a/packages/bench/src/fakes/fake-reports.ts
+++ b/packages/bench/src/fakes/fake-reports.ts
@@ -9,6 +9,13 @@
   readonly takenAt: number;
 }
 
+/** Figures of the healthy model targets of a region. */
+export interface ModelTargets {
+  readonly readyTargets: number;
+  readonly meanWaitMs: number;
+  readonly freeSlots: number;
+}
+
 export interface ReportOptions {
   readonly lagMs: number;
   /** Share of cache events that are lost. */
@@ -26,6 +33,8 @@
 
   private sequence = 0;
 
+  private summary: ModelTargets | undefined;
+
   constructor(
     private readonly clock: VirtualClock,
     targets: readonly FakeTarget[],
@@ -46,6 +55,27 @@
     return [...this.cached.values()].some((prefixes) => prefixes.has(prefix));
   }
 
+  /** Figures of the last reports; computed once for each change of them. */
+  modelTargets(): ModelTargets {
+    this.summary ??= this.summarise();
+    return this.summary;
+  }
+
+  private summarise(): ModelTargets {
+    const states = [...this.byVm.values()]
+      .map(({ state }) => state)
+      .filter(({ kind, healthy }) => kind === 'engine' && healthy);
+    return {
+      readyTargets: states.length,
+      meanWaitMs: meanOf(states.map(({ waitMs }) => waitMs)),
+      freeSlots: states.reduce(
+        (sum, { concurrency, running, queued }) =>
+          sum + Math.max(0, concurrency - running - queued),
+        0,
+      ),
+    };
+  }
+
   private take(target: FakeTarget): void {
     if (!target.alive && this.clock.now - target.diedAt < DEATH_NOTICE_MS) return;
     this.sequence += 1;
@@ -62,7 +92,13 @@
         else prefixes.delete(prefix);
       });
       this.byVm.set(target.vm, { state: { ...state, cachedPrefixes: [...prefixes] }, takenAt });
+      this.summary = undefined;
       this.onReport(target.vm);
     });
   }
 }
+
+/** Mean of some values; 0 without any. */
+export function meanOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
--- a/packages/bench/src/fakes/virtual-clock.ts
+++ b/packages/bench/src/fakes/virtual-clock.ts
@@ -40,40 +40,39 @@
   }
 
   private pop(): void {
-    const last = this.heap.pop();
-    if (!last || this.heap.length === 0) return;
-    this.heap[0] = last;
+    const { heap } = this;
+    const last = heap.pop();
+    if (!last || heap.length === 0) return;
     let at = 0;
     for (;;) {
       const left = 2 * at + 1;
-      const child = this.isBefore(left + 1, left) ? left + 1 : left;
-      if (!this.isBefore(child, at)) return;
-      this.swap(child, at);
-      at = child;
+      const leftItem = heap[left];
+      const rightItem = heap[left + 1];
+      const useRight = leftItem && rightItem && isBefore(rightItem, leftItem);
+      const child = useRight ? rightItem : leftItem;
+      if (!child || !isBefore(child, last)) break;
+      heap[at] = child;
+      at = useRight ? left + 1 : left;
     }
+    heap[at] = last;
   }
 
   private siftUp(from: number): void {
+    const { heap } = this;
+    const item = heap[from];
+    if (!item) return;
     let at = from;
     while (at > 0) {
-      const parent = Math.floor((at - 1) / 2);
-      if (!this.isBefore(at, parent)) return;
-      this.swap(at, parent);
-      at = parent;
+      const parentAt = Math.floor((at - 1) / 2);
+      const parent = heap[parentAt];
+      if (!parent || !isBefore(item, parent)) break;
+      heap[at] = parent;
+      at = parentAt;
     }
+    heap[at] = item;
   }
+}
 
-  private isBefore(a: number, b: number): boolean {
-    const left = this.heap[a];
-    const right = this.heap[b];
-    if (!left || !right) return false;
-    return left.at < right.at || (left.at === right.at && left.order < right.order);
-  }
-
-  private swap(a: number, b: number): void {
-    const { [a]: left, [b]: right } = this.heap;
-    if (!left || !right) return;
-    this.heap[a] = right;
-    this.heap[b] = left;
-  }
+function isBefore(a: Scheduled, b: Scheduled): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
 }
--- a/packages/bench/src/policies/entry-driver.ts
+++ b/packages/bench/src/policies/entry-driver.ts
@@ -55,13 +55,17 @@
 
   private readonly sends = new Map<string, OwnSends>();
 
+  private readonly byVm: ReadonlyMap<string, FakeTarget>;
+
+  private readonly vms: Readonly<Record<'model' | 'plain', readonly string[]>>;
+
   private readonly policy: TargetPolicy;
 
   private readonly budget = new RetryBudget(RETRY_SHARE, 0);
 
   constructor(
     private readonly clock: VirtualClock,
-    private readonly targets: readonly FakeTarget[],
+    targets: readonly FakeTarget[],
     private readonly reports: FakeReports,
     private readonly random: RandomSource,
     system: System,
@@ -75,6 +79,10 @@
         ...system.admission,
       });
     this.admissions = { model: admission(), plain: admission() };
+    this.byVm = new Map(targets.map((target) => [target.vm, target]));
+    const vmsOf = (isPlain: boolean): string[] =>
+      targets.filter(({ plain }) => plain === isPlain).map(({ vm }) => vm);
+    this.vms = { model: vmsOf(false), plain: vmsOf(true) };
     targets.forEach(({ vm }) =>
       this.sends.set(vm, { sent: [], ended: [], inFlight: 0, failures: 0, excludedUntil: 0 }),
     );
@@ -132,7 +140,7 @@
       bodyBytes: call.bodyBytes,
     };
     const chosen = this.policy.choose(req, this.candidates(call.plain), this.random);
-    const target = this.targets.find(({ vm }) => vm === chosen?.state.vm);
+    const target = chosen && this.byVm.get(chosen.state.vm);
     const own = target && this.sends.get(target.vm);
     if (!target || !own) {
       this.finish(id, 'failed');
@@ -200,13 +208,11 @@
   }
 
   private candidates(plain: boolean): TargetCandidate[] {
-    const usable = this.targets
-      .filter((target) => target.plain === plain)
-      .flatMap(({ vm }) => {
-        const seen = this.reports.byVm.get(vm);
-        const own = this.sends.get(vm);
-        return seen && own && seen.state.healthy ? [{ seen, own }] : [];
-      });
+    const usable = this.vms[plain ? 'plain' : 'model'].flatMap((vm) => {
+      const seen = this.reports.byVm.get(vm);
+      const own = this.sends.get(vm);
+      return seen && own && seen.state.healthy ? [{ seen, own }] : [];
+    });
     const included = usable.filter(({ own }) => own.excludedUntil <= this.clock.now);
     return (included.length > 0 ? included : usable).map(({ seen, own }) => ({
       state: { ...seen.state, reportAgeMs: this.clock.now - seen.takenAt },
--- a/packages/bench/src/policies/run-scenario.ts
+++ b/packages/bench/src/policies/run-scenario.ts
@@ -8,7 +8,7 @@
   type RandomSource,
 } from '@marjoramcart/core';
 import { FakeLink } from '../fakes/fake-link.js';
-import { FakeReports } from '../fakes/fake-reports.js';
+import { FakeReports, meanOf } from '../fakes/fake-reports.js';
 import { FakeTarget } from '../fakes/fake-target.js';
 import { VirtualClock } from '../fakes/virtual-clock.js';
 import { figuresOf, type CallRecord, type Figures } from './call-record.js';
@@ -275,20 +275,14 @@
     isIncluded: (entry: EntryDriver) => boolean,
     customer: string,
   ): Summary {
-    const states = region.targets
-      .filter(({ plain }) => !plain)
-      .flatMap(({ vm }) => region.reports.byVm.get(vm)?.state ?? [])
-      .filter(({ healthy }) => healthy);
-    const mean = (values: readonly number[]): number =>
-      values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
-    const free = states.map(({ concurrency, running, queued }) => concurrency - running - queued);
+    const { readyTargets, meanWaitMs, freeSlots } = region.reports.modelTargets();
     const queueWaits = region.entries
       .filter(isIncluded)
       .map((entry) => entry.expectedWaitMs(customer));
     return {
-      readyTargets: states.length,
-      waitMs: mean(states.map(({ waitMs }) => waitMs)) + mean(queueWaits),
-      freeSlots: free.reduce((sum, slots) => sum + Math.max(0, slots), 0),
+      readyTargets,
+      waitMs: meanWaitMs + meanOf(queueWaits),
+      freeSlots,
     };
   }
 
--- a/packages/core/src/admission/customer-queues.ts
+++ b/packages/core/src/admission/customer-queues.ts
@@ -44,9 +44,17 @@
   /** The request that arrived first, of the customers that pass the test. */
   oldest(test?: (customer: string) => boolean): AdmissionRequest | undefined {
     if (!test) return this.byId.values().next().value;
-    const passing = new Set(this.customers.filter(test));
-    if (passing.size === 0) return undefined;
-    return this.all().find(({ customer }) => passing.has(customer));
+    // The queue is long only under overload, and then its first request mostly passes.
+    const results = new Map<string, boolean>();
+    const passes = ({ customer }: AdmissionRequest): boolean => {
+      const result = results.get(customer) ?? test(customer);
+      results.set(customer, result);
+      return result;
+    };
+    const queued = this.byId.values();
+    let next = queued.next();
+    while (!next.done && !passes(next.value)) next = queued.next();
+    return next.done ? undefined : next.value;
   }
 
   /** The customer's request with the highest priority; the oldest of equals. */
