Raise the weight of expected lateness in the region choice

Cause: with Afilados' weights another region was chosen only when the wait at home was above about 1,016 ms, but admission refuses from an expected wait of 910 ms (0.7 latency targets). When a region lost half its targets, requests were therefore refused at home while other regions had room.

Choosing the region again while a request is queued was not tried.

Change: the part of the expected first-token time above 0.2 latency targets has a weight of at least 4. RoutedRequest carries the latency target; entries and marjoramctl explain pass it from the service's first_token.

--- a/packages/bench/src/policies/run-scenario.ts
+++ b/packages/bench/src/policies/run-scenario.ts
@@ -224,6 +224,7 @@
       promptTokens: call.promptTokens,
       maxTokens: Workload.MinAnswerTokens + Workload.ExtraAnswerTokens,
       bodyBytes: call.bodyBytes,
+      latencyTargetMs: Workload.FirstTokenTargetMs,
     };
     return region.policies[at]?.choose(routed, home, others, this.user.weights);
   }
--- a/packages/core/src/routing/domain-policies.test.ts
+++ b/packages/core/src/routing/domain-policies.test.ts
@@ -35,6 +35,21 @@
   assert.equal(choose({ waitMs: 3000 }, {}), 'west-1');
 });
 
+test('expected lateness outweighs a small weight of the tail', () => {
+  // Guards against requests that are refused at home while other regions have room.
+  const frugal = { tail: 1, cost: 3, away: 3 };
+  const choice = (waitMs: number, latencyTargetMs?: number): string | undefined =>
+    policy.choose(
+      { ...req, latencyTargetMs },
+      option('north', { waitMs }),
+      [option('west', { linkMbitPerS: 100 })],
+      frugal,
+    ).failureDomain;
+  assert.equal(choice(700), 'north-1');
+  assert.equal(choice(700, 1300), 'west-1');
+  assert.equal(choice(300, 1300), 'north-1');
+});
+
 test('a spent link budget, old figures and a domain without targets keep a request at home', () => {
   assert.equal(choose({ waitMs: 3000 }, { linkBudgetBytes: 100 }), 'north-1');
   assert.equal(choose({ waitMs: 3000 }, { ageMs: 20_000 }), 'north-1');
--- a/packages/core/src/routing/routing-policy.ts
+++ b/packages/core/src/routing/routing-policy.ts
@@ -11,6 +11,8 @@
   readonly promptTokens: number;
   readonly maxTokens: number;
   readonly bodyBytes: number;
+  /** Latency target for the first token, ms; absent for plain services. */
+  readonly latencyTargetMs?: number;
 }
 
 /** A target with its report corrected by what this process sent since the report. */
--- a/packages/core/src/routing/weighted-cost-domain-policy.ts
+++ b/packages/core/src/routing/weighted-cost-domain-policy.ts
@@ -19,6 +19,10 @@
   readonly answerBytesPerToken: number;
   /** Figures of other domains that are older than this are not used, in ms. */
   readonly maxAgeMs: number;
+  /** Share of the latency target from which a request counts as late. */
+  readonly lateShare: number;
+  /** Least weight of the first-token time above that share. */
+  readonly lateWeight: number;
 }
 
 export const WEIGHTED_COST_DEFAULTS: WeightedCostOptions = {
@@ -26,6 +30,8 @@
   marginMs: 100,
   answerBytesPerToken: 200,
   maxAgeMs: 10_000,
+  lateShare: 0.2,
+  lateWeight: 4,
 };
 
 /**
@@ -78,7 +84,11 @@
     const linkBytes = isAway ? this.linkBytes(req) + plan.kvBytes : 0;
     const linkMs = option.linkMbitPerS ? transferMs(linkBytes, option.linkMbitPerS) : 0;
     const lostPrefillMs = Math.max(0, option.prefillMs - home.prefillMs);
-    const tail = weights.tail * (2 * option.oneWayMs + option.waitMs + plan.prefillMs);
+    const tail = this.tailCost(
+      2 * option.oneWayMs + option.waitMs + plan.prefillMs,
+      req.latencyTargetMs,
+      weights.tail,
+    );
     const cost = weights.cost * ((plan.exportKv ? 0 : lostPrefillMs) + linkMs);
     const away = isAway ? weights.away * this.options.awayMs : 0;
     const excluded = this.exclusion(option, option === home, linkBytes);
@@ -92,6 +102,13 @@
     };
   }
 
+  /** A small weight must not hold requests at home that will be late or refused there. */
+  private tailCost(firstTokenMs: number, latencyTargetMs = Infinity, weight = 1): number {
+    const { lateShare, lateWeight } = this.options;
+    const lateMs = Math.max(0, firstTokenMs - lateShare * latencyTargetMs);
+    return weight * (firstTokenMs - lateMs) + Math.max(weight, lateWeight) * lateMs;
+  }
+
   private exclusion(option: DomainOption, isHome: boolean, linkBytes: number): string | undefined {
     if (option.readyTargets <= 0) return 'no ready target';
     if (isHome) return undefined;
--- a/packages/ctl/src/explain/explain-command.ts
+++ b/packages/ctl/src/explain/explain-command.ts
@@ -105,7 +105,8 @@
   const others = choices.filter((option) => option !== home);
   const bodyBytes = question.promptTokens * BYTES_PER_TOKEN;
   const { serviceId, promptTokens, service } = question;
-  const req = { service: serviceId, promptTokens, maxTokens: 0, bodyBytes };
+  const latencyTargetMs = service.kind === 'model' ? service.first_token : undefined;
+  const req = { service: serviceId, promptTokens, maxTokens: 0, bodyBytes, latencyTargetMs };
   return createPolicy(policyName).choose(req, home, others, service.weights);
 }
 
--- a/packages/entry/src/routing/domain-chooser.ts
+++ b/packages/entry/src/routing/domain-chooser.ts
@@ -9,6 +9,7 @@
   type DomainSummary,
   type ProcessRef,
   type RandomSource,
+  type RoutedRequest,
   type TargetCandidate,
 } from '@marjoramcart/core';
 import type { ForwardTarget } from '../forward/forward-exchange.js';
@@ -48,7 +49,7 @@
     const summaries = this.eligible(call, excluded);
     if (summaries.length === 0) return undefined;
     const decision = policy.choose(
-      call.routed,
+      this.routed(call),
       this.home(call, excluded, localReady, admissionWaitMs),
       summaries.map((summary) => this.option(summary, call)),
       call.config.weights,
@@ -128,6 +129,10 @@
     };
   }
 
+  private routed({ config, routed }: Call): RoutedRequest {
+    return config.kind === 'model' ? { ...routed, latencyTargetMs: config.first_token } : routed;
+  }
+
   private prefillMs(call: Call): number {
     const model =
       call.config.kind === 'model'
