Pack services whose cost weighs most on few targets

Decode time hardly depends on the batch, so each target with at least one request costs nearly the same, and regions in their daily trough kept all twelve targets busy.

The entries pass the service's weights to the policy.

--- a/packages/bench/src/policies/entry-driver.ts
+++ b/packages/bench/src/policies/entry-driver.ts
@@ -5,6 +5,7 @@
   type AdmissionRequest,
   type RandomSource,
   type RoutedRequest,
+  type ServiceWeights,
   type TargetCandidate,
   type TargetPolicy,
 } from '@marjoramcart/core';
@@ -69,6 +70,7 @@
     private readonly reports: FakeReports,
     private readonly random: RandomSource,
     system: System,
+    private readonly weights: ServiceWeights,
   ) {
     this.policy = system.target();
     const admission = (): WindowAdmissionController =>
@@ -139,7 +141,8 @@
       maxTokens: EXPECTED_ANSWER_TOKENS,
       bodyBytes: call.bodyBytes,
     };
-    const chosen = this.policy.choose(req, this.candidates(call.plain), this.random);
+    const candidates = this.candidates(call.plain);
+    const chosen = this.policy.choose(req, candidates, this.random, this.weights);
     const target = chosen && this.byVm.get(chosen.state.vm);
     const own = target && this.sends.get(target.vm);
     if (!target || !own) {
--- a/packages/bench/src/policies/run-scenario.ts
+++ b/packages/bench/src/policies/run-scenario.ts
@@ -121,6 +121,7 @@
           reports,
           seededRandom(this.seed * 1000 + 200 + 10 * at + entry),
           this.system,
+          this.user.weights,
         ),
       ),
     );
--- a/packages/core/src/routing/routing-policy.ts
+++ b/packages/core/src/routing/routing-policy.ts
@@ -36,6 +36,7 @@
     req: RoutedRequest,
     candidates: readonly TargetCandidate[],
     random: RandomSource,
+    weights?: ServiceWeights,
   ): TargetCandidate | undefined;
 }
 
--- a/packages/core/src/routing/target-policies.test.ts
+++ b/packages/core/src/routing/target-policies.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { ServiceWeights } from '../config/text-schema.js';
+import type { TargetState } from '../messages/messages.js';
 import { seededRandom } from '../random-source.js';
 import { BoundedAffinityTargetPolicy } from './bounded-affinity-target-policy.js';
 import { PrefixAffinityTargetPolicy } from './prefix-affinity-target-policy.js';
@@ -86,3 +88,26 @@
   assert.equal(new BoundedAffinityTargetPolicy().choose(req, [], seededRandom(1)), undefined);
   assert.equal(new RoundRobinTargetPolicy().choose(req, []), undefined);
 });
+
+test('a service whose cost weighs most leaves the same targets idle for all prefixes', () => {
+  // Guards against small batches on every target while the load would fit on few of them.
+  const policy = new BoundedAffinityTargetPolicy();
+  const used = (weights: ServiceWeights, own: Partial<TargetState> = {}): number => {
+    const candidates = vms.map((vm) => {
+      const base = candidate(vm, {}, 2);
+      return { ...base, state: { ...base.state, ...own } };
+    });
+    const chosen = Array.from(
+      { length: 40 },
+      (_, at) =>
+        policy.choose({ ...req, prefix: `p${at}` }, candidates, seededRandom(at), weights)?.state
+          .vm,
+    );
+    return new Set(chosen).size;
+  };
+  const cheap = { tail: 1, cost: 3, away: 3 };
+  assert.equal(used(cheap), 2);
+  assert.equal(used({ tail: 3, cost: 1, away: 1 }), vms.length);
+  // Targets that prefill have no room, however few requests they run.
+  assert.equal(used(cheap, { waitMs: 500 }), vms.length);
+});
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -130,7 +130,7 @@
   private chooseTarget({ call, excluded }: DispatchProgress): TargetState | undefined {
     const { targets, targetPolicy, random } = this.options;
     const candidates = targets.candidates(call.service, excluded);
-    return targetPolicy.choose(call.routed, candidates, random)?.state;
+    return targetPolicy.choose(call.routed, candidates, random, call.config.weights)?.state;
   }
 
   private async tryForward(
