Tell all failure domains at once that an entry began to drain

Cause: a draining entry closes after its notice of 1 s, but entries of other failure domains knew it from summaries, which are published each 3 s and exchanged each 2 s. Their lists named it for some seconds more, so that callers took key prefixes of a process that had ended; its successor on the address can't answer for these keys.

Ruled out: a longer notice alone, which would have to exceed the expiry of a summary (10 s) for each shutdown; answering for keys of a predecessor, which may have run them.

Change: a control daemon announces an entry that begins to drain in its failure domain; the publisher puts it into a summary without waiting for the interval and sends that to two control daemons of each other failure domain, which announce it in theirs.

Test: two control daemons in two failure domains; the second knows of it in under 500 ms.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -23,8 +23,8 @@
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/platform';
 
-/** Where a snapshot or a list came from. */
-export type ChangeSource = 'platform' | 'own-domain' | 'other-domain';
+/** Where a snapshot, a list or the news of a draining entry came from. */
+export type ChangeSource = 'platform' | 'entry' | 'own-domain' | 'other-domain';
 
 type Listener = (source: ChangeSource) => void;
 
@@ -85,7 +85,7 @@
     });
   }
 
-  /** Calls `fn` after each new configuration revision or version of the list of VMs. */
+  /** Calls `fn` after each new revision, version of the list of VMs, and entry that drains. */
   onChange(fn: Listener): void {
     this.listeners.push(fn);
   }
@@ -116,6 +116,11 @@
     return taken;
   }
 
+  /** An entry of this VM began to drain. */
+  onEntryDraining(): void {
+    this.changed('entry');
+  }
+
   /**
    * Boot ids of the live control daemons of the own failure domain: the same list as long as they
    * are the same, since duties are computed once for each list.
--- a/packages/control/src/peers/domains.test.ts
+++ b/packages/control/src/peers/domains.test.ts
@@ -104,3 +104,21 @@
   await until('digest of c1', () => known().includes('of-c1'));
   assert.deepEqual(known(), ['of-c1']);
 });
+
+test('two failure domains: an entry that begins to drain is known elsewhere within its notice', async () => {
+  // Guards against lists that name an entry that has ended: its keys can't be answered any more.
+  const sync = (draining: boolean) =>
+    client.call(addresses.north, 'entry.sync', {
+      ...newEntryParams('e1'),
+      load: { openRequests: 0, queued: 0, draining },
+    });
+  const drains = (): boolean | undefined =>
+    daemons[1]?.state.summaries
+      .fresh(daemons[1].state.timers.now())
+      .flatMap(({ entries }) => entries)
+      .find(({ bootId }) => bootId === 'entry-e1')?.draining;
+  await sync(false);
+  await until('the entry is known', () => drains() === false);
+  await sync(true);
+  await until('the entry drains', () => drains() === true, 500);
+});
--- /dev/null
+++ b/packages/control/src/peers/draining-news.ts
@@ -0,0 +1,66 @@
+/**
+ * Passes on at once that an entry began to drain: callers of all failure domains must find it gone
+ * from the entry lists when its notice ends, which is sooner than summaries spread by gossip.
+ */
+import type { GossipParams, OriginUpdate, RandomSource, VmRecord } from '@marjoramcart/core';
+import type { ControlState } from '../control-state.js';
+import { pickRandom } from './pick-random.js';
+
+/** Control daemons of each other failure domain that are told; one of them may be gone. */
+const FAN_OUT = 2;
+
+export interface DrainingNewsOptions {
+  readonly state: ControlState;
+  readonly random: RandomSource;
+  /** Addresses of the other live control daemons of the failure domain. */
+  readonly peers: () => readonly string[];
+  readonly message: (
+    address: string,
+    own: boolean,
+    withSummaries: boolean,
+    region?: string,
+  ) => GossipParams;
+  readonly send: (address: string, params: GossipParams) => void;
+}
+
+export class DrainingNews {
+  constructor(private readonly options: DrainingNewsOptions) {}
+
+  /**
+   * Sends what the summaries show since the last call. The publisher of a failure domain tells all
+   * others, and a daemon that hears of it from there tells its own failure domain.
+   */
+  spread(isFromOwnDomain: boolean, isPublisher: boolean): void {
+    const { state, peers, message, send } = this.options;
+    const domains = state.summaries.takeDraining();
+    const { failureDomain } = state.self;
+    if (domains.includes(failureDomain) && isPublisher) {
+      this.controlsElsewhere().forEach(({ address, region }) =>
+        send(address, message(address, false, false, region)),
+      );
+    }
+    const others = domains.filter((domain) => domain !== failureDomain);
+    if (others.length === 0 || isFromOwnDomain) return;
+    const summaries = state.summaries.updatesOf(others, state.timers.now());
+    peers().forEach((address) => send(address, { ...message(address, true, false), summaries }));
+  }
+
+  private controlsElsewhere(): VmRecord[] {
+    const { state, random } = this.options;
+    const vms = state.vms.current.vms.filter(({ role }) => role === 'entry');
+    const domains = new Set(vms.map(({ failureDomain }) => failureDomain));
+    domains.delete(state.self.failureDomain);
+    return [...domains].flatMap((domain) =>
+      pickRandom(
+        random,
+        vms.filter(({ failureDomain }) => failureDomain === domain),
+        FAN_OUT,
+      ),
+    );
+  }
+}
+
+/** @example hasDrainingEntry([{ bootId: 'a', heartbeat: 1, revision: 1 }]) // false */
+export function hasDrainingEntry(origins: readonly OriginUpdate[]): boolean {
+  return origins.some(({ entries }) => entries?.some(([, { load }]) => load?.draining));
+}
--- a/packages/control/src/peers/entry-sync.ts
+++ b/packages/control/src/peers/entry-sync.ts
@@ -14,7 +14,8 @@
   probeNow: (vms: readonly string[]) => void = () => {},
 ): EntrySyncResult {
   const nowMs = state.timers.now();
-  state.members.registerEntry(params.process, params.load, params.revision, nowMs);
+  const { process, load, revision } = params;
+  if (state.members.registerEntry(process, load, revision, nowMs)) state.onEntryDraining();
   state.config.witness(params.witnessedRevision);
   state.suspects.merge(params.suspects, nowMs);
   const failing = params.observations.filter(({ failures, successes }) => failures > successes);
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -17,6 +17,7 @@
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ChangeSource, ControlState } from '../control-state.js';
 import type { PeerFetch } from '../config/config-task.js';
+import { DrainingNews, hasDrainingEntry } from './draining-news.js';
 import { GossipPacking } from './gossip-packing.js';
 import { NewestFetch } from './newest-fetch.js';
 import { pickRandom } from './pick-random.js';
@@ -61,6 +62,8 @@
 
   private readonly packing: GossipPacking;
 
+  private readonly drainingNews: DrainingNews;
+
   private readonly configFetch: NewestFetch;
 
   private readonly vmsFetch: NewestFetch;
@@ -71,6 +74,15 @@
     this.log = options.log.child('gossip');
     this.packing = new GossipPacking(options.state);
     this.random = seededRandom(options.seed);
+    this.drainingNews = new DrainingNews({
+      state: options.state,
+      random: this.random,
+      peers: () => this.liveAddresses(),
+      message: (...args) => this.message(...args),
+      send: (address, params) => {
+        void this.exchange(address, params);
+      },
+    });
     const { config, vms, timers } = options.state;
     const now = (): number => timers.now();
     this.configFetch = new NewestFetch({
@@ -225,6 +237,8 @@
     const own = from.failureDomain === state.self.failureDomain;
     if (own) takeOpinions(state.targets, state.members.merge(origins, nowMs), nowMs);
     state.summaries.merge(message.summaries, nowMs);
+    if (own && hasDrainingEntry(origins)) this.publish();
+    this.drainingNews.spread(own, this.publishing);
     const { cfg } = state;
     // Checked on both sides, since the sender may have another configuration.
     const allowed = message.suspects.filter(
@@ -271,6 +285,14 @@
     const { state } = this.options;
     const nowMs = state.timers.now();
     state.members.tick(state.config.revision, nowMs);
+    this.publish();
+    this.drainingNews.spread(true, this.publishing);
+  }
+
+  /** Publishes the summary of the failure domain if that is this daemon's duty. */
+  private publish(): void {
+    const { state } = this.options;
+    const nowMs = state.timers.now();
     const { failureDomain, bootId } = state.self;
     this.publishing = isSummarizer(failureDomain, bootId, state.liveControlIds());
     if (!this.publishing) return;
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -94,7 +94,7 @@
   }
 
   /** Registers an entry daemon that synced with this control daemon. */
-  registerEntry(process: ProcessRef, load: EntryLoad, revision: number, nowMs: number): void {
+  registerEntry(process: ProcessRef, load: EntryLoad, revision: number, nowMs: number): boolean {
     const { entries, heartbeat } = this.own;
     const rounded = {
       openRequests: quantise(load.openRequests),
@@ -107,6 +107,7 @@
     this.own.gone.delete(process.bootId);
     if (same && !this.mustRepeat(before, nowMs)) before.atMs = nowMs;
     else entries.set(process.bootId, stamped(heartbeat + 1, entry, nowMs));
+    return load.draining && before?.value.load?.draining === false;
   }
 
   /** Publishes what this process saw of a target; whether it differs from what was published. */
--- a/packages/core/src/membership/summary-table.ts
+++ b/packages/core/src/membership/summary-table.ts
@@ -38,19 +38,27 @@
 export class SummaryTable {
   private readonly stored = new Map<string, StoredSummary>();
 
+  /** Failure domains whose entries began to drain since the last `takeDraining`. */
+  private readonly draining = new Set<string>();
+
   constructor(
     private readonly failureDomain: string,
     private readonly region: string,
   ) {}
 
-  /** Publishes the summary of the own failure domain; false while the last one is too recent. */
+  /**
+   * Publishes the summary of the own failure domain; false while the last one is too recent. An
+   * entry that begins to drain ends its notice sooner than that and is published at once.
+   */
   publish(
     latest: readonly ServiceSummary[],
     entries: readonly EntrySummary[],
     { nowMs, wallMs }: SummaryClock,
   ): boolean {
     const before = this.stored.get(this.failureDomain);
-    if (before && nowMs - before.madeAt < PUBLISH_INTERVAL_MS) return false;
+    const urgent = beginsToDrain(before?.summary.entries, entries);
+    if (before && !urgent && nowMs - before.madeAt < PUBLISH_INTERVAL_MS) return false;
+    if (urgent) this.draining.add(this.failureDomain);
     const version = Math.max((before?.summary.version ?? 0) + 1, versionAt(wallMs));
     const services = latest.map((service) => steady(service, before?.summary.services));
     const same = (part: 'services' | 'entries', value: unknown): boolean =>
@@ -138,6 +146,20 @@
     return updates.filter((update) => this.mergeOne(update, nowMs)).length > 0;
   }
 
+  /** Failure domains whose entries began to drain since the last call. */
+  takeDraining(): string[] {
+    const domains = [...this.draining];
+    this.draining.clear();
+    return domains;
+  }
+
+  /** The whole summaries of some failure domains. */
+  updatesOf(domains: readonly string[], nowMs: number): SummaryUpdate[] {
+    return this.updatesSince({}, nowMs).filter(({ failureDomain }) =>
+      domains.includes(failureDomain),
+    );
+  }
+
   /** Age of what is known of a failure domain, in ms; Infinity when nothing is. */
   ageOf(failureDomain: string, nowMs: number): number {
     return nowMs - (this.stored.get(failureDomain)?.madeAt ?? -Infinity);
@@ -166,6 +188,7 @@
         freeSlots,
       })) ?? heldServices;
     if (!entries || !services) return false;
+    if (beginsToDrain(before?.summary.entries, entries)) this.draining.add(update.failureDomain);
     const { failureDomain, region, version, servicesVersion, entriesVersion, ageMs } = update;
     this.stored.set(failureDomain, {
       summary: { failureDomain, region, version, ageMs, services, entries },
@@ -177,6 +200,15 @@
   }
 }
 
+/** Whether an entry drains that was known not to. */
+function beginsToDrain(
+  before: readonly EntrySummary[] | undefined,
+  present: readonly EntrySummary[],
+): boolean {
+  const serving = new Set(before?.filter(({ draining }) => !draining).map(({ bootId }) => bootId));
+  return present.some(({ bootId, draining }) => draining && serving.has(bootId));
+}
+
 /** The figures published before, if the present ones are near them. */
 function steady(present: ServiceSummary, before: readonly ServiceSummary[] = []): ServiceSummary {
   const last = before.find(({ service }) => service === present.service);
