Take the record of an entry that shows it draining, whichever control daemon sent it

Cause: an entry that synced with another control daemon while its own was replaced has a record at both. The older record no longer changes, but is confirmed by each heartbeat until it is dropped after 15 s, and the record confirmed last was used. Lists therefore named entries that had drained and ended, up to 8 s later in the scenario of keyed bookings under a rolling replacement; their successors on the same address answered unknown (5201).

Ruled out: slow news of draining alone.

Change: a draining record goes before one that does not, since an entry never stops draining; else the record that changed last is used, not the one confirmed last.

Before: the new unit test fails.

--- a/packages/core/src/membership/member-table.test.ts
+++ b/packages/core/src/membership/member-table.test.ts
@@ -154,3 +154,26 @@
     updates,
   );
 });
+
+test('a draining entry is known as such although another control daemon holds an older record', () => {
+  // Guards against lists that name an ended entry that had synced with two control daemons.
+  const [a, b, c] = ['a', 'b', 'c'].map((name) => new MemberTable(control(name), 0)) as [
+    MemberTable,
+    MemberTable,
+    MemberTable,
+  ];
+  const entry: ProcessRef = { ...control('e'), role: 'entry' };
+  const load = (draining: boolean) => ({ openRequests: 0, queued: 0, draining });
+  b.registerEntry(entry, load(false), 1, 0);
+  a.registerEntry(entry, load(false), 1, 1000);
+  assert.equal(a.registerEntry(entry, load(true), 1, 2000), true);
+  assert.equal(a.registerEntry(entry, load(true), 1, 2250), false);
+  [3, 4, 5, 6].forEach((s) => {
+    [a, b].forEach((table) => table.tick(1, s * 1000));
+    (s % 2 === 0 ? [a, b] : [b, a]).forEach((table) => pull(c, table, s));
+    assert.deepEqual(
+      c.entries().map(({ load: held }) => held?.draining),
+      [true],
+    );
+  });
+});
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -174,12 +174,16 @@
     return [...controls, ...this.entries()];
   }
 
-  /** Entry daemons; the newest record of each. */
+  /**
+   * Entry daemons; the newest record of each. An entry that synced with another control daemon for
+   * a while has a record there that is confirmed for some seconds more but no longer changes.
+   */
   entries(): ProcessEntry[] {
     const newest = new Map<string, Stamped<ProcessEntry>>();
     this.origins.forEach(({ entries }) =>
       entries.forEach((entry, bootId) => {
-        if ((newest.get(bootId)?.atMs ?? -1) < entry.atMs) newest.set(bootId, entry);
+        const before = newest.get(bootId);
+        if (!before || isNewer(entry, before)) newest.set(bootId, entry);
       }),
     );
     return [...newest.values()].map(({ value }) => value);
@@ -259,6 +263,12 @@
   }
 }
 
+/** An entry never stops draining, so a record that shows it is the newer one. */
+function isNewer(a: Stamped<ProcessEntry>, b: Stamped<ProcessEntry>): boolean {
+  const [drainsA, drainsB] = [a, b].map(({ value }) => value.load?.draining === true);
+  return drainsA === drainsB ? a.publishedMs > b.publishedMs : drainsA === true;
+}
+
 function stamped<Value>(stamp: number, value: Value, nowMs: number): Stamped<Value> {
   return { stamp, value, atMs: nowMs, publishedMs: nowMs };
 }
