--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -1,11 +1,9 @@
 /** Gossip between control daemons, and fetches of what a peer holds in a newer version. */
 import {
   MembershipTiming,
-  applyDelta,
   isSummarizer,
   mayKnowSuspect,
   seededRandom,
-  sectionHashes,
   summarizeEntries,
   summarizeServices,
   type GossipParams,
@@ -20,6 +18,7 @@
 import { DrainingNews, hasDrainingEntry } from './draining-news.js';
 import { GossipPacking } from './gossip-packing.js';
 import { NewestFetch } from './newest-fetch.js';
+import { PeerFetches } from './peer-fetches.js';
 import { pickRandom } from './pick-random.js';
 import { takeOpinions } from './take-opinions.js';
 
@@ -35,8 +34,6 @@
  */
 const HEARTBEATS_SENT_UNASKED = 3;
 const RPC_TIMEOUT_MS = 1000;
-/** A whole configuration of 25,000 customers is some MB. */
-const FETCH_TIMEOUT_MS = 2500;
 
 export interface GossipTaskOptions {
   readonly state: ControlState;
@@ -50,8 +47,6 @@
 export class GossipTask implements Task, PeerFetch {
   readonly name = 'gossip';
 
-  private readonly log: Logger;
-
   private readonly random: RandomSource;
 
   /** Own heartbeat that each peer is known to hold. */
@@ -71,7 +66,6 @@
   private unsubscribe: (() => void)[] = [];
 
   constructor(private readonly options: GossipTaskOptions) {
-    this.log = options.log.child('gossip');
     this.packing = new GossipPacking(options.state);
     this.random = seededRandom(options.seed);
     this.drainingNews = new DrainingNews({
@@ -84,15 +78,16 @@
       },
     });
     const { config, vms, timers } = options.state;
+    const fetches = new PeerFetches({ ...options, log: options.log.child('gossip') });
     const now = (): number => timers.now();
     this.configFetch = new NewestFetch({
       held: () => config.revision,
-      fetch: (address, source) => this.fetchConfig(address, source),
+      fetch: (address, source) => fetches.config(address, source),
       now,
     });
     this.vmsFetch = new NewestFetch({
       held: () => vms.current.version,
-      fetch: (address, source) => this.fetchVms(address, source),
+      fetch: (address, source) => fetches.vms(address, source),
       now,
     });
     options.state.onChange((source) => this.announce(source));
@@ -252,35 +247,6 @@
     this.vmsFetch.offer(from.peerAddress, message.vmListVersion, source);
   }
 
-  private async fetchConfig(address: string, source: ChangeSource): Promise<void> {
-    const { state, rpc } = this.options;
-    const base = state.config.current;
-    const params = {
-      from: state.self,
-      held: sectionHashes(base),
-      revision: state.config.revision,
-    };
-    const result = await rpc.call(address, 'config.fetch', params, FETCH_TIMEOUT_MS);
-    const delta = result.kind === 'ok' ? result.value.delta : undefined;
-    if (!delta) return;
-    const applied = applyDelta(base, delta);
-    if (applied.kind === 'rejected') {
-      this.log.warn('configuration of a peer is corrupt, ignored', {
-        peer: address,
-        reason: applied.error.kind,
-      });
-    } else if (state.takeSnapshot(applied.snapshot, source)) {
-      this.log.info('configuration taken from a peer', { revision: delta.revision });
-    }
-  }
-
-  private async fetchVms(address: string, source: ChangeSource): Promise<void> {
-    const { state, rpc } = this.options;
-    const params = { from: state.self, version: state.vms.current.version };
-    const result = await rpc.call(address, 'vms.fetch', params, FETCH_TIMEOUT_MS);
-    if (result.kind === 'ok' && result.value.list) state.takeVms(result.value.list, source);
-  }
-
   private tick(): void {
     const { state } = this.options;
     const nowMs = state.timers.now();
