--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,10 +6,12 @@
 // The layering of docs/design.md: which package may import which.
 const elements = [
   { type: 'core', pattern: 'packages/core/**' },
-  { type: 'platform', pattern: 'packages/platform/**' },
+  { type: 'runtime', pattern: 'packages/runtime/**' },
   { type: 'entry', pattern: 'packages/entry/**' },
   { type: 'control', pattern: 'packages/control/**' },
   { type: 'ctl', pattern: 'packages/ctl/**' },
+  { type: 'gateway', pattern: 'packages/gateway/**' },
+  { type: 'platform', pattern: 'platform/**' },
   { type: 'bench', pattern: 'packages/bench/**' },
   { type: 'stand-ins', pattern: 'tests/stand-ins/**' },
   { type: 'features', pattern: 'tests/features/**' },
@@ -17,13 +19,15 @@
 
 const allowedImports = {
   core: [],
-  platform: ['core'],
-  entry: ['core', 'platform'],
-  control: ['core', 'platform'],
-  ctl: ['core', 'platform'],
-  bench: ['core', 'platform', 'stand-ins'],
-  'stand-ins': ['core', 'platform'],
-  features: ['core', 'platform', 'stand-ins'],
+  runtime: ['core'],
+  entry: ['core', 'runtime'],
+  control: ['core', 'runtime'],
+  ctl: ['core', 'runtime'],
+  gateway: ['core', 'runtime'],
+  platform: ['core', 'runtime', 'gateway'],
+  bench: ['core', 'runtime', 'stand-ins'],
+  'stand-ins': ['core', 'runtime'],
+  features: ['core', 'runtime', 'stand-ins'],
 };
 
 const restrictedImports = (layer) =>
@@ -33,7 +37,7 @@
     .map((type) => `@marjoramcart/${type}`);
 
 export default [
-  { ignores: ['**/dist/**', '**/out/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', '**/out/**', 'target/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/control/src/config/config-task.test.ts
+++ b/packages/control/src/config/config-task.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualTimerService, silentLogger } from '@marjoramcart/platform';
+import { ManualTimerService, silentLogger } from '@marjoramcart/runtime';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ControlState } from '../control-state.js';
 import type { PlatformClient } from '../platform/platform-client.js';
--- a/packages/control/src/config/config-task.ts
+++ b/packages/control/src/config/config-task.ts
@@ -1,7 +1,7 @@
 /** Reads and watches the configuration service and the list of VMs; runs the cold start. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { SnapshotBuilder, TextChecker, isWatcher, type ConfigRange } from '@marjoramcart/core';
-import type { Logger, Task, Unsubscribe } from '@marjoramcart/platform';
+import type { Logger, Task, Unsubscribe } from '@marjoramcart/runtime';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ControlState } from '../control-state.js';
 import type { PlatformClient, PlatformResult } from '../platform/platform-client.js';
--- a/packages/control/src/control-metrics.ts
+++ b/packages/control/src/control-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of a control daemon. */
-import type { Metrics } from '@marjoramcart/platform';
+import type { Metrics } from '@marjoramcart/runtime';
 
 export type ControlMetrics = ReturnType<typeof controlMetrics>;
 
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -21,7 +21,7 @@
   type ViewContent,
   type VmList,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '@marjoramcart/runtime';
 
 /** Where a snapshot, a list or the news of a draining entry came from. */
 export type ChangeSource = 'platform' | 'entry' | 'own-domain' | 'other-domain';
--- a/packages/control/src/daemon.ts
+++ b/packages/control/src/daemon.ts
@@ -11,7 +11,7 @@
   type ControlSettings,
   type Logger,
   type Task,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import { ConfigTask } from './config/config-task.js';
 import { controlMetrics, type ControlMetrics } from './control-metrics.js';
 import { ControlState } from './control-state.js';
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** Command line of `marjoramcart-control`. */
-import { controlSettingsSchema, createLogger, runDaemonCli } from '@marjoramcart/platform';
+import { controlSettingsSchema, createLogger, runDaemonCli } from '@marjoramcart/runtime';
 import { createControlDaemon } from './daemon.js';
 
 await runDaemonCli({
--- a/packages/control/src/orders/order-task.test.ts
+++ b/packages/control/src/orders/order-task.test.ts
@@ -7,7 +7,7 @@
   type ProcessRef,
   type VmRecord,
 } from '@marjoramcart/core';
-import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/platform';
+import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/runtime';
 import { controlMetrics } from '../control-metrics.js';
 import { ControlState } from '../control-state.js';
 import { FakeEngine } from '../testing/fake-engine.js';
--- a/packages/control/src/orders/order-task.ts
+++ b/packages/control/src/orders/order-task.ts
@@ -24,7 +24,7 @@
   type TargetState,
   type VmRecord,
 } from '@marjoramcart/core';
-import type { Logger, Task } from '@marjoramcart/platform';
+import type { Logger, Task } from '@marjoramcart/runtime';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ControlState } from '../control-state.js';
 import { observedEngine } from '../probes/load-report.js';
--- a/packages/control/src/peers/entry-sync.test.ts
+++ b/packages/control/src/peers/entry-sync.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualTimerService } from '@marjoramcart/platform';
+import { ManualTimerService } from '@marjoramcart/runtime';
 import { ControlState } from '../control-state.js';
 import { entryRecord, newEntryParams, targetRecord } from '../testing/domain.js';
 import { syncEntryDaemon } from './entry-sync.js';
--- a/packages/control/src/peers/gossip-packing.test.ts
+++ b/packages/control/src/peers/gossip-packing.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { GossipParams, ProcessRef } from '@marjoramcart/core';
-import { ManualTimerService } from '@marjoramcart/platform';
+import { ManualTimerService } from '@marjoramcart/runtime';
 import { ControlState } from '../control-state.js';
 import { GossipPacking } from './gossip-packing.js';
 
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -11,7 +11,7 @@
   type OriginUpdate,
   type RandomSource,
 } from '@marjoramcart/core';
-import type { Logger, RpcClient, Task } from '@marjoramcart/platform';
+import type { Logger, RpcClient, Task } from '@marjoramcart/runtime';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ChangeSource, ControlState } from '../control-state.js';
 import type { PeerFetch } from '../config/config-task.js';
--- a/packages/control/src/peers/gossip-traffic.test.ts
+++ b/packages/control/src/peers/gossip-traffic.test.ts
@@ -10,7 +10,7 @@
   type RpcMethod,
   type VmRecord,
 } from '@marjoramcart/core';
-import { ManualTimerService, Metrics, encodeBody, silentLogger } from '@marjoramcart/platform';
+import { ManualTimerService, Metrics, encodeBody, silentLogger } from '@marjoramcart/runtime';
 import { controlMetrics } from '../control-metrics.js';
 import { ControlState } from '../control-state.js';
 import { GossipTask } from './gossip-task.js';
--- a/packages/control/src/peers/peer-fetches.ts
+++ b/packages/control/src/peers/peer-fetches.ts
@@ -1,6 +1,6 @@
 /** Fetches of the configuration and the list of VMs from a peer that holds a newer one. */
 import { applyDelta, sectionHashes } from '@marjoramcart/core';
-import type { Logger, RpcClient } from '@marjoramcart/platform';
+import type { Logger, RpcClient } from '@marjoramcart/runtime';
 import type { ChangeSource, ControlState } from '../control-state.js';
 
 /** A whole configuration of 25,000 customers is some MB. */
--- a/packages/control/src/peers/peer-task.ts
+++ b/packages/control/src/peers/peer-task.ts
@@ -6,7 +6,7 @@
   type Logger,
   type RpcServer,
   type Task,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import type { ControlState } from '../control-state.js';
 import { statusOf } from '../status.js';
 import { syncEntryDaemon } from './entry-sync.js';
--- a/packages/control/src/platform/platform-client.ts
+++ b/packages/control/src/platform/platform-client.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's configuration service and list of VMs. */
 import http from 'node:http';
 import type { ConfigRange, VmList } from '@marjoramcart/core';
-import { headerBytes } from '@marjoramcart/platform';
+import { headerBytes } from '@marjoramcart/runtime';
 
 /** Result of a read; a failed read leaves what is held in force. */
 export type PlatformResult<Value> =
--- a/packages/control/src/probes/probe-task.test.ts
+++ b/packages/control/src/probes/probe-task.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/platform';
+import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/runtime';
 import { FAILURES_TO_EXCLUDE, proberRank, type TargetItem } from '@marjoramcart/core';
 import { controlMetrics } from '../control-metrics.js';
 import { ControlState } from '../control-state.js';
--- a/packages/control/src/probes/probe-task.ts
+++ b/packages/control/src/probes/probe-task.ts
@@ -9,7 +9,7 @@
   type TargetItem,
   type VmRecord,
 } from '@marjoramcart/core';
-import type { Logger, Task } from '@marjoramcart/platform';
+import type { Logger, Task } from '@marjoramcart/runtime';
 import type { ControlMetrics } from '../control-metrics.js';
 import type { ControlState } from '../control-state.js';
 import { targetReport, type LoadReport } from './load-report.js';
--- a/packages/control/src/probes/target-client.ts
+++ b/packages/control/src/probes/target-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client of targets: load reports and orders. */
 import http from 'node:http';
-import { headerBytes } from '@marjoramcart/platform';
+import { headerBytes } from '@marjoramcart/runtime';
 import { loadReportSchema, type LoadReport } from './load-report.js';
 
 export type TargetResult<Value> =
--- a/packages/control/src/testing/domain.ts
+++ b/packages/control/src/testing/domain.ts
@@ -4,7 +4,7 @@
   RpcClient,
   controlSettingsSchema,
   silentLogger,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import type { EntrySyncParams, ProcessRef, VmRecord } from '@marjoramcart/core';
 import { serve } from './fake-server.js';
 import { createControlDaemon, type ControlDaemon } from '../daemon.js';
--- /dev/null
+++ b/packages/core/src/exchange/index.ts
@@ -0,0 +1,2 @@
+export * from './attempt-record.js';
+export * from './next-request-step.js';
--- /dev/null
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -0,0 +1,168 @@
+/**
+ * The next step of a request, as a pure function of what is known of it. At most once, true
+ * refusals, the number of attempts and the retry budget are properties of this function.
+ */
+import { match } from 'ts-pattern';
+import { RouteKind } from '../fleet/fleet-config.js';
+import { mayHaveRun, samePlace, type AttemptRecord, type Place } from './attempt-record.js';
+
+/** What stays the same while a request is handled. */
+export interface RequestFacts {
+  readonly kind: RouteKind;
+  readonly resumable: boolean;
+  /** Most targets that the request may be sent to. */
+  readonly maxAttempts: number;
+  /** When the final answer is due, monotonic ms. */
+  readonly deadlineAt: number;
+  /** When the request arrived, monotonic ms. */
+  readonly arrivedAt: number;
+  /** Time to the first byte that the caller aims for, ms from the arrival. */
+  readonly latencyTargetMs: number;
+}
+
+/** A place that could take the request now. */
+export interface Candidate {
+  readonly place: Place;
+  /** Expected time until the first byte of the answer, ms. */
+  readonly expectedFirstByteMs: number;
+  /** Part of that time which is spent waiting for other work, ms. */
+  readonly expectedWaitMs: number;
+}
+
+/** What is known at the time of the step. */
+export interface StepView {
+  readonly now: number;
+  readonly attempts: readonly AttemptRecord[];
+  /** The head of an answer was passed on to the caller. */
+  readonly headSent: boolean;
+  /** The caller closed its connection. */
+  readonly callerGone: boolean;
+  /** Best first. */
+  readonly candidates: readonly Candidate[];
+  /** When a place may open for a request that has no candidate, ms from now; absent if unknown. */
+  readonly opensInMs?: number;
+  /** Whether the retry budget allows one more attempt. Called at most once. */
+  readonly takeRetry: () => boolean;
+}
+
+export const RefusalReason = {
+  NoTarget: 'no-target',
+  Overload: 'overload',
+  RetryBudget: 'retry-budget',
+  Deadline: 'deadline',
+} as const;
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+export type RequestStep =
+  | { readonly kind: 'attempt'; readonly candidate: Candidate; readonly retry: boolean }
+  /** Look again after this time. */
+  | { readonly kind: 'wait'; readonly delayMs: number }
+  /** The request was not run and never will be. */
+  | { readonly kind: 'refuse'; readonly reason: RefusalReason; readonly comeBackMs: number }
+  /** Pass on the failure answer of the attempt with this index. */
+  | { readonly kind: 'pass-on'; readonly attempt: number }
+  /** The request may have run and has no answer. */
+  | { readonly kind: 'fail'; readonly timedOut: boolean }
+  /** End an answer that is partly passed on, visibly incomplete. */
+  | { readonly kind: 'cut' }
+  | { readonly kind: 'abandon' };
+
+/** Waiting beyond this part of the latency target is left to the caller, who is told to return. */
+const MAX_WAIT_PART = 0.125;
+/** Part of the latency target that may be used up when the first byte is expected. */
+const ADMITTED_PART = 0.9;
+/** Part of the latency target that a request of any size may wait for other work. */
+const ADMITTED_WAIT_PART = 0.4;
+/** Attempts in which no target can have run the request, which are not bound by `maxAttempts`. */
+const MAX_UNRUN_ATTEMPTS = 4;
+/** Callers that have no better figure return after this time. */
+const DEFAULT_COME_BACK_MS = 500;
+const MIN_COME_BACK_MS = 100;
+/** A request with less time left is not worth sending. */
+const MIN_USEFUL_MS = 30;
+
+/**
+ * Decides what happens next with a request.
+ *
+ * @example nextRequestStep(facts, view) // { kind: 'attempt', candidate, retry: false }
+ */
+export function nextRequestStep(facts: RequestFacts, view: StepView): RequestStep {
+  if (view.callerGone) return { kind: 'abandon' };
+  const { attempts, now } = view;
+  const started = attempts.some(mayHaveRun);
+  const timedOut = facts.deadlineAt - now < MIN_USEFUL_MS;
+  if (timedOut) return giveUp(view, RefusalReason.Deadline);
+  if (view.headSent && !facts.resumable) return { kind: 'cut' };
+  if (started && !mayRepeat(facts)) return giveUp(view, RefusalReason.NoTarget);
+  const ran = attempts.filter(mayHaveRun).length;
+  if (ran >= facts.maxAttempts || attempts.length - ran > MAX_UNRUN_ATTEMPTS) {
+    return giveUp(view, RefusalReason.NoTarget);
+  }
+  const [best] = untried(view);
+  if (!best) return withoutCandidate(facts, view);
+  // A request that is partly served is finished, since its work would be lost otherwise.
+  const refused = started ? undefined : overload(facts, best, now);
+  if (refused) return refused;
+  // An attempt that never left the process put no load on a target.
+  const retry = attempts.some(({ outcome }) => outcome.kind !== 'not-sent');
+  if (retry && !view.takeRetry()) return giveUp(view, RefusalReason.RetryBudget);
+  return { kind: 'attempt', candidate: best, retry };
+}
+
+/** Whether a second run does no harm. */
+export function mayRepeat(facts: Pick<RequestFacts, 'kind' | 'resumable'>): boolean {
+  return match(facts.kind)
+    .with(RouteKind.Repeatable, () => true)
+    .with(RouteKind.Stream, () => facts.resumable)
+    .with(RouteKind.Single, () => false)
+    .exhaustive();
+}
+
+/** Places that the request was not sent to before; after not-run answers from all, none. */
+function untried({ attempts, candidates }: StepView): Candidate[] {
+  return candidates.filter(
+    ({ place }) => !attempts.some((attempt) => samePlace(attempt.place, place)),
+  );
+}
+
+function withoutCandidate(facts: RequestFacts, view: StepView): RequestStep {
+  const { opensInMs, now } = view;
+  const waitedMs = now - facts.arrivedAt;
+  const maxWaitMs = view.attempts.some(mayHaveRun)
+    ? facts.deadlineAt - now
+    : facts.latencyTargetMs * MAX_WAIT_PART - waitedMs;
+  if (opensInMs !== undefined && opensInMs <= maxWaitMs)
+    return { kind: 'wait', delayMs: opensInMs };
+  return giveUp(view, RefusalReason.NoTarget);
+}
+
+/** Refuses a request whose first byte would come too late, while the caller can still return. */
+function overload(facts: RequestFacts, best: Candidate, now: number): RequestStep | undefined {
+  const waitedMs = now - facts.arrivedAt;
+  const inTime =
+    waitedMs + best.expectedFirstByteMs <= facts.latencyTargetMs * ADMITTED_PART ||
+    waitedMs + best.expectedWaitMs <= facts.latencyTargetMs * ADMITTED_WAIT_PART;
+  if (inTime) return undefined;
+  const surplusMs = best.expectedWaitMs - facts.latencyTargetMs * ADMITTED_WAIT_PART;
+  return {
+    kind: 'refuse',
+    reason: RefusalReason.Overload,
+    comeBackMs: Math.max(MIN_COME_BACK_MS, surplusMs),
+  };
+}
+
+/** The final answer of a request that gets no further attempt. */
+function giveUp(view: StepView, reason: RefusalReason): RequestStep {
+  if (view.headSent) return { kind: 'cut' };
+  const { attempts } = view;
+  const failed = attempts.findLastIndex(({ outcome }) => outcome.kind === 'failed');
+  if (failed >= 0) return { kind: 'pass-on', attempt: failed };
+  if (attempts.some(mayHaveRun)) {
+    return { kind: 'fail', timedOut: reason === RefusalReason.Deadline };
+  }
+  const told = attempts
+    .map(({ outcome }) => (outcome.kind === 'not-run' ? outcome.comeBackMs : undefined))
+    .filter((ms) => ms !== undefined);
+  const comeBackMs = Math.max(MIN_COME_BACK_MS, view.opensInMs ?? DEFAULT_COME_BACK_MS, ...told);
+  return { kind: 'refuse', reason, comeBackMs };
+}
--- /dev/null
+++ b/packages/core/src/relay/index.ts
@@ -0,0 +1,1 @@
+export * from './sse-frames.js';
--- /dev/null
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -0,0 +1,50 @@
+/**
+ * Load pattern: many gateways retry at once after a fault. The budget of a service is a share of
+ * its requests plus a fixed slack over a sliding window. Each gateway uses the share of its own
+ * requests and a static part of the slack, so the sum holds without agreement.
+ */
+import { SlidingCount } from './sliding-count.js';
+
+export interface SharedBudgetLimits {
+  readonly windowMs: number;
+  /** Retries per request. */
+  readonly ratio: number;
+  /** Retries in a window beyond that, over all gateways. */
+  readonly slack: number;
+}
+
+/** Part of the ratio that is used; the rest covers requests that are counted late. */
+const USED_PART = 0.8;
+
+export class SharedRetryBudget {
+  private readonly requests: SlidingCount;
+
+  private readonly retries: SlidingCount;
+
+  private gateways = 1;
+
+  constructor(private readonly limits: SharedBudgetLimits) {
+    this.requests = new SlidingCount(limits.windowMs);
+    this.retries = new SlidingCount(limits.windowMs);
+  }
+
+  /** The largest number of gateways seen, so that a partition doesn't raise the shares. */
+  setGateways(count: number): void {
+    this.gateways = Math.max(this.gateways, count);
+  }
+
+  /** Counts a request of a client. `now` is monotonic ms. */
+  onRequest(now: number): void {
+    this.requests.add(now);
+  }
+
+  /** Takes one retry; false when the budget is spent. */
+  tryTake(now: number): boolean {
+    const { ratio, slack } = this.limits;
+    const allowed =
+      this.requests.count(now) * ratio * USED_PART + (slack * USED_PART) / this.gateways;
+    if (this.retries.count(now) + 1 > allowed) return false;
+    this.retries.add(now);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/prompt.ts
@@ -0,0 +1,23 @@
+/** The prompt of a request, as far as routing depends on it. */
+
+/** A part of a prompt. Requests that begin with the same parts share their KV cache. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+export interface Prompt {
+  /** In order; the last part belongs to the request or its session alone. */
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+}
+
+/**
+ * Identifies the longest part that requests share, for the choice of a target.
+ *
+ * @example sharedPartOf({ parts: [{ id: 'a', tokens: 500 }, { id: 'b', tokens: 20 }], ... }) // 'a'
+ */
+export function sharedPartOf({ parts }: Prompt): string | undefined {
+  return (parts.at(-2) ?? parts[0])?.id;
+}
--- a/packages/ctl/src/documentation.test.ts
+++ b/packages/ctl/src/documentation.test.ts
@@ -17,7 +17,7 @@
   regionSchema,
   weightsSchema,
 } from '@marjoramcart/core';
-import { controlSettingsSchema, entrySettingsSchema } from '@marjoramcart/platform';
+import { controlSettingsSchema, entrySettingsSchema } from '@marjoramcart/runtime';
 import { runCtl } from './program.js';
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
--- a/packages/ctl/src/examples.test.ts
+++ b/packages/ctl/src/examples.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import { controlSettingsSchema, entrySettingsSchema, loadSettings } from '@marjoramcart/platform';
+import { controlSettingsSchema, entrySettingsSchema, loadSettings } from '@marjoramcart/runtime';
 import { readAccepted } from './text-files.js';
 
 const root = new URL('../../../examples/', import.meta.url);
--- a/packages/ctl/src/explain/estimate-policy.ts
+++ b/packages/ctl/src/explain/estimate-policy.ts
@@ -4,7 +4,7 @@
  */
 import type { DomainOption, DomainPolicy, DomainScore } from '@marjoramcart/core';
 import { MembershipTiming } from '@marjoramcart/core';
-import { PluginKind, registerPlugin } from '@marjoramcart/platform';
+import { PluginKind, registerPlugin } from '@marjoramcart/runtime';
 
 export const ESTIMATE_POLICY = 'estimate';
 
--- a/packages/ctl/src/explain/explain-command.ts
+++ b/packages/ctl/src/explain/explain-command.ts
@@ -7,7 +7,7 @@
   type DomainPolicy,
   type StatusResult,
 } from '@marjoramcart/core';
-import { createPlugin, PluginKind } from '@marjoramcart/platform';
+import { createPlugin, PluginKind } from '@marjoramcart/runtime';
 import { CtlError, ExitCode, oneLine, type CtlIo } from '../ctl-io.js';
 import { tableLines } from '../table.js';
 import { readAccepted } from '../text-files.js';
--- a/packages/ctl/src/fetch-status.ts
+++ b/packages/ctl/src/fetch-status.ts
@@ -1,7 +1,7 @@
 /** Asks a control daemon for its status over HTTP. */
 import http from 'node:http';
 import type { StatusResult } from '@marjoramcart/core';
-import { readBody } from '@marjoramcart/platform';
+import { readBody } from '@marjoramcart/runtime';
 
 const TIMEOUT_MS = 3000;
 const MAX_BYTES = 64 * 1024 * 1024;
--- a/packages/ctl/src/program.test.ts
+++ b/packages/ctl/src/program.test.ts
@@ -5,7 +5,7 @@
 import { after, before, test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import type { ProcessRef, StatusResult } from '@marjoramcart/core';
-import { HttpListener } from '@marjoramcart/platform';
+import { HttpListener } from '@marjoramcart/runtime';
 import { fetchStatus } from './fetch-status.js';
 import { runCtl } from './program.js';
 
--- a/packages/entry/src/admin/entry-status.ts
+++ b/packages/entry/src/admin/entry-status.ts
@@ -1,5 +1,5 @@
 /** What the admin listener of the entry answers on `/readyz` and `/status`. */
-import type { Readiness } from '@marjoramcart/platform';
+import type { Readiness } from '@marjoramcart/runtime';
 import type { EntryState } from '../state/entry-state.js';
 
 /** Whether the entry serves callers. */
--- a/packages/entry/src/admission/admission-gate.ts
+++ b/packages/entry/src/admission/admission-gate.ts
@@ -7,7 +7,7 @@
   type ResultCode,
   type WindowAdmissionOptions,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '@marjoramcart/runtime';
 import type { Call } from '../request/call.js';
 import type { EntryState } from '../state/entry-state.js';
 
--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -12,8 +12,7 @@
   type OperationConfig,
   type ServiceConfig,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
-import { readLimited } from '../request/body-reader.js';
+import { type TimerService, readLimited } from '@marjoramcart/runtime';
 import { rejected, type Call, type Rejection } from '../request/call.js';
 import { engineBody, parseChat, routedChat } from '../request/chat-request.js';
 import type { EntryState } from '../state/entry-state.js';
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -8,11 +8,17 @@
   type IdempotencyKey,
   type ResultCode,
 } from '@marjoramcart/core';
-import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/platform';
+import {
+  HttpListener,
+  type Logger,
+  type Task,
+  type TimerService,
+  RefusedConnections,
+  lingeringClose,
+} from '@marjoramcart/runtime';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
 import { Answer, errorBody, type HeaderFields } from '../relay/answer.js';
 import { rejected, type Rejection } from '../request/call.js';
-import { RefusedConnections, lingeringClose } from '../request/lingering-close.js';
 import type { CallRunner } from '../request/runner.js';
 import type { EntryState } from '../state/entry-state.js';
 import type { SyncTask } from '../sync/sync-task.js';
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -3,11 +3,10 @@
 import net from 'node:net';
 import { test } from 'node:test';
 import { SuspectTable } from '@marjoramcart/core';
-import { ManualTimerService } from '@marjoramcart/platform';
+import { ManualTimerService, readLimited } from '@marjoramcart/runtime';
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 import { requestDigest } from './call-parser.js';
-import { readLimited } from '../request/body-reader.js';
 import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
 import {
   API_KEY,
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -1,12 +1,10 @@
 /** One attempt to run a call on a target: send, relay the answer, resume a broken stream. */
 import type { IncomingMessage } from 'node:http';
-import type { TargetState } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
+import { type TargetState, SseFrames } from '@marjoramcart/core';
+import type { TimerService, Connections } from '@marjoramcart/runtime';
 import { completeMeta, type Answer } from '../relay/answer.js';
 import { passedOnHeaders, readWhole, relayStream, type RelayResult } from '../relay/relay.js';
-import { SseFrames } from '../relay/sse-frames.js';
 import type { Call } from '../request/call.js';
-import type { Connections } from './connection.js';
 
 const MAX_RESUMES = 3;
 const RESUME_DELAY_MS = 50;
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -10,7 +10,7 @@
   type TargetPolicy,
   type TargetState,
 } from '@marjoramcart/core';
-import type { Logger, TimerService } from '@marjoramcart/platform';
+import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { HomePlace } from '../admission/home-place.js';
 import type { ForwardExchange } from '../forward/forward-exchange.js';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
--- a/packages/entry/src/dispatch/housekeeping-task.ts
+++ b/packages/entry/src/dispatch/housekeeping-task.ts
@@ -1,10 +1,15 @@
 /** Regular work on shared tables, and the release of outgoing connections at the end. */
 import type { KeyTable, RetryBudget, SuspectTable } from '@marjoramcart/core';
-import type { RpcClient, Task, TimerService, Unsubscribe } from '@marjoramcart/platform';
+import type {
+  RpcClient,
+  Task,
+  TimerService,
+  Unsubscribe,
+  Connections,
+} from '@marjoramcart/runtime';
 import type { AdmissionGate } from '../admission/admission-gate.js';
 import type { RecordedAnswer } from '../relay/answer.js';
 import type { EntryState } from '../state/entry-state.js';
-import type { Connections } from './connection.js';
 
 const ADMISSION_INTERVAL_MS = 50;
 const EXPIRY_INTERVAL_MS = 1000;
--- a/packages/entry/src/dispatch/suspect-broadcast.ts
+++ b/packages/entry/src/dispatch/suspect-broadcast.ts
@@ -3,7 +3,7 @@
  * regions; a caller that sends the request to each entry in turn would lose a target at each.
  */
 import { allowedRegions, type ProcessRef, type SuspectTable } from '@marjoramcart/core';
-import type { RpcClient, TimerService } from '@marjoramcart/platform';
+import type { RpcClient, TimerService } from '@marjoramcart/runtime';
 import type { Call } from '../request/call.js';
 import type { EntryState } from '../state/entry-state.js';
 
--- a/packages/entry/src/dispatch/suspect-lane.ts
+++ b/packages/entry/src/dispatch/suspect-lane.ts
@@ -1,5 +1,5 @@
 /** Runs suspects alone: each on a target that takes no other request of this process meanwhile. */
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '@marjoramcart/runtime';
 import type { TargetTable } from '../routing/target-table.js';
 
 const POLL_MS = 20;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -19,12 +19,12 @@
   type Metrics,
   type Task,
   type TimerService,
-} from '@marjoramcart/platform';
+  Connections,
+} from '@marjoramcart/runtime';
 import { readinessOf, statusOf } from './admin/entry-status.js';
 import { AdmissionGate } from './admission/admission-gate.js';
 import { CallerTask } from './callers/caller-task.js';
 import { TargetExchange } from './dispatch/attempt.js';
-import { Connections } from './dispatch/connection.js';
 import { DeathProbe } from './dispatch/death-probe.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import { SuspectBroadcast } from './dispatch/suspect-broadcast.js';
--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -8,6 +8,7 @@
   type ForwardHop,
   type ForwardReason,
   type ProcessRef,
+  SseFrames,
 } from '@marjoramcart/core';
 import {
   AUTH_HEADER,
@@ -15,11 +16,10 @@
   type MessageAuthenticator,
   type RpcClient,
   type TimerService,
-} from '@marjoramcart/platform';
-import type { Connections } from '../dispatch/connection.js';
+  type Connections,
+} from '@marjoramcart/runtime';
 import type { Answer, AnswerMeta } from '../relay/answer.js';
 import { passedOnHeaders, readWhole, relayStream } from '../relay/relay.js';
-import { SseFrames } from '../relay/sse-frames.js';
 import type { Call } from '../request/call.js';
 import {
   DIED_HEADER,
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -2,12 +2,7 @@
 import http from 'node:http';
 import { test, type TestContext } from 'node:test';
 import { SuspectTable, type DomainSummary } from '@marjoramcart/core';
-import {
-  AUTH_HEADER,
-  MessageAuthenticator,
-  RpcClient,
-  SENDER_HEADER,
-} from '@marjoramcart/platform';
+import { AUTH_HEADER, MessageAuthenticator, RpcClient, SENDER_HEADER } from '@marjoramcart/runtime';
 import { requestDigest } from '../callers/call-parser.js';
 import { FLEET_SECRET } from '../testing/fake-control.js';
 import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -21,11 +21,11 @@
   type MessageAuthenticator,
   type Task,
   type TimerService,
-} from '@marjoramcart/platform';
+  readLimited,
+  lingeringClose,
+} from '@marjoramcart/runtime';
 import { Answer, type RecordedAnswer } from '../relay/answer.js';
-import { readLimited } from '../request/body-reader.js';
 import type { Call } from '../request/call.js';
-import { lingeringClose } from '../request/lingering-close.js';
 import type { CallRunner } from '../request/runner.js';
 import type { EntryState } from '../state/entry-state.js';
 import {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,7 +8,7 @@
   entrySettingsSchema,
   runDaemonCli,
   type EntrySettings,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import { createEntry } from './entry-daemon.js';
 
 async function run(settings: EntrySettings): Promise<void> {
--- a/packages/entry/src/metrics/entry-metrics.ts
+++ b/packages/entry/src/metrics/entry-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of the entry: latencies per class and named customer, attempts and requests. */
-import { OTHER_CUSTOMERS, type Metrics } from '@marjoramcart/platform';
+import { OTHER_CUSTOMERS, type Metrics } from '@marjoramcart/runtime';
 import type { ConfigView } from '@marjoramcart/core';
 
 const FIRST_TOKEN_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.3, 2, 4, 8, 16, 32];
--- a/packages/entry/src/plugins.ts
+++ b/packages/entry/src/plugins.ts
@@ -7,7 +7,7 @@
   type TargetPolicy,
   type WindowAdmissionOptions,
 } from '@marjoramcart/core';
-import { PluginKind, createPlugin } from '@marjoramcart/platform';
+import { PluginKind, createPlugin } from '@marjoramcart/runtime';
 import './policies/index.js';
 
 /**
--- a/packages/entry/src/policies/admission-policies.ts
+++ b/packages/entry/src/policies/admission-policies.ts
@@ -5,7 +5,7 @@
   TokenCountPolicy,
   type FairnessPolicy,
 } from '@marjoramcart/core';
-import { PluginKind, registerPlugin } from '@marjoramcart/platform';
+import { PluginKind, registerPlugin } from '@marjoramcart/runtime';
 
 const fairnessPolicies: Readonly<Record<string, () => FairnessPolicy>> = {
   default: () => new TokenCountPolicy(),
--- a/packages/entry/src/policies/routing-policies.ts
+++ b/packages/entry/src/policies/routing-policies.ts
@@ -11,7 +11,7 @@
   type DomainPolicy,
   type TargetPolicy,
 } from '@marjoramcart/core';
-import { PluginKind, registerPlugin } from '@marjoramcart/platform';
+import { PluginKind, registerPlugin } from '@marjoramcart/runtime';
 
 const targetPolicies: Readonly<Record<string, () => TargetPolicy>> = {
   default: () => new BoundedAffinityTargetPolicy(),
--- a/packages/entry/src/relay/relay.test.ts
+++ b/packages/entry/src/relay/relay.test.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough } from 'node:stream';
 import { test } from 'node:test';
+import { SseFrames } from '@marjoramcart/core';
 import { Answer } from './answer.js';
 import { readWhole, relayStream, type RelayResult } from './relay.js';
-import { SseFrames } from './sse-frames.js';
 
 interface Relay {
   readonly from: PassThrough & { complete: boolean };
--- a/packages/entry/src/relay/relay.ts
+++ b/packages/entry/src/relay/relay.ts
@@ -1,7 +1,7 @@
 /** Passes the answer of a target on to the caller, and tells whether it was complete. */
 import type { IncomingMessage } from 'node:http';
+import { SseFrames } from '@marjoramcart/core';
 import { completeMeta, type Answer, type HeaderFields } from './answer.js';
-import { SseFrames } from './sse-frames.js';
 
 /** Largest answer that is not a stream; it is held until it is complete. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/packages/entry/src/request/runner.ts
+++ b/packages/entry/src/request/runner.ts
@@ -10,7 +10,7 @@
   type KeyTable,
   type ResultCode,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '@marjoramcart/runtime';
 import { callCost, type AdmissionGate } from '../admission/admission-gate.js';
 import { HomePlace } from '../admission/home-place.js';
 import type { KeyMarks } from '../dispatch/dispatch-progress.js';
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { snapshotDelta, type DomainView, type TargetState } from '@marjoramcart/core';
-import { ManualTimerService } from '@marjoramcart/platform';
+import { ManualTimerService } from '@marjoramcart/runtime';
 import { EntryState } from '../state/entry-state.js';
 import { testSnapshot } from '../testing/fake-control.js';
 import { testConfig, targetState } from '../testing/harness.js';
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -10,7 +10,7 @@
   type ProcessRef,
   type Snapshot,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '@marjoramcart/runtime';
 
 const CONTROL_LOST_AFTER_MS = 3000;
 
--- a/packages/entry/src/sync/sync-task.test.ts
+++ b/packages/entry/src/sync/sync-task.test.ts
@@ -7,7 +7,7 @@
   silentLogger,
   type RpcClient,
   type RpcResult,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import { EntryState } from '../state/entry-state.js';
 import { SyncTask } from './sync-task.js';
 
--- a/packages/entry/src/sync/sync-task.ts
+++ b/packages/entry/src/sync/sync-task.ts
@@ -20,7 +20,7 @@
   Task,
   TimerService,
   Unsubscribe,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import type { EntryState } from '../state/entry-state.js';
 
 const SYNC_TIMEOUT_MS = 1000;
--- a/packages/entry/src/testing/fake-control.ts
+++ b/packages/entry/src/testing/fake-control.ts
@@ -8,12 +8,7 @@
   type EntrySyncResult,
   type Snapshot,
 } from '@marjoramcart/core';
-import {
-  HttpListener,
-  MessageAuthenticator,
-  RpcServer,
-  silentLogger,
-} from '@marjoramcart/platform';
+import { HttpListener, MessageAuthenticator, RpcServer, silentLogger } from '@marjoramcart/runtime';
 
 export const FLEET_SECRET = 'a secret of the fleet';
 
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -7,7 +7,7 @@
   SystemTimerService,
   entrySettingsSchema,
   silentLogger,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import { createEntry, type EntryDaemon } from '../entry-daemon.js';
 import { FLEET_SECRET, FakeControl, testSnapshot } from './fake-control.js';
 import type { FakeTarget } from './fake-target.js';
--- a/packages/entry/src/testing/scheduled-entry.ts
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -23,10 +23,12 @@
   Metrics,
   silentLogger,
   type RpcClient,
-} from '@marjoramcart/platform';
+  type Connections,
+  type OutgoingRequest,
+  type RequestResult,
+} from '@marjoramcart/runtime';
 import type { AdmissionGate } from '../admission/admission-gate.js';
 import { TargetExchange } from '../dispatch/attempt.js';
-import type { Connections, OutgoingRequest, RequestResult } from '../dispatch/connection.js';
 import { DeathProbe } from '../dispatch/death-probe.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
 import { SuspectLane } from '../dispatch/suspect-lane.js';
--- a/packages/entry/src/request/lingering-close.ts
+++ b/packages/runtime/src/http/lingering-close.ts
@@ -1,7 +1,7 @@
 /** Closes a connection whose request is refused unread, without a reset that destroys the answer. */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '../timers/timer-service.js';
 
 export const Lingering = {
   /** Twice the longest body that is accepted, for callers that read only after they have sent. */
--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/runtime/src/http/read-limited.ts
@@ -1,6 +1,6 @@
 /** Reads a request body within its size, a total time and a minimum rate. */
 import type { IncomingMessage } from 'node:http';
-import type { TimerService } from '@marjoramcart/platform';
+import type { TimerService } from '../timers/timer-service.js';
 
 export const BodyTiming = {
   TimeoutMs: 15_000,
--- a/tests/stand-ins/src/fleet/fleet.ts
+++ b/tests/stand-ins/src/fleet/fleet.ts
@@ -1,7 +1,7 @@
 /** Starts a whole fleet on loopback: platform, fault proxy, targets and daemons. */
 import { fileURLToPath } from 'node:url';
 import type { VmRecord } from '@marjoramcart/core';
-import type { EntrySettings } from '@marjoramcart/platform';
+import type { EntrySettings } from '@marjoramcart/runtime';
 import { readRunLog, type RunRecord } from '../common/run-log.js';
 import type { FlowSettings, FlowState } from '../fault-proxy/flow.js';
 import type { LinkFaults } from '../fault-proxy/link.js';
--- a/tests/stand-ins/src/fleet/settings-files.ts
+++ b/tests/stand-ins/src/fleet/settings-files.ts
@@ -6,7 +6,7 @@
   entrySettingsSchema,
   type ControlSettings,
   type EntrySettings,
-} from '@marjoramcart/platform';
+} from '@marjoramcart/runtime';
 import type { ControlPlan, EntryPlan, Layout, Place } from './layout.js';
 import type { DomainDialing } from './proxy-links.js';
 
