Bound attempts over forwards, end reset answers as truncated, stop waiting for tried places

Change: a forward carries the attempts left and its answer those used; an error after the head destroys the answer; the step function knows closed places and waits only for untried ones.

--- a/packages/core/src/exchange/attempt-record.ts
+++ b/packages/core/src/exchange/attempt-record.ts
@@ -12,9 +12,9 @@
   /** The receiver says that the request was not run and never will be. */
   | { readonly kind: 'not-run'; readonly comeBackMs?: number }
   /** A complete failure answer of a target, which is kept and can be passed on. */
-  | { readonly kind: 'failed'; readonly status: number }
+  | { readonly kind: 'failed'; readonly status: number; readonly runs: number }
   /** The request was sent and has no valid complete answer: it may have run, or still run. */
-  | { readonly kind: 'lost' };
+  | { readonly kind: 'lost'; readonly runs: number };
 
 export interface AttemptRecord {
   readonly place: Place;
@@ -26,6 +26,11 @@
   return outcome.kind === 'failed' || outcome.kind === 'lost';
 }
 
+/** Targets that may have run the request in this attempt; another gateway may use several. */
+export function runsOf({ outcome }: AttemptRecord): number {
+  return outcome.kind === 'failed' || outcome.kind === 'lost' ? outcome.runs : 0;
+}
+
 /** Whether two places are the same one. */
 export function samePlace(a: Place, b: Place): boolean {
   if (a.kind === 'target') return b.kind === 'target' && a.id === b.id;
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -4,7 +4,7 @@
  */
 import { match } from 'ts-pattern';
 import { RouteKind } from '../fleet/fleet-config.js';
-import { mayHaveRun, samePlace, type AttemptRecord, type Place } from './attempt-record.js';
+import { mayHaveRun, runsOf, samePlace, type AttemptRecord, type Place } from './attempt-record.js';
 
 /** What stays the same while a request is handled. */
 export interface RequestFacts {
@@ -39,8 +39,8 @@
   readonly callerGone: boolean;
   /** Best first. */
   readonly candidates: readonly Candidate[];
-  /** When a place may open for a request that has no candidate, ms from now; absent if unknown. */
-  readonly opensInMs?: number;
+  /** Places that take no request now and may do so later. */
+  readonly closed: readonly Place[];
   /** Whether the retry budget allows one more attempt. Called at most once. */
   readonly takeRetry: () => boolean;
 }
@@ -78,6 +78,8 @@
 /** Callers that have no better figure return after this time. */
 const DEFAULT_COME_BACK_MS = 500;
 const MIN_COME_BACK_MS = 100;
+/** Closed places are looked at again after this time. */
+const RECHECK_MS = 75;
 /** A request with less time left is not worth sending. */
 const MIN_USEFUL_MS = 30;
 
@@ -94,11 +96,12 @@
   if (timedOut) return giveUp(view, RefusalReason.Deadline);
   if (view.headSent && !facts.resumable) return { kind: 'cut' };
   if (started && !mayRepeat(facts)) return giveUp(view, RefusalReason.NoTarget);
-  const ran = attempts.filter(mayHaveRun).length;
-  if (ran >= facts.maxAttempts || attempts.length - ran > MAX_UNRUN_ATTEMPTS) {
+  const runs = attempts.reduce((sum, attempt) => sum + runsOf(attempt), 0);
+  const unrun = attempts.filter((attempt) => !mayHaveRun(attempt)).length;
+  if (runs >= facts.maxAttempts || unrun > MAX_UNRUN_ATTEMPTS) {
     return giveUp(view, RefusalReason.NoTarget);
   }
-  const [best] = untried(view);
+  const [best] = view.candidates.filter(({ place }) => isUntried(view, place));
   if (!best) return withoutCandidate(facts, view);
   // A request that is partly served is finished, since its work would be lost otherwise.
   const refused = started ? undefined : overload(facts, best, now);
@@ -118,21 +121,19 @@
     .exhaustive();
 }
 
-/** Places that the request was not sent to before; after not-run answers from all, none. */
-function untried({ attempts, candidates }: StepView): Candidate[] {
-  return candidates.filter(
-    ({ place }) => !attempts.some((attempt) => samePlace(attempt.place, place)),
-  );
+/** Whether the request was not sent to a place before. */
+function isUntried({ attempts }: StepView, place: Place): boolean {
+  return !attempts.some((attempt) => samePlace(attempt.place, place));
 }
 
 function withoutCandidate(facts: RequestFacts, view: StepView): RequestStep {
-  const { opensInMs, now } = view;
+  const { now } = view;
+  const mayOpen = view.closed.some((place) => isUntried(view, place));
   const waitedMs = now - facts.arrivedAt;
   const maxWaitMs = view.attempts.some(mayHaveRun)
     ? facts.deadlineAt - now
     : facts.latencyTargetMs * MAX_WAIT_PART - waitedMs;
-  if (opensInMs !== undefined && opensInMs <= maxWaitMs)
-    return { kind: 'wait', delayMs: opensInMs };
+  if (mayOpen && RECHECK_MS <= maxWaitMs) return { kind: 'wait', delayMs: RECHECK_MS };
   return giveUp(view, RefusalReason.NoTarget);
 }
 
@@ -163,6 +164,6 @@
   const told = attempts
     .map(({ outcome }) => (outcome.kind === 'not-run' ? outcome.comeBackMs : undefined))
     .filter((ms) => ms !== undefined);
-  const comeBackMs = Math.max(MIN_COME_BACK_MS, view.opensInMs ?? DEFAULT_COME_BACK_MS, ...told);
+  const comeBackMs = Math.max(DEFAULT_COME_BACK_MS, ...told);
   return { kind: 'refuse', reason, comeBackMs };
 }
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -19,7 +19,7 @@
   type TimerService,
 } from '@marjoramcart/runtime';
 import type { Call } from '../exchange/call.js';
-import { CallerAnswer } from '../exchange/caller-answer.js';
+import { ATTEMPTS_HEADER, CallerAnswer } from '../exchange/caller-answer.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
@@ -146,7 +146,7 @@
   ): Promise<void> {
     const { state, protocol, executor, timers } = this.parts;
     const arrivedAt = timers.now();
-    const answer = new CallerAnswer(res);
+    const answer = new CallerAnswer(res, forwarded);
     const { config } = state;
     if (!config) {
       this.refuse(req, answer, ResultCodes.EntryNotReady);
@@ -182,8 +182,9 @@
       this.refuse(req, answer, ResultCodes.NoSuchPath);
       return;
     }
+    const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
     const by = forwarded ? String(req.headers[FORWARDED_BY_HEADER] ?? 'unknown') : undefined;
-    const call = makeCall(head, body.body, route, service, inForce, arrivedAt, by);
+    const call = makeCall(head, body.body, route, service, inForce, arrivedAt, by, attempts);
     await executor.run(call, answer);
   }
 
@@ -245,6 +246,7 @@
   config: FleetConfig,
   arrivedAt: number,
   forwardedBy: string | undefined,
+  attempts: number | undefined,
 ): Call {
   const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   return {
@@ -257,7 +259,7 @@
     facts: {
       kind: route.kind,
       resumable: route.resumable,
-      maxAttempts: route.maxAttempts,
+      maxAttempts: Math.min(attempts ?? route.maxAttempts, route.maxAttempts),
       deadlineAt: arrivedAt + waitMs,
       arrivedAt,
       latencyTargetMs: route.latencyTargetMs,
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -4,7 +4,7 @@
 import { readWhole, type Connections, type RequestResult } from '@marjoramcart/runtime';
 import type { AnswerHead, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
 import type { Call } from './call.js';
-import { RUN_HEADER, type CallerAnswer } from './caller-answer.js';
+import { ATTEMPTS_HEADER, RUN_HEADER, type CallerAnswer } from './caller-answer.js';
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -14,6 +14,8 @@
       readonly status: number;
       readonly headers: HeaderList;
       readonly body: Buffer;
+      /** Targets that ran the request; a gateway may have used several. */
+      readonly runs: number;
     }
   /** A stream was passed on to its end. */
   | { readonly kind: 'streamed' }
@@ -106,7 +108,7 @@
     if (body.kind !== 'complete') return { kind: 'lost', message: body.message };
     options.onBytes();
     const headers = this.protocol.passedOn(res.rawHeaders);
-    return { kind: 'answered', status, headers, body: body.body };
+    return { kind: 'answered', status, headers, body: body.body, runs: runsIn(res) };
   }
 
   private stream(res: IncomingMessage, options: AttemptOptions): Promise<AttemptEnd> {
@@ -158,6 +160,11 @@
   return [...headers, 'content-length', String(body.length)];
 }
 
+/** Targets that ran the request, as a gateway tells it; 1 when a target answered itself. */
+function runsIn({ headers }: IncomingMessage): number {
+  return Math.max(1, Number(headers[ATTEMPTS_HEADER] ?? 1) || 1);
+}
+
 /** What another gateway says of a request that it answered itself. */
 function readPeerRefusal(res: IncomingMessage): AttemptEnd | undefined {
   const run = res.headers[RUN_HEADER];
--- a/packages/gateway/src/exchange/caller-answer.ts
+++ b/packages/gateway/src/exchange/caller-answer.ts
@@ -7,12 +7,23 @@
 /** Number of the result code, for callers and logs. */
 export const CODE_HEADER = 'marjoramcart-code';
 
+/** To a gateway: targets that may run the request. From it: targets that may have run it. */
+export const ATTEMPTS_HEADER = 'marjoramcart-attempts';
+
 export class CallerAnswer {
+  private runs = 0;
+
   private goneListener: (() => void) | undefined;
 
   private isGone = false;
 
-  constructor(private readonly res: ServerResponse) {
+  /**
+   * @param toPeer the caller is a gateway, which is told how many targets ran the request
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly toPeer: boolean,
+  ) {
     res.on('close', () => {
       if (res.writableFinished) return;
       this.isGone = true;
@@ -37,9 +48,14 @@
     this.goneListener = fn;
   }
 
+  /** Targets that may have run the request so far. */
+  setRuns(runs: number): void {
+    this.runs = runs;
+  }
+
   /** Starts a streamed answer. */
   start(status: number, headers: HeaderList): void {
-    this.res.writeHead(status, headers);
+    this.res.writeHead(status, [...headers, ...this.runsHeader()]);
     this.res.flushHeaders();
   }
 
@@ -58,10 +74,19 @@
 
   /** Sends a whole answer. */
   send(status: number, headers: HeaderList, body: Buffer): void {
-    this.res.writeHead(status, [...headers, 'content-length', String(body.length)]);
+    this.res.writeHead(status, [
+      ...headers,
+      ...this.runsHeader(),
+      'content-length',
+      String(body.length),
+    ]);
     this.res.end(body);
   }
 
+  private runsHeader(): HeaderList {
+    return this.toPeer ? [ATTEMPTS_HEADER, String(this.runs)] : [];
+  }
+
   /** Breaks off an answer, so that the caller sees that it is incomplete. */
   cut(): void {
     this.res.destroy();
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -2,9 +2,9 @@
 import {
   RefusalReason,
   ResultCodes,
-  RouteKind,
   SharedRetryBudget,
   nextRequestStep,
+  runsOf,
   type AttemptOutcome,
   type AttemptRecord,
   type Candidate,
@@ -27,7 +27,7 @@
   type StreamProgress,
 } from './attempt-runner.js';
 import type { Call } from './call.js';
-import type { CallerAnswer } from './caller-answer.js';
+import { ATTEMPTS_HEADER, type CallerAnswer } from './caller-answer.js';
 import { sendResult } from './send-result.js';
 import { StallWatch } from './stall-watch.js';
 
@@ -84,14 +84,14 @@
   private nextStep(call: Call, answer: CallerAnswer, progress: Progress): RequestStep {
     const { router, timers } = this.parts;
     const now = timers.now();
-    const { candidates, opensInMs } = router.places(call);
+    const { candidates, closed } = router.places(call);
     const step = nextRequestStep(call.facts, {
       now,
       attempts: progress.attempts,
       headSent: answer.started,
       callerGone: answer.gone,
       candidates,
-      ...(opensInMs === undefined ? {} : { opensInMs }),
+      closed,
       takeRetry: () => this.budget(call.service).tryTake(now),
     });
     this.logStep(step, call, candidates, progress);
@@ -140,6 +140,10 @@
     progress: Progress,
   ): Promise<string | undefined> {
     const { place } = candidate;
+    // A gateway that does not answer may have used all the attempts that it was given.
+    const lostRuns = place.kind === 'peer' ? attemptsLeft(call, progress) : 1;
+    const ranSoFar = progress.attempts.reduce((sum, attempt) => sum + runsOf(attempt), 0);
+    answer.setRuns(ranSoFar + 1);
     this.parts.metrics.onAttempt(place.kind, retry);
     const end =
       place.kind === 'target'
@@ -151,11 +155,12 @@
       return 'ok';
     }
     if (end.kind === 'answered' && (isSuccess(end.status) || !worthRetry(end.status))) {
+      answer.setRuns(ranSoFar + end.runs);
       answer.send(end.status, end.headers, end.body);
       return isSuccess(end.status) ? 'ok' : 'target_status';
     }
     if (end.kind === 'answered') Object.assign(progress, { failure: end });
-    progress.attempts.push({ place, outcome: outcomeOf(end) });
+    progress.attempts.push({ place, outcome: outcomeOf(end, lostRuns) });
     return undefined;
   }
 
@@ -210,7 +215,11 @@
     const priority = retry ? RETRY_PRIORITY : call.route.priority;
     return this.exchange(call, answer, progress, candidate, {
       address: `${peer.ip}:${settings.forwardPort}`,
-      headers: protocol.peerHeaders(call.head, this.fields(call, priority, progress)),
+      headers: [
+        ...protocol.peerHeaders(call.head, this.fields(call, priority, progress)),
+        ATTEMPTS_HEADER,
+        String(attemptsLeft(call, progress)),
+      ],
       toPeer: true,
       onBytes: () => undefined,
     });
@@ -282,11 +291,13 @@
     }
   }
 
-  private passOn(answer: CallerAnswer, { failure }: Progress): string {
+  private passOn(answer: CallerAnswer, progress: Progress): string {
+    const { failure } = progress;
     if (!failure) {
       sendResult(answer, ResultCodes.TargetFailed);
       return ResultCodes.TargetFailed.name;
     }
+    answer.setRuns(progress.attempts.reduce((sum, attempt) => sum + runsOf(attempt), 0));
     answer.send(failure.status, failure.headers, failure.body);
     return 'target_status';
   }
@@ -363,15 +374,21 @@
 
 const INTERNAL_ERROR = 500;
 
+/** Targets that may still run the call. */
+function attemptsLeft(call: Call, { attempts }: Progress): number {
+  const runs = attempts.reduce((sum, attempt) => sum + runsOf(attempt), 0);
+  return Math.max(1, call.facts.maxAttempts - runs);
+}
+
 /** Whether a target's failure may be gone at another target. */
 function worthRetry(status: number): boolean {
   return status >= INTERNAL_ERROR;
 }
 
-function outcomeOf(end: AttemptEnd): AttemptOutcome {
+function outcomeOf(end: AttemptEnd, lostRuns: number): AttemptOutcome {
   switch (end.kind) {
     case 'answered':
-      return { kind: 'failed', status: end.status };
+      return { kind: 'failed', status: end.status, runs: end.runs };
     case 'not-run':
       return {
         kind: 'not-run',
@@ -380,7 +397,7 @@
     case 'not-sent':
       return { kind: 'not-sent' };
     default:
-      return { kind: 'lost' };
+      return { kind: 'lost', runs: lostRuns };
   }
 }
 
@@ -391,8 +408,3 @@
     .with(RefusalReason.RetryBudget, () => ResultCodes.RetriesSpent)
     .exhaustive();
 }
-
-/** Whether a call may be sent to a second target after the first one began to run it. */
-export function isRepeatable({ facts }: Call): boolean {
-  return facts.kind === RouteKind.Repeatable || facts.resumable;
-}
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -9,6 +9,7 @@
   type Candidate,
   type GatewayRecord,
   type PeerWork,
+  type Place,
   type RandomSource,
   type RankedTarget,
   type RegionOption,
@@ -26,13 +27,11 @@
 
 /** Gateways that may join a region unseen. */
 const SPARE_GATEWAYS = 1;
-/** A refused cold target is looked at again after this time. */
-const COLD_RECHECK_MS = 150;
 
 export interface Places {
   readonly candidates: readonly Candidate[];
-  /** When a target may open, ms from now. */
-  readonly opensInMs: number | undefined;
+  /** Targets that take no request now. */
+  readonly closed: readonly Place[];
 }
 
 export class Router {
@@ -71,7 +70,10 @@
       call.forwardedBy === undefined
         ? withRegions(local, this.regionOptions(call, now), prompt, pace, latencyTargetMs)
         : local;
-    return { candidates, opensInMs: usable.length > 0 ? COLD_RECHECK_MS : undefined };
+    const closed = usable
+      .filter((entry) => !open.includes(entry))
+      .map(({ record }): Place => ({ kind: 'target', id: record.id }));
+    return { candidates, closed };
   }
 
   paceOf(service: string): ServicePace {
--- a/packages/runtime/src/http/connections.ts
+++ b/packages/runtime/src/http/connections.ts
@@ -121,9 +121,16 @@
         });
         used.once('close', () => clearTimeout(timer));
       });
-      // Errors after the head of the answer are seen by its reader.
-      req.on('error', (err) => resolve(failure(sent, req.reusedSocket, err.message)));
-      req.on('response', (res) => resolve({ kind: 'answer', req, res }));
+      let answer: IncomingMessage | undefined;
+      req.on('error', (err) => {
+        // An answer without a length would otherwise end as if it were complete.
+        answer?.destroy(err);
+        resolve(failure(sent, req.reusedSocket, err.message));
+      });
+      req.on('response', (res) => {
+        answer = res;
+        resolve({ kind: 'answer', req, res });
+      });
       req.end(out.body);
     });
   }
