Order places by expected time and the work of reading shared parts again

Change: a shared part has a home target and a home region, derived alike by all gateways; places of all regions are compared by one cost.

--- /dev/null
+++ b/packages/core/src/exchange/next-request-step.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { RouteKind } from '../fleet/fleet-config.js';
+import { mayHaveRun, runsOf, type AttemptOutcome, type AttemptRecord } from './attempt-record.js';
+import {
+  mayRepeat,
+  nextRequestStep,
+  type Candidate,
+  type RequestFacts,
+  type StepView,
+} from './next-request-step.js';
+
+const FACTS: RequestFacts = {
+  kind: RouteKind.Single,
+  resumable: false,
+  maxAttempts: 2,
+  deadlineAt: 4000,
+  arrivedAt: 0,
+  latencyTargetMs: 600,
+};
+
+function candidate(id: string, waitMs = 0): Candidate {
+  return {
+    place: { kind: 'target', id },
+    expectedFirstByteMs: waitMs + 50,
+    expectedWaitMs: waitMs,
+    tokensToRead: 0,
+    costMs: waitMs + 50,
+  };
+}
+
+function view(changes: Partial<StepView> = {}): StepView {
+  return {
+    now: 10,
+    attempts: [],
+    headSent: false,
+    callerGone: false,
+    candidates: [candidate('a'), candidate('b')],
+    closed: [],
+    takeRetry: () => true,
+    ...changes,
+  };
+}
+
+function tried(id: string, outcome: AttemptOutcome): AttemptRecord {
+  return { place: { kind: 'target', id }, outcome };
+}
+
+const outcomes: fc.Arbitrary<AttemptOutcome> = fc.oneof(
+  fc.constant<AttemptOutcome>({ kind: 'not-sent' }),
+  fc.constant<AttemptOutcome>({ kind: 'not-run' }),
+  fc.record({
+    kind: fc.constant('failed' as const),
+    status: fc.constantFrom(500, 503),
+    runs: fc.integer({ min: 1, max: 2 }),
+  }),
+  fc.record({ kind: fc.constant('lost' as const), runs: fc.integer({ min: 1, max: 2 }) }),
+);
+
+const cases = fc.record({
+  facts: fc.record({
+    kind: fc.constantFrom(...Object.values(RouteKind)),
+    resumable: fc.boolean(),
+    maxAttempts: fc.integer({ min: 1, max: 3 }),
+    deadlineAt: fc.constant(4000),
+    arrivedAt: fc.constant(0),
+    latencyTargetMs: fc.constant(600),
+  }),
+  attempts: fc.array(
+    fc
+      .tuple(fc.constantFrom('a', 'b', 'c', 'd'), outcomes)
+      .map(([id, outcome]) => tried(id, outcome)),
+    { maxLength: 4 },
+  ),
+  now: fc.constantFrom(0, 100, 2000, 3990, 5000),
+  headSent: fc.boolean(),
+  callerGone: fc.boolean(),
+  waits: fc.array(fc.constantFrom(0, 100, 3000), { maxLength: 4 }),
+  closed: fc.subarray(['a', 'b', 'c']),
+  retry: fc.boolean(),
+});
+
+test('every step keeps at most once, true refusals, attempts and places', () => {
+  fc.assert(
+    fc.property(cases, ({ facts, attempts, now, headSent, callerGone, waits, closed, retry }) => {
+      const step = nextRequestStep(facts, {
+        now,
+        attempts,
+        headSent,
+        callerGone,
+        candidates: waits.map((waitMs, index) => candidate('abcd'[index] ?? 'a', waitMs)),
+        closed: closed.map((id) => ({ kind: 'target', id }) as const),
+        takeRetry: () => retry,
+      });
+      const ran = attempts.some(mayHaveRun);
+      const runs = attempts.reduce((sum, attempt) => sum + runsOf(attempt), 0);
+      if (callerGone) assert.equal(step.kind, 'abandon');
+      if (step.kind === 'refuse') assert.ok(!ran && !headSent, 'a refusal is true');
+      if (step.kind === 'attempt') {
+        const { place } = step.candidate;
+        assert.ok(!ran || mayRepeat(facts), 'runs at most once');
+        assert.ok(runs < facts.maxAttempts, 'attempts are bounded');
+        assert.ok(!headSent || facts.resumable, 'a started answer goes on only when resumable');
+        assert.ok(
+          !attempts.some(
+            (attempt) =>
+              attempt.place.kind === 'target' &&
+              place.kind === 'target' &&
+              attempt.place.id === place.id,
+          ),
+        );
+        const sentBefore = attempts.some(({ outcome }) => outcome.kind !== 'not-sent');
+        assert.ok(!sentBefore || retry, 'a retry is taken from the budget');
+      }
+      if (step.kind === 'pass-on') {
+        assert.equal(attempts[step.attempt]?.outcome.kind, 'failed');
+        assert.ok(!headSent);
+      }
+      if (step.kind === 'fail') assert.ok(ran);
+      if (step.kind === 'cut') assert.ok(headSent);
+    }),
+    { seed: 20261, numRuns: 5000 },
+  );
+});
+
+test('a lost request that runs at most once fails without a second attempt', () => {
+  const step = nextRequestStep(FACTS, view({ attempts: [tried('a', { kind: 'lost', runs: 1 })] }));
+  assert.deepEqual(step, { kind: 'fail', timedOut: false });
+});
+
+test('a request that a target rejected unrun goes to another target', () => {
+  const step = nextRequestStep(FACTS, view({ attempts: [tried('a', { kind: 'not-run' })] }));
+  assert.equal(step.kind, 'attempt');
+});
+
+test('a repeatable request whose places were all tried is answered at once', () => {
+  // Once it waited for the places it had tried, until the caller's deadline.
+  const facts = { ...FACTS, kind: RouteKind.Repeatable, maxAttempts: 3 };
+  const attempts = [tried('a', { kind: 'failed', status: 500, runs: 1 })];
+  const closed = [{ kind: 'target', id: 'a' }] as const;
+  const step = nextRequestStep(facts, view({ attempts, candidates: [], closed }));
+  assert.deepEqual(step, { kind: 'pass-on', attempt: 0 });
+});
+
+test('attempts at another gateway count as many targets as it used', () => {
+  const facts = { ...FACTS, kind: RouteKind.Repeatable };
+  const attempts: AttemptRecord[] = [
+    {
+      place: { kind: 'peer', node: 'vm-9', region: 'west' },
+      outcome: { kind: 'failed', status: 500, runs: 2 },
+    },
+  ];
+  assert.equal(nextRequestStep(facts, view({ attempts })).kind, 'pass-on');
+});
+
+test('a request that would be late is refused at once, with a time to return', () => {
+  const step = nextRequestStep(FACTS, view({ candidates: [candidate('a', 900)] }));
+  assert.equal(step.kind, 'refuse');
+  assert.ok(step.kind === 'refuse' && step.comeBackMs >= 100);
+});
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -27,6 +27,10 @@
   readonly expectedFirstByteMs: number;
   /** Part of that time which is spent waiting for other work, ms. */
   readonly expectedWaitMs: number;
+  /** Prompt tokens that the place has to read; 0 for plain services. */
+  readonly tokensToRead: number;
+  /** What the candidates are ordered by: the expected time and what the choice costs others, ms. */
+  readonly costMs: number;
 }
 
 /** What is known at the time of the step. */
@@ -104,7 +108,7 @@
   const [best] = view.candidates.filter(({ place }) => isUntried(view, place));
   if (!best) return withoutCandidate(facts, view);
   // A request that is partly served is finished, since its work would be lost otherwise.
-  const refused = started ? undefined : overload(facts, best, now);
+  const refused = started || view.headSent ? undefined : overload(facts, best, now);
   if (refused) return refused;
   // An attempt that never left the process put no load on a target.
   const retry = attempts.some(({ outcome }) => outcome.kind !== 'not-sent');
--- /dev/null
+++ b/packages/core/src/fleet/cold-pacer.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { ColdPacer, coldAllowance } from './cold-pacer.js';
+
+// Pattern: a failure domain returns cold and every gateway has a queue of requests for it.
+test('all gateways together stay within the rate of a cold target in any second', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 40 }),
+      fc.double({ min: 1, max: 12, noNaN: true }),
+      fc.array(fc.integer({ min: 0, max: 60 }), { minLength: 1, maxLength: 40 }),
+      (count, requestsPerS, delays) => {
+        const gateways = Array.from({ length: count }, (_, index) => `vm-${index}`);
+        const arrivals = gateways.flatMap((self, index) => {
+          const pacer = new ColdPacer();
+          const allowance = coldAllowance('t1', self, { requestsPerS, gateways, spare: 1 });
+          const delayMs = delays[index % delays.length] ?? 0;
+          return Array.from({ length: 300 }, (_, tick) => tick * 10)
+            .filter((now) => {
+              if (!pacer.maySend('t1', allowance, now)) return false;
+              pacer.onSend('t1', now);
+              return true;
+            })
+            .map((sentAt) => sentAt + delayMs);
+        });
+        arrivals.forEach((from) => {
+          const within = arrivals.filter((at) => at >= from && at < from + 1000).length;
+          assert.ok(within <= requestsPerS, `${within} of ${requestsPerS}`);
+        });
+      },
+    ),
+    { seed: 20261, numRuns: 60 },
+  );
+});
+
+test('every target keeps some gateways that may use it, however many there are', () => {
+  const gateways = Array.from({ length: 20 }, (_, index) => `vm-${index}`);
+  const share = { requestsPerS: 7, gateways, spare: 1 };
+  const allowed = gateways.filter((self) => coldAllowance('t1', self, share) > 0);
+  assert.ok(allowed.length >= 1);
+});
--- /dev/null
+++ b/packages/core/src/fleet/route-table.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../random-source.js';
+import { RouteKind, type Route } from './fleet-config.js';
+import { RouteTable, drawService } from './route-table.js';
+
+function route(name: string, host: string, prefix: string): Route {
+  return {
+    name,
+    host,
+    prefix,
+    kind: RouteKind.Single,
+    timeoutMs: 1000,
+    latencyTargetMs: 100,
+    priority: 0,
+    services: [
+      { service: 'one', weight: 90 },
+      { service: 'two', weight: 10 },
+    ],
+    maxAttempts: 1,
+    resumable: false,
+    homeRegions: [],
+  };
+}
+
+const table = new RouteTable([
+  route('root', 'a.example', '/'),
+  route('deep', 'a.example', '/x/y/'),
+  route('short', 'a.example', '/x/'),
+  route('other', 'b.example', '/x/'),
+]);
+
+test('the longest prefix of the host wins', () => {
+  const found = [
+    ['a.example', '/x/y/z'],
+    ['A.example:8080', '/x/q?path=/x/y/'],
+    ['a.example', '/x'],
+    ['b.example', '/y/'],
+    ['c.example', '/'],
+  ].map(([host = '', path = '']) => table.match(host, path)?.name);
+  assert.deepEqual(found, ['deep', 'short', 'root', undefined, undefined]);
+});
+
+test('services are drawn by their weights', () => {
+  const random = seededRandom(7);
+  const drawn = Array.from({ length: 1000 }, () => drawService(route('r', 'h', '/'), random));
+  const share = drawn.filter((service) => service === 'two').length / drawn.length;
+  assert.ok(share > 0.07 && share < 0.13, String(share));
+});
--- /dev/null
+++ b/packages/core/src/retries/shared-retry-budget.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SharedRetryBudget } from './shared-retry-budget.js';
+
+const LIMITS = { windowMs: 10_000, ratio: 0.2, slack: 54 };
+
+// Pattern: every request fails at first and every gateway wants to retry each one.
+test('the retries of all gateways stay within the shared budget in any window', () => {
+  const gateways = Array.from({ length: 7 }, () => new SharedRetryBudget(LIMITS));
+  gateways.forEach((budget) => budget.setGateways(gateways.length));
+  const events = gateways.flatMap((budget, index) =>
+    Array.from({ length: 3000 }, (_, step) => step * 10 + index).map((now) => {
+      budget.onRequest(now);
+      return { now, retried: budget.tryTake(now) };
+    }),
+  );
+  Array.from({ length: 20 }, (_, step) => step * 1000).forEach((from) => {
+    const inWindow = events.filter(({ now }) => now >= from && now < from + LIMITS.windowMs);
+    const retries = inWindow.filter(({ retried }) => retried).length;
+    assert.ok(retries <= inWindow.length * LIMITS.ratio + LIMITS.slack, `${retries} from ${from}`);
+  });
+});
+
+test('a gateway that sees fewer others than before keeps its share', () => {
+  const budget = new SharedRetryBudget(LIMITS);
+  budget.setGateways(54);
+  budget.setGateways(1);
+  assert.equal(budget.tryTake(0), false);
+});
--- /dev/null
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../random-source.js';
+import { rankTargets, type ServicePace } from './expected-first-byte.js';
+import { sharedPartOf, type Prompt } from './prompt.js';
+import { withRegions, type RegionOption } from './region-choice.js';
+import { SharedPartHomes } from './shared-part-homes.js';
+import { TargetWork } from './target-work.js';
+
+const PACE: ServicePace = { prefillTokensPerMs: 50, baseMs: 55, usualFailureRate: 0 };
+const CACHE_TOKENS = 400_000;
+
+function prompt(subject: number, ownTokens: number, session: number): Prompt {
+  return {
+    parts: [
+      { id: 'common', tokens: 512 },
+      { id: `subject-${subject}`, tokens: 4870 },
+      { id: `own-${session}`, tokens: ownTokens },
+    ],
+    promptTokens: 512 + 4870 + ownTokens,
+    maxOutputTokens: 400,
+  };
+}
+
+/** Plays arrivals on six targets that read one prompt after the other; returns what was read. */
+function play(useHomes: boolean): { readTokens: number; lateShare: number } {
+  const random = seededRandom(20261);
+  const ids = Array.from({ length: 6 }, (_, index) => `t${index}`);
+  const works = new Map(ids.map((id) => [id, new TargetWork(CACHE_TOKENS)]));
+  const caches = new Map(ids.map((id) => [id, new Set<string>()]));
+  const freeAt = new Map(ids.map((id) => [id, 0]));
+  const homes = new SharedPartHomes();
+  let readTokens = 0;
+  let late = 0;
+  const waiting: { id: string; session: string; at: number }[] = [];
+  const arrivals = Array.from({ length: 2000 }, (_, session) => ({ session, now: session * 30 }));
+  arrivals.forEach(({ session, now }) => {
+    waiting
+      .filter(({ at }) => at <= now)
+      .forEach((done) => {
+        works.get(done.id)?.onFirstByte(done.session, done.at);
+        works.get(done.id)?.onEnd(done.session);
+        waiting.splice(waiting.indexOf(done), 1);
+      });
+    const own = Math.round(500 + random.next() ** 4 * 24_000);
+    const request = prompt(Math.floor(random.next() * 118), own, session);
+    const home = homes.homeTarget(sharedPartOf(request) ?? '', ids);
+    const targets = ids.map((id) => ({
+      id,
+      slots: 64,
+      work: works.get(id) as TargetWork,
+      holdsShared: useHomes && id === home,
+    }));
+    const [best] = rankTargets(
+      { prompt: request, priority: 0, latencyTargetMs: 1200 },
+      targets,
+      PACE,
+      now,
+    );
+    const id = best?.place.kind === 'target' ? best.place.id : 't0';
+    const cache = caches.get(id) as Set<string>;
+    const cold = request.parts.filter((part) => !cache.has(part.id));
+    const tokens = cold.reduce((sum, part) => sum + part.tokens, 0);
+    request.parts.forEach((part) => cache.add(part.id));
+    const start = Math.max(now, freeAt.get(id) ?? 0);
+    const at = start + PACE.baseMs + tokens / PACE.prefillTokensPerMs;
+    freeAt.set(id, start + tokens / PACE.prefillTokensPerMs);
+    readTokens += tokens;
+    if (at - now > 1200) late += 1;
+    const work = { tokens, priority: 0, expectedMs: best?.expectedFirstByteMs ?? 1 };
+    works.get(id)?.onSend(`r${session}`, work, request, now);
+    waiting.push({ id, session: `r${session}`, at });
+  });
+  return { readTokens, lateShare: late / arrivals.length };
+}
+
+// Pattern: heavy-tailed prompts that share one of many long parts, at two thirds of the capacity.
+test('homes of shared parts save reading and keep requests in time', () => {
+  const withHomes = play(true);
+  const without = play(false);
+  assert.ok(
+    withHomes.readTokens < without.readTokens,
+    `${withHomes.readTokens} of ${without.readTokens}`,
+  );
+  assert.ok(withHomes.lateShare <= 0.05, String(withHomes.lateShare));
+});
+
+test('a target that fails more than usual is used last', () => {
+  const good = new TargetWork(CACHE_TOKENS);
+  const bad = new TargetWork(CACHE_TOKENS);
+  Array.from({ length: 5 }).forEach(() => bad.onOutcome(true, 1000));
+  const targets = [
+    { id: 'bad', slots: 6, work: bad, holdsShared: false },
+    { id: 'good', slots: 6, work: good, holdsShared: false },
+  ];
+  const [best] = rankTargets({ priority: 0, latencyTargetMs: 600 }, targets, PACE, 1000);
+  assert.deepEqual(best?.place, { kind: 'target', id: 'good' });
+});
+
+function option(pendingTokens: number, warm: boolean): RegionOption {
+  return {
+    region: 'west',
+    node: 'vm-9',
+    work: { targets: 3, slots: 192, requests: 20, pendingTokens },
+    roundTripMs: 160,
+    sentSince: { requests: 0, tokens: 0 },
+    warm,
+  };
+}
+
+function local(waitingTokens: number): ReturnType<typeof rankTargets> {
+  const work = new TargetWork(CACHE_TOKENS);
+  if (waitingTokens > 0) {
+    const waiting = { tokens: waitingTokens, priority: 0, expectedMs: 500 };
+    work.onSend('other', waiting, undefined, 0);
+  }
+  const target = { id: 't0', slots: 64, work, holdsShared: true };
+  return rankTargets(
+    { prompt: prompt(1, 600, 1), priority: 0, latencyTargetMs: 1200 },
+    [target],
+    PACE,
+    0,
+  );
+}
+
+// Pattern: a peak in the own region while another region is idle.
+test('a request leaves its region when the wait there is longer than the way and a cold cache', () => {
+  const idle = option(0, false);
+  assert.equal(withRegions(local(0), [idle], prompt(1, 600, 1), PACE)[0]?.place.kind, 'target');
+  assert.equal(withRegions(local(60_000), [idle], prompt(1, 600, 1), PACE)[0]?.place.kind, 'peer');
+});
+
+test('a request stays when the other region is as busy', () => {
+  const busy = option(180_000, false);
+  assert.equal(
+    withRegions(local(60_000), [busy], prompt(1, 600, 1), PACE)[0]?.place.kind,
+    'target',
+  );
+});
+
+test('what was sent to a region since its summary counts as its work', () => {
+  const sent = { ...option(0, false), sentSince: { requests: 30, tokens: 180_000 } };
+  assert.equal(
+    withRegions(local(60_000), [sent], prompt(1, 600, 1), PACE)[0]?.place.kind,
+    'target',
+  );
+});
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -14,3 +14,4 @@
 export * from './prompt.js';
 export * from './region-choice.js';
 export * from './target-work.js';
+export * from './shared-part-homes.js';
--- a/packages/core/src/routing/prompt.ts
+++ b/packages/core/src/routing/prompt.ts
@@ -14,10 +14,19 @@
 }
 
 /**
- * Identifies the longest part that requests share, for the choice of a target.
+ * Identifies the longest beginning that requests share, for the choice of a place.
  *
  * @example sharedPartOf({ parts: [{ id: 'a', tokens: 500 }, { id: 'b', tokens: 20 }], ... }) // 'a'
  */
 export function sharedPartOf({ parts }: Prompt): string | undefined {
   return (parts.at(-2) ?? parts[0])?.id;
 }
+
+/**
+ * Tokens of the parts that requests share.
+ *
+ * @example sharedTokensOf({ parts: [{ id: 'a', tokens: 500 }, { id: 'b', tokens: 20 }], ... }) // 500
+ */
+export function sharedTokensOf({ parts }: Prompt): number {
+  return parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -1,11 +1,13 @@
 /**
- * Load pattern: peaks that reach the regions at different times. A request leaves its region when
- * the first byte would come sooner from another one, round trip included. The state of another
- * region is known by summaries with a lag, which are corrected by what this gateway sent since.
+ * Load pattern: peaks that reach the regions at different times, and shared parts of prompts that
+ * are cached in one region only. A request leaves its region when the first byte would come sooner
+ * from another one, round trip included, or when reading its shared parts again would take more
+ * work than the way there. The state of another region is known by summaries with a lag, which are
+ * corrected by what was sent since.
  */
 import type { Candidate } from '../exchange/next-request-step.js';
-import type { Prompt } from './prompt.js';
-import type { ServicePace } from './expected-first-byte.js';
+import { rereadMs, type ServicePace } from './expected-first-byte.js';
+import { sharedTokensOf, type Prompt } from './prompt.js';
 
 /** Work of one service in a region, as a gateway there sums it up. */
 export interface RegionWork {
@@ -24,65 +26,51 @@
   readonly roundTripMs: number;
   /** Requests and tokens that were sent there since the summary, by all gateways of this region. */
   readonly sentSince: { readonly requests: number; readonly tokens: number };
-  /** Whether the shared parts of the prompt were sent there before. */
+  /** Whether the shared parts of the prompt are expected to be cached there. */
   readonly warm: boolean;
 }
 
-/** Difference that makes a request leave its region, ms; it covers the lag of summaries. */
-const LEAVE_MARGIN_MS = 40;
-/** Below this part of the latency target a request stays in its region. */
-const STAY_PART = 0.3;
+/** What leaving the region costs beside its time, ms; covers the lag of summaries and the bytes. */
+const LEAVE_COST_MS = 60;
 /** Requests are spread unevenly over a region's targets. */
 const UNEVENNESS = 1.5;
 
 /**
- * The candidates of the own region, behind other regions that answer clearly sooner.
+ * Joins the candidates of the own region and other regions, best first.
  *
- * @param local candidates of the own region, best first
- * @param latencyTargetMs of the route
- * @example withRegions(local, options, prompt, pace, 600)
+ * @param local candidates of the own region
+ * @example withRegions(local, options, prompt, pace)
  */
 export function withRegions(
   local: readonly Candidate[],
   options: readonly RegionOption[],
   prompt: Prompt | undefined,
   pace: ServicePace,
-  latencyTargetMs: number,
 ): Candidate[] {
-  const [best] = local;
   const away = options
     .filter(({ work }) => work.targets > 0)
-    .map((option) => remoteCandidate(option, prompt, pace))
-    .sort((a, b) => a.expectedFirstByteMs - b.expectedFirstByteMs);
-  if (!best) return away;
-  if (best.expectedFirstByteMs <= latencyTargetMs * STAY_PART) return [...local, ...away];
-  const sooner = away.filter(
-    ({ expectedFirstByteMs }) => expectedFirstByteMs + LEAVE_MARGIN_MS < best.expectedFirstByteMs,
-  );
-  const rest = away.filter((candidate) => !sooner.includes(candidate));
-  return [...sooner, ...local, ...rest];
+    .map((option) => remoteCandidate(option, prompt, pace));
+  return [...local, ...away].sort((a, b) => a.costMs - b.costMs);
 }
 
 function remoteCandidate(
-  option: RegionOption,
+  { work, sentSince, roundTripMs, warm, node, region }: RegionOption,
   prompt: Prompt | undefined,
   pace: ServicePace,
 ): Candidate {
-  const { work, sentSince, roundTripMs, warm } = option;
-  const tokens = ((work.pendingTokens + sentSince.tokens) / work.targets) * UNEVENNESS;
+  const { prefillTokensPerMs, baseMs } = pace;
+  const tokensAhead = ((work.pendingTokens + sentSince.tokens) / work.targets) * UNEVENNESS;
   const requests = work.requests + sentSince.requests;
-  const slotWaitMs = (Math.max(0, requests + 1 - work.slots) / work.slots) * pace.baseMs;
-  const expectedWaitMs = slotWaitMs + tokens / pace.prefillTokensPerMs;
-  const ownTokens = prompt ? tokensToRead(prompt, warm) : 0;
+  const slotWaitMs = (Math.max(0, requests + 1 - work.slots) / work.slots) * baseMs;
+  const expectedWaitMs = slotWaitMs + tokensAhead / prefillTokensPerMs;
+  const tokensToRead = prompt ? prompt.promptTokens - (warm ? sharedTokensOf(prompt) : 0) : 0;
+  const expectedFirstByteMs =
+    roundTripMs + expectedWaitMs + baseMs + tokensToRead / prefillTokensPerMs;
   return {
-    place: { kind: 'peer', node: option.node, region: option.region },
+    place: { kind: 'peer', node, region },
     expectedWaitMs,
-    expectedFirstByteMs:
-      roundTripMs + expectedWaitMs + pace.baseMs + ownTokens / pace.prefillTokensPerMs,
+    expectedFirstByteMs,
+    tokensToRead,
+    costMs: expectedFirstByteMs + LEAVE_COST_MS + rereadMs(prompt, tokensToRead, pace),
   };
 }
-
-function tokensToRead({ parts, promptTokens }: Prompt, warm: boolean): number {
-  if (!warm) return promptTokens;
-  return parts.at(-1)?.tokens ?? promptTokens;
-}
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -54,6 +54,8 @@
 
   private lastByteAt = 0;
 
+  private lastFirstByteAt = 0;
+
   private avoidMs = 0;
 
   private avoidUntil = 0;
@@ -75,12 +77,19 @@
     return this.running.size + this.fresh(now).reduce((sum, { requests }) => sum + requests, 0);
   }
 
-  /** Prompt tokens that are still to be read and are at least as urgent as `priority`. */
-  pendingTokens(now: number, priority = Infinity): number {
-    const own = [...this.pending.values()]
-      .filter((work) => work.priority <= priority)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
-    return own + this.fresh(now).reduce((sum, { pendingTokens }) => sum + pendingTokens, 0);
+  /**
+   * Prompt tokens that are still to be read and are at least as urgent as `priority`. Of the
+   * request that waits longest, what the target read meanwhile is left out.
+   *
+   * @param tokensPerMs how fast the target reads
+   */
+  pendingTokens(now: number, tokensPerMs: number, priority = Infinity): number {
+    const ahead = [...this.pending.values()].filter((work) => work.priority <= priority);
+    const own = ahead.reduce((sum, { tokens }) => sum + tokens, 0);
+    const [oldest] = ahead;
+    const readingMs = oldest ? now - Math.max(oldest.sentAt, this.lastFirstByteAt) : 0;
+    const read = Math.min(oldest?.tokens ?? 0, readingMs * tokensPerMs);
+    return own - read + this.fresh(now).reduce((sum, { pendingTokens }) => sum + pendingTokens, 0);
   }
 
   /** Factor on expected times. */
@@ -108,14 +117,12 @@
 
   /** Prompt tokens that the target has to read, as far as this process knows its cache. */
   uncachedTokens(prompt: Prompt, assumeShared: boolean): number {
-    const known = prompt.parts.slice(0, assumeShared ? -1 : undefined);
-    const firstCold = assumeShared
-      ? known.length
-      : known.findIndex(({ id }) => !this.cached.has(id));
-    const warm = prompt.parts
-      .slice(0, firstCold < 0 ? undefined : firstCold)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
-    return Math.max(0, prompt.promptTokens - warm);
+    const { parts, promptTokens } = prompt;
+    const firstCold = parts.findIndex(({ id }) => !this.cached.has(id));
+    const known = firstCold < 0 ? parts.length : firstCold;
+    const warmParts = assumeShared ? Math.max(known, parts.length - 1) : known;
+    const warm = parts.slice(0, warmParts).reduce((sum, { tokens }) => sum + tokens, 0);
+    return Math.max(0, promptTokens - warm);
   }
 
   onSend(
@@ -133,6 +140,7 @@
   onFirstByte(id: string, now: number): void {
     const work = this.pending.get(id);
     this.pending.delete(id);
+    this.lastFirstByteAt = now;
     this.onByte(now);
     if (!work) return;
     const ratio = (now - work.sentAt) / Math.max(1, work.expectedMs);
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -181,7 +181,7 @@
     const expectedMs = candidate.expectedFirstByteMs;
     router.onSendToTarget(entry);
     const priority = retry ? RETRY_PRIORITY : call.route.priority;
-    const tokens = prompt ? work.uncachedTokens(prompt, false) : 0;
+    const tokens = candidate.tokensToRead;
     work.onSend(call.head.id, { tokens, priority, expectedMs }, prompt, startedAt);
     let first = true;
     const end = await this.exchange(call, answer, progress, candidate, {
@@ -211,7 +211,7 @@
     const { gossip, settings, router, protocol } = this.parts;
     const peer = gossip.table.get(node);
     if (!peer) return { kind: 'not-sent', message: 'gateway no longer known' };
-    router.onSendToPeer(call, region);
+    router.onSendToPeer(call, region, candidate.tokensToRead);
     const priority = retry ? RETRY_PRIORITY : call.route.priority;
     return this.exchange(call, answer, progress, candidate, {
       address: `${peer.ip}:${settings.forwardPort}`,
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -5,6 +5,8 @@
   GatewayPhase,
   rankTargets,
   sharedPartOf,
+  SharedPartHomes,
+  sharedTokensOf,
   withRegions,
   type Candidate,
   type GatewayRecord,
@@ -27,6 +29,8 @@
 
 /** Gateways that may join a region unseen. */
 const SPARE_GATEWAYS = 1;
+/** Shared parts from this length on are cached in one region only, if possible. */
+const LONG_SHARED_TOKENS = 1500;
 
 export interface Places {
   readonly candidates: readonly Candidate[];
@@ -41,6 +45,8 @@
 
   private readonly sentAway = new SentAway();
 
+  private readonly homes = new SharedPartHomes();
+
   /** All gateways seen in the own region, which share the rate of its cold targets. */
   private readonly regionGateways: Set<string>;
 
@@ -62,14 +68,18 @@
       : [];
     const open = usable.filter((entry) => this.isOpen(entry, now));
     const pace = this.paceOf(call.service);
-    const { latencyTargetMs } = call.facts;
-    const prompt = call.head.prompt;
-    const req = { prompt, priority: call.route.priority, latencyTargetMs };
-    const local = rankTargets(req, open.map(toRanked), pace, now);
-    const candidates =
-      call.forwardedBy === undefined
-        ? withRegions(local, this.regionOptions(call, now), prompt, pace, latencyTargetMs)
-        : local;
+    const options = call.forwardedBy === undefined ? this.regionOptions(call, now) : [];
+    const local = rankTargets(
+      {
+        ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
+        priority: call.route.priority,
+        latencyTargetMs: call.facts.latencyTargetMs,
+      },
+      this.toRanked(call, open, options),
+      pace,
+      now,
+    );
+    const candidates = withRegions(local, options, call.head.prompt, pace);
     const closed = usable
       .filter((entry) => !open.includes(entry))
       .map(({ record }): Place => ({ kind: 'target', id: record.id }));
@@ -86,11 +96,11 @@
     if (entry.coldUntil > now) this.pacer.onSend(entry.record.id, now);
   }
 
-  onSendToPeer(call: Call, region: string): void {
+  onSendToPeer(call: Call, region: string, tokensToRead: number): void {
     const { prompt } = call.head;
     this.sentAway.onSend(
       `${region} ${call.service}`,
-      prompt?.parts.at(-1)?.tokens ?? 0,
+      tokensToRead,
       prompt ? sharedPartOf(prompt) : undefined,
       this.timers.now(),
     );
@@ -135,7 +145,9 @@
       targets: entries.length,
       slots: sum(({ record }) => record.slots),
       requests: sum(({ work }) => work.requests(now)),
-      pendingTokens: sum(({ work }) => work.pendingTokens(now)),
+      pendingTokens: sum(({ work }) =>
+        work.pendingTokens(now, this.settings.tuning.engine.prefill_tokens_per_ms),
+      ),
     };
   }
 
@@ -158,7 +170,14 @@
   }
 
   private regionOptions(call: Call, now: number): RegionOption[] {
-    const ready = this.gossip.table
+    const ready = this.readyAway(call, now);
+    const regions = [...new Set(ready.map(({ region }) => region))];
+    return regions.map((region) => this.regionOption(call, region, ready, now));
+  }
+
+  /** Ready gateways of other regions whose targets may run the call. */
+  private readyAway(call: Call, now: number): GatewayRecord[] {
+    return this.gossip.table
       .alive(now)
       .filter(
         ({ region, phase, regionWork }) =>
@@ -167,8 +186,6 @@
           regionWork[call.service] !== undefined &&
           this.allowsRegion(call, region),
       );
-    const regions = [...new Set(ready.map(({ region }) => region))];
-    return regions.map((region) => this.regionOption(call, region, ready, now));
   }
 
   private regionOption(
@@ -193,15 +210,60 @@
       work: regionWork[call.service] as RegionWork,
       roundTripMs: this.gossip.roundTripMs(drawn.node),
       sentSince: { requests: sent.requests * gateways, tokens: sent.tokens * gateways },
-      warm: shared !== undefined && this.sentAway.hasShared(`${region} ${call.service}`, shared),
+      warm:
+        shared !== undefined &&
+        (this.homeRegion(call, shared, now) === region ||
+          this.sentAway.hasShared(`${region} ${call.service}`, shared)),
     };
   }
+
+  /** Region that a shared part belongs to, among those that may run the call. */
+  private homeRegion(call: Call, shared: string, now: number): string | undefined {
+    const own = this.settings.region;
+    const targets = this.allowsRegion(call, own)
+      ? this.state.usableTargets(call.service).length
+      : 0;
+    const others = new Map(
+      this.readyAway(call, now).map(({ region, regionWork }) => [
+        region,
+        regionWork[call.service]?.targets ?? 0,
+      ]),
+    );
+    const regions = [...others.entries(), [own, targets] as const]
+      .map(([region, count]) => ({ region, targets: count }))
+      .sort((a, b) => (a.region < b.region ? -1 : 1));
+    return this.homes.homeRegion(shared, regions);
+  }
+
+  /** Marks the target that is expected to hold the shared parts of the prompt. */
+  private toRanked(
+    call: Call,
+    open: readonly TargetEntry[],
+    options: readonly RegionOption[],
+  ): RankedTarget[] {
+    const { prompt } = call.head;
+    const shared = prompt && sharedPartOf(prompt);
+    const home =
+      shared === undefined
+        ? undefined
+        : this.homes.homeTarget(
+            shared,
+            open.map(({ record }) => record.id),
+          );
+    // A long part is expected in its home region only, where all gateways send it.
+    const elsewhere =
+      prompt !== undefined &&
+      sharedTokensOf(prompt) >= LONG_SHARED_TOKENS &&
+      options.some(({ warm }) => warm);
+    return open.map(({ record, work }) => ({
+      id: record.id,
+      slots: record.slots,
+      work,
+      holdsShared: record.id === home && !elsewhere,
+    }));
+  }
 }
 
 function isAvoided({ work }: TargetEntry, now: number): boolean {
   return work.avoidedUntil > now || work.isSilent(now);
 }
-
-function toRanked({ record, work }: TargetEntry): RankedTarget {
-  return { id: record.id, slots: record.slots, work };
-}
--- /dev/null
+++ b/packages/runtime/src/http/connections.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { Connections } from './connections.js';
+import { readWhole } from './read-whole.js';
+
+async function answerOf(respond: (socket: Socket) => void): Promise<string> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => respond(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const connections = new Connections({});
+  const sent = await connections.send(
+    {
+      address: `127.0.0.1:${port}`,
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      newConnection: true,
+    },
+    () => true,
+    new AbortController().signal,
+  );
+  const body = sent.kind === 'answer' ? await readWhole(sent.res) : sent;
+  connections.close();
+  server.close();
+  return body.kind;
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+
+test('an answer without a length that ends with its connection is complete', async () => {
+  assert.equal(await answerOf((socket) => socket.end(`${HEAD}whole`)), 'complete');
+});
+
+test('an answer without a length whose connection is reset is truncated', async () => {
+  const kind = await answerOf((socket) => {
+    socket.write(`${HEAD}part`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+  });
+  assert.equal(kind, 'truncated');
+});
