--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,7 +26,7 @@
   gateway: ['core', 'runtime'],
   platform: ['core', 'runtime', 'gateway'],
   bench: ['core', 'runtime', 'stand-ins'],
-  'stand-ins': ['core', 'runtime'],
+  'stand-ins': ['core', 'runtime', 'gateway', 'platform'],
   features: ['core', 'runtime', 'stand-ins'],
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,7 +115,7 @@
 
   /** Leaves the directory, serves what arrives for a while, then finishes what is in flight. */
   async stop(): Promise<void> {
-    const { settings, timers, log, source } = this.parts;
+    const { settings, timers, log } = this.parts;
     const startedAt = timers.now();
     this.draining = true;
     this.callers.announceClose();
@@ -125,7 +125,12 @@
     const endAt = startedAt + settings.graceMs - EXIT_MARGIN_MS;
     await this.untilIdle(endAt);
     log.info('drained', { in_flight: this.callers.requestsInFlight });
-    source.stop();
+    await this.close();
+  }
+
+  /** Ends all tasks at once, cutting off what is in flight. */
+  async close(): Promise<void> {
+    this.parts.source.stop();
     await Promise.all(this.tasks.map((task) => task.stop()));
   }
 
--- a/packages/runtime/src/http/connections.test.ts
+++ b/packages/runtime/src/http/connections.test.ts
@@ -46,3 +46,16 @@
   });
   assert.equal(kind, 'truncated');
 });
+
+test('an answer without a length is truncated when its last bytes and the reset arrive together', async () => {
+  // libuv reports such a reset as an ordinary end of the connection.
+  const kinds = await Promise.all(
+    Array.from({ length: 20 }, () =>
+      answerOf((socket) => {
+        socket.write(`${HEAD}part`);
+        socket.resetAndDestroy();
+      }),
+    ),
+  );
+  assert.ok(!kinds.includes('complete'), kinds.join(' '));
+});
--- a/packages/runtime/src/http/connections.ts
+++ b/packages/runtime/src/http/connections.ts
@@ -129,6 +129,7 @@
       });
       req.on('response', (res) => {
         answer = res;
+        if (endsWithConnection(res)) watchForReset(res);
         resolve({ kind: 'answer', req, res });
       });
       req.end(out.body);
@@ -136,6 +137,22 @@
   }
 }
 
+/** Whether only the end of the connection tells the end of the answer. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/**
+ * Fails an answer whose connection was reset. libuv reports a reset that arrives together with the
+ * last bytes as an ordinary end; a socket that was reset no longer has a peer address.
+ */
+function watchForReset(res: IncomingMessage): void {
+  const { socket } = res;
+  socket.prependOnceListener('end', () => {
+    if (socket.remoteAddress === undefined) res.destroy(new Error('connection reset'));
+  });
+}
+
 function failure(sent: boolean, reused: boolean, message: string): RequestFailure {
   return { kind: 'failed', sent, reused, message };
 }
--- /dev/null
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -0,0 +1,171 @@
+/** Stand-in of the users' targets: engines that stream events and plain services. */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import { readText } from '../common/http-server.js';
+
+/** How a target treats requests. */
+export const TargetMode = {
+  Good: 'good',
+  /** Answers 500. */
+  Fails: 'fails',
+  /** Rejects requests without running them. */
+  Sheds: 'sheds',
+  /** Runs the request and resets the connection. */
+  Resets: 'resets',
+  /** Answers with the id of another request. */
+  ForeignAnswer: 'foreign-answer',
+  /** Answers without a signature. */
+  Unsigned: 'unsigned',
+  /** Sends an answer without a length and resets the connection in the middle. */
+  Unframed: 'unframed',
+  /** Breaks off streams in the middle of an event. */
+  BreaksStream: 'breaks-stream',
+  /** Runs the request and never answers. */
+  Silent: 'silent',
+} as const;
+export type TargetMode = (typeof TargetMode)[keyof typeof TargetMode];
+
+/** A request that a target began to run. */
+export interface TargetRun {
+  readonly requestId: string;
+  readonly path: string;
+  readonly body: string;
+  readonly headers: http.IncomingHttpHeaders;
+  /** Whether the caller closed its connection before the end. */
+  cancelled: boolean;
+}
+
+const EVENTS = 6;
+const EVENT_MS = 10;
+
+export class TargetStandIn {
+  private readonly server = http.createServer((req, res) => void this.handle(req, res));
+
+  mode: TargetMode = TargetMode.Good;
+
+  readonly runs: TargetRun[] = [];
+
+  constructor(
+    readonly id: string,
+    readonly address: string,
+    private readonly streams: boolean,
+  ) {}
+
+  async listen(): Promise<void> {
+    const [host, port] = this.address.split(':');
+    await new Promise<void>((resolve) => {
+      this.server.listen(Number(port), host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** The entry by which it registers. */
+  entry(service: string, zone: string, changes: object = {}): object {
+    return {
+      service,
+      address: this.address,
+      zone,
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 1,
+      born: 1,
+      ...changes,
+    };
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const requestId = String(req.headers['request-id']);
+    if (req.headers['expect-instance'] !== this.id) {
+      res.writeHead(421, { 'instance-id': this.id, 'content-length': 0 }).end();
+      return;
+    }
+    if (this.mode === TargetMode.Sheds) {
+      res
+        .writeHead(503, { 'not-executed': '1', 'request-id': requestId, 'content-length': 0 })
+        .end();
+      return;
+    }
+    const body = await readText(req);
+    const run: TargetRun = {
+      requestId,
+      path: req.url ?? '',
+      body,
+      headers: req.headers,
+      cancelled: false,
+    };
+    this.runs.push(run);
+    res.on('close', () => {
+      run.cancelled = !res.writableFinished;
+    });
+    this.answer(run, res);
+  }
+
+  private answer(run: TargetRun, res: ServerResponse): void {
+    const { requestId } = run;
+    const signature = `${this.id}.${requestId}`;
+    switch (this.mode) {
+      case TargetMode.Fails:
+        send(res, 500, { 'request-id': requestId, 'response-signature': signature }, 'failed');
+        return;
+      case TargetMode.Resets:
+        res.socket?.resetAndDestroy();
+        return;
+      case TargetMode.ForeignAnswer:
+        send(res, 200, { 'request-id': 'another', 'response-signature': signature }, 'foreign');
+        return;
+      case TargetMode.Unsigned:
+        send(res, 200, { 'request-id': requestId }, 'unsigned');
+        return;
+      case TargetMode.Unframed:
+        res.socket?.write(
+          `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Signature: ${signature}\r\n\r\npart`,
+        );
+        setTimeout(() => res.socket?.resetAndDestroy(), EVENT_MS);
+        return;
+      case TargetMode.Silent:
+        return;
+      default:
+        if (this.streams) this.stream(run, signature, res);
+        else
+          send(
+            res,
+            200,
+            { 'request-id': requestId, 'response-signature': signature },
+            `${this.id} ran ${requestId}`,
+          );
+    }
+  }
+
+  private stream(run: TargetRun, signature: string, res: ServerResponse): void {
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'request-id': run.requestId,
+      'response-signature': signature,
+    });
+    const from = Number(run.headers['last-event-id'] ?? 0) + 1;
+    this.event(from, res);
+  }
+
+  private event(id: number, res: ServerResponse): void {
+    if (res.destroyed) return;
+    if (id > EVENTS) {
+      res.end();
+      return;
+    }
+    if (this.mode === TargetMode.BreaksStream && id > EVENTS / 2) {
+      res.write(`id: ${id}\nda`, () => res.socket?.resetAndDestroy());
+      return;
+    }
+    res.write(`id: ${id}\ndata: event ${id}\n\n`);
+    setTimeout(() => this.event(id + 1, res), EVENT_MS);
+  }
+}
+
+function send(res: ServerResponse, status: number, headers: object, body: string): void {
+  res.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) }).end(body);
+}
