Let the directory prefer draining gateways of the caller's region, and stay silent while it starts

Change: phases draining (still takes requests) and closing; without a ready gateway of the region the directory names draining ones of it first; a starting gateway answers 503, so that callers ask another one.

--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -4,7 +4,14 @@
  */
 import type { RegionWork } from '../routing/region-choice.js';
 
-export const GatewayPhase = { Starting: 'starting', Ready: 'ready', Draining: 'draining' } as const;
+export const GatewayPhase = {
+  Starting: 'starting',
+  Ready: 'ready',
+  /** Leaves soon and still takes requests. */
+  Draining: 'draining',
+  /** Leaves and takes no more requests. */
+  Closing: 'closing',
+} as const;
 export type GatewayPhase = (typeof GatewayPhase)[keyof typeof GatewayPhase];
 
 /** What a gateway tells about itself. */
--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -14,7 +14,6 @@
   readonly callersAddress: string;
   readonly node: string;
   readonly region: string;
-  readonly failureDomain: string;
   readonly ttlS: number;
   readonly protocol: DirectoryProtocol;
   readonly table: GatewayTable;
@@ -58,8 +57,9 @@
       return;
     }
     const query = protocol.readQuery(req);
-    if (!query) {
-      res.writeHead(404, { 'content-length': 0 }).end();
+    // A gateway that starts does not know the others yet, so callers ask another one.
+    if (!query || phase() === GatewayPhase.Starting) {
+      res.writeHead(query ? 503 : 404, { 'content-length': 0 }).end();
       return;
     }
     const body = protocol.answer(this.addresses(query), this.parts.ttlS);
@@ -68,16 +68,22 @@
       .end(body);
   }
 
-  /** Ready gateways of the caller's region, else of all regions; the caller's domain first. */
+  /**
+   * Ready gateways of the caller's region. Without any, those of the region that drain and still
+   * take requests, since a request that is bound to the region must not leave it; then all others.
+   */
   private addresses(query: DirectoryQuery): string[] {
-    const { table, timers, node, region, failureDomain, callersAddress, phase } = this.parts;
+    const { table, timers, node, region, callersAddress, phase } = this.parts;
     const [ip, port] = callersAddress.split(':');
-    const own = { node, region, failureDomain, ip: ip ?? '', phase: phase() };
+    const own = { node, region, ip: ip ?? '', phase: phase() };
     const all = [own, ...table.alive(timers.now())];
-    const ready = all.filter((gateway) => gateway.phase === GatewayPhase.Ready);
-    const near = ready.filter((gateway) => gateway.region === query.region);
-    // With nobody ready, a gateway that drains still answers better than none.
-    const chosen = [near, ready, all].find((list) => list.length > 0) ?? [];
+    const inPhase = (wanted: GatewayPhase): typeof all =>
+      all.filter((gateway) => gateway.phase === wanted);
+    const isNear = (gateway: { region: string }): boolean => gateway.region === query.region;
+    const ready = inPhase(GatewayPhase.Ready);
+    const draining = inPhase(GatewayPhase.Draining);
+    const choices = [ready.filter(isNear), draining.filter(isNear), ready, draining, all];
+    const chosen = choices.find((list) => list.length > 0) ?? [];
     return chosen.slice(0, MAX_ADDRESSES).map((gateway) => `${gateway.ip}:${port}`);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,8 @@
 
   private draining = false;
 
+  private closing = false;
+
   constructor(private readonly parts: GatewayParts) {
     const { settings, timers, log, protocol } = parts;
     this.state = new GatewayState(settings.region, timers, log.child('state'));
@@ -121,7 +123,9 @@
     this.callers.announceClose();
     this.gossip.announce();
     await delay(timers, ACCEPT_AFTER_STOP_MS);
+    this.closing = true;
     this.callers.refuseNew();
+    this.gossip.announce();
     const endAt = startedAt + settings.graceMs - EXIT_MARGIN_MS;
     await this.untilIdle(endAt);
     log.info('drained', { in_flight: this.callers.requestsInFlight });
@@ -135,6 +139,7 @@
   }
 
   private phase(): GatewayPhase {
+    if (this.closing) return GatewayPhase.Closing;
     if (this.draining) return GatewayPhase.Draining;
     return this.state.config ? GatewayPhase.Ready : GatewayPhase.Starting;
   }
@@ -174,7 +179,6 @@
       callersAddress: settings.listen.callers,
       node: settings.node,
       region: settings.region,
-      failureDomain: settings.failureDomain,
       ttlS: Math.min(settings.tuning.directory_ttl_s, settings.maxDirectoryTtlS),
       protocol: directory,
       table: this.gossip.table,
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -8,7 +8,12 @@
 } from '@marjoramcart/core';
 
 const METHOD = 'gateway.gossip';
-const PHASES = [GatewayPhase.Starting, GatewayPhase.Ready, GatewayPhase.Draining] as const;
+const PHASES = [
+  GatewayPhase.Starting,
+  GatewayPhase.Ready,
+  GatewayPhase.Draining,
+  GatewayPhase.Closing,
+] as const;
 
 export interface GossipMessage {
   readonly from: GatewayRecord;
