Weigh reading again four times, calibrate expectations, and send callers of a peak away for longer

Change: 62 tokens/ms and 80 ms as first estimates; a caller that will be late in any case returns after twice the work ahead plus 0.5 s; reading again weighs 4. Ruled out: looser admission and weight 6, without a clear gain.

--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -82,6 +82,12 @@
 /** Callers that have no better figure return after this time. */
 const DEFAULT_COME_BACK_MS = 500;
 const MIN_COME_BACK_MS = 100;
+/** Up to this part of the latency target a caller returns as soon as there is room. */
+const SHORT_WAIT_PART = 0.3;
+/** Time beyond the work ahead for callers that are late in any case. */
+const LATER_MS = 500;
+/** Part of the time left that a caller is told to stay away; callers honour up to a third. */
+const MAX_COME_BACK_PART = 0.2;
 /** Closed places are looked at again after this time. */
 const RECHECK_MS = 75;
 /** A request with less time left is not worth sending. */
@@ -152,10 +158,23 @@
   return {
     kind: 'refuse',
     reason: RefusalReason.Overload,
-    comeBackMs: Math.max(MIN_COME_BACK_MS, surplusMs),
+    comeBackMs: comeBackAfter(surplusMs, facts, now),
   };
 }
 
+/**
+ * When a caller that was refused for overload returns. A short wait may still end within the latency
+ * target. After a long one the answer is late in any case, so the callers of a peak are told to
+ * return later than the work ahead takes, as they may be refused for good the second time.
+ */
+function comeBackAfter(surplusMs: number, facts: RequestFacts, now: number): number {
+  if (surplusMs <= facts.latencyTargetMs * SHORT_WAIT_PART) {
+    return Math.max(MIN_COME_BACK_MS, surplusMs);
+  }
+  const longestMs = (facts.deadlineAt - now) * MAX_COME_BACK_PART;
+  return Math.max(MIN_COME_BACK_MS, Math.min(longestMs, surplusMs * 2 + LATER_MS));
+}
+
 /** The final answer of a request that gets no further attempt. */
 function giveUp(view: StepView, reason: RefusalReason): RequestStep {
   if (view.headSent) return { kind: 'cut' };
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -38,7 +38,7 @@
 }
 
 /** Weight of the time for reading shared parts again, beside the caller's own wait for it. */
-export const REREAD_WEIGHT = 2;
+export const REREAD_WEIGHT = 4;
 
 /** Latency targets that a failed request costs. */
 const FAILURE_COST = 3;
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -12,9 +12,9 @@
   engine: z
     .strictObject({
       /** Prompt tokens that a target reads in a ms beside its other work. */
-      prefill_tokens_per_ms: z.number().positive().default(50),
+      prefill_tokens_per_ms: z.number().positive().default(62),
       /** Time to the first token of a short prompt, ms. */
-      first_token_ms: z.number().positive().default(55),
+      first_token_ms: z.number().positive().default(80),
     })
     .prefault({}),
   /** First estimate for plain services. */
