--- a/packages/runtime/src/logs/logger.ts
+++ b/packages/runtime/src/logs/logger.ts
@@ -43,6 +43,8 @@
     minLevel: TSLOG_LEVELS[options.level],
     // The position needs a stack trace for each line.
     hideLogPositionForProduction: true,
+    // Masking clones every record; nothing that would need it is logged.
+    maskValuesOfKeys: [],
   });
   backend.attachTransport((record) => {
     // eslint-disable-next-line no-underscore-dangle
