Follow one request through logs with marjoramctl trace; reload seeds on SIGHUP; metrics on a port of their own

Change: trace ID FILES prints one time line over gateways with the changes of belief around it; refusals before the route carry the id; SIGHUP reads the settings again; metrics_port, whose failure doesn't stop the gateway.

--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -6,6 +6,7 @@
 import { ESTIMATE_POLICY } from './explain/estimate-policy.js';
 import { explainCommand, type ExplainOptions } from './explain/explain-command.js';
 import { statusCommand } from './status/status-command.js';
+import { traceCommand, type TraceOptions } from './trace/trace-command.js';
 
 const EXIT_CODES = `
 Exit codes: 0 ok, 1 faults found, 2 wrong usage or nothing reached.`;
@@ -71,6 +72,16 @@
     .action(async (addresses: string[], options: { json?: boolean }) =>
       done(await statusCommand(io, addresses, options)),
     );
+  program
+    .command('trace')
+    .description('the way of one request through recorded logs')
+    .argument('<id>', 'id of the request')
+    .argument('<files...>', 'logs of the daemons, in any order')
+    .option('--around <s>', 'time around the request in which changes are shown', count, 2)
+    .option('--json', 'print JSON')
+    .action(async (id: string, logs: string[], options: TraceOptions) =>
+      done(await traceCommand(io, id, logs, options)),
+    );
   addExplain(program).action(async (options: ExplainOptions) =>
     done(await explainCommand(io, options)),
   );
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -159,11 +159,11 @@
     }
     const read = protocol.readHead(req);
     if (read.kind === 'invalid') {
-      this.refuse(req, answer, ResultCodes.InvalidRequest, read.message);
+      this.refuse(req, answer, ResultCodes.InvalidRequest, undefined, read.message);
       return;
     }
     if (this.refusing && !forwarded) {
-      this.refuse(req, answer, ResultCodes.EntryDraining);
+      this.refuse(req, answer, ResultCodes.EntryDraining, read.head.id);
       return;
     }
     const { head } = read;
@@ -171,7 +171,8 @@
     if (body.kind === 'aborted') return;
     if (body.kind !== 'complete') {
       const tooLarge = body.kind === 'too-large';
-      this.refuse(req, answer, tooLarge ? ResultCodes.BodyTooLarge : ResultCodes.SenderTooSlow);
+      const code = tooLarge ? ResultCodes.BodyTooLarge : ResultCodes.SenderTooSlow;
+      this.refuse(req, answer, code, head.id);
       return;
     }
     // A configuration that came into force while the body arrived decides.
@@ -179,7 +180,7 @@
     const route = state.routes.match(head.host, head.path);
     const service = route && drawService(route, this.parts.random);
     if (!route || service === undefined) {
-      this.refuse(req, answer, ResultCodes.NoSuchPath);
+      this.refuse(req, answer, ResultCodes.NoSuchPath, head.id);
       return;
     }
     const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
@@ -193,10 +194,12 @@
     req: IncomingMessage,
     answer: CallerAnswer,
     code: ResultCode,
+    id?: string,
     detail?: string,
   ): void {
     const { log, metrics, state, timers } = this.parts;
     log.info('refuse', {
+      id,
       url: req.url,
       result: code.name,
       detail,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,6 +53,8 @@
 
   private readonly tasks: Task[];
 
+  private readonly admin: AdminTask;
+
   private draining = false;
 
   private closing = false;
@@ -99,15 +101,17 @@
       this.gossip,
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshot(), log.child('rpc')),
       this.directoryTask(),
-      this.adminTask(),
     ];
+    this.admin = this.adminTask();
   }
 
   async start(): Promise<void> {
-    const { source, timers } = this.parts;
+    const { source, timers, log } = this.parts;
     // The listeners open first, so that a request meets a refusal rather than a reset.
     await Promise.all(this.tasks.map((task) => task.start()));
     source.start(this.state);
+    // Requests are served without metrics rather than not at all.
+    await this.admin.start().catch((err: unknown) => log.error('metrics are not served', { err }));
     timers.every(HOUSEKEEPING_MS, () => {
       this.state.dropGone();
       this.callers.applyLimits();
@@ -115,6 +119,12 @@
     });
   }
 
+  /** Takes what may change without a restart: the gateways to begin with. */
+  reload({ seedIps }: Pick<GatewaySettings, 'seedIps'>): void {
+    this.gossip.setSeeds(seedIps);
+    this.parts.log.info('settings reloaded', { seeds: seedIps.length });
+  }
+
   /** Leaves the directory, serves what arrives for a while, then finishes what is in flight. */
   async stop(): Promise<void> {
     const { settings, timers, log } = this.parts;
@@ -135,7 +145,7 @@
   /** Ends all tasks at once, cutting off what is in flight. */
   async close(): Promise<void> {
     this.parts.source.stop();
-    await Promise.all(this.tasks.map((task) => task.stop()));
+    await Promise.all([...this.tasks, this.admin].map((task) => task.stop()));
   }
 
   private phase(): GatewayPhase {
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -61,6 +61,8 @@
 
   private bytesSent = 0;
 
+  private seedIps: readonly string[];
+
   constructor(
     private readonly settings: GatewaySettings,
     private readonly timers: TimerService,
@@ -69,6 +71,7 @@
     private readonly listener: GossipListener,
   ) {
     this.table = new GatewayTable(settings.node);
+    this.seedIps = settings.seedIps;
     this.bootAt = Math.round(timers.wall());
   }
 
@@ -83,7 +86,7 @@
     await new Promise<void>((resolve) => {
       this.socket.bind(this.settings.gossipPort, this.settings.ip, resolve);
     });
-    this.settings.seedIps.forEach((ip) => this.send(ip));
+    this.seedIps.forEach((ip) => this.send(ip));
     this.unsubscribe = this.timers.every(TICK_MS, () => this.tick());
   }
 
@@ -94,6 +97,12 @@
     });
   }
 
+  /** Takes other gateways to begin with. */
+  setSeeds(seedIps: readonly string[]): void {
+    this.seedIps = seedIps;
+    seedIps.forEach((ip) => this.send(ip));
+  }
+
   /** Tells all gateways at once, for example that this one drains. */
   announce(): void {
     this.table
@@ -122,7 +131,7 @@
   private knock(now: number): void {
     const alive = new Set(this.table.alive(now).map(({ ip }) => ip));
     const lost = this.table.lost(now).map(({ ip }) => ip);
-    const unheard = [...new Set([...this.settings.seedIps, ...lost])].filter(
+    const unheard = [...new Set([...this.seedIps, ...lost])].filter(
       (ip) => ip !== this.settings.ip && !alive.has(ip),
     );
     const ip = unheard[this.ticks % Math.max(1, unheard.length)];
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -24,6 +24,8 @@
       request_ms: z.number().positive().default(60),
     })
     .prefault({}),
+  /** Port of metrics and status, on the address of the VM. */
+  metrics_port: z.number().int().min(1).max(65_535).default(9464),
   /** Life of an answer of the directory, s. Callers may keep it three times as long. */
   directory_ttl_s: z.number().positive().default(1),
 });
