Remove fields that nothing reads

Cause: the adapter decoded loads, notices and limits that no decision uses yet. Result: no behaviour changed; tests of the adapter, the gateway and the core modules pass.

--- a/packages/core/src/fleet/cold-pacer.ts
+++ b/packages/core/src/fleet/cold-pacer.ts
@@ -45,10 +45,6 @@
     this.sentAt.set(target, [...this.recent(target, now), now]);
   }
 
-  forget(target: string): void {
-    this.sentAt.delete(target);
-  }
-
   private recent(target: string, now: number): number[] {
     return (this.sentAt.get(target) ?? []).filter((at) => now - at < WINDOW_MS);
   }
--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -42,16 +42,12 @@
 
 /** Inference engine behind a service. */
 export interface EngineSpec {
-  /** Requests that a target batches. */
-  readonly slots: number;
   /** Tokens that a target's KV cache holds. */
   readonly kvCapacityTokens: number;
 }
 
 export interface ServiceSpec {
   readonly name: string;
-  /** Connections that one target accepts from all callers; 0 without a limit. */
-  readonly maxConnections: number;
   /** How long a target stays cold after its start, ms; 0 when it is never cold. */
   readonly warmupMs: number;
   /** Requests per second that a cold target bears; 0 without a limit. */
--- a/packages/core/src/fleet/route-table.ts
+++ b/packages/core/src/fleet/route-table.ts
@@ -32,11 +32,6 @@
     }
     return undefined;
   }
-
-  /** Whether any route has this host. */
-  hasHost(host: string): boolean {
-    return this.hosts.has(hostName(host));
-  }
 }
 
 /**
--- a/packages/core/src/fleet/target-record.ts
+++ b/packages/core/src/fleet/target-record.ts
@@ -15,8 +15,6 @@
   readonly draining: boolean;
   /** How much longer the target stayed cold when the entry was written, ms. */
   readonly coldForMs: number;
-  /** Time left until the target is taken away, ms; absent without such a notice. */
-  readonly leavesInMs?: number;
   /** Start of the target, Unix ms; 0 when it is not told. */
   readonly bornAt: number;
 }
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -43,20 +43,12 @@
       readonly kind: 'genuine';
       readonly status: number;
       readonly stream: boolean;
-      readonly load?: TargetLoad;
     }
   /** The target says that it did not run the request and never will. */
   | { readonly kind: 'not-run'; readonly misdirected: boolean; readonly comeBackMs?: number }
   /** Bytes that can't be taken for the answer to this request. */
   | { readonly kind: 'invalid'; readonly message: string };
 
-/** Load that a target reports in an answer. */
-export interface TargetLoad {
-  readonly running: number;
-  readonly queued: number;
-  readonly slots: number;
-}
-
 export interface RequestProtocol {
   readHead(req: IncomingMessage): CallHeadResult;
   /** Headers of the request to a target. */
