--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -145,3 +145,14 @@
     'target',
   );
 });
+
+// Pattern: a target goes dark with requests on the way, and each try costs a connect timeout.
+test('a target that can not be reached is avoided longer each time, until a byte comes', () => {
+  const work = new TargetWork(CACHE_TOKENS);
+  work.onUnreachable(0);
+  const first = work.avoidedUntil;
+  work.onUnreachable(first);
+  assert.ok(work.avoidedUntil - first > first);
+  work.onByte(first + 10);
+  assert.ok(work.avoidedUntil <= first);
+});
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -29,7 +29,8 @@
 const FAILURE_HALF_LIFE_MS = 2000;
 /** A target with requests in flight that sends nothing for this long is taken for silent. */
 const SILENCE_MS = 1200;
-const FIRST_AVOID_MS = 400;
+/** A target that can't be reached is avoided, twice as long each time. */
+const FIRST_AVOID_MS = 1000;
 const MAX_AVOID_MS = 4000;
 
 /** Work and health of one target, as this process sees it. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,8 @@
 const ACCEPT_AFTER_STOP_MS = 2800;
 /** Left of the grace when the process ends, for the exit itself. */
 const EXIT_MARGIN_MS = 400;
+/** Three round trips between distant regions; a place that is slower is tried again later. */
+const CONNECT_TIMEOUT_MS = 500;
 const HOUSEKEEPING_MS = 250;
 const DRAIN_POLL_MS = 50;
 
@@ -77,7 +79,7 @@
       settings,
       state: this.state,
       router: this.router,
-      runner: new AttemptRunner(new Connections({}), protocol),
+      runner: new AttemptRunner(new Connections({}, CONNECT_TIMEOUT_MS), protocol),
       protocol,
       gossip: this.gossip,
       timers,
--- a/packages/runtime/src/http/connections.ts
+++ b/packages/runtime/src/http/connections.ts
@@ -6,7 +6,7 @@
 } from 'node:http';
 import net from 'node:net';
 
-const CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const MAX_FREE_CONNECTIONS = 64;
 /** Targets close idle connections after a few seconds; Node's own servers after 5 s. */
 const IDLE_CONNECTION_MS = 4000;
@@ -55,7 +55,14 @@
     scheduling: 'lifo',
   });
 
-  constructor(private readonly dialMap: Readonly<Record<string, string>>) {
+  /**
+   * @param dialMap address to dial in place of another one
+   * @param connectTimeoutMs how long a new connection may take
+   */
+  constructor(
+    private readonly dialMap: Readonly<Record<string, string>>,
+    private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
+  ) {
     this.agent.on('free', (socket: net.Socket) => socket.setTimeout(IDLE_CONNECTION_MS));
   }
 
@@ -74,7 +81,7 @@
     signal: AbortSignal,
   ): Promise<RequestResult> {
     if (!out.newConnection) return mayWrite() ? this.write(out, undefined, signal) : VETOED;
-    const socket = await connect(out.address, signal);
+    const socket = await connect(out.address, signal, this.connectTimeoutMs);
     if (!(socket instanceof net.Socket)) return socket;
     if (socket.destroyed) return failure(false, false, 'connection closed before the write');
     if (mayWrite()) return this.write(out, socket, signal);
@@ -113,7 +120,7 @@
         }
         const timer = setTimeout(
           () => req.destroy(new Error('connect timeout')),
-          CONNECT_TIMEOUT_MS,
+          this.connectTimeoutMs,
         );
         used.once('connect', () => {
           sent = true;
@@ -157,7 +164,11 @@
   return { kind: 'failed', sent, reused, message };
 }
 
-function connect(address: string, signal: AbortSignal): Promise<net.Socket | RequestFailure> {
+function connect(
+  address: string,
+  signal: AbortSignal,
+  timeoutMs: number,
+): Promise<net.Socket | RequestFailure> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
     const socket = net.connect({ host, port: Number(port), noDelay: true });
@@ -172,7 +183,7 @@
       socket.destroy();
       finish(failure(false, false, message));
     }
-    timer.handle = setTimeout(() => abandon('connect timeout'), CONNECT_TIMEOUT_MS);
+    timer.handle = setTimeout(() => abandon('connect timeout'), timeoutMs);
     signal.addEventListener('abort', onAbort, { once: true });
     if (signal.aborted) abandon('aborted');
     socket.on('error', (err) => finish(failure(false, false, err.message)));
