--- a/packages/ctl/src/trace/trace-command.test.ts
+++ b/packages/ctl/src/trace/trace-command.test.ts
@@ -6,7 +6,7 @@
 import { traceOf } from './trace-command.js';
 
 // Lines that two gateways wrote while a target crashed, in no order.
-const recorded = fileURLToPath(new URL('../../testdata/trace.log', import.meta.url));
+const recorded = fileURLToPath(new URL('../../testdata/trace.jsonl', import.meta.url));
 
 async function trace(id: string): Promise<{ code: number; out: string[]; err: string[] }> {
   const out: string[] = [];
