Wait out silence without another target, and lead bound hosts to allowed regions only

Change: silence ends an attempt only when another target would take the request, and never a forward, whose receiver watches its own targets; for hosts with bound routes the directory names regions that these allow. Tests of both. Ruled out: longer acceptance after SIGTERM, since requests taken later than 3 s after it may be cut by the end of the grace.

--- a/packages/core/src/fleet/route-table.test.ts
+++ b/packages/core/src/fleet/route-table.test.ts
@@ -41,6 +41,20 @@
   assert.deepEqual(found, ['deep', 'short', 'root', undefined, undefined]);
 });
 
+test('a host allows the regions that all its bound routes allow', () => {
+  const bound = (prefix: string, allowedRegions: string[]): Route => ({
+    ...route(prefix, 'a.example', prefix),
+    allowedRegions,
+  });
+  const hosts = new RouteTable([
+    bound('/a/', ['n', 'w']),
+    bound('/b/', ['w', 's']),
+    bound('/', []),
+  ]);
+  assert.deepEqual(hosts.allowedRegions('a.example'), ['w']);
+  assert.deepEqual(table.allowedRegions('a.example'), []);
+});
+
 test('services are drawn by their weights', () => {
   const random = seededRandom(7);
   const drawn = Array.from({ length: 1000 }, () => drawService(route('r', 'h', '/'), random));
--- a/packages/core/src/fleet/route-table.ts
+++ b/packages/core/src/fleet/route-table.ts
@@ -32,6 +32,16 @@
     }
     return undefined;
   }
+
+  /** Regions that all bound routes of a host allow; empty when no route is bound. */
+  allowedRegions(host: string): string[] {
+    const bound = [...(this.hosts.get(hostName(host))?.values() ?? [])].filter(
+      ({ allowedRegions }) => allowedRegions.length > 0,
+    );
+    return [...(bound[0]?.allowedRegions ?? [])].filter((region) =>
+      bound.every(({ allowedRegions }) => allowedRegions.includes(region)),
+    );
+  }
 }
 
 /**
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -12,3 +12,4 @@
 export { ViewLog, applyViewChanges, type ViewContent } from './view-log.js';
 export * from './vm-store.js';
 export * from './gateway-table.js';
+export * from './directory-choice.js';
--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -1,6 +1,6 @@
 /** Tasks that tell callers which gateways to use, and the platform whether this one is ready. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { GatewayPhase, type GatewayTable } from '@marjoramcart/core';
+import { chooseGateways, GatewayPhase, type GatewayTable } from '@marjoramcart/core';
 import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/runtime';
 import type { DirectoryProtocol, DirectoryQuery } from '../ports/request-protocol.js';
 
@@ -18,6 +18,8 @@
   readonly protocol: DirectoryProtocol;
   readonly table: GatewayTable;
   readonly phase: () => GatewayPhase;
+  /** Regions that the routes of a host may run in; empty when all may. */
+  readonly allowedRegions: (host: string) => readonly string[];
   readonly timers: TimerService;
   readonly log: Logger;
 }
@@ -68,22 +70,13 @@
       .end(body);
   }
 
-  /**
-   * Ready gateways of the caller's region. Without any, those of the region that drain and still
-   * take requests, since a request that is bound to the region must not leave it; then all others.
-   */
-  private addresses(query: DirectoryQuery): string[] {
-    const { table, timers, node, region, callersAddress, phase } = this.parts;
-    const [ip, port] = callersAddress.split(':');
-    const own = { node, region, ip: ip ?? '', phase: phase() };
+  private addresses({ host, region }: DirectoryQuery): string[] {
+    const { table, timers, callersAddress, phase, allowedRegions } = this.parts;
+    const [ip = '', port] = callersAddress.split(':');
+    const own = { node: this.parts.node, region: this.parts.region, ip, phase: phase() };
     const all = [own, ...table.alive(timers.now())];
-    const inPhase = (wanted: GatewayPhase): typeof all =>
-      all.filter((gateway) => gateway.phase === wanted);
-    const isNear = (gateway: { region: string }): boolean => gateway.region === query.region;
-    const ready = inPhase(GatewayPhase.Ready);
-    const draining = inPhase(GatewayPhase.Draining);
-    const choices = [ready.filter(isNear), draining.filter(isNear), ready, draining, all];
-    const chosen = choices.find((list) => list.length > 0) ?? [];
-    return chosen.slice(0, MAX_ADDRESSES).map((gateway) => `${gateway.ip}:${port}`);
+    return chooseGateways(all, region, allowedRegions(host))
+      .slice(0, MAX_ADDRESSES)
+      .map((gateway) => `${gateway.ip}:${port}`);
   }
 }
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -1,5 +1,5 @@
 /** Sends a call to a place and takes what the attempt says of the target and its service. */
-import type { Candidate } from '@marjoramcart/core';
+import { samePlace, type Candidate } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { AttemptFields, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
@@ -9,7 +9,7 @@
 import type { TargetEntry } from '../state/target-entry.js';
 import { isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
-import { attemptsLeft, type CallProgress } from './call-progress.js';
+import { attemptsLeft, runsSoFar, type CallProgress } from './call-progress.js';
 import { ATTEMPTS_HEADER } from './caller-answer.js';
 import { StallWatch } from './stall-watch.js';
 
@@ -129,9 +129,10 @@
     const { call, answer } = progress;
     const abort = new AbortController();
     const stop = (): void => abort.abort();
-    const stall = new StallWatch(call.facts, candidate, timers, progress.attempts.length);
+    const stall = new StallWatch(call.facts, candidate, timers);
     const stopDeadline = timers.after(call.facts.deadlineAt - timers.now(), stop);
-    stall.start(stop);
+    // A gateway that got the request watches its own targets, and may use all attempts left.
+    if (!to.toPeer) stall.start(() => this.hasAlternative(progress, candidate), stop);
     answer.onGone(stop);
     try {
       return await runner.run({
@@ -150,6 +151,19 @@
     }
   }
 
+  /** Whether another place would take the call if this attempt were given up. */
+  private hasAlternative(progress: CallProgress, { place }: Candidate): boolean {
+    const { call, attempts } = progress;
+    const tried = [...attempts.map((attempt) => attempt.place), place];
+    const attemptsAfter = call.facts.maxAttempts - runsSoFar(progress) - 1;
+    return (
+      attemptsAfter > 0 &&
+      this.parts.router
+        .places(call)
+        .candidates.some((other) => !tried.some((one) => samePlace(one, other.place)))
+    );
+  }
+
   private fields(priority: number, { call, lastEvent }: CallProgress): AttemptFields {
     const remainingMs = Math.max(1, Math.floor(call.facts.deadlineAt - this.parts.timers.now()));
     return {
--- /dev/null
+++ b/packages/gateway/src/exchange/stall-watch.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RouteKind, type Candidate, type RequestFacts } from '@marjoramcart/core';
+import { ManualTimerService } from '@marjoramcart/runtime';
+import { StallWatch } from './stall-watch.js';
+
+const FACTS: RequestFacts = {
+  kind: RouteKind.Stream,
+  resumable: true,
+  maxAttempts: 2,
+  deadlineAt: 12_000,
+  arrivedAt: 0,
+  latencyTargetMs: 1200,
+};
+const CANDIDATE: Candidate = {
+  place: { kind: 'target', id: 't1' },
+  expectedFirstByteMs: 100,
+  expectedWaitMs: 0,
+  tokensToRead: 0,
+  costMs: 100,
+};
+
+function stallsAfter(facts: RequestFacts, alternativeFromMs: number): number | undefined {
+  const timers = new ManualTimerService();
+  const startedAt = timers.now();
+  const watch = new StallWatch(facts, CANDIDATE, timers);
+  const seen: { at?: number } = {};
+  watch.start(
+    () => timers.now() - startedAt >= alternativeFromMs,
+    () => {
+      seen.at = timers.now() - startedAt;
+    },
+  );
+  watch.onBytes();
+  Array.from({ length: 100 }).forEach(() => timers.advance(100));
+  return seen.at;
+}
+
+test('a stream that pauses moves to another target', () => {
+  assert.ok((stallsAfter(FACTS, 0) ?? 0) <= 1700);
+});
+
+test('a stream that pauses is waited for while no other target can take it', () => {
+  // A gateway in its drain once cut such a stream, which had no attempt left.
+  assert.equal(stallsAfter(FACTS, Infinity), undefined);
+  assert.ok((stallsAfter(FACTS, 4000) ?? 0) >= 4000);
+});
+
+test('a request that runs at most once is never given up for silence', () => {
+  assert.equal(stallsAfter({ ...FACTS, resumable: false }, 0), undefined);
+});
--- a/packages/gateway/src/exchange/stall-watch.ts
+++ b/packages/gateway/src/exchange/stall-watch.ts
@@ -1,6 +1,7 @@
 /**
- * Gives up an attempt whose answer stalls, when the request may be sent elsewhere. A connection may
- * be silent for good without a reset.
+ * Gives up an attempt whose answer stalls, when another target can take the request. A connection
+ * may be silent for good without a reset. Without another target silence is waited out, since an
+ * answer may still come.
  */
 import { mayRepeat, type Candidate, type RequestFacts } from '@marjoramcart/core';
 import type { TimerService, Unsubscribe } from '@marjoramcart/runtime';
@@ -23,17 +24,19 @@
     private readonly facts: RequestFacts,
     private readonly candidate: Candidate,
     private readonly timers: TimerService,
-    private readonly attemptsBefore: number,
   ) {
     this.startedAt = timers.now();
   }
 
-  /** Calls `onStall` once when the answer stalls; never for requests that run at most once. */
-  start(onStall: () => void): void {
-    const mayMove = mayRepeat(this.facts) && this.attemptsBefore + 1 < this.facts.maxAttempts;
-    if (!mayMove) return;
+  /**
+   * Calls `onStall` once when the answer stalls; never for requests that run at most once.
+   *
+   * @param hasAlternative whether another attempt would be made now
+   */
+  start(hasAlternative: () => boolean, onStall: () => void): void {
+    if (!mayRepeat(this.facts)) return;
     this.unsubscribe = this.timers.every(CHECK_MS, () => {
-      if (!this.isStalled()) return;
+      if (!this.isStalled() || !hasAlternative()) return;
       this.stop();
       onStall();
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -195,6 +195,7 @@
       protocol: directory,
       table: this.gossip.table,
       phase: () => this.phase(),
+      allowedRegions: (host) => this.state.routes.allowedRegions(host),
       timers,
       log: log.child('directory'),
     });
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -62,6 +62,7 @@
 
 /** What a caller asks the directory for. */
 export interface DirectoryQuery {
+  readonly host: string;
   readonly region: string;
   readonly failureDomain: string;
 }
