--- a/tests/stand-ins/src/users-platform/gateway.test.ts
+++ b/tests/stand-ins/src/users-platform/gateway.test.ts
@@ -167,6 +167,8 @@
   assert.equal(state.config?.version, known);
   assert.equal((await rig.send('vm-1', { path: '/read/x' })).status, 200);
   rig.store.put('op/config', exampleConfig(known + 1));
+  // Later tests compare versions, so no change may be under way.
+  await rig.until(() => state.config?.version === known + 1);
 });
 
 test('a gateway that the store turns away gets the state from another one', async () => {
