--- a/packages/core/src/exchange/next-request-step.test.ts
+++ b/packages/core/src/exchange/next-request-step.test.ts
@@ -18,6 +18,7 @@
   deadlineAt: 4000,
   arrivedAt: 0,
   latencyTargetMs: 600,
+  patienceMs: 2400,
 };
 
 function candidate(id: string, waitMs = 0): Candidate {
@@ -26,6 +27,7 @@
     expectedFirstByteMs: waitMs + 50,
     expectedWaitMs: waitMs,
     tokensToRead: 0,
+    readMs: 0,
     costMs: waitMs + 50,
   };
 }
@@ -66,6 +68,7 @@
     deadlineAt: fc.constant(4000),
     arrivedAt: fc.constant(0),
     latencyTargetMs: fc.constant(600),
+    patienceMs: fc.constant(2400),
   }),
   attempts: fc.array(
     fc
@@ -154,6 +157,23 @@
   assert.equal(nextRequestStep(facts, view({ attempts })).kind, 'pass-on');
 });
 
+// Pattern: a peak fills the queues of engines that read urgent prompts first.
+test('a late request goes to the engine that reads it first after all others', () => {
+  const late = { ...candidate('a', 900), lastFirstByteMs: 1400 };
+  const later = { ...candidate('b', 800), lastFirstByteMs: 2000 };
+  const step = nextRequestStep(FACTS, view({ candidates: [later, late] }));
+  assert.equal(step.kind, 'attempt');
+  assert.ok(step.kind === 'attempt' && step.deferred);
+  assert.deepEqual(step.candidate.place, { kind: 'target', id: 'a' });
+  assert.equal(step.candidate.expectedFirstByteMs, 1400);
+});
+
+test('a late request is refused when its caller would leave before the first byte', () => {
+  const late = { ...candidate('a', 900), lastFirstByteMs: 1500 };
+  const step = nextRequestStep(FACTS, view({ candidates: [late] }));
+  assert.equal(step.kind, 'refuse');
+});
+
 test('a request that would be late is refused at once, with a time to return', () => {
   const step = nextRequestStep(FACTS, view({ candidates: [candidate('a', 900)] }));
   assert.equal(step.kind, 'refuse');
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -18,6 +18,8 @@
   readonly arrivedAt: number;
   /** Time to the first byte that the caller aims for, ms from the arrival. */
   readonly latencyTargetMs: number;
+  /** How long the caller waits for the first byte before it leaves, ms from the arrival. */
+  readonly patienceMs: number;
 }
 
 /** A place that could take the request now. */
@@ -27,8 +29,17 @@
   readonly expectedFirstByteMs: number;
   /** Part of that time which is spent waiting for other work, ms. */
   readonly expectedWaitMs: number;
+  /**
+   * Expected time until the first byte when all waiting requests go first, ms. Absent where
+   * requests are not ordered by priority.
+   */
+  readonly lastFirstByteMs?: number;
   /** Prompt tokens that the place has to read; 0 for plain services. */
   readonly tokensToRead: number;
+  /** Time that the place needs to read them, ms. */
+  readonly readMs: number;
+  /** Id of a target that holds more of the prompt, from which the place fetches it. */
+  readonly fetchFrom?: string;
   /** What the candidates are ordered by: the expected time and what the choice costs others, ms. */
   readonly costMs: number;
 }
@@ -58,7 +69,13 @@
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
 export type RequestStep =
-  | { readonly kind: 'attempt'; readonly candidate: Candidate; readonly retry: boolean }
+  | {
+      readonly kind: 'attempt';
+      readonly candidate: Candidate;
+      readonly retry: boolean;
+      /** The answer will be late in any case, so requests that can be in time go first. */
+      readonly deferred: boolean;
+    }
   /** Look again after this time. */
   | { readonly kind: 'wait'; readonly delayMs: number }
   /** The request was not run and never will be. */
@@ -77,6 +94,8 @@
 const ADMITTED_PART = 0.9;
 /** Part of the latency target that a request of any size may wait for other work. */
 const ADMITTED_WAIT_PART = 0.4;
+/** Part of the caller's patience within which a late first byte has to be expected. */
+const DEFERRED_PART = 0.6;
 /** Attempts in which no target can have run the request, which are not bound by `maxAttempts`. */
 const MAX_UNRUN_ATTEMPTS = 4;
 /** Callers that have no better figure return after this time. */
@@ -111,15 +130,17 @@
   if (runs >= facts.maxAttempts || unrun > MAX_UNRUN_ATTEMPTS) {
     return giveUp(view, RefusalReason.NoTarget);
   }
-  const [best] = view.candidates.filter(({ place }) => isUntried(view, place));
+  const untried = view.candidates.filter(({ place }) => isUntried(view, place));
+  const [best] = untried;
   if (!best) return withoutCandidate(facts, view);
   // A request that is partly served is finished, since its work would be lost otherwise.
-  const refused = started || view.headSent ? undefined : overload(facts, best, now);
-  if (refused) return refused;
+  const urgent = started || view.headSent || isInTime(facts, best, now);
+  const chosen = urgent ? best : latePlace(facts, untried, now);
+  if (!chosen) return overload(facts, best, now);
   // An attempt that never left the process put no load on a target.
   const retry = attempts.some(({ outcome }) => outcome.kind !== 'not-sent');
   if (retry && !view.takeRetry()) return giveUp(view, RefusalReason.RetryBudget);
-  return { kind: 'attempt', candidate: best, retry };
+  return { kind: 'attempt', candidate: chosen, retry, deferred: !urgent };
 }
 
 /** Whether a second run does no harm. */
@@ -147,13 +168,36 @@
   return giveUp(view, RefusalReason.NoTarget);
 }
 
-/** Refuses a request whose first byte would come too late, while the caller can still return. */
-function overload(facts: RequestFacts, best: Candidate, now: number): RequestStep | undefined {
+/** Whether the first byte is expected within the latency target, or waits for little else. */
+function isInTime(facts: RequestFacts, best: Candidate, now: number): boolean {
   const waitedMs = now - facts.arrivedAt;
-  const inTime =
-    waitedMs + best.expectedFirstByteMs <= facts.latencyTargetMs * ADMITTED_PART ||
-    waitedMs + best.expectedWaitMs <= facts.latencyTargetMs * ADMITTED_WAIT_PART;
-  if (inTime) return undefined;
+  const { latencyTargetMs } = facts;
+  if (waitedMs + best.expectedFirstByteMs <= latencyTargetMs * ADMITTED_PART) return true;
+  // Engines serve what can be in time before what can't; plain services have one queue.
+  const admittedMs = best.lastFirstByteMs === undefined ? Infinity : latencyTargetMs;
+  return (
+    waitedMs + best.expectedWaitMs <= latencyTargetMs * ADMITTED_WAIT_PART &&
+    waitedMs + best.expectedFirstByteMs <= admittedMs
+  );
+}
+
+/** The place that serves a late request first, while the caller still waits for it. */
+function latePlace(
+  facts: RequestFacts,
+  candidates: readonly Candidate[],
+  now: number,
+): Candidate | undefined {
+  const latestMs = facts.patienceMs * DEFERRED_PART - (now - facts.arrivedAt);
+  const [first] = candidates
+    .filter(({ lastFirstByteMs = Infinity }) => lastFirstByteMs <= latestMs)
+    .sort((a, b) => (a.lastFirstByteMs ?? 0) - (b.lastFirstByteMs ?? 0));
+  return first?.lastFirstByteMs === undefined
+    ? undefined
+    : { ...first, expectedFirstByteMs: first.lastFirstByteMs };
+}
+
+/** Refuses a request whose first byte would come too late, while the caller can still return. */
+function overload(facts: RequestFacts, best: Candidate, now: number): RequestStep {
   const surplusMs = best.expectedWaitMs - facts.latencyTargetMs * ADMITTED_WAIT_PART;
   return {
     kind: 'refuse',
--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -29,6 +29,8 @@
   readonly timeoutMs: number;
   /** Time to the first byte of the answer that callers aim for, ms. */
   readonly latencyTargetMs: number;
+  /** How long callers wait for the first byte before they leave, ms. */
+  readonly patienceMs: number;
   /** Rank among the routes of a service; 0 is the most urgent. */
   readonly priority: number;
   readonly services: readonly ServiceShare[];
--- a/packages/core/src/fleet/route-table.test.ts
+++ b/packages/core/src/fleet/route-table.test.ts
@@ -12,6 +12,7 @@
     kind: RouteKind.Single,
     timeoutMs: 1000,
     latencyTargetMs: 100,
+    patienceMs: 1000,
     priority: 0,
     services: [
       { service: 'one', weight: 90 },
--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -1,13 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { seededRandom } from '../random-source.js';
-import { rankTargets, type ServicePace } from './expected-first-byte.js';
+import { rankTargets } from './expected-first-byte.js';
 import { sharedPartOf, type Prompt } from './prompt.js';
 import { withRegions, type RegionOption } from './region-choice.js';
+import { prefillMs, type ServicePace } from './service-pace.js';
 import { SharedPartHomes } from './shared-part-homes.js';
 import { TargetWork } from './target-work.js';
 
-const PACE: ServicePace = { prefillTokensPerMs: 50, baseMs: 55, usualFailureRate: 0 };
+const PACE: ServicePace = {
+  prefillTokensPerMs: 50,
+  msPerMillionPairs: 0.2,
+  baseMs: 55,
+  usualFailureRate: 0,
+};
 const CACHE_TOKENS = 400_000;
 
 function prompt(subject: number, ownTokens: number, session: number): Prompt {
@@ -39,7 +45,7 @@
       .filter(({ at }) => at <= now)
       .forEach((done) => {
         works.get(done.id)?.onFirstByte(done.session, done.at);
-        works.get(done.id)?.onEnd(done.session);
+        works.get(done.id)?.onEnd(done.session, done.at);
         waiting.splice(waiting.indexOf(done), 1);
       });
     const own = Math.round(500 + random.next() ** 4 * 24_000);
@@ -47,6 +53,8 @@
     const home = homes.homeTarget(sharedPartOf(request) ?? '', ids);
     const targets = ids.map((id) => ({
       id,
+      // Targets of different failure domains don't fetch from each other.
+      failureDomain: id,
       slots: 64,
       work: works.get(id) as TargetWork,
       holdsShared: useHomes && id === home,
@@ -63,11 +71,13 @@
     const tokens = cold.reduce((sum, part) => sum + part.tokens, 0);
     request.parts.forEach((part) => cache.add(part.id));
     const start = Math.max(now, freeAt.get(id) ?? 0);
-    const at = start + PACE.baseMs + tokens / PACE.prefillTokensPerMs;
-    freeAt.set(id, start + tokens / PACE.prefillTokensPerMs);
+    const readMs = prefillMs(request, request.promptTokens - tokens, PACE);
+    const at = start + PACE.baseMs + readMs;
+    freeAt.set(id, start + readMs);
     readTokens += tokens;
     if (at - now > 1200) late += 1;
-    const work = { tokens, priority: 0, expectedMs: best?.expectedFirstByteMs ?? 1 };
+    const { readMs: expectedReadMs = 0, expectedFirstByteMs = 1 } = best ?? {};
+    const work = { readMs: expectedReadMs, priority: 0, expectedMs: expectedFirstByteMs };
     works.get(id)?.onSend(`r${session}`, work, request, now);
     waiting.push({ id, session: `r${session}`, at });
   });
@@ -90,60 +100,51 @@
   const bad = new TargetWork(CACHE_TOKENS);
   Array.from({ length: 5 }).forEach(() => bad.onOutcome(true, 1000));
   const targets = [
-    { id: 'bad', slots: 6, work: bad, holdsShared: false },
-    { id: 'good', slots: 6, work: good, holdsShared: false },
+    { id: 'bad', failureDomain: 'north-a', slots: 6, work: bad, holdsShared: false },
+    { id: 'good', failureDomain: 'north-a', slots: 6, work: good, holdsShared: false },
   ];
   const [best] = rankTargets({ priority: 0, latencyTargetMs: 600 }, targets, PACE, 1000);
   assert.deepEqual(best?.place, { kind: 'target', id: 'good' });
 });
 
-function option(pendingTokens: number, warm: boolean): RegionOption {
+function option(backlogMs: number, warm: boolean): RegionOption {
   return {
     region: 'west',
     node: 'vm-9',
-    work: { targets: 3, slots: 192, requests: 20, pendingTokens },
+    work: { targets: 3, slots: 192, requests: 20, backlogMs },
     roundTripMs: 160,
-    sentSince: { requests: 0, tokens: 0 },
+    sentSince: { requests: 0, readMs: 0 },
     warm,
   };
 }
 
-function local(waitingTokens: number): ReturnType<typeof rankTargets> {
+const REQUEST = { prompt: prompt(1, 600, 1), priority: 0, latencyTargetMs: 1200 };
+
+function local(waitingMs: number): ReturnType<typeof rankTargets> {
   const work = new TargetWork(CACHE_TOKENS);
-  if (waitingTokens > 0) {
-    const waiting = { tokens: waitingTokens, priority: 0, expectedMs: 500 };
-    work.onSend('other', waiting, undefined, 0);
+  if (waitingMs > 0) {
+    const waiting = { readMs: waitingMs, priority: 0, expectedMs: 500 };
+    work.onSend('other', waiting, prompt(2, 600, 2), 0);
   }
-  const target = { id: 't0', slots: 64, work, holdsShared: true };
-  return rankTargets(
-    { prompt: prompt(1, 600, 1), priority: 0, latencyTargetMs: 1200 },
-    [target],
-    PACE,
-    0,
-  );
+  const target = { id: 't0', failureDomain: 'north-a', slots: 64, work, holdsShared: true };
+  return rankTargets(REQUEST, [target], PACE, 0);
 }
 
 // Pattern: a peak in the own region while another region is idle.
 test('a request leaves its region when the wait there is longer than the way and a cold cache', () => {
   const idle = option(0, false);
-  assert.equal(withRegions(local(0), [idle], prompt(1, 600, 1), PACE)[0]?.place.kind, 'target');
-  assert.equal(withRegions(local(60_000), [idle], prompt(1, 600, 1), PACE)[0]?.place.kind, 'peer');
+  assert.equal(withRegions(local(0), [idle], REQUEST, PACE)[0]?.place.kind, 'target');
+  assert.equal(withRegions(local(1200), [idle], REQUEST, PACE)[0]?.place.kind, 'peer');
 });
 
 test('a request stays when the other region is as busy', () => {
-  const busy = option(180_000, false);
-  assert.equal(
-    withRegions(local(60_000), [busy], prompt(1, 600, 1), PACE)[0]?.place.kind,
-    'target',
-  );
+  const busy = option(3600, false);
+  assert.equal(withRegions(local(1200), [busy], REQUEST, PACE)[0]?.place.kind, 'target');
 });
 
 test('what was sent to a region since its summary counts as its work', () => {
-  const sent = { ...option(0, false), sentSince: { requests: 30, tokens: 180_000 } };
-  assert.equal(
-    withRegions(local(60_000), [sent], prompt(1, 600, 1), PACE)[0]?.place.kind,
-    'target',
-  );
+  const sent = { ...option(0, false), sentSince: { requests: 30, readMs: 3600 } };
+  assert.equal(withRegions(local(1200), [sent], REQUEST, PACE)[0]?.place.kind, 'target');
 });
 
 // Pattern: a target goes dark with requests on the way, and each try costs a connect timeout.
@@ -156,3 +157,21 @@
   work.onByte(first + 10);
   assert.ok(work.avoidedUntil <= first);
 });
+
+// Pattern: the target that holds a long shared part is busy while its neighbours are idle.
+test('a shared part is fetched from a busy target of the failure domain rather than read again', () => {
+  const holder = new TargetWork(CACHE_TOKENS);
+  const idle = new TargetWork(CACHE_TOKENS);
+  holder.onSend('first', { readMs: 900, priority: 0, expectedMs: 900 }, prompt(1, 600, 2), 0);
+  const near = { id: 'idle', failureDomain: 'north-a', slots: 64, work: idle, holdsShared: false };
+  const busy = { ...near, id: 'holder', work: holder };
+  const [best] = rankTargets(REQUEST, [busy, near], PACE, 0);
+  assert.deepEqual(best?.place, { kind: 'target', id: 'idle' });
+  assert.equal(best.fetchFrom, 'holder');
+  assert.equal(best.tokensToRead, 600);
+  const far = { ...near, id: 'far', failureDomain: 'north-b' };
+  const [first] = rankTargets(REQUEST, [busy, far], PACE, 0).filter(
+    ({ place }) => place.kind === 'target' && place.id === 'far',
+  );
+  assert.equal(first?.fetchFrom, undefined);
+});
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -1,17 +1,19 @@
 /**
  * Load pattern: prompts of very different sizes that share long parts, with prefill as the
- * bottleneck. Places are compared by the time until the first byte (prompt tokens that wait there,
- * tokens of the request that are not cached there, the target's own pace) and by the work that
- * reading a shared part again takes from other requests. A shared part therefore stays with its
- * home until another place would answer clearly sooner.
+ * bottleneck. Places are compared by the time until the first byte (prompts that are read before,
+ * the reading of what is neither cached there nor fetched from another target, the target's own
+ * pace), by the part of it that comes after the latency target, and by the work that reading a
+ * shared part again takes from other requests.
  */
 import type { Candidate } from '../exchange/next-request-step.js';
 import { sharedTokensOf, type Prompt } from './prompt.js';
+import { prefillMs, type ServicePace } from './service-pace.js';
 import type { TargetWork } from './target-work.js';
 
 /** A target that may be used now. */
 export interface RankedTarget {
   readonly id: string;
+  readonly failureDomain: string;
   readonly slots: number;
   readonly work: TargetWork;
   /** The shared parts of the prompt are expected in its cache, whoever sent them. */
@@ -27,19 +29,25 @@
   readonly latencyTargetMs: number;
 }
 
-/** Speed of a service's targets. */
-export interface ServicePace {
-  /** Prompt tokens that a target reads in a ms, beside its other work. */
-  readonly prefillTokensPerMs: number;
-  /** Time to the first byte without any wait, ms; for plain services the time of a request. */
-  readonly baseMs: number;
-  /** Part of the requests that fail at a target in good health. */
-  readonly usualFailureRate: number;
+/** Beginning of a prompt that a target holds. */
+interface Holding {
+  readonly target: RankedTarget;
+  readonly warmTokens: number;
 }
 
 /** Weight of the time for reading shared parts again, beside the caller's own wait for it. */
-export const REREAD_WEIGHT = 4;
-
+const REREAD_WEIGHT = 4;
+/** Weight of a fetch relative to reading the same parts again, by the users' prices of both. */
+const FETCH_WEIGHT = 0.15;
+/** Time of a fetch between targets of one failure domain: its start, and for each token. */
+const FETCH_START_MS = 3;
+const FETCH_MS_PER_TOKEN = 0.002;
+/** Shorter parts are read again rather than fetched. */
+const MIN_FETCHED_TOKENS = 100;
+/** Weight of the time after the latency target. */
+const LATE_WEIGHT = 2;
+/** Part of the latency target after which the first byte may well be late. */
+const LATE_FROM_PART = 0.8;
 /** Latency targets that a failed request costs. */
 const FAILURE_COST = 3;
 /** Difference in the failure rate that is ignored. */
@@ -58,34 +66,102 @@
   pace: ServicePace,
   now: number,
 ): Candidate[] {
-  return targets.map((target) => rate(req, target, pace, now)).sort((a, b) => a.costMs - b.costMs);
+  const { prompt } = req;
+  const candidates = prompt
+    ? rankEngines({ ...req, prompt }, targets, pace, now)
+    : targets.map((target) => ratePlain(req, target, pace, now));
+  return candidates.sort((a, b) => a.costMs - b.costMs);
+}
+
+function rankEngines(
+  req: RankedRequest & { readonly prompt: Prompt },
+  targets: readonly RankedTarget[],
+  pace: ServicePace,
+  now: number,
+): Candidate[] {
+  const holdings = targets.map((target) => ({
+    target,
+    warmTokens: Math.max(
+      target.work.warmTokens(req.prompt),
+      target.holdsShared ? sharedTokensOf(req.prompt) : 0,
+    ),
+  }));
+  return holdings.map((holding) => rateEngine(req, holding, holdings, pace, now));
 }
 
-function rate(
+function rateEngine(
+  req: RankedRequest & { readonly prompt: Prompt },
+  holding: Holding,
+  holdings: readonly Holding[],
+  pace: ServicePace,
+  now: number,
+): Candidate {
+  const { prompt, priority } = req;
+  const { target, warmTokens } = holding;
+  const { work, slots } = target;
+  const source = sourceOf(holding, holdings);
+  const fetchedTokens = source ? source.warmTokens - warmTokens : 0;
+  const readMs =
+    prefillMs(prompt, warmTokens + fetchedTokens, pace) +
+    (source ? FETCH_START_MS + fetchedTokens * FETCH_MS_PER_TOKEN : 0);
+  const slotWaitMs = waitForSlot(work.requests(now), slots, pace) * work.slowness;
+  const expectedWaitMs = slotWaitMs + work.prompts.waitMs(priority, now);
+  const ownMs = (pace.baseMs + readMs) * work.slowness;
+  const tokensToRead = Math.max(0, prompt.promptTokens - warmTokens - fetchedTokens);
+  const expectedFirstByteMs = expectedWaitMs + ownMs;
+  return {
+    place: { kind: 'target', id: target.id },
+    expectedFirstByteMs,
+    expectedWaitMs,
+    lastFirstByteMs: slotWaitMs + work.prompts.backlogMs(now) + ownMs,
+    tokensToRead,
+    readMs,
+    ...(source ? { fetchFrom: source.target.id } : {}),
+    costMs:
+      expectedFirstByteMs +
+      latenessMs(expectedFirstByteMs, req) +
+      failureMs(work, req, pace, now) +
+      rereadMs(prompt, tokensToRead, pace) +
+      (fetchedTokens / pace.prefillTokensPerMs) * REREAD_WEIGHT * FETCH_WEIGHT,
+  };
+}
+
+function ratePlain(
   req: RankedRequest,
-  { id, slots, work, holdsShared }: RankedTarget,
+  { id, slots, work }: RankedTarget,
   pace: ServicePace,
   now: number,
 ): Candidate {
-  const { prompt, priority, latencyTargetMs } = req;
-  const { prefillTokensPerMs, baseMs, usualFailureRate } = pace;
-  const tokensAhead = prompt ? work.pendingTokens(now, prefillTokensPerMs, priority) : 0;
-  const tokensToRead = prompt ? work.uncachedTokens(prompt, holdsShared) : 0;
-  const slotWaitMs = waitForSlot(work.requests(now), slots, pace);
-  const expectedWaitMs = (slotWaitMs + tokensAhead / prefillTokensPerMs) * work.slowness;
-  const expectedFirstByteMs =
-    expectedWaitMs + (baseMs + tokensToRead / prefillTokensPerMs) * work.slowness;
-  const excess = work.failureRate(now) - usualFailureRate - FAILURE_TOLERANCE;
-  const failureMs = Math.max(0, excess) * FAILURE_COST * latencyTargetMs;
+  const expectedWaitMs = waitForSlot(work.requests(now), slots, pace) * work.slowness;
+  const expectedFirstByteMs = expectedWaitMs + pace.baseMs * work.slowness;
   return {
     place: { kind: 'target', id },
     expectedFirstByteMs,
     expectedWaitMs,
-    tokensToRead,
-    costMs: expectedFirstByteMs + failureMs + rereadMs(prompt, tokensToRead, pace),
+    tokensToRead: 0,
+    readMs: 0,
+    costMs:
+      expectedFirstByteMs + latenessMs(expectedFirstByteMs, req) + failureMs(work, req, pace, now),
   };
 }
 
+/** Target of the same failure domain that holds clearly more of the prompt. */
+function sourceOf(
+  { target, warmTokens }: Holding,
+  holdings: readonly Holding[],
+): Holding | undefined {
+  return holdings
+    .filter(
+      (other) =>
+        other.target.failureDomain === target.failureDomain &&
+        other.warmTokens >= warmTokens + MIN_FETCHED_TOKENS,
+    )
+    .reduce<Holding | undefined>(
+      (best, other) => (best && best.warmTokens >= other.warmTokens ? best : other),
+      undefined,
+    );
+}
+
 /**
  * What reading shared parts again costs other requests, ms.
  *
@@ -103,6 +179,24 @@
   return (again / prefillTokensPerMs) * REREAD_WEIGHT;
 }
 
+/** Cost of a first byte that comes after most of the latency target. */
+export function latenessMs(
+  expectedFirstByteMs: number,
+  { latencyTargetMs }: Pick<RankedRequest, 'latencyTargetMs'>,
+): number {
+  return Math.max(0, expectedFirstByteMs - latencyTargetMs * LATE_FROM_PART) * LATE_WEIGHT;
+}
+
+function failureMs(
+  work: TargetWork,
+  { latencyTargetMs }: RankedRequest,
+  { usualFailureRate }: ServicePace,
+  now: number,
+): number {
+  const excess = work.failureRate(now) - usualFailureRate - FAILURE_TOLERANCE;
+  return Math.max(0, excess) * FAILURE_COST * latencyTargetMs;
+}
+
 /** Time until one of the slots is free, when all requests take about the base time. */
 function waitForSlot(requests: number, slots: number, { baseMs }: ServicePace): number {
   const full = slots * FULL_PART;
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -6,15 +6,17 @@
  * corrected by what was sent since.
  */
 import type { Candidate } from '../exchange/next-request-step.js';
-import { rereadMs, type ServicePace } from './expected-first-byte.js';
-import { sharedTokensOf, type Prompt } from './prompt.js';
+import { latenessMs, rereadMs, type RankedRequest } from './expected-first-byte.js';
+import { sharedTokensOf } from './prompt.js';
+import { prefillMs, type ServicePace } from './service-pace.js';
 
 /** Work of one service in a region, as a gateway there sums it up. */
 export interface RegionWork {
   readonly targets: number;
   readonly slots: number;
   readonly requests: number;
-  readonly pendingTokens: number;
+  /** Time for reading all prompts that wait, ms. */
+  readonly backlogMs: number;
 }
 
 /** Another region that could run the request. */
@@ -24,8 +26,8 @@
   readonly node: string;
   readonly work: RegionWork;
   readonly roundTripMs: number;
-  /** Requests and tokens that were sent there since the summary, by all gateways of this region. */
-  readonly sentSince: { readonly requests: number; readonly tokens: number };
+  /** Requests and their reading, ms, that were sent there since the summary, by all gateways of this region. */
+  readonly sentSince: { readonly requests: number; readonly readMs: number };
   /** Whether the shared parts of the prompt are expected to be cached there. */
   readonly warm: boolean;
 }
@@ -39,38 +41,46 @@
  * Joins the candidates of the own region and other regions, best first.
  *
  * @param local candidates of the own region
- * @example withRegions(local, options, prompt, pace)
+ * @example withRegions(local, options, req, pace)
  */
 export function withRegions(
   local: readonly Candidate[],
   options: readonly RegionOption[],
-  prompt: Prompt | undefined,
+  req: RankedRequest,
   pace: ServicePace,
 ): Candidate[] {
   const away = options
     .filter(({ work }) => work.targets > 0)
-    .map((option) => remoteCandidate(option, prompt, pace));
+    .map((option) => remoteCandidate(option, req, pace));
   return [...local, ...away].sort((a, b) => a.costMs - b.costMs);
 }
 
 function remoteCandidate(
   { work, sentSince, roundTripMs, warm, node, region }: RegionOption,
-  prompt: Prompt | undefined,
+  req: RankedRequest,
   pace: ServicePace,
 ): Candidate {
-  const { prefillTokensPerMs, baseMs } = pace;
-  const tokensAhead = ((work.pendingTokens + sentSince.tokens) / work.targets) * UNEVENNESS;
+  const { prompt } = req;
+  const { baseMs } = pace;
   const requests = work.requests + sentSince.requests;
   const slotWaitMs = (Math.max(0, requests + 1 - work.slots) / work.slots) * baseMs;
-  const expectedWaitMs = slotWaitMs + tokensAhead / prefillTokensPerMs;
-  const tokensToRead = prompt ? prompt.promptTokens - (warm ? sharedTokensOf(prompt) : 0) : 0;
-  const expectedFirstByteMs =
-    roundTripMs + expectedWaitMs + baseMs + tokensToRead / prefillTokensPerMs;
+  const backlogMs = ((work.backlogMs + sentSince.readMs) / work.targets) * UNEVENNESS;
+  const expectedWaitMs = slotWaitMs + backlogMs;
+  const warmTokens = prompt && warm ? sharedTokensOf(prompt) : 0;
+  const tokensToRead = prompt ? prompt.promptTokens - warmTokens : 0;
+  const readMs = prompt ? prefillMs(prompt, warmTokens, pace) : 0;
+  const expectedFirstByteMs = roundTripMs + expectedWaitMs + baseMs + readMs;
   return {
     place: { kind: 'peer', node, region },
     expectedWaitMs,
     expectedFirstByteMs,
+    ...(prompt ? { lastFirstByteMs: expectedFirstByteMs } : {}),
     tokensToRead,
-    costMs: expectedFirstByteMs + LEAVE_COST_MS + rereadMs(prompt, tokensToRead, pace),
+    readMs,
+    costMs:
+      expectedFirstByteMs +
+      latenessMs(expectedFirstByteMs, req) +
+      LEAVE_COST_MS +
+      rereadMs(prompt, tokensToRead, pace),
   };
 }
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -1,10 +1,20 @@
 /** What one gateway knows of the work and the health of a target. */
+import { PrefillQueue, type QueuedPrompt } from './prefill-queue.js';
+import { PromptCache } from './prompt-cache.js';
 import type { Prompt } from './prompt.js';
 
-/** A request that was sent to the target and has no first byte yet. */
-interface PendingWork {
-  readonly tokens: number;
+/** A request as it is sent. */
+export interface SentWork {
+  /** Time for reading its prompt, ms; 0 for plain services. */
+  readonly readMs: number;
+  /** 0 is the most urgent. */
   readonly priority: number;
+  /** Expected time to the first byte, ms. */
+  readonly expectedMs: number;
+}
+
+/** A request that has no first byte yet. */
+interface PendingRequest {
   readonly sentAt: number;
   readonly expectedMs: number;
 }
@@ -12,9 +22,14 @@
 /** Work that another gateway has at a target. */
 export interface PeerWork {
   readonly requests: number;
-  readonly pendingTokens: number;
 }
 
+/** A large prompt that another gateway sent to a target. */
+export type PeerPrompt = Pick<QueuedPrompt, 'id' | 'workMs' | 'priority'> & {
+  /** Parts that the target holds once the prompt is read. */
+  readonly parts: Prompt['parts'];
+};
+
 interface DatedPeerWork extends PeerWork {
   readonly at: number;
 }
@@ -22,8 +37,11 @@
 /** Reports of other gateways are ignored after this time. */
 const PEER_WORK_LIFETIME_MS = 2000;
 const PACE_WEIGHT = 0.1;
-const MIN_PACE = 0.6;
+const MIN_PACE = 0.3;
 const MAX_PACE = 8;
+/** A single measurement counts for this much at most, as unknown work also delays a first byte. */
+const MAX_PACE_STEP = 2.5;
+const MIN_PACE_STEP = 0.4;
 const FAILURE_WEIGHT = 0.2;
 /** After this time a failure counts half, so that a target that was avoided is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
@@ -35,16 +53,15 @@
 
 /** Work and health of one target, as this process sees it. */
 export class TargetWork {
-  private readonly pending = new Map<string, PendingWork>();
+  readonly prompts = new PrefillQueue();
 
-  private readonly running = new Set<string>();
+  private readonly cache: PromptCache;
 
-  private readonly peers = new Map<string, DatedPeerWork>();
+  private readonly pending = new Map<string, PendingRequest>();
 
-  /** Parts of prompts that this process sent here, least recently used first. */
-  private readonly cached = new Map<string, number>();
+  private readonly running = new Set<string>();
 
-  private cachedTokens = 0;
+  private readonly peers = new Map<string, DatedPeerWork>();
 
   /** Measured over expected time to the first byte. */
   private pace = 1;
@@ -55,44 +72,24 @@
 
   private lastByteAt = 0;
 
-  private lastFirstByteAt = 0;
-
   private avoidMs = 0;
 
   private avoidUntil = 0;
 
-  constructor(private readonly cacheCapacityTokens: number) {}
+  constructor(cacheCapacityTokens: number) {
+    this.cache = new PromptCache(cacheCapacityTokens);
+  }
 
   /** Requests of this process at the target. */
   get ownRequests(): number {
     return this.running.size;
   }
 
-  /** Prompt tokens of this process that wait at the target. */
-  get ownPendingTokens(): number {
-    return [...this.pending.values()].reduce((sum, { tokens }) => sum + tokens, 0);
-  }
-
   /** Requests of all gateways at the target. */
   requests(now: number): number {
     return this.running.size + this.fresh(now).reduce((sum, { requests }) => sum + requests, 0);
   }
 
-  /**
-   * Prompt tokens that are still to be read and are at least as urgent as `priority`. Of the
-   * request that waits longest, what the target read meanwhile is left out.
-   *
-   * @param tokensPerMs how fast the target reads
-   */
-  pendingTokens(now: number, tokensPerMs: number, priority = Infinity): number {
-    const ahead = [...this.pending.values()].filter((work) => work.priority <= priority);
-    const own = ahead.reduce((sum, { tokens }) => sum + tokens, 0);
-    const [oldest] = ahead;
-    const readingMs = oldest ? now - Math.max(oldest.sentAt, this.lastFirstByteAt) : 0;
-    const read = Math.min(oldest?.tokens ?? 0, readingMs * tokensPerMs);
-    return own - read + this.fresh(now).reduce((sum, { pendingTokens }) => sum + pendingTokens, 0);
-  }
-
   /** Factor on expected times. */
   get slowness(): number {
     return this.pace;
@@ -116,36 +113,35 @@
     return now >= overdueAt && now - this.lastByteAt > SILENCE_MS;
   }
 
-  /** Prompt tokens that the target has to read, as far as this process knows its cache. */
-  uncachedTokens(prompt: Prompt, assumeShared: boolean): number {
-    const { parts, promptTokens } = prompt;
-    const firstCold = parts.findIndex(({ id }) => !this.cached.has(id));
-    const known = firstCold < 0 ? parts.length : firstCold;
-    const warmParts = assumeShared ? Math.max(known, parts.length - 1) : known;
-    const warm = parts.slice(0, warmParts).reduce((sum, { tokens }) => sum + tokens, 0);
-    return Math.max(0, promptTokens - warm);
+  /** Tokens at the beginning of a prompt that the target holds, as far as this process knows. */
+  warmTokens(prompt: Prompt): number {
+    return this.cache.warmTokens(prompt);
   }
 
   onSend(
     id: string,
-    work: Omit<PendingWork, 'sentAt'>,
+    { readMs, priority, expectedMs }: SentWork,
     prompt: Prompt | undefined,
     now: number,
   ): void {
     if (this.running.size === 0) this.lastByteAt = now;
-    this.pending.set(id, { ...work, sentAt: now });
+    this.pending.set(id, { sentAt: now, expectedMs });
     this.running.add(id);
-    prompt?.parts.forEach((part) => this.remember(part.id, part.tokens));
+    if (!prompt) return;
+    const workMs = readMs * this.pace;
+    this.prompts.add({ id, workMs, priority, sentAt: now, own: true });
+    this.cache.add(prompt.parts);
   }
 
   onFirstByte(id: string, now: number): void {
     const work = this.pending.get(id);
     this.pending.delete(id);
-    this.lastFirstByteAt = now;
+    this.prompts.onFirstByte(id, now);
     this.onByte(now);
     if (!work) return;
     const ratio = (now - work.sentAt) / Math.max(1, work.expectedMs);
-    const pace = this.pace * (1 - PACE_WEIGHT) + this.pace * ratio * PACE_WEIGHT;
+    const step = Math.min(MAX_PACE_STEP, Math.max(MIN_PACE_STEP, ratio));
+    const pace = this.pace * (1 - PACE_WEIGHT + step * PACE_WEIGHT);
     this.pace = Math.min(MAX_PACE, Math.max(MIN_PACE, pace));
   }
 
@@ -155,8 +151,8 @@
     this.avoidUntil = 0;
   }
 
-  onEnd(id: string): void {
-    this.pending.delete(id);
+  onEnd(id: string, now: number): void {
+    if (this.pending.delete(id)) this.prompts.remove(id, now);
     this.running.delete(id);
   }
 
@@ -176,23 +172,10 @@
     this.peers.set(node, { ...work, at: now });
   }
 
-  /** The target restarted: its cache is empty. */
-  forgetCache(): void {
-    this.cached.clear();
-    this.cachedTokens = 0;
-  }
-
-  private remember(id: string, tokens: number): void {
-    this.cachedTokens -= this.cached.get(id) ?? 0;
-    this.cached.delete(id);
-    this.cached.set(id, tokens);
-    this.cachedTokens += tokens;
-    while (this.cachedTokens > this.cacheCapacityTokens) {
-      const [oldest] = this.cached;
-      if (!oldest) return;
-      this.cached.delete(oldest[0]);
-      this.cachedTokens -= oldest[1];
-    }
+  /** Another gateway sent a large prompt. */
+  learnPeerPrompt({ id, workMs, priority, parts }: PeerPrompt, now: number): void {
+    this.prompts.add({ id, workMs, priority, sentAt: now, own: false });
+    this.cache.add(parts);
   }
 
   private fresh(now: number): DatedPeerWork[] {
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -266,6 +266,7 @@
       deadlineAt: arrivedAt + waitMs,
       arrivedAt,
       latencyTargetMs: route.latencyTargetMs,
+      patienceMs: Math.min(waitMs, route.patienceMs),
     },
   };
 }
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -57,10 +57,12 @@
 /** What decided a step. */
 function inputsOf(step: RequestStep, best: Candidate | undefined): Record<string, unknown> {
   return match(step)
-    .with({ kind: 'attempt' }, ({ candidate, retry }) => ({
+    .with({ kind: 'attempt' }, ({ candidate, retry, deferred }) => ({
       to: candidate.place.kind === 'target' ? candidate.place.id : candidate.place.node,
       region: candidate.place.kind === 'peer' ? candidate.place.region : undefined,
       ...expectations(candidate),
+      fetch_from: candidate.fetchFrom,
+      deferred: deferred || undefined,
       retry: retry || undefined,
     }))
     .with({ kind: 'refuse' }, ({ reason, comeBackMs }) => ({
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -1,5 +1,5 @@
 /** Sends a call to a place and takes what the attempt says of the target and its service. */
-import { samePlace, type Candidate } from '@marjoramcart/core';
+import { samePlace, type Candidate, type RequestStep } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { AttemptFields, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
@@ -13,8 +13,12 @@
 import { ATTEMPTS_HEADER } from './caller-answer.js';
 import { StallWatch } from './stall-watch.js';
 
-/** A retry is admitted before requests that have not been served at all. */
+/** A retry is read before requests that have not been served at all. */
 const RETRY_PRIORITY = 0;
+/** Deferred requests are read after all others. */
+const DEFERRED_PRIORITY = 9;
+
+export type AttemptStep = Extract<RequestStep, { kind: 'attempt' }>;
 
 export interface SenderParts {
   readonly settings: GatewaySettings;
@@ -22,7 +26,7 @@
   readonly router: Router;
   readonly runner: AttemptRunner;
   readonly protocol: RequestProtocol;
-  readonly gossip: Pick<GossipTask, 'table'>;
+  readonly gossip: Pick<GossipTask, 'table' | 'announceTarget'>;
   readonly timers: TimerService;
 }
 
@@ -43,14 +47,15 @@
 export class PlaceSender {
   constructor(private readonly parts: SenderParts) {}
 
-  async send(candidate: Candidate, retry: boolean, progress: CallProgress): Promise<SentAttempt> {
+  async send(step: AttemptStep, progress: CallProgress): Promise<SentAttempt> {
     const { timers } = this.parts;
+    const { candidate } = step;
     const startedAt = timers.now();
     const seen: { firstByteMs?: number } = {};
     const onBytes = (): void => {
       seen.firstByteMs ??= timers.now() - startedAt;
     };
-    const priority = retry ? RETRY_PRIORITY : progress.call.route.priority;
+    const priority = priorityOf(step, progress);
     const end =
       candidate.place.kind === 'target'
         ? await this.toTarget(candidate.place.id, candidate, priority, progress, onBytes)
@@ -65,23 +70,24 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { state, timers, router, protocol } = this.parts;
+    const { state, timers, router, protocol, gossip } = this.parts;
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed' };
     const { record, work } = entry;
     const { head } = progress.call;
     const startedAt = timers.now();
     router.onSendToTarget(entry);
-    const pending = {
-      tokens: candidate.tokensToRead,
-      priority,
-      expectedMs: candidate.expectedFirstByteMs,
-    };
-    work.onSend(head.id, pending, head.prompt, startedAt);
+    const { readMs, expectedFirstByteMs: expectedMs } = candidate;
+    work.onSend(head.id, { readMs, priority, expectedMs }, head.prompt, startedAt);
+    if (head.prompt) {
+      const parts = head.prompt.parts.slice(0, -1);
+      const prompt = { id: head.id, workMs: readMs * work.slowness, priority, parts };
+      gossip.announceTarget({ kind: 'prompt', target: id, prompt });
+    }
     let first = true;
     const end = await this.exchange(progress, candidate, {
       address: record.address,
-      headers: protocol.targetHeaders(head, this.fields(priority, progress), record),
+      headers: protocol.targetHeaders(head, this.fields(priority, progress, candidate), record),
       toPeer: false,
       onBytes: () => {
         onBytes();
@@ -90,7 +96,7 @@
         first = false;
       },
     });
-    work.onEnd(head.id);
+    work.onEnd(head.id, timers.now());
     this.learn(entry, end, progress, startedAt);
     return end;
   }
@@ -106,11 +112,11 @@
     const peer = gossip.table.get(node);
     if (!peer) return { kind: 'not-sent', message: 'gateway no longer known' };
     const { call } = progress;
-    router.onSendToPeer(call, region, candidate.tokensToRead);
+    router.onSendToPeer(call, region, candidate.readMs);
     return this.exchange(progress, candidate, {
       address: `${peer.ip}:${settings.forwardPort}`,
       headers: [
-        ...protocol.peerHeaders(call.head, this.fields(priority, progress)),
+        ...protocol.peerHeaders(call.head, this.fields(priority, progress, candidate)),
         ATTEMPTS_HEADER,
         String(attemptsLeft(progress)),
       ],
@@ -164,12 +170,19 @@
     );
   }
 
-  private fields(priority: number, { call, lastEvent }: CallProgress): AttemptFields {
-    const remainingMs = Math.max(1, Math.floor(call.facts.deadlineAt - this.parts.timers.now()));
+  private fields(
+    priority: number,
+    { call, lastEvent }: CallProgress,
+    { fetchFrom }: Candidate,
+  ): AttemptFields {
+    const { state, timers } = this.parts;
+    const remainingMs = Math.max(1, Math.floor(call.facts.deadlineAt - timers.now()));
+    const source = fetchFrom === undefined ? undefined : state.target(fetchFrom)?.record.address;
     return {
       remainingMs,
       priority,
       ...(lastEvent === undefined ? {} : { resumeAfter: lastEvent }),
+      ...(source === undefined ? {} : { fetchFrom: source }),
     };
   }
 
@@ -181,7 +194,7 @@
   ): void {
     // An exchange that the caller ended says nothing of the target.
     if (answer.gone) return;
-    const { state, timers, router } = this.parts;
+    const { state, timers, router, gossip } = this.parts;
     const { work, record } = entry;
     const now = timers.now();
     if (end.kind !== 'not-run') {
@@ -195,7 +208,13 @@
     if (end.kind === 'not-run' && end.misdirected) state.onMisdirected(record.id);
     if (end.kind === 'not-sent') {
       work.onUnreachable(now);
+      gossip.announceTarget({ kind: 'unreachable', target: record.id });
       state.suspectRestart(record.id);
     }
   }
 }
+
+function priorityOf({ retry, deferred }: AttemptStep, { call }: CallProgress): number {
+  if (deferred) return DEFERRED_PRIORITY;
+  return retry ? RETRY_PRIORITY : call.route.priority;
+}
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -4,7 +4,6 @@
   ResultCodes,
   SharedRetryBudget,
   nextRequestStep,
-  type Candidate,
   type RandomSource,
   type RequestStep,
   type ResultCode,
@@ -17,7 +16,7 @@
 import { attemptsLeft, runsSoFar, type CallProgress } from './call-progress.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { DecisionLog } from './decision-log.js';
-import { PlaceSender, type SenderParts } from './place-sender.js';
+import { PlaceSender, type AttemptStep, type SenderParts } from './place-sender.js';
 import { sendResult } from './send-result.js';
 
 /** Callers that are told to return are spread over this part of the time beyond it. */
@@ -87,7 +86,7 @@
     const { answer } = progress;
     switch (step.kind) {
       case 'attempt':
-        return this.attempt(step.candidate, step.retry, progress);
+        return this.attempt(step, progress);
       case 'wait':
         await this.wait(step.delayMs, answer);
         return undefined;
@@ -108,11 +107,8 @@
     }
   }
 
-  private async attempt(
-    candidate: Candidate,
-    retry: boolean,
-    progress: CallProgress,
-  ): Promise<string | undefined> {
+  private async attempt(step: AttemptStep, progress: CallProgress): Promise<string | undefined> {
+    const { candidate, retry } = step;
     const { place } = candidate;
     const { answer, attempts } = progress;
     const runsBefore = runsSoFar(progress);
@@ -120,7 +116,7 @@
     const lostRuns = place.kind === 'peer' ? attemptsLeft(progress) : 1;
     this.parts.metrics.onAttempt(place.kind, retry);
     answer.setRuns(runsBefore + 1);
-    const { end, firstByteMs } = await this.sender.send(candidate, retry, progress);
+    const { end, firstByteMs } = await this.sender.send(step, progress);
     this.decisions.onAttemptEnd(end, progress, candidate, firstByteMs);
     if (end.kind === 'streamed') {
       answer.end();
--- a/packages/gateway/src/exchange/stall-watch.test.ts
+++ b/packages/gateway/src/exchange/stall-watch.test.ts
@@ -11,12 +11,14 @@
   deadlineAt: 12_000,
   arrivedAt: 0,
   latencyTargetMs: 1200,
+  patienceMs: 4800,
 };
 const CANDIDATE: Candidate = {
   place: { kind: 'target', id: 't1' },
   expectedFirstByteMs: 100,
   expectedWaitMs: 0,
   tokensToRead: 0,
+  readMs: 0,
   costMs: 100,
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { FleetRpcTask } from './peers/fleet-rpc.js';
 import { GossipTask, type OwnNews } from './peers/gossip-task.js';
 import { StateFetcher } from './peers/state-fetcher.js';
+import type { TargetNews } from './peers/target-news.js';
 import type { FleetSource } from './ports/fleet-source.js';
 import type { DirectoryProtocol, RequestProtocol } from './ports/request-protocol.js';
 import { Router } from './routing/router.js';
@@ -68,6 +69,7 @@
     const fetcher = new StateFetcher(this.state, settings.peerRpcPort, timers, log.child('fetch'));
     this.gossip = new GossipTask(settings, timers, log.child('gossip'), () => this.news(), {
       onTargetWork: (node, work) => this.learnTargetWork(node, work),
+      onTargetNews: (news) => this.learnTargetNews(news),
       onRecord: (record) => {
         this.router.onGateway(record);
         fetcher.consider(record);
@@ -171,10 +173,17 @@
     this.state
       .ownTargets()
       .forEach((entry) =>
-        entry.work.learnPeer(node, work[entry.record.id] ?? { requests: 0, pendingTokens: 0 }, now),
+        entry.work.learnPeer(node, work[entry.record.id] ?? { requests: 0 }, now),
       );
   }
 
+  private learnTargetNews(news: TargetNews): void {
+    const now = this.parts.timers.now();
+    const entry = this.state.target(news.target);
+    if (news.kind === 'prompt') entry?.work.learnPeerPrompt(news.prompt, now);
+    else entry?.work.onUnreachable(now);
+  }
+
   /** Waits until no request is in flight and no more are expected, at most until `endAt`. */
   private async untilIdle(endAt: number): Promise<void> {
     const { timers } = this.parts;
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -1,11 +1,11 @@
 /** Gossip between gateways: JSON-RPC notifications in datagrams, with short lists for records. */
-import { createJSONRPCNotification } from 'json-rpc-2.0';
 import {
   GatewayPhase,
   type GatewayRecord,
   type PeerWork,
   type RegionWork,
 } from '@marjoramcart/core';
+import { encodeNotification, type Notification } from './notification.js';
 
 const METHOD = 'gateway.gossip';
 const PHASES = [
@@ -43,7 +43,7 @@
 interface MessageParams {
   readonly f: RecordRow;
   readonly o: readonly RecordRow[];
-  readonly w: Readonly<Record<string, readonly [number, number]>>;
+  readonly w: Readonly<Record<string, number>>;
   readonly t: number;
   readonly e?: readonly [number, number];
 }
@@ -53,35 +53,29 @@
   const params: MessageParams = {
     f: toRow(message.from),
     o: message.others.map(toRow),
-    w: mapValues(message.targetWork, ({ requests, pendingTokens }) => [requests, pendingTokens]),
+    w: mapValues(message.targetWork, ({ requests }) => requests),
     t: message.sentAt,
     ...(message.echo ? { e: [message.echo.sentAt, message.echo.heldMs] as const } : {}),
   };
-  return Buffer.from(JSON.stringify(createJSONRPCNotification(METHOD, params)));
+  return encodeNotification(METHOD, params);
 }
 
 /**
- * Decodes a datagram.
+ * Decodes a notification.
  *
- * @returns undefined when the bytes are no gossip message
+ * @returns undefined when it is of another kind
+ * @throws TypeError when its parameters are malformed
  */
-export function decodeGossip(datagram: Buffer): GossipMessage | undefined {
-  try {
-    const { method, params } = JSON.parse(datagram.toString('utf8')) as {
-      method: unknown;
-      params: MessageParams;
-    };
-    if (method !== METHOD) return undefined;
-    return {
-      from: fromRow(params.f),
-      others: params.o.map(fromRow),
-      targetWork: mapValues(params.w, ([requests, pendingTokens]) => ({ requests, pendingTokens })),
-      sentAt: params.t,
-      ...(params.e ? { echo: { sentAt: params.e[0], heldMs: params.e[1] } } : {}),
-    };
-  } catch {
-    return undefined;
-  }
+export function decodeGossip({ method, params }: Notification): GossipMessage | undefined {
+  if (method !== METHOD) return undefined;
+  const { f, o, w, t, e } = params as MessageParams;
+  return {
+    from: fromRow(f),
+    others: o.map(fromRow),
+    targetWork: mapValues(w, (requests) => ({ requests })),
+    sentAt: t,
+    ...(e ? { echo: { sentAt: e[0], heldMs: e[1] } } : {}),
+  };
 }
 
 function toRow(record: GatewayRecord): RecordRow {
@@ -99,7 +93,7 @@
       work.targets,
       work.slots,
       work.requests,
-      Math.round(work.pendingTokens),
+      Math.round(work.backlogMs),
     ]),
   ];
 }
@@ -108,7 +102,7 @@
   const [node, bootAt, beat, phase, region, failureDomain, ip, configVersion, revision, work] = row;
   const regionWork: Record<string, RegionWork> = mapValues(
     work,
-    ([targets, slots, requests, pendingTokens]) => ({ targets, slots, requests, pendingTokens }),
+    ([targets, slots, requests, backlogMs]) => ({ targets, slots, requests, backlogMs }),
   );
   return {
     node,
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -9,7 +9,9 @@
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { GatewaySettings } from '../settings.js';
-import { decodeGossip, encodeGossip } from './gossip-message.js';
+import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
+import { decodeNotification } from './notification.js';
+import { decodeTargetNews, encodeTargetNews, type TargetNews } from './target-news.js';
 
 const TICK_MS = 250;
 /** Every how many ticks a gateway of another region gets a message. */
@@ -20,6 +22,8 @@
 const MAX_OTHERS = 5;
 /** News that all gateways need at once goes to at most this many of them. */
 const MAX_ANNOUNCED = 64;
+/** A prompt that takes less time than this for each gateway of the region is not announced. */
+const MIN_ANNOUNCED_MS = 15;
 const RTT_WEIGHT = 0.2;
 const DEFAULT_RTT_MS = 160;
 
@@ -35,6 +39,8 @@
 export interface GossipListener {
   /** A gateway of the own region told its work at targets. */
   onTargetWork(node: string, work: Readonly<Record<string, PeerWork>>): void;
+  /** A gateway of the own region tells something about a target. */
+  onTargetNews(news: TargetNews): void;
   /** A record changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -111,6 +117,15 @@
       .forEach((record) => this.send(record.ip, record));
   }
 
+  /** Tells the other gateways of the region something about a target. */
+  announceTarget(news: TargetNews): void {
+    const near = this.near();
+    const isSmall = news.kind === 'prompt' && news.prompt.workMs < near.length * MIN_ANNOUNCED_MS;
+    if (near.length === 0 || isSmall) return;
+    const datagram = encodeTargetNews(news);
+    near.slice(0, MAX_ANNOUNCED).forEach(({ ip }) => this.sendDatagram(datagram, ip));
+  }
+
   /** Measured round trip to a gateway, ms. */
   roundTripMs(node: string): number {
     return this.rttMs.get(node) ?? DEFAULT_RTT_MS;
@@ -120,13 +135,18 @@
     const now = this.timers.now();
     this.ticks += 1;
     const alive = this.table.alive(now);
-    const near = alive.filter(({ region }) => region === this.settings.region);
+    const near = this.near();
     const away = alive.filter(({ region }) => region !== this.settings.region);
     this.sendToOneOf(near, this.ticks);
     if (this.ticks % AWAY_EVERY === 0) this.sendToOneOf(away, this.ticks / AWAY_EVERY);
     if (alive.length === 0 || this.ticks % SEED_EVERY === 0) this.knock(now);
   }
 
+  private near(): GatewayRecord[] {
+    const { region } = this.settings;
+    return this.table.alive(this.timers.now()).filter((record) => record.region === region);
+  }
+
   /** Writes to a seed or a gateway that was lost, in turn. */
   private knock(now: number): void {
     const alive = new Set(this.table.alive(now).map(({ ip }) => ip));
@@ -146,7 +166,7 @@
   private send(ip: string, to?: GatewayRecord): void {
     const now = this.timers.now();
     this.beat += 1;
-    const { node, region, failureDomain, gossipPort } = this.settings;
+    const { node, region, failureDomain } = this.settings;
     const { targetWork, ...news } = this.news();
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const datagram = encodeGossip({
@@ -164,18 +184,30 @@
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
+    this.sendDatagram(datagram, ip);
+  }
+
+  private sendDatagram(datagram: Buffer, ip: string): void {
     this.bytesSent += datagram.length;
-    this.socket.send(datagram, gossipPort, ip, (err) => {
+    this.socket.send(datagram, this.settings.gossipPort, ip, (err) => {
       if (err) this.log.debug('message not sent', { ip, err });
     });
   }
 
   private receive(datagram: Buffer, address: string): void {
-    const message = decodeGossip(datagram);
-    if (!message) {
-      this.log.warn('unreadable message dropped', { from: address, bytes: datagram.length });
-      return;
+    try {
+      const notification = decodeNotification(datagram);
+      const news = decodeTargetNews(notification);
+      const message = news ? undefined : decodeGossip(notification);
+      if (news) this.listener.onTargetNews(news);
+      else if (message) this.take(message);
+      else this.log.warn('unknown message dropped', { from: address, method: notification.method });
+    } catch (err) {
+      this.log.warn('unreadable message dropped', { from: address, bytes: datagram.length, err });
     }
+  }
+
+  private take(message: GossipMessage): void {
     const now = this.timers.now();
     const { from } = message;
     if (from.node === this.settings.node) return;
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -34,6 +34,8 @@
   readonly priority: number;
   /** The stream goes on after this event. */
   readonly resumeAfter?: number;
+  /** `ip:port` of a target from which the receiver fetches what it holds of the prompt. */
+  readonly fetchFrom?: string;
 }
 
 /** Head of an answer, decoded. */
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -13,6 +13,7 @@
   type PeerWork,
   type Place,
   type RandomSource,
+  type RankedRequest,
   type RankedTarget,
   type RegionOption,
   type RegionWork,
@@ -69,17 +70,13 @@
     const open = usable.filter((entry) => this.isOpen(entry, now));
     const pace = this.paceOf(call.service);
     const options = call.forwardedBy === undefined ? this.regionOptions(call, now) : [];
-    const local = rankTargets(
-      {
-        ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
-        priority: call.route.priority,
-        latencyTargetMs: call.facts.latencyTargetMs,
-      },
-      this.toRanked(call, open, options),
-      pace,
-      now,
-    );
-    const candidates = withRegions(local, options, call.head.prompt, pace);
+    const req: RankedRequest = {
+      ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
+      priority: call.route.priority,
+      latencyTargetMs: call.facts.latencyTargetMs,
+    };
+    const local = rankTargets(req, this.toRanked(call, open, options), pace, now);
+    const candidates = withRegions(local, options, req, pace);
     const closed = usable
       .filter((entry) => !open.includes(entry))
       .map(({ record }): Place => ({ kind: 'target', id: record.id }));
@@ -96,11 +93,11 @@
     if (entry.coldUntil > now) this.pacer.onSend(entry.record.id, now);
   }
 
-  onSendToPeer(call: Call, region: string, tokensToRead: number): void {
+  onSendToPeer(call: Call, region: string, readMs: number): void {
     const { prompt } = call.head;
     this.sentAway.onSend(
       `${region} ${call.service}`,
-      tokensToRead,
+      readMs,
       prompt ? sharedPartOf(prompt) : undefined,
       this.timers.now(),
     );
@@ -128,10 +125,7 @@
       this.state
         .ownTargets()
         .filter(({ work }) => work.ownRequests > 0)
-        .map(({ record, work }) => [
-          record.id,
-          { requests: work.ownRequests, pendingTokens: work.ownPendingTokens },
-        ]),
+        .map(({ record, work }) => [record.id, { requests: work.ownRequests }]),
     );
   }
 
@@ -145,9 +139,7 @@
       targets: entries.length,
       slots: sum(({ record }) => record.slots),
       requests: sum(({ work }) => work.requests(now)),
-      pendingTokens: sum(({ work }) =>
-        work.pendingTokens(now, this.settings.tuning.engine.prefill_tokens_per_ms),
-      ),
+      backlogMs: sum(({ work }) => work.prompts.backlogMs(now)),
     };
   }
 
@@ -171,8 +163,15 @@
 
   private regionOptions(call: Call, now: number): RegionOption[] {
     const ready = this.readyAway(call, now);
+    const shared = call.head.prompt ? sharedPartOf(call.head.prompt) : undefined;
+    const home = shared === undefined ? undefined : this.homeRegion(call, shared, ready);
     const regions = [...new Set(ready.map(({ region }) => region))];
-    return regions.map((region) => this.regionOption(call, region, ready, now));
+    return regions.map((region) => {
+      const place = `${region} ${call.service}`;
+      const warm =
+        shared !== undefined && (home === region || this.sentAway.hasShared(place, shared));
+      return this.regionOption(call, region, ready, warm, now);
+    });
   }
 
   /** Ready gateways of other regions whose targets may run the call. */
@@ -192,6 +191,7 @@
     call: Call,
     region: string,
     ready: readonly GatewayRecord[],
+    warm: boolean,
     now: number,
   ): RegionOption {
     const nodes = ready.filter((record) => record.region === region);
@@ -202,32 +202,29 @@
     const { node, regionWork } = freshest ?? drawn;
     const since = now - this.gossip.table.ageMs(node, now);
     const sent = this.sentAway.since(`${region} ${call.service}`, since);
-    const shared = call.head.prompt ? sharedPartOf(call.head.prompt) : undefined;
     const gateways = this.regionGateways.size;
     return {
       region,
       node: drawn.node,
       work: regionWork[call.service] as RegionWork,
       roundTripMs: this.gossip.roundTripMs(drawn.node),
-      sentSince: { requests: sent.requests * gateways, tokens: sent.tokens * gateways },
-      warm:
-        shared !== undefined &&
-        (this.homeRegion(call, shared, now) === region ||
-          this.sentAway.hasShared(`${region} ${call.service}`, shared)),
+      sentSince: { requests: sent.requests * gateways, readMs: sent.readMs * gateways },
+      warm,
     };
   }
 
   /** Region that a shared part belongs to, among those that may run the call. */
-  private homeRegion(call: Call, shared: string, now: number): string | undefined {
+  private homeRegion(
+    call: Call,
+    shared: string,
+    ready: readonly GatewayRecord[],
+  ): string | undefined {
     const own = this.settings.region;
     const targets = this.allowsRegion(call, own)
       ? this.state.usableTargets(call.service).length
       : 0;
     const others = new Map(
-      this.readyAway(call, now).map(({ region, regionWork }) => [
-        region,
-        regionWork[call.service]?.targets ?? 0,
-      ]),
+      ready.map(({ region, regionWork }) => [region, regionWork[call.service]?.targets ?? 0]),
     );
     const regions = [...others.entries(), [own, targets] as const]
       .map(([region, count]) => ({ region, targets: count }))
@@ -257,6 +254,7 @@
       options.some(({ warm }) => warm);
     return open.map(({ record, work }) => ({
       id: record.id,
+      failureDomain: record.failureDomain,
       slots: record.slots,
       work,
       holdsShared: record.id === home && !elsewhere,
--- a/packages/gateway/src/routing/sent-away.ts
+++ b/packages/gateway/src/routing/sent-away.ts
@@ -2,7 +2,7 @@
 
 interface Sent {
   readonly at: number;
-  readonly tokens: number;
+  readonly readMs: number;
 }
 
 const KEEP_MS = 5000;
@@ -14,20 +14,20 @@
   /** Shared parts that were sent to a place before. */
   private readonly shared = new Set<string>();
 
-  onSend(place: string, tokens: number, sharedPart: string | undefined, now: number): void {
+  onSend(place: string, readMs: number, sharedPart: string | undefined, now: number): void {
     const recent = (this.sent.get(place) ?? []).filter(({ at }) => now - at < KEEP_MS);
-    this.sent.set(place, [...recent, { at: now, tokens }]);
+    this.sent.set(place, [...recent, { at: now, readMs }]);
     if (sharedPart === undefined) return;
     if (this.shared.size >= MAX_SHARED_PARTS) this.shared.clear();
     this.shared.add(`${place} ${sharedPart}`);
   }
 
-  /** Requests and tokens sent to a place since a time. */
-  since(place: string, time: number): { requests: number; tokens: number } {
+  /** Requests and their reading, ms, that were sent to a place since a time. */
+  since(place: string, time: number): { requests: number; readMs: number } {
     const recent = (this.sent.get(place) ?? []).filter(({ at }) => at >= time);
     return {
       requests: recent.length,
-      tokens: recent.reduce((sum, { tokens }) => sum + tokens, 0),
+      readMs: recent.reduce((sum, { readMs }) => sum + readMs, 0),
     };
   }
 
--- a/packages/gateway/src/routing/service-paces.ts
+++ b/packages/gateway/src/routing/service-paces.ts
@@ -17,6 +17,7 @@
     const { engine, plain } = this.tuning;
     return {
       prefillTokensPerMs: engine.prefill_tokens_per_ms,
+      msPerMillionPairs: engine.attention_ms_per_million,
       baseMs: isEngine ? engine.first_token_ms : (this.plainMs.get(service) ?? plain.request_ms),
       usualFailureRate: this.failureRates.get(service) ?? 0,
     };
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -12,9 +12,11 @@
   engine: z
     .strictObject({
       /** Prompt tokens that a target reads in a ms beside its other work. */
-      prefill_tokens_per_ms: z.number().positive().default(62),
-      /** Time to the first token of a short prompt, ms. */
-      first_token_ms: z.number().positive().default(80),
+      prefill_tokens_per_ms: z.number().positive().default(54),
+      /** Time of attention for a million pairs of tokens, ms. */
+      attention_ms_per_million: z.number().min(0).default(0.24),
+      /** Time to the first token of a short prompt, beside its reading, ms. */
+      first_token_ms: z.number().positive().default(50),
     })
     .prefault({}),
   /** First estimate for plain services. */
