Count the memory and the slots of targets by the time that streams hold them

Change: the time from the first byte to the end of streams is measured per service and decides the wait for slots and memory. MemoryUse adds up the memory of running requests, shared parts once; gateways of a region tell each other. A stream that pauses while its target serves others is waited for until 0.6 of the caller's patience, since moving it means reading it again.

--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -12,6 +12,7 @@
   prefillTokensPerMs: 50,
   msPerMillionPairs: 0.2,
   baseMs: 55,
+  slotMs: 3000,
   usualFailureRate: 0,
 };
 const CACHE_TOKENS = 400_000;
@@ -25,6 +26,7 @@
     ],
     promptTokens: 512 + 4870 + ownTokens,
     maxOutputTokens: 400,
+    expectedOutputTokens: 200,
   };
 }
 
@@ -111,7 +113,14 @@
   return {
     region: 'west',
     node: 'vm-9',
-    work: { targets: 3, slots: 192, requests: 20, backlogMs },
+    work: {
+      targets: 3,
+      slots: 192,
+      requests: 20,
+      backlogMs,
+      memoryTokens: 0,
+      memoryCapacityTokens: 1e6,
+    },
     roundTripMs: 160,
     sentSince: { requests: 0, readMs: 0 },
     warm,
@@ -175,3 +184,26 @@
   );
   assert.equal(first?.fetchFrom, undefined);
 });
+
+// Pattern: long streams fill the memory of a target, so that new requests wait and running ones are
+// put back.
+test('a target whose memory is full is used after one that has room', () => {
+  const full = new TargetWork(40_000);
+  const free = new TargetWork(40_000);
+  Array.from({ length: 6 }, (_, session) => session).forEach((session) => {
+    const id = `r${session}`;
+    full.onSend(id, { readMs: 10, priority: 0, expectedMs: 50 }, prompt(1, 6000, session), 0);
+    full.onFirstByte(id, 60);
+  });
+  const target = { failureDomain: 'north-a', slots: 64, holdsShared: true };
+  const targets = [
+    { ...target, id: 'full', work: full },
+    { ...target, id: 'free', work: free },
+  ];
+  const [best, other] = rankTargets(REQUEST, targets, PACE, 1000);
+  assert.deepEqual(best?.place, { kind: 'target', id: 'free' });
+  assert.ok((other?.expectedWaitMs ?? 0) > 0);
+  full.onEnd('r0', 1000);
+  full.onEnd('r1', 1000);
+  assert.equal(rankTargets(REQUEST, targets, PACE, 1000)[0]?.expectedWaitMs, 0);
+});
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -6,6 +6,7 @@
  * shared part again takes from other requests.
  */
 import type { Candidate } from '../exchange/next-request-step.js';
+import { memoryWaitMs, privateTokens } from './memory-use.js';
 import { sharedTokensOf, type Prompt } from './prompt.js';
 import { prefillMs, type ServicePace } from './service-pace.js';
 import type { TargetWork } from './target-work.js';
@@ -104,8 +105,15 @@
   const readMs =
     prefillMs(prompt, warmTokens + fetchedTokens, pace) +
     (source ? FETCH_START_MS + fetchedTokens * FETCH_MS_PER_TOKEN : 0);
-  const slotWaitMs = waitForSlot(work.requests(now), slots, pace) * work.slowness;
-  const expectedWaitMs = slotWaitMs + work.prompts.waitMs(priority, now);
+  const placeWaitMs =
+    slotWaitMs(work.requests(now), slots, pace) * work.slowness +
+    memoryWaitMs(
+      work.memoryTokens(now),
+      privateTokens(prompt),
+      work.memoryCapacityTokens,
+      pace.slotMs,
+    );
+  const expectedWaitMs = placeWaitMs + work.prompts.waitMs(priority, now);
   const ownMs = (pace.baseMs + readMs) * work.slowness;
   const tokensToRead = Math.max(0, prompt.promptTokens - warmTokens - fetchedTokens);
   const expectedFirstByteMs = expectedWaitMs + ownMs;
@@ -113,7 +121,7 @@
     place: { kind: 'target', id: target.id },
     expectedFirstByteMs,
     expectedWaitMs,
-    lastFirstByteMs: slotWaitMs + work.prompts.backlogMs(now) + ownMs,
+    lastFirstByteMs: placeWaitMs + work.prompts.backlogMs(now) + ownMs,
     tokensToRead,
     readMs,
     ...(source ? { fetchFrom: source.target.id } : {}),
@@ -132,7 +140,7 @@
   pace: ServicePace,
   now: number,
 ): Candidate {
-  const expectedWaitMs = waitForSlot(work.requests(now), slots, pace) * work.slowness;
+  const expectedWaitMs = slotWaitMs(work.requests(now), slots, pace) * work.slowness;
   const expectedFirstByteMs = expectedWaitMs + pace.baseMs * work.slowness;
   return {
     place: { kind: 'target', id },
@@ -197,8 +205,13 @@
   return Math.max(0, excess) * FAILURE_COST * latencyTargetMs;
 }
 
-/** Time until one of the slots is free, when all requests take about the base time. */
-function waitForSlot(requests: number, slots: number, { baseMs }: ServicePace): number {
+/**
+ * Time until one of the slots is free, ms.
+ *
+ * @param requests requests that run or wait
+ * @example slotWaitMs(70, 64, pace)
+ */
+export function slotWaitMs(requests: number, slots: number, { slotMs }: ServicePace): number {
   const full = slots * FULL_PART;
-  return requests < full ? 0 : ((requests - full + 1) / Math.max(1, slots)) * baseMs;
+  return requests < full ? 0 : ((requests - full + 1) / Math.max(1, slots)) * slotMs;
 }
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -15,5 +15,6 @@
 export * from './region-choice.js';
 export * from './target-work.js';
 export * from './shared-part-homes.js';
+export * from './memory-use.js';
 export * from './prefill-queue.js';
 export * from './service-pace.js';
--- a/packages/core/src/routing/prompt.ts
+++ b/packages/core/src/routing/prompt.ts
@@ -11,6 +11,8 @@
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** What the caller expects, or half of the maximum. */
+  readonly expectedOutputTokens: number;
 }
 
 /**
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -6,7 +6,8 @@
  * corrected by what was sent since.
  */
 import type { Candidate } from '../exchange/next-request-step.js';
-import { latenessMs, rereadMs, type RankedRequest } from './expected-first-byte.js';
+import { latenessMs, rereadMs, slotWaitMs, type RankedRequest } from './expected-first-byte.js';
+import { memoryWaitMs, privateTokens } from './memory-use.js';
 import { sharedTokensOf } from './prompt.js';
 import { prefillMs, type ServicePace } from './service-pace.js';
 
@@ -17,6 +18,9 @@
   readonly requests: number;
   /** Time for reading all prompts that wait, ms. */
   readonly backlogMs: number;
+  /** KV memory in use, and all of it, tokens; 0 for plain services. */
+  readonly memoryTokens: number;
+  readonly memoryCapacityTokens: number;
 }
 
 /** Another region that could run the request. */
@@ -63,9 +67,11 @@
   const { prompt } = req;
   const { baseMs } = pace;
   const requests = work.requests + sentSince.requests;
-  const slotWaitMs = (Math.max(0, requests + 1 - work.slots) / work.slots) * baseMs;
   const backlogMs = ((work.backlogMs + sentSince.readMs) / work.targets) * UNEVENNESS;
-  const expectedWaitMs = slotWaitMs + backlogMs;
+  const memoryMs = prompt
+    ? memoryWaitMs(work.memoryTokens, privateTokens(prompt), work.memoryCapacityTokens, pace.slotMs)
+    : 0;
+  const expectedWaitMs = slotWaitMs(requests, work.slots, pace) + backlogMs + memoryMs;
   const warmTokens = prompt && warm ? sharedTokensOf(prompt) : 0;
   const tokensToRead = prompt ? prompt.promptTokens - warmTokens : 0;
   const readMs = prompt ? prefillMs(prompt, warmTokens, pace) : 0;
--- a/packages/core/src/routing/service-pace.ts
+++ b/packages/core/src/routing/service-pace.ts
@@ -8,6 +8,8 @@
   readonly msPerMillionPairs: number;
   /** Time to the first byte without any wait, ms; for plain services the time of a request. */
   readonly baseMs: number;
+  /** Time for which a request holds its slot, ms. */
+  readonly slotMs: number;
   /** Part of the requests that fail at a target in good health. */
   readonly usualFailureRate: number;
 }
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -1,4 +1,5 @@
 /** What one gateway knows of the work and the health of a target. */
+import { MemoryUse } from './memory-use.js';
 import { PrefillQueue, type QueuedPrompt } from './prefill-queue.js';
 import { PromptCache } from './prompt-cache.js';
 import type { Prompt } from './prompt.js';
@@ -22,6 +23,8 @@
 /** Work that another gateway has at a target. */
 export interface PeerWork {
   readonly requests: number;
+  /** KV memory of its requests, tokens. */
+  readonly memoryTokens: number;
 }
 
 /** A large prompt that another gateway sent to a target. */
@@ -59,7 +62,10 @@
 
   private readonly pending = new Map<string, PendingRequest>();
 
-  private readonly running = new Set<string>();
+  /** Requests in flight, with their prompts. */
+  private readonly running = new Map<string, Prompt | undefined>();
+
+  private readonly memory = new MemoryUse();
 
   private readonly peers = new Map<string, DatedPeerWork>();
 
@@ -76,13 +82,20 @@
 
   private avoidUntil = 0;
 
-  constructor(cacheCapacityTokens: number) {
-    this.cache = new PromptCache(cacheCapacityTokens);
+  /** @param memoryCapacityTokens tokens that running requests and cached parts share */
+  constructor(readonly memoryCapacityTokens: number) {
+    this.cache = new PromptCache(memoryCapacityTokens);
+  }
+
+  /** Work of this process at the target. */
+  get own(): PeerWork {
+    return { requests: this.running.size, memoryTokens: this.memory.tokens };
   }
 
-  /** Requests of this process at the target. */
-  get ownRequests(): number {
-    return this.running.size;
+  /** KV memory of the requests of all gateways, tokens. */
+  memoryTokens(now: number): number {
+    const theirs = this.fresh(now).reduce((sum, { memoryTokens }) => sum + memoryTokens, 0);
+    return this.memory.tokens + theirs;
   }
 
   /** Requests of all gateways at the target. */
@@ -105,6 +118,11 @@
     return this.avoidUntil;
   }
 
+  /** Whether the target has sent anything of late. */
+  isAlive(now: number): boolean {
+    return now - this.lastByteAt < SILENCE_MS;
+  }
+
   /** Whether the target has sent nothing for a while though requests are overdue. */
   isSilent(now: number): boolean {
     if (this.running.size === 0) return false;
@@ -126,8 +144,9 @@
   ): void {
     if (this.running.size === 0) this.lastByteAt = now;
     this.pending.set(id, { sentAt: now, expectedMs });
-    this.running.add(id);
+    this.running.set(id, prompt);
     if (!prompt) return;
+    this.memory.add(prompt);
     const workMs = readMs * this.pace;
     this.prompts.add({ id, workMs, priority, sentAt: now, own: true });
     this.cache.add(prompt.parts);
@@ -153,6 +172,8 @@
 
   onEnd(id: string, now: number): void {
     if (this.pending.delete(id)) this.prompts.remove(id, now);
+    const prompt = this.running.get(id);
+    if (prompt) this.memory.remove(prompt);
     this.running.delete(id);
   }
 
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -41,6 +41,8 @@
   readonly address: string;
   readonly headers: HeaderList;
   readonly toPeer: boolean;
+  /** Whether the receiver sends anything to this process. */
+  readonly isAlive: () => boolean;
   readonly onBytes: () => void;
 }
 
@@ -84,20 +86,24 @@
       const prompt = { id: head.id, workMs: readMs * work.slowness, priority, parts };
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
-    let first = true;
+    const seen: { firstByteAt?: number } = {};
     const end = await this.exchange(progress, candidate, {
       address: record.address,
       headers: protocol.targetHeaders(head, this.fields(priority, progress, candidate), record),
       toPeer: false,
+      isAlive: () => work.isAlive(timers.now()),
       onBytes: () => {
         onBytes();
-        if (first) work.onFirstByte(head.id, timers.now());
+        if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
         else work.onByte(timers.now());
-        first = false;
+        seen.firstByteAt ??= timers.now();
       },
     });
     work.onEnd(head.id, timers.now());
     this.learn(entry, end, progress, startedAt);
+    if (end.kind === 'streamed' && seen.firstByteAt !== undefined) {
+      router.paces.onStreamTime(progress.call.service, timers.now() - seen.firstByteAt);
+    }
     return end;
   }
 
@@ -121,6 +127,7 @@
         String(attemptsLeft(progress)),
       ],
       toPeer: true,
+      isAlive: () => false,
       onBytes,
     });
   }
@@ -135,7 +142,7 @@
     const { call, answer } = progress;
     const abort = new AbortController();
     const stop = (): void => abort.abort();
-    const stall = new StallWatch(call.facts, candidate, timers);
+    const stall = new StallWatch(call.facts, candidate, timers, to.isAlive);
     const stopDeadline = timers.after(call.facts.deadlineAt - timers.now(), stop);
     // A gateway that got the request watches its own targets, and may use all attempts left.
     if (!to.toPeer) stall.start(() => this.hasAlternative(progress, candidate), stop);
--- a/packages/gateway/src/exchange/stall-watch.test.ts
+++ b/packages/gateway/src/exchange/stall-watch.test.ts
@@ -22,10 +22,14 @@
   costMs: 100,
 };
 
-function stallsAfter(facts: RequestFacts, alternativeFromMs: number): number | undefined {
+function stallsAfter(
+  facts: RequestFacts,
+  alternativeFromMs: number,
+  targetIsAlive = false,
+): number | undefined {
   const timers = new ManualTimerService();
   const startedAt = timers.now();
-  const watch = new StallWatch(facts, CANDIDATE, timers);
+  const watch = new StallWatch(facts, CANDIDATE, timers, () => targetIsAlive);
   const seen: { at?: number } = {};
   watch.start(
     () => timers.now() - startedAt >= alternativeFromMs,
@@ -48,6 +52,12 @@
   assert.ok((stallsAfter(FACTS, 4000) ?? 0) >= 4000);
 });
 
+// Pattern: engines that are short of memory put streams back.
+test('a stream of a target that serves others is waited for longer', () => {
+  const movedAt = stallsAfter(FACTS, 0, true) ?? 0;
+  assert.ok(movedAt > 2500 && movedAt < FACTS.patienceMs, String(movedAt));
+});
+
 test('a request that runs at most once is never given up for silence', () => {
   assert.equal(stallsAfter({ ...FACTS, resumable: false }, 0), undefined);
 });
--- a/packages/gateway/src/exchange/stall-watch.ts
+++ b/packages/gateway/src/exchange/stall-watch.ts
@@ -9,8 +9,10 @@
 /** Multiple of the expected time after which a first byte is overdue. */
 const OVERDUE_FACTOR = 3;
 const OVERDUE_SLACK_MS = 700;
-/** Longest pause between bytes of a running stream. */
+/** Longest pause between bytes of a stream while its target sends nothing at all. */
 const MAX_PAUSE_MS = 1500;
+/** Part of the caller's patience for a stream that pauses while its target serves others. */
+const PATIENCE_PART = 0.6;
 const CHECK_MS = 100;
 
 export class StallWatch {
@@ -24,6 +26,8 @@
     private readonly facts: RequestFacts,
     private readonly candidate: Candidate,
     private readonly timers: TimerService,
+    /** Whether the target sends anything to this process. */
+    private readonly targetIsAlive: () => boolean = () => false,
   ) {
     this.startedAt = timers.now();
   }
@@ -52,7 +56,11 @@
 
   private isStalled(): boolean {
     const now = this.timers.now();
-    if (this.lastByteAt !== undefined) return now - this.lastByteAt > MAX_PAUSE_MS;
+    // An engine that is short of memory puts a stream back and goes on with it later.
+    const pauseMs = this.targetIsAlive()
+      ? Math.max(MAX_PAUSE_MS, this.facts.patienceMs * PATIENCE_PART)
+      : MAX_PAUSE_MS;
+    if (this.lastByteAt !== undefined) return now - this.lastByteAt > pauseMs;
     const overdueMs = this.candidate.expectedFirstByteMs * OVERDUE_FACTOR + OVERDUE_SLACK_MS;
     return now - this.startedAt > overdueMs;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 const CONNECT_TIMEOUT_MS = 500;
 const HOUSEKEEPING_MS = 250;
 const DRAIN_POLL_MS = 50;
+const NO_WORK: PeerWork = { requests: 0, memoryTokens: 0 };
 
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -172,9 +173,7 @@
     const now = this.parts.timers.now();
     this.state
       .ownTargets()
-      .forEach((entry) =>
-        entry.work.learnPeer(node, work[entry.record.id] ?? { requests: 0 }, now),
-      );
+      .forEach((entry) => entry.work.learnPeer(node, work[entry.record.id] ?? NO_WORK, now));
   }
 
   private learnTargetNews(news: TargetNews): void {
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -37,13 +37,16 @@
   ip: string,
   configVersion: number,
   revision: number,
-  work: Readonly<Record<string, readonly [number, number, number, number]>>,
+  work: Readonly<Record<string, WorkRow>>,
 ];
 
+/** Targets, slots, requests, backlog in ms, memory in use and all of it in tokens. */
+type WorkRow = readonly [number, number, number, number, number, number];
+
 interface MessageParams {
   readonly f: RecordRow;
   readonly o: readonly RecordRow[];
-  readonly w: Readonly<Record<string, number>>;
+  readonly w: Readonly<Record<string, readonly [number, number]>>;
   readonly t: number;
   readonly e?: readonly [number, number];
 }
@@ -53,7 +56,7 @@
   const params: MessageParams = {
     f: toRow(message.from),
     o: message.others.map(toRow),
-    w: mapValues(message.targetWork, ({ requests }) => requests),
+    w: mapValues(message.targetWork, ({ requests, memoryTokens }) => [requests, memoryTokens]),
     t: message.sentAt,
     ...(message.echo ? { e: [message.echo.sentAt, message.echo.heldMs] as const } : {}),
   };
@@ -72,7 +75,7 @@
   return {
     from: fromRow(f),
     others: o.map(fromRow),
-    targetWork: mapValues(w, (requests) => ({ requests })),
+    targetWork: mapValues(w, ([requests, memoryTokens]) => ({ requests, memoryTokens })),
     sentAt: t,
     ...(e ? { echo: { sentAt: e[0], heldMs: e[1] } } : {}),
   };
@@ -94,6 +97,8 @@
       work.slots,
       work.requests,
       Math.round(work.backlogMs),
+      work.memoryTokens,
+      work.memoryCapacityTokens,
     ]),
   ];
 }
@@ -102,7 +107,14 @@
   const [node, bootAt, beat, phase, region, failureDomain, ip, configVersion, revision, work] = row;
   const regionWork: Record<string, RegionWork> = mapValues(
     work,
-    ([targets, slots, requests, backlogMs]) => ({ targets, slots, requests, backlogMs }),
+    ([targets, slots, requests, backlogMs, memoryTokens, memoryCapacityTokens]) => ({
+      targets,
+      slots,
+      requests,
+      backlogMs,
+      memoryTokens,
+      memoryCapacityTokens,
+    }),
   );
   return {
     node,
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -124,8 +124,8 @@
     return Object.fromEntries(
       this.state
         .ownTargets()
-        .filter(({ work }) => work.ownRequests > 0)
-        .map(({ record, work }) => [record.id, { requests: work.ownRequests }]),
+        .filter(({ work }) => work.own.requests > 0)
+        .map(({ record, work }) => [record.id, work.own]),
     );
   }
 
@@ -140,6 +140,8 @@
       slots: sum(({ record }) => record.slots),
       requests: sum(({ work }) => work.requests(now)),
       backlogMs: sum(({ work }) => work.prompts.backlogMs(now)),
+      memoryTokens: sum(({ work }) => work.memoryTokens(now)),
+      memoryCapacityTokens: sum(({ work }) => work.memoryCapacityTokens),
     };
   }
 
--- a/packages/gateway/src/routing/service-paces.ts
+++ b/packages/gateway/src/routing/service-paces.ts
@@ -8,6 +8,8 @@
 export class ServicePaces {
   private readonly plainMs = new Map<string, number>();
 
+  private readonly streamMs = new Map<string, number>();
+
   private readonly failureRates = new Map<string, number>();
 
   constructor(private readonly tuning: GatewayTuning) {}
@@ -15,10 +17,12 @@
   /** Pace of a service; engines have one for prompts, plain services a time per request. */
   of(service: string, isEngine: boolean): ServicePace {
     const { engine, plain } = this.tuning;
+    const plainMs = this.plainMs.get(service) ?? plain.request_ms;
     return {
       prefillTokensPerMs: engine.prefill_tokens_per_ms,
       msPerMillionPairs: engine.attention_ms_per_million,
-      baseMs: isEngine ? engine.first_token_ms : (this.plainMs.get(service) ?? plain.request_ms),
+      baseMs: isEngine ? engine.first_token_ms : plainMs,
+      slotMs: isEngine ? (this.streamMs.get(service) ?? engine.stream_ms) : plainMs,
       usualFailureRate: this.failureRates.get(service) ?? 0,
     };
   }
@@ -29,6 +33,12 @@
     this.plainMs.set(service, before + (ms - before) * TIME_WEIGHT);
   }
 
+  /** Takes the time from the first byte of a stream to its end. */
+  onStreamTime(service: string, ms: number): void {
+    const before = this.streamMs.get(service) ?? this.tuning.engine.stream_ms;
+    this.streamMs.set(service, before + (ms - before) * TIME_WEIGHT);
+  }
+
   onOutcome(service: string, failed: boolean): void {
     const before = this.failureRates.get(service) ?? 0;
     this.failureRates.set(service, before + ((failed ? 1 : 0) - before) * FAILURE_WEIGHT);
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -17,6 +17,8 @@
       attention_ms_per_million: z.number().min(0).default(0.24),
       /** Time to the first token of a short prompt, beside its reading, ms. */
       first_token_ms: z.number().positive().default(50),
+      /** Time from the first token to the last one, ms. */
+      stream_ms: z.number().positive().default(2000),
     })
     .prefault({}),
   /** First estimate for plain services. */
