--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -87,20 +87,24 @@
       target.holdsShared ? sharedTokensOf(req.prompt) : 0,
     ),
   }));
-  return holdings.map((holding) => rateEngine(req, holding, holdings, pace, now));
+  const sources = fullestByDomain(holdings);
+  return holdings.map((holding) =>
+    rateEngine(req, holding, sources.get(holding.target.failureDomain), pace, now),
+  );
 }
 
 function rateEngine(
   req: RankedRequest & { readonly prompt: Prompt },
   holding: Holding,
-  holdings: readonly Holding[],
+  fullest: Holding | undefined,
   pace: ServicePace,
   now: number,
 ): Candidate {
   const { prompt, priority } = req;
   const { target, warmTokens } = holding;
   const { work, slots } = target;
-  const source = sourceOf(holding, holdings);
+  const holdsMore = fullest && fullest.warmTokens >= warmTokens + MIN_FETCHED_TOKENS;
+  const source = holdsMore ? fullest : undefined;
   const fetchedTokens = source ? source.warmTokens - warmTokens : 0;
   const readMs =
     prefillMs(prompt, warmTokens + fetchedTokens, pace) +
@@ -153,21 +157,15 @@
   };
 }
 
-/** Target of the same failure domain that holds clearly more of the prompt. */
-function sourceOf(
-  { target, warmTokens }: Holding,
-  holdings: readonly Holding[],
-): Holding | undefined {
-  return holdings
-    .filter(
-      (other) =>
-        other.target.failureDomain === target.failureDomain &&
-        other.warmTokens >= warmTokens + MIN_FETCHED_TOKENS,
-    )
-    .reduce<Holding | undefined>(
-      (best, other) => (best && best.warmTokens >= other.warmTokens ? best : other),
-      undefined,
-    );
+/** The target of each failure domain that holds most of the prompt. */
+function fullestByDomain(holdings: readonly Holding[]): Map<string, Holding> {
+  const fullest = new Map<string, Holding>();
+  holdings.forEach((holding) => {
+    const { failureDomain } = holding.target;
+    const best = fullest.get(failureDomain);
+    if (!best || holding.warmTokens > best.warmTokens) fullest.set(failureDomain, holding);
+  });
+  return fullest;
 }
 
 /**
--- a/packages/core/src/routing/shared-part-homes.ts
+++ b/packages/core/src/routing/shared-part-homes.ts
@@ -3,9 +3,9 @@
  * has a home region and, within each region, a home target. All gateways derive them from the same
  * lists, so a part is read once rather than once in each region.
  */
-import { rendezvousOrder } from '../rendezvous.js';
+import { hashOf, mixHashes } from '../rendezvous.js';
 
-/** Choices that are remembered for one list of members. */
+/** Hashes that are remembered. */
 const MAX_REMEMBERED = 5000;
 
 /** A region with its weight: the number of its targets. */
@@ -14,28 +14,58 @@
   readonly targets: number;
 }
 
+interface ScoredMember {
+  readonly member: string;
+  readonly score: number;
+}
+
 export class SharedPartHomes {
-  private readonly first = new Map<string, string | undefined>();
+  private readonly hashes = new Map<string, number>();
 
   /** Home of a part among the targets of a region. */
   homeTarget(part: string, targets: readonly string[]): string | undefined {
-    return this.remember(part, targets);
+    const partHash = this.hash(part);
+    return highest(
+      targets.map((member) => ({ member, score: mixHashes(partHash, this.hash(member)) })),
+    );
   }
 
   /** Home region of a part; a region's chance grows with the number of its targets. */
   homeRegion(part: string, regions: readonly WeightedRegion[]): string | undefined {
-    const members = regions.flatMap(({ region, targets }) =>
-      Array.from({ length: targets }, (_, index) => `${region}#${index}`),
+    const partHash = this.hash(part);
+    return highest(
+      regions
+        .filter(({ targets }) => targets > 0)
+        .map(({ region, targets }) => ({
+          member: region,
+          score: weighted(mixHashes(partHash, this.hash(region)), targets),
+        })),
     );
-    return this.remember(part, members)?.split('#')[0];
   }
 
-  private remember(part: string, members: readonly string[]): string | undefined {
-    const key = `${part} ${members.join(' ')}`;
-    if (this.first.has(key)) return this.first.get(key);
-    if (this.first.size >= MAX_REMEMBERED) this.first.clear();
-    const [home] = rendezvousOrder(part, members);
-    this.first.set(key, home);
-    return home;
+  private hash(text: string): number {
+    const known = this.hashes.get(text);
+    if (known !== undefined) return known;
+    if (this.hashes.size >= MAX_REMEMBERED) this.hashes.clear();
+    const hash = hashOf(text);
+    this.hashes.set(text, hash);
+    return hash;
   }
 }
+
+const HASHES = 2 ** 32;
+
+/** Rendezvous score with a weight: the chance of the highest score is proportional to it. */
+function weighted(hash: number, weight: number): number {
+  return -weight / Math.log((hash + 1) / (HASHES + 1));
+}
+
+function highest(members: readonly ScoredMember[]): string | undefined {
+  return members.reduce<ScoredMember | undefined>(
+    (best, next) =>
+      !best || next.score > best.score || (next.score === best.score && next.member < best.member)
+        ? next
+        : best,
+    undefined,
+  )?.member;
+}
--- a/packages/gateway/src/exchange/caller-answer.ts
+++ b/packages/gateway/src/exchange/caller-answer.ts
@@ -10,6 +10,9 @@
 /** To a gateway: targets that may run the request. From it: targets that may have run it. */
 export const ATTEMPTS_HEADER = 'marjoramcart-attempts';
 
+const LINE_END = '\r\n';
+const LAST_CHUNK = '0\r\n\r\n';
+
 export class CallerAnswer {
   private runs = 0;
 
@@ -17,6 +20,9 @@
 
   private isGone = false;
 
+  /** Whether the bytes of a streamed answer are framed as chunks here. */
+  private chunked = false;
+
   /**
    * @param toPeer the caller is a gateway, which is told how many targets ran the request
    */
@@ -57,11 +63,14 @@
   start(status: number, headers: HeaderList): void {
     this.res.writeHead(status, [...headers, ...this.runsHeader()]);
     this.res.flushHeaders();
+    // Node.js writes the length, the bytes and the end of a chunk one by one.
+    this.chunked = this.res.chunkedEncoding;
+    this.res.chunkedEncoding = false;
   }
 
   /** False when the caller reads slower than the target sends. */
   write(chunk: Buffer): boolean {
-    return this.res.write(chunk);
+    return this.res.write(this.chunked ? chunkOf(chunk) : chunk);
   }
 
   onDrain(fn: () => void): void {
@@ -69,7 +78,8 @@
   }
 
   end(): void {
-    this.res.end();
+    if (this.chunked) this.res.end(LAST_CHUNK);
+    else this.res.end();
   }
 
   /** Sends a whole answer. */
@@ -92,3 +102,13 @@
     this.res.destroy();
   }
 }
+
+/** A chunk of a body in the chunked encoding of HTTP/1.1. */
+function chunkOf(bytes: Buffer): Buffer {
+  const head = bytes.length.toString(16) + LINE_END;
+  const chunk = Buffer.allocUnsafe(head.length + bytes.length + LINE_END.length);
+  chunk.write(head, 0, 'latin1');
+  bytes.copy(chunk, head.length);
+  chunk.write(LINE_END, head.length + bytes.length, 'latin1');
+  return chunk;
+}
--- a/packages/gateway/src/exchange/stall-watch.ts
+++ b/packages/gateway/src/exchange/stall-watch.ts
@@ -13,6 +13,7 @@
 const MAX_PAUSE_MS = 1500;
 /** Part of the caller's patience for a stream that pauses while its target serves others. */
 const PATIENCE_PART = 0.6;
+/** Time between two looks at an answer that has stalled. */
 const CHECK_MS = 100;
 
 export class StallWatch {
@@ -39,11 +40,12 @@
    */
   start(hasAlternative: () => boolean, onStall: () => void): void {
     if (!mayRepeat(this.facts)) return;
-    this.unsubscribe = this.timers.every(CHECK_MS, () => {
-      if (!this.isStalled() || !hasAlternative()) return;
-      this.stop();
-      onStall();
-    });
+    const check = (): void => {
+      const leftMs = this.stalledAt() - this.timers.now();
+      if (leftMs <= 0 && hasAlternative()) onStall();
+      else this.unsubscribe = this.timers.after(clamp(leftMs, CHECK_MS, MAX_PAUSE_MS), check);
+    };
+    check();
   }
 
   onBytes(): void {
@@ -54,14 +56,20 @@
     this.unsubscribe();
   }
 
-  private isStalled(): boolean {
-    const now = this.timers.now();
+  /** When the answer counts as stalled if no byte comes until then, monotonic ms. */
+  private stalledAt(): number {
+    if (this.lastByteAt === undefined) {
+      const overdueMs = this.candidate.expectedFirstByteMs * OVERDUE_FACTOR + OVERDUE_SLACK_MS;
+      return this.startedAt + overdueMs;
+    }
     // An engine that is short of memory puts a stream back and goes on with it later.
     const pauseMs = this.targetIsAlive()
       ? Math.max(MAX_PAUSE_MS, this.facts.patienceMs * PATIENCE_PART)
       : MAX_PAUSE_MS;
-    if (this.lastByteAt !== undefined) return now - this.lastByteAt > pauseMs;
-    const overdueMs = this.candidate.expectedFirstByteMs * OVERDUE_FACTOR + OVERDUE_SLACK_MS;
-    return now - this.startedAt > overdueMs;
+    return this.lastByteAt + pauseMs;
   }
 }
+
+function clamp(value: number, min: number, max: number): number {
+  return Math.min(Math.max(value, min), max);
+}
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -30,6 +30,8 @@
 
 /** Gateways that may join a region unseen. */
 const SPARE_GATEWAYS = 1;
+/** The summary of the own region is computed anew after this time. */
+const REGION_WORK_LIFETIME_MS = 200;
 /** Shared parts from this length on are cached in one region only, if possible. */
 const LONG_SHARED_TOKENS = 1500;
 
@@ -48,6 +50,10 @@
 
   private readonly homes = new SharedPartHomes();
 
+  private knownRegionWork: Record<string, RegionWork> = {};
+
+  private regionWorkAt = -Infinity;
+
   /** All gateways seen in the own region, which share the rate of its cold targets. */
   private readonly regionGateways: Set<string>;
 
@@ -111,6 +117,14 @@
   /** Work of the own region by service, for other regions. */
   regionWork(): Record<string, RegionWork> {
     const now = this.timers.now();
+    if (now - this.regionWorkAt >= REGION_WORK_LIFETIME_MS) {
+      this.regionWorkAt = now;
+      this.knownRegionWork = this.sumRegionWork(now);
+    }
+    return this.knownRegionWork;
+  }
+
+  private sumRegionWork(now: number): Record<string, RegionWork> {
     const services = [...(this.state.config?.services.keys() ?? [])];
     return Object.fromEntries(
       services
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -32,6 +32,9 @@
 
   private readonly targets = new Map<string, TargetEntry>();
 
+  /** Usable targets by service, until the next change. */
+  private readonly usable = new Map<string, TargetEntry[]>();
+
   private contactAt: number;
 
   private failing = false;
@@ -80,7 +83,13 @@
   }
 
   /** Targets of a service in the own region that may be used. */
-  usableTargets(service: string): TargetEntry[] {
+  usableTargets(service: string): readonly TargetEntry[] {
+    const known = this.usable.get(service) ?? this.findUsable(service);
+    this.usable.set(service, known);
+    return known;
+  }
+
+  private findUsable(service: string): TargetEntry[] {
     return [...this.targets.values()].filter(
       ({ record, misdirected }) =>
         record.service === service &&
@@ -152,6 +161,7 @@
     const entry = this.targets.get(id);
     if (!entry || entry.misdirected) return;
     entry.markMisdirected();
+    this.usable.clear();
     this.log.info('target replaced at its address', { target: id, address: entry.record.address });
   }
 
@@ -169,6 +179,7 @@
     this.revisionKnown = state.revision;
     this.takeEvacuated(state.evacuated, from);
     this.takeTargets(state.targets, from);
+    this.usable.clear();
   }
 
   /** A configuration is replaced only by a newer one. */
@@ -239,6 +250,7 @@
 
   private drop(record: TargetRecord, reason: string): void {
     this.targets.delete(record.id);
+    this.usable.clear();
     this.log.info('target dropped', { target: record.id, reason });
   }
 }
--- a/packages/runtime/src/logs/logger.ts
+++ b/packages/runtime/src/logs/logger.ts
@@ -54,7 +54,7 @@
     const line =
       options.format === LogFormat.Json
         ? JSON.stringify({
-            ...printable(fields),
+            ...fields,
             time: meta.date.toISOString(),
             level,
             name: options.name,
@@ -111,12 +111,8 @@
 }
 
 function printable(fields: LogFields | undefined): LogFields {
-  return Object.fromEntries(
-    Object.entries(fields ?? {}).map(([key, value]) => [
-      key,
-      value instanceof Error ? value.message : value,
-    ]),
-  );
+  const { err } = fields ?? {};
+  return err instanceof Error ? { ...fields, err: err.message } : (fields ?? {});
 }
 
 function readable(fields: LogFields | undefined): string {
