Ask engines for reports in regions with many gateways

Change: a few gateways of a region ask its engines twice a second and tell the others; a report goes before the counts of other gateways. Answers that tell the load of their target are used as well. Regions with up to four gateways go on with counts alone.

--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -14,23 +14,83 @@
     .map(({ member }) => member);
 }
 
-/**
- * 32-bit hash of a text.
- *
- * @example hashOf('target-1')
- */
-export function hashOf(text: string): number {
+/** A member with the share of the keys that it gets, relative to the others. */
+export interface WeightedMember {
+  readonly member: string;
+  readonly weight: number;
+}
+
+/** Hashes that are remembered. */
+const MAX_REMEMBERED = 5000;
+const HASHES = 2 ** 32;
+
+/** Choices by rendezvous hashing that are made often; hashes of keys and members are kept. */
+export class RendezvousChoice {
+  private readonly hashes = new Map<string, number>();
+
+  /**
+   * The member with the highest score for a key.
+   *
+   * @example new RendezvousChoice().choose('part-7', ['target-1', 'target-2'])
+   */
+  choose(key: string, members: readonly string[]): string | undefined {
+    return this.chooseWeighted(
+      key,
+      members.map((member) => ({ member, weight: 1 })),
+    );
+  }
+
+  /**
+   * A member whose chance is proportional to its weight.
+   *
+   * @example new RendezvousChoice().chooseWeighted('part-7', [{ member: 'north', weight: 9 }])
+   */
+  chooseWeighted(key: string, members: readonly WeightedMember[]): string | undefined {
+    const keyHash = this.hash(key);
+    const scored = members
+      .filter(({ weight }) => weight > 0)
+      .map(({ member, weight }) => ({
+        member,
+        score: weightedScore(mixHashes(keyHash, this.hash(member)), weight),
+      }));
+    const [first, ...others] = scored;
+    return others.reduce(
+      (best, next) => (best === undefined || isHigher(next, best) ? next : best),
+      first,
+    )?.member;
+  }
+
+  private hash(text: string): number {
+    const known = this.hashes.get(text);
+    if (known !== undefined) return known;
+    if (this.hashes.size >= MAX_REMEMBERED) this.hashes.clear();
+    const hash = hashOf(text);
+    this.hashes.set(text, hash);
+    return hash;
+  }
+}
+
+interface ScoredMember {
+  readonly member: string;
+  readonly score: number;
+}
+
+function isHigher(a: ScoredMember, b: ScoredMember): boolean {
+  return a.score > b.score || (a.score === b.score && a.member < b.member);
+}
+
+/** Rendezvous score with a weight: the chance of the highest score is proportional to it. */
+function weightedScore(hash: number, weight: number): number {
+  return -weight / Math.log((hash + 1) / (HASHES + 1));
+}
+
+function hashOf(text: string): number {
   // Given a string, the library makes a new encoder for each hash, which takes most of its time.
   return murmurhash.v3(Buffer.from(text));
 }
 
-/**
- * Rendezvous score of a member for a key, from the hashes of both. Cheaper than hashing both texts
- * for each choice.
- *
- * @example mixHashes(hashOf('part-7'), hashOf('target-1'))
- */
-export function mixHashes(a: number, b: number): number {
+/** Score of a member for a key from the hashes of both, cheaper than hashing both texts. */
+function mixHashes(a: number, b: number): number {
   /* eslint-disable no-bitwise -- finalizer of MurmurHash3 */
   let mixed = a ^ Math.imul(b, 0x9e3779b1);
   mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -207,3 +207,16 @@
   full.onEnd('r1', 1000);
   assert.equal(rankTargets(REQUEST, targets, PACE, 1000)[0]?.expectedWaitMs, 0);
 });
+
+// Pattern: twenty gateways share the targets of a region, so that each knows little of their load.
+test('a report of the target goes before what other gateways told', () => {
+  const work = new TargetWork(CACHE_TOKENS);
+  work.learnPeer('vm-2', { requests: 1, memoryTokens: 100 }, 0);
+  work.onSend('mine', { readMs: 10, priority: 0, expectedMs: 50 }, prompt(1, 600, 1), 0);
+  work.learnReport({ requests: 16, memoryTokens: 90_000 }, 100);
+  assert.equal(work.requests(200), 16);
+  work.onEnd('mine', 300);
+  assert.equal(work.requests(300), 15);
+  work.learnPeer('vm-2', { requests: 3, memoryTokens: 100 }, 1500);
+  assert.equal(work.requests(1900), 3);
+});
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -17,4 +17,5 @@
 export * from './shared-part-homes.js';
 export * from './memory-use.js';
 export * from './prefill-queue.js';
+export * from './report-duty.js';
 export * from './service-pace.js';
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -33,12 +33,22 @@
   readonly parts: Prompt['parts'];
 };
 
-interface DatedPeerWork extends PeerWork {
+/** What a target says of its load. */
+export interface LoadReport {
+  /** Requests that run or wait there, of all gateways. */
+  readonly requests: number;
+  /** KV memory that can't yield, tokens; absent when it is not told. */
+  readonly memoryTokens?: number;
+}
+
+interface DatedWork extends PeerWork {
   readonly at: number;
 }
 
 /** Reports of other gateways are ignored after this time. */
 const PEER_WORK_LIFETIME_MS = 2000;
+/** A report of the target goes before the counts of other gateways for this time. */
+const REPORT_LIFETIME_MS = 1500;
 const PACE_WEIGHT = 0.1;
 const MIN_PACE = 0.3;
 const MAX_PACE = 8;
@@ -67,7 +77,10 @@
 
   private readonly memory = new MemoryUse();
 
-  private readonly peers = new Map<string, DatedPeerWork>();
+  private readonly peers = new Map<string, DatedWork>();
+
+  /** Work of other gateways by the last report of the target. */
+  private reported: DatedWork | undefined;
 
   /** Measured over expected time to the first byte. */
   private pace = 1;
@@ -94,13 +107,12 @@
 
   /** KV memory of the requests of all gateways, tokens. */
   memoryTokens(now: number): number {
-    const theirs = this.fresh(now).reduce((sum, { memoryTokens }) => sum + memoryTokens, 0);
-    return this.memory.tokens + theirs;
+    return this.memory.tokens + this.ofOthers(now).memoryTokens;
   }
 
   /** Requests of all gateways at the target. */
   requests(now: number): number {
-    return this.running.size + this.fresh(now).reduce((sum, { requests }) => sum + requests, 0);
+    return this.running.size + this.ofOthers(now).requests;
   }
 
   /** Factor on expected times. */
@@ -193,13 +205,36 @@
     this.peers.set(node, { ...work, at: now });
   }
 
+  /** The target tells its load; what is not of this process is of others. */
+  learnReport({ requests, memoryTokens }: LoadReport, now: number): void {
+    const known = this.ofOthers(now);
+    this.reported = {
+      requests: Math.max(0, requests - this.running.size),
+      memoryTokens:
+        memoryTokens === undefined
+          ? known.memoryTokens
+          : Math.max(0, memoryTokens - this.memory.tokens),
+      at: now,
+    };
+  }
+
   /** Another gateway sent a large prompt. */
   learnPeerPrompt({ id, workMs, priority, parts }: PeerPrompt, now: number): void {
     this.prompts.add({ id, workMs, priority, sentAt: now, own: false });
     this.cache.add(parts);
   }
 
-  private fresh(now: number): DatedPeerWork[] {
-    return [...this.peers.values()].filter(({ at }) => now - at < PEER_WORK_LIFETIME_MS);
+  /** Work of other gateways, by the target's report or by what they tell. */
+  private ofOthers(now: number): PeerWork {
+    if (this.reported && now - this.reported.at < REPORT_LIFETIME_MS) return this.reported;
+    return [...this.peers.values()]
+      .filter(({ at }) => now - at < PEER_WORK_LIFETIME_MS)
+      .reduce(
+        (sum, { requests, memoryTokens }) => ({
+          requests: sum.requests + requests,
+          memoryTokens: sum.memoryTokens + memoryTokens,
+        }),
+        { requests: 0, memoryTokens: 0 },
+      );
   }
 }
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -1,6 +1,6 @@
 /** Carries out one attempt: sends the request to a target or a gateway and passes the answer on. */
 import type { IncomingMessage } from 'node:http';
-import { RouteKind, RunState, SseFrames } from '@marjoramcart/core';
+import { RouteKind, RunState, SseFrames, type LoadReport } from '@marjoramcart/core';
 import { readWhole, type Connections, type RequestResult } from '@marjoramcart/runtime';
 import type { HeaderList, RequestProtocol } from '../ports/request-protocol.js';
 import type { AttemptEnd } from './attempt-end.js';
@@ -17,6 +17,8 @@
   readonly toPeer: boolean;
   /** Bytes of the answer arrived. */
   readonly onBytes: () => void;
+  /** The target told its load. */
+  readonly onReport: (report: LoadReport) => void;
 }
 
 const MS_PER_S = 1000;
@@ -70,6 +72,7 @@
         res.destroy();
         return { kind: 'lost', message: head.message };
       default:
+        if (head.report && !options.toPeer) options.onReport(head.report);
         return head.stream ? this.stream(res, options) : this.whole(res, head.status, options);
     }
   }
--- a/packages/gateway/src/exchange/caller-answer.ts
+++ b/packages/gateway/src/exchange/caller-answer.ts
@@ -62,7 +62,6 @@
   /** Starts a streamed answer. */
   start(status: number, headers: HeaderList): void {
     this.res.writeHead(status, [...headers, ...this.runsHeader()]);
-    this.res.flushHeaders();
     // Node.js writes the length, the bytes and the end of a chunk one by one.
     this.chunked = this.res.chunkedEncoding;
     this.res.chunkedEncoding = false;
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -1,5 +1,5 @@
 /** Sends a call to a place and takes what the attempt says of the target and its service. */
-import { samePlace, type Candidate, type RequestStep } from '@marjoramcart/core';
+import { samePlace, type Candidate, type RequestStep, type LoadReport } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { AttemptFields, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
@@ -44,6 +44,7 @@
   /** Whether the receiver sends anything to this process. */
   readonly isAlive: () => boolean;
   readonly onBytes: () => void;
+  readonly onReport: (report: LoadReport) => void;
 }
 
 export class PlaceSender {
@@ -92,6 +93,7 @@
       headers: protocol.targetHeaders(head, this.fields(priority, progress, candidate), record),
       toPeer: false,
       isAlive: () => work.isAlive(timers.now()),
+      onReport: (report) => work.learnReport(report, timers.now()),
       onBytes: () => {
         onBytes();
         if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
@@ -128,6 +130,7 @@
       ],
       toPeer: true,
       isAlive: () => false,
+      onReport: () => undefined,
       onBytes,
     });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 /** Assembly of a gateway: all tasks of one VM in one process. */
-import { GatewayPhase, seededRandom, type PeerWork } from '@marjoramcart/core';
+import { GatewayPhase, seededRandom, type PeerWork, type TargetWork } from '@marjoramcart/core';
 import {
   AdminTask,
   Connections,
@@ -8,6 +8,7 @@
   type Task,
   type TimerService,
 } from '@marjoramcart/runtime';
+import { match } from 'ts-pattern';
 import { CallerTask } from './callers/caller-task.js';
 import { DirectoryTask } from './directory/directory-task.js';
 import { AttemptRunner } from './exchange/attempt-runner.js';
@@ -18,7 +19,12 @@
 import { StateFetcher } from './peers/state-fetcher.js';
 import type { TargetNews } from './peers/target-news.js';
 import type { FleetSource } from './ports/fleet-source.js';
-import type { DirectoryProtocol, RequestProtocol } from './ports/request-protocol.js';
+import type {
+  DirectoryProtocol,
+  ReportProtocol,
+  RequestProtocol,
+} from './ports/request-protocol.js';
+import { ReportTask } from './reports/report-task.js';
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
 import { GatewayState } from './state/gateway-state.js';
@@ -38,6 +44,7 @@
   readonly source: FleetSource;
   readonly protocol: RequestProtocol;
   readonly directory: DirectoryProtocol;
+  readonly reports: ReportProtocol;
   readonly timers: TimerService;
   readonly metrics: Metrics;
   readonly log: Logger;
@@ -78,11 +85,12 @@
     });
     this.router = new Router(settings, this.state, this.gossip, timers, random);
     const metrics = new GatewayMetrics(parts.metrics, timers);
+    const connections = new Connections({}, CONNECT_TIMEOUT_MS);
     const executor = new RequestExecutor({
       settings,
       state: this.state,
       router: this.router,
-      runner: new AttemptRunner(new Connections({}, CONNECT_TIMEOUT_MS), protocol),
+      runner: new AttemptRunner(connections, protocol),
       protocol,
       gossip: this.gossip,
       timers,
@@ -106,6 +114,7 @@
       this.gossip,
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshot(), log.child('rpc')),
       this.directoryTask(),
+      this.reportTask(connections),
     ];
     this.admin = this.adminTask();
   }
@@ -178,9 +187,16 @@
 
   private learnTargetNews(news: TargetNews): void {
     const now = this.parts.timers.now();
-    const entry = this.state.target(news.target);
-    if (news.kind === 'prompt') entry?.work.learnPeerPrompt(news.prompt, now);
-    else entry?.work.onUnreachable(now);
+    const workOf = (target: string): TargetWork | undefined => this.state.target(target)?.work;
+    match(news)
+      .with({ kind: 'prompt' }, ({ target, prompt }) => {
+        workOf(target)?.learnPeerPrompt(prompt, now);
+      })
+      .with({ kind: 'unreachable' }, ({ target }) => workOf(target)?.onUnreachable(now))
+      .with({ kind: 'reports' }, ({ rows }) => {
+        rows.forEach(({ target, report }) => workOf(target)?.learnReport(report, now));
+      })
+      .exhaustive();
   }
 
   /** Waits until no request is in flight and no more are expected, at most until `endAt`. */
@@ -209,6 +225,19 @@
     });
   }
 
+  private reportTask(connections: Connections): ReportTask {
+    const { settings, reports, timers } = this.parts;
+    return new ReportTask({
+      node: settings.node,
+      state: this.state,
+      connections,
+      protocol: reports,
+      timers,
+      gateways: () => [settings.node, ...this.gossip.near().map(({ node }) => node)],
+      announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
+    });
+  }
+
   private adminTask(): AdminTask {
     const { settings, metrics, log } = this.parts;
     return new AdminTask({
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -142,7 +142,8 @@
     if (alive.length === 0 || this.ticks % SEED_EVERY === 0) this.knock(now);
   }
 
-  private near(): GatewayRecord[] {
+  /** Live gateways of the own region, this one not included. */
+  near(): GatewayRecord[] {
     const { region } = this.settings;
     return this.table.alive(this.timers.now()).filter((record) => record.region === region);
   }
--- a/packages/gateway/src/peers/target-news.ts
+++ b/packages/gateway/src/peers/target-news.ts
@@ -1,5 +1,7 @@
 /** What a gateway tells the others of its region about a target at once, without waiting for gossip. */
 import type { PeerPrompt } from '@marjoramcart/core';
+import { match } from 'ts-pattern';
+import type { TargetReportRow } from '../reports/report-task.js';
 import { encodeNotification, type Notification } from './notification.js';
 
 const METHOD = 'target.news';
@@ -8,19 +10,21 @@
   /** A prompt was sent there that takes long to read. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** The target can't be reached. */
-  | { readonly kind: 'unreachable'; readonly target: string };
+  | { readonly kind: 'unreachable'; readonly target: string }
+  /** Targets told their load. */
+  | { readonly kind: 'reports'; readonly rows: readonly TargetReportRow[] };
 
 interface NewsParams {
-  readonly t: string;
+  readonly t?: string;
+  /** Reports: target, requests, KV memory in tokens. */
+  readonly r?: readonly (readonly [string, number, number?])[];
   /** Id, time for reading in ms, priority, parts that it leaves in the cache. */
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
 /** Encodes news into a datagram. */
 export function encodeTargetNews(news: TargetNews): Buffer {
-  const params: NewsParams =
-    news.kind === 'prompt' ? { t: news.target, p: toRow(news.prompt) } : { t: news.target };
-  return encodeNotification(METHOD, params);
+  return encodeNotification(METHOD, paramsOf(news));
 }
 
 /**
@@ -31,7 +35,8 @@
  */
 export function decodeTargetNews({ method, params }: Notification): TargetNews | undefined {
   if (method !== METHOD) return undefined;
-  const { t: target, p } = params as NewsParams;
+  const { t: target = '', p, r } = params as NewsParams;
+  if (r) return { kind: 'reports', rows: r.map(fromReportRow) };
   if (!p) return { kind: 'unreachable', target };
   const [id, workMs, priority, rows] = p;
   const parts = rows.map(([part, tokens]) => ({ id: part, tokens }));
@@ -41,3 +46,28 @@
 function toRow({ id, workMs, priority, parts }: PeerPrompt): NonNullable<NewsParams['p']> {
   return [id, Math.round(workMs), priority, parts.map((part) => [part.id, part.tokens])];
 }
+
+function paramsOf(news: TargetNews): NewsParams {
+  return match(news)
+    .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toRow(prompt) }))
+    .with({ kind: 'unreachable' }, ({ target }) => ({ t: target }))
+    .with({ kind: 'reports' }, ({ rows }) => ({
+      r: rows.map(({ target, report: { requests, memoryTokens } }) =>
+        memoryTokens === undefined
+          ? ([target, requests] as const)
+          : ([target, requests, memoryTokens] as const),
+      ),
+    }))
+    .exhaustive();
+}
+
+function fromReportRow([target, requests, memoryTokens]: readonly [
+  string,
+  number,
+  number?,
+]): TargetReportRow {
+  return {
+    target,
+    report: { requests, ...(memoryTokens === undefined ? {} : { memoryTokens }) },
+  };
+}
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,6 @@
 /** Port: how callers, gateways and targets speak. The platform's adapter implements it. */
 import type { IncomingMessage } from 'node:http';
-import type { Prompt, TargetRecord } from '@marjoramcart/core';
+import type { Prompt, TargetRecord, LoadReport } from '@marjoramcart/core';
 
 /** Flat list of header names and values, as Node.js reads and writes them. */
 export type HeaderList = string[];
@@ -45,6 +45,8 @@
       readonly kind: 'genuine';
       readonly status: number;
       readonly stream: boolean;
+      /** Load of the target, when its answers tell it. */
+      readonly report?: LoadReport;
     }
   /** The target says that it did not run the request and never will. */
   | { readonly kind: 'not-run'; readonly misdirected: boolean; readonly comeBackMs?: number }
@@ -76,3 +78,10 @@
   answer(addresses: readonly string[], ttlS: number): string;
   isReadyCheck(req: IncomingMessage): boolean;
 }
+
+/** How targets are asked for reports of their load. */
+export interface ReportProtocol {
+  readonly path: string;
+  /** Undefined when the body is no report. */
+  decode(body: Buffer): LoadReport | undefined;
+}
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -89,6 +89,13 @@
     return known;
   }
 
+  /** Usable targets of services that run engines. */
+  usableEngines(): readonly TargetEntry[] {
+    return [...(this.configInForce?.services.values() ?? [])]
+      .filter(({ engine }) => engine !== undefined)
+      .flatMap(({ name }) => this.usableTargets(name));
+  }
+
   private findUsable(service: string): TargetEntry[] {
     return [...this.targets.values()].filter(
       ({ record, misdirected }) =>
--- a/tests/stand-ins/src/users-platform/rig.ts
+++ b/tests/stand-ins/src/users-platform/rig.ts
@@ -3,6 +3,7 @@
 import { Gateway, gatewayTuningSchema } from '@marjoramcart/gateway';
 import {
   DirectoryCodec,
+  ReportCodec,
   RequestCodec,
   StoreClient,
   StoreSource,
@@ -130,6 +131,7 @@
       source,
       protocol: new RequestCodec(node),
       directory: new DirectoryCodec(),
+      reports: new ReportCodec(),
       timers,
       metrics: new Metrics(),
       log: silentLogger(),
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -46,6 +46,9 @@
 
   readonly runs: TargetRun[] = [];
 
+  /** Requests in flight, which its reports tell. */
+  active = 0;
+
   constructor(
     readonly id: string,
     readonly address: string,
@@ -81,6 +84,11 @@
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.url === '/api/report') {
+      const body = JSON.stringify({ queued: 0, inFlight: this.active, kvUsed: this.active * 1000 });
+      send(res, 200, {}, body);
+      return;
+    }
     const requestId = String(req.headers['request-id']);
     if (req.headers['expect-instance'] !== this.id) {
       res.writeHead(421, { 'instance-id': this.id, 'content-length': 0 }).end();
@@ -101,7 +109,9 @@
       cancelled: false,
     };
     this.runs.push(run);
+    this.active += 1;
     res.on('close', () => {
+      this.active -= 1;
       run.cancelled = !res.writableFinished;
     });
     this.answer(run, res);
