Let two gateways of a region watch the store and tell the others

Change: WatchDuty chooses two gateways of each region by rendezvous hashing; they tell the others each change, and once a second that they are in contact. A gateway that hears nothing for 1.6 s watches itself, the next one 0.5 s later, so that an outage or a store that turns some away does not make all of them read. A new configuration is read from the store once by each gateway; lost messages lead to a fetch of the whole state by JSON-RPC.

--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -13,3 +13,4 @@
 export * from './vm-store.js';
 export * from './gateway-table.js';
 export * from './directory-choice.js';
+export * from './watch-duty.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { FleetRpcTask } from './peers/fleet-rpc.js';
 import { GossipTask, type OwnNews } from './peers/gossip-task.js';
 import { StateFetcher } from './peers/state-fetcher.js';
+import { WatchTask } from './peers/watch-task.js';
 import type { TargetNews } from './peers/target-news.js';
 import type { FleetSource } from './ports/fleet-source.js';
 import type {
@@ -60,6 +61,10 @@
 
   private readonly router: Router;
 
+  private readonly fetcher: StateFetcher;
+
+  private readonly watch: WatchTask;
+
   private readonly callers: CallerTask;
 
   private readonly tasks: Task[];
@@ -74,15 +79,23 @@
     const { settings, timers, log, protocol } = parts;
     this.state = new GatewayState(settings.region, timers, log.child('state'));
     const random = seededRandom(Math.floor(timers.wall()) % 2 ** 31);
-    const fetcher = new StateFetcher(this.state, settings.peerRpcPort, timers, log.child('fetch'));
     this.gossip = new GossipTask(settings, timers, log.child('gossip'), () => this.news(), {
       onTargetWork: (node, work) => this.learnTargetWork(node, work),
       onTargetNews: (news) => this.learnTargetNews(news),
+      onFleetNews: (news) => this.watch.onNews(news),
       onRecord: (record) => {
         this.router.onGateway(record);
-        fetcher.consider(record);
+        this.fetcher.consider(record);
       },
     });
+    this.fetcher = new StateFetcher(
+      this.state,
+      this.gossip.table,
+      settings.peerRpcPort,
+      timers,
+      log.child('fetch'),
+    );
+    this.watch = this.watchTask();
     this.router = new Router(settings, this.state, this.gossip, timers, random);
     const metrics = new GatewayMetrics(parts.metrics, timers);
     const connections = new Connections({}, CONNECT_TIMEOUT_MS);
@@ -119,11 +132,16 @@
     this.admin = this.adminTask();
   }
 
+  /** Whether this gateway follows the source itself, or learns from others of its region. */
+  get watchesSource(): boolean {
+    return this.watch.follows;
+  }
+
   async start(): Promise<void> {
-    const { source, timers, log } = this.parts;
+    const { timers, log } = this.parts;
     // The listeners open first, so that a request meets a refusal rather than a reset.
     await Promise.all(this.tasks.map((task) => task.start()));
-    source.start(this.state);
+    await this.watch.start();
     // Requests are served without metrics rather than not at all.
     await this.admin.start().catch((err: unknown) => log.error('metrics are not served', { err }));
     timers.every(HOUSEKEEPING_MS, () => {
@@ -158,8 +176,7 @@
 
   /** Ends all tasks at once, cutting off what is in flight. */
   async close(): Promise<void> {
-    this.parts.source.stop();
-    await Promise.all([...this.tasks, this.admin].map((task) => task.stop()));
+    await Promise.all([this.watch, ...this.tasks, this.admin].map((task) => task.stop()));
   }
 
   private phase(): GatewayPhase {
@@ -225,6 +242,25 @@
     });
   }
 
+  /** Names of the live gateways of the region. */
+  private nearGateways(): string[] {
+    return [this.parts.settings.node, ...this.gossip.near().map(({ node }) => node)];
+  }
+
+  private watchTask(): WatchTask {
+    const { settings, source, timers, log } = this.parts;
+    return new WatchTask({
+      node: settings.node,
+      state: this.state,
+      source,
+      fetcher: this.fetcher,
+      timers,
+      log: log.child('watch'),
+      gateways: () => this.nearGateways(),
+      announce: (news) => this.gossip.announceFleet(news),
+    });
+  }
+
   private reportTask(connections: Connections): ReportTask {
     const { settings, reports, timers } = this.parts;
     return new ReportTask({
@@ -233,7 +269,7 @@
       connections,
       protocol: reports,
       timers,
-      gateways: () => [settings.node, ...this.gossip.near().map(({ node }) => node)],
+      gateways: () => this.nearGateways(),
       announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
     });
   }
@@ -254,6 +290,7 @@
         config: this.state.config?.version ?? 0,
         revision: this.state.revision,
         source_age_ms: Math.round(this.state.sourceAgeMs),
+        watches_source: this.watchesSource,
         in_flight: this.callers.requestsInFlight,
         gossip_bytes: this.gossip.traffic,
       }),
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -9,8 +9,9 @@
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { GatewaySettings } from '../settings.js';
+import { decodeFleetNews, encodeFleetNews, type FleetNews } from './fleet-news.js';
 import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
-import { decodeNotification } from './notification.js';
+import { decodeNotification, type Notification } from './notification.js';
 import { decodeTargetNews, encodeTargetNews, type TargetNews } from './target-news.js';
 
 const TICK_MS = 250;
@@ -41,6 +42,8 @@
   onTargetWork(node: string, work: Readonly<Record<string, PeerWork>>): void;
   /** A gateway of the own region tells something about a target. */
   onTargetNews(news: TargetNews): void;
+  /** A gateway of the own region that watches the source tells its news. */
+  onFleetNews(news: FleetNews): void;
   /** A record changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -122,8 +125,18 @@
     const near = this.near();
     const isSmall = news.kind === 'prompt' && news.prompt.workMs < near.length * MIN_ANNOUNCED_MS;
     if (near.length === 0 || isSmall) return;
-    const datagram = encodeTargetNews(news);
-    near.slice(0, MAX_ANNOUNCED).forEach(({ ip }) => this.sendDatagram(datagram, ip));
+    this.sendNear(encodeTargetNews(news));
+  }
+
+  /** Tells the other gateways of the region what this one read from the source. */
+  announceFleet(news: FleetNews): void {
+    this.sendNear(encodeFleetNews(news));
+  }
+
+  private sendNear(datagram: Buffer): void {
+    this.near()
+      .slice(0, MAX_ANNOUNCED)
+      .forEach(({ ip }) => this.sendDatagram(datagram, ip));
   }
 
   /** Measured round trip to a gateway, ms. */
@@ -198,16 +211,25 @@
   private receive(datagram: Buffer, address: string): void {
     try {
       const notification = decodeNotification(datagram);
-      const news = decodeTargetNews(notification);
-      const message = news ? undefined : decodeGossip(notification);
-      if (news) this.listener.onTargetNews(news);
-      else if (message) this.take(message);
-      else this.log.warn('unknown message dropped', { from: address, method: notification.method });
+      if (!this.dispatch(notification)) {
+        this.log.warn('unknown message dropped', { from: address, method: notification.method });
+      }
     } catch (err) {
       this.log.warn('unreadable message dropped', { from: address, bytes: datagram.length, err });
     }
   }
 
+  /** False when no part knows the message. */
+  private dispatch(notification: Notification): boolean {
+    const targetNews = decodeTargetNews(notification);
+    if (targetNews) this.listener.onTargetNews(targetNews);
+    const fleetNews = decodeFleetNews(notification);
+    if (fleetNews) this.listener.onFleetNews(fleetNews);
+    const message = decodeGossip(notification);
+    if (message) this.take(message);
+    return [targetNews, fleetNews, message].some((known) => known !== undefined);
+  }
+
   private take(message: GossipMessage): void {
     const now = this.timers.now();
     const { from } = message;
--- a/packages/gateway/src/peers/state-fetcher.ts
+++ b/packages/gateway/src/peers/state-fetcher.ts
@@ -1,5 +1,5 @@
 /** Takes the state over from other gateways while the own source is away. */
-import type { GatewayRecord } from '@marjoramcart/core';
+import type { GatewayRecord, GatewayTable } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
 import { fetchFleetState } from './fleet-rpc.js';
@@ -16,6 +16,7 @@
 
   constructor(
     private readonly state: GatewayState,
+    private readonly table: GatewayTable,
     private readonly rpcPort: number,
     private readonly timers: TimerService,
     private readonly log: Logger,
@@ -27,11 +28,21 @@
     const version = state.config?.version ?? 0;
     const ahead = record.configVersion > version || record.revision > state.revision;
     const patient = version > 0 && !state.sourceLost && state.sourceAgeMs < SOURCE_PATIENCE_MS;
+    if (ahead && !patient) this.start(record);
+  }
+
+  /** Fetches from a gateway whose news could not be taken over. */
+  fetchFrom(node: string): void {
+    const record = this.table.get(node);
+    if (record) this.start(record);
+  }
+
+  private start(record: GatewayRecord): void {
     const now = this.timers.now();
-    if (!ahead || patient || this.busy || now - this.lastAt < MIN_INTERVAL_MS) return;
+    if (this.busy || now - this.lastAt < MIN_INTERVAL_MS) return;
     this.busy = true;
     this.lastAt = now;
-    void this.fetch(record).finally(() => {
+    this.fetch(record).finally(() => {
       this.busy = false;
     });
   }
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -130,19 +130,25 @@
     this.take(state, 'source');
   }
 
+  onConfig(config: FleetConfig): void {
+    this.onContact();
+    this.takeConfig(config, 'source');
+  }
+
   /** Takes a state that another gateway holds. */
   takeFromPeer(state: FleetState, node: string): void {
     this.take(state, node);
   }
 
-  onContact(): void {
+  /** @param ageMs how long ago the source answered, when another gateway heard it */
+  onContact(ageMs = 0): void {
     const now = this.timers.now();
     if (this.failing) {
       this.failing = false;
       this.regainedAt = now;
       this.log.info('configuration source regained', { lost_ms: Math.round(now - this.contactAt) });
     }
-    this.contactAt = now;
+    this.contactAt = Math.max(this.contactAt, now - ageMs);
   }
 
   onFailure(reason: string): void {
