--- a/packages/core/src/admission/admission-policy.ts
+++ b/packages/core/src/admission/admission-policy.ts
@@ -14,6 +14,8 @@
   readonly deadlineAt: number;
   /** Latency target for the first token or the answer. */
   readonly latencyTargetMs: number;
+  /** Whether another failure domain sent it here. */
+  readonly forwarded?: boolean;
 }
 
 /** What is known once a request has ended. */
--- a/packages/core/src/admission/window-admission-controller.ts
+++ b/packages/core/src/admission/window-admission-controller.ts
@@ -1,4 +1,9 @@
-/** Admission of one service: a window of running requests and bounded queues before it. */
+/**
+ * Admission of one service: a window of running requests and bounded queues before it.
+ *
+ * Load pattern: a region that lost its targets sends its load to others. Forwarded requests have
+ * queues of their own and leave a part of the window to the callers here.
+ */
 import type {
   AdmissionController,
   AdmissionDecision,
@@ -25,6 +30,8 @@
   readonly heavyShare?: number;
   /** Heavy customers get more only while less than this share of the window is used. */
   readonly heavyFill?: number;
+  /** Forwarded requests get more only while less than this share of the window is used. */
+  readonly forwardedFill?: number;
 }
 
 /** Values of the options that are left out; `Infinity` turns a rule off. */
@@ -32,8 +39,12 @@
   maxWaitTargets: 0.7,
   heavyShare: 0.15,
   heavyFill: 0.5,
+  forwardedFill: 0.7,
 } as const;
 
+/** Queue of a customer's forwarded requests; customers' ids have no spaces. */
+const FORWARDED_PREFIX = 'forwarded ';
+
 interface CustomerSlots {
   readonly count: number;
   readonly weight: number;
@@ -85,7 +96,10 @@
     return this.fairness.size;
   }
 
-  offer(req: AdmissionRequest, now: number): AdmissionDecision {
+  offer(offered: AdmissionRequest, now: number): AdmissionDecision {
+    const req = offered.forwarded
+      ? { ...offered, customer: FORWARDED_PREFIX + offered.customer }
+      : offered;
     if (req.deadlineAt <= now) return { kind: 'refused', reason: 'expired' };
     // Requests that wait although the window has room belong to heavy customers; others pass them.
     if (this.running < this.window && this.mayRun(req.customer)) {
@@ -168,7 +182,9 @@
   }
 
   private mayRun(customer: string): boolean {
-    const { heavyShare, heavyFill } = this.options;
+    const { heavyShare, heavyFill, forwardedFill } = this.options;
+    const forwarded = customer.startsWith(FORWARDED_PREFIX);
+    if (forwarded && this.running >= forwardedFill * this.window) return false;
     const { count, weight } = this.runningByCustomer.get(customer) ?? { count: 0, weight: 1 };
     // Without the equal share the only customer of a service could not use the whole window.
     const equalShare = 1 / Math.max(1, this.runningByCustomer.size);
--- a/packages/entry/src/admission/admission-gate.ts
+++ b/packages/entry/src/admission/admission-gate.ts
@@ -138,6 +138,7 @@
       cost: callCost(call, call.routed.maxTokens),
       arrivedAt: call.arrivedAt,
       deadlineAt: call.deadlineAt,
+      forwarded: call.visited.length > 0,
       latencyTargetMs:
         // A late booking is better than none, so for plain calls only the deadline counts.
         call.config.kind === 'model' ? call.config.first_token : Number.POSITIVE_INFINITY,
