Give the state of a frozen entry with queued bookings time to be seen

Change: the deadline is 5 s, and a new step waits until it has passed before the entry wakes up, so that the scenario still checks the same case.

--- a/tests/features/scenarios/runs-at-most-once.feature
+++ b/tests/features/scenarios/runs-at-most-once.feature
@@ -29,10 +29,11 @@
     And every first send says "ran"
 
   Scenario: The entry freezes with queued bookings and wakes up after their deadline
-    When tartu-archive starts 6 bookings at an entry in the north with a deadline of 1500 ms
+    When tartu-archive starts 6 bookings at an entry in the north with a deadline of 5000 ms
     And targets run some of them and the entry queues the others
     And the entry freezes
     And the bookings are sent again to "all other entries" with a deadline of 2500 ms
+    And the deadline of the first sends has passed
     And the entry wakes up
     And every answer is there
     And the bookings are sent again to "all entries" with a deadline of 3000 ms
--- a/tests/features/src/steps/at-most-once-steps.ts
+++ b/tests/features/src/steps/at-most-once-steps.ts
@@ -13,6 +13,8 @@
   customer: string;
   owner: EntryPlan;
   sender: EntryPlan;
+  /** When the first sends are due, Unix ms. */
+  dueAt: number;
 }
 
 const failures = new WeakMap<GatewayWorld, Failure>();
@@ -42,6 +44,7 @@
   ) {
     const { bookings, owner } = begin(this, customer, region);
     const made = await bookings.create(customer, count, owner);
+    failureOf(this).dueAt = Date.now() + deadlineMs;
     this.pending.push(
       ...made.map((booking) => bookings.send(customer, booking, owner, { deadlineMs })),
     );
@@ -108,6 +111,11 @@
   );
 });
 
+When('the deadline of the first sends has passed', function when(this: GatewayWorld) {
+  const { dueAt } = failureOf(this);
+  return waitFor('the deadline has passed', () => Date.now() > dueAt, BOUND_MS);
+});
+
 When('targets run all of them', function when(this: GatewayWorld) {
   const { bookings } = failureOf(this);
   return waitFor(
@@ -291,6 +299,7 @@
     customer,
     owner: entryIn(region),
     sender: entryIn(senderRegion),
+    dueAt: 0,
   };
   failures.set(world, failure);
   return failure;
