--- a/tests/stand-ins/src/fault-proxy/link.ts
+++ b/tests/stand-ins/src/fault-proxy/link.ts
@@ -57,6 +57,11 @@
     this.pairs.forEach((pair) => pair.forEach((socket) => socket.resetAndDestroy()));
   }
 
+  close(): void {
+    this.reset();
+    this.server.close();
+  }
+
   private connect(client: Socket): void {
     const [host, port] = this.options.target.split(':');
     const target = net.connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true });
--- a/tests/stand-ins/src/fleet/managed-process.ts
+++ b/tests/stand-ins/src/fleet/managed-process.ts
@@ -68,6 +68,10 @@
     return exit;
   }
 
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
   freeze(): void {
     this.child?.kill('SIGSTOP');
   }
--- a/tests/stand-ins/src/users-platform/demo-main.ts
+++ b/tests/stand-ins/src/users-platform/demo-main.ts
@@ -1,5 +1,6 @@
 /** `npm run demo:platform`: a small fleet on loopback addresses that can be called by hand. */
-import { HOST, MODEL_SERVICE, PLAIN_SERVICE, Rig } from './rig.js';
+import { HOST, MODEL_SERVICE, PLAIN_SERVICE } from './example-config.js';
+import { Rig } from './rig.js';
 
 const BASE_PORT = 24_200;
 
--- /dev/null
+++ b/tests/stand-ins/src/users-platform/example-config.ts
@@ -0,0 +1,93 @@
+/** Configuration and settings of a small fleet on loopback addresses. */
+
+export const ZONES = { 'north-a': 'north', 'west-a': 'west' } as const;
+export type Zone = keyof typeof ZONES;
+
+export const MODEL_SERVICE = 'model';
+export const PLAIN_SERVICE = 'plain';
+export const HOST = 'api.example';
+
+/** Configuration of the operator with one route of each kind. */
+export function exampleConfig(version: number, changes: object = {}): object {
+  const route = (name: string, kind: string, service: string, more: object): object => ({
+    name,
+    host: HOST,
+    prefix: `/${name}/`,
+    kind,
+    service,
+    timeoutMs: 3000,
+    targetLatencyMs: 800,
+    priority: 1,
+    maxAttempts: 2,
+    ...more,
+  });
+  return {
+    version,
+    routes: [
+      route('stream', 'streaming', MODEL_SERVICE, { resumable: true }),
+      route('once', 'unsafe', PLAIN_SERVICE, { maxAttempts: 1 }),
+      route('read', 'safe', PLAIN_SERVICE, {}),
+      route('bound', 'safe', PLAIN_SERVICE, { homeRegions: ['west'] }),
+    ],
+    services: [
+      { name: MODEL_SERVICE, warmupS: 0, coldPerS: 0, engine: { slots: 8, kvCapacityTokens: 1e5 } },
+      { name: PLAIN_SERVICE },
+    ],
+    limits: {
+      maxHeaderBytes: 4096,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 1000,
+      idleTimeoutMs: 5000,
+    },
+    ...changes,
+  };
+}
+
+/** Where a gateway runs. */
+export interface GatewayPlace {
+  readonly node: string;
+  readonly ip: string;
+  readonly zone: Zone;
+  /** First of ten ports. */
+  readonly basePort: number;
+  /** `ip:port` of the store. */
+  readonly storeAddress: string;
+  readonly seedIp: string;
+}
+
+/** Offsets of the ports of a gateway. */
+export const PortOffset = { Callers: 0, Ready: 1, Directory: 2, Control: 3, Internal: 4 } as const;
+
+/** Settings file of a gateway as the platform writes it. */
+export function settingsText(place: GatewayPlace): string {
+  const { node, ip, zone, basePort, storeAddress, seedIp } = place;
+  const address = (offset: number): string => `"${ip}:${basePort + offset}"`;
+  return `
+node = "${node}"
+ip = "${ip}"
+zone = "${zone}"
+region = "${ZONES[zone]}"
+internalPorts = [${basePort + PortOffset.Internal}, ${basePort + PortOffset.Internal + 4}]
+seeds = ["${seedIp}:${basePort + PortOffset.Control}"]
+aKeyOfALaterRelease = true
+[zones]
+${Object.entries(ZONES)
+  .map(([name, region]) => `${name} = "${region}"`)
+  .join('\n')}
+[listen]
+front = ${address(PortOffset.Callers)}
+ready = ${address(PortOffset.Ready)}
+directory = ${address(PortOffset.Directory)}
+control = ${address(PortOffset.Control)}
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 54
+coldOverage = 1.5
+coldSlack = 3
+ttl_max_s = 5
+[platform]
+address = "${storeAddress}"
+`;
+}
--- a/tests/stand-ins/src/users-platform/gateway.test.ts
+++ b/tests/stand-ins/src/users-platform/gateway.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, afterEach, before, test } from 'node:test';
-import { MODEL_SERVICE, PLAIN_SERVICE, Rig, exampleConfig } from './rig.js';
+import { MODEL_SERVICE, PLAIN_SERVICE, exampleConfig } from './example-config.js';
+import { Rig } from './rig.js';
 import { TargetMode, type TargetStandIn } from './target.js';
 
 const PROMPT = {
--- a/tests/stand-ins/src/users-platform/rig.ts
+++ b/tests/stand-ins/src/users-platform/rig.ts
@@ -1,5 +1,4 @@
 /** A small fleet on loopback addresses: the store, targets and gateways with the adapter. */
-import http, { type IncomingHttpHeaders } from 'node:http';
 import { Gateway, gatewayTuningSchema } from '@marjoramcart/gateway';
 import {
   DirectoryCodec,
@@ -11,79 +10,20 @@
   type PlatformSettings,
 } from '@marjoramcart/platform';
 import { Metrics, SystemTimerService, silentLogger } from '@marjoramcart/runtime';
+import { sendRequest, type ClientAnswer, type ClientRequest } from './client-request.js';
+import { HOST, MODEL_SERVICE, exampleConfig, settingsText, type Zone } from './example-config.js';
 import { StoreStandIn } from './store.js';
 import { TargetStandIn } from './target.js';
 
-const ZONES = { 'north-a': 'north', 'west-a': 'west' } as const;
 const POLL_MS = 10;
 const WAIT_MS = 8000;
 
-export const MODEL_SERVICE = 'model';
-export const PLAIN_SERVICE = 'plain';
-export const HOST = 'api.example';
-
-/** Answer as a client sees it. */
-export interface ClientAnswer {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: string;
-  /** Whether the answer ended as a complete one. */
-  readonly complete: boolean;
-}
-
-export interface ClientRequest {
-  readonly path: string;
-  readonly id?: string;
-  readonly method?: string;
-  readonly body?: string;
-  readonly headers?: Record<string, string>;
-  readonly host?: string;
-  /** Leaves after this time. */
-  readonly leaveAfterMs?: number;
-}
-
 interface RunningGateway {
   readonly gateway: Gateway;
   readonly settings: PlatformSettings;
   readonly timers: SystemTimerService;
 }
 
-/** Configuration of the operator with one route of each kind. */
-export function exampleConfig(version: number, changes: object = {}): object {
-  const route = (name: string, kind: string, service: string, more: object): object => ({
-    name,
-    host: HOST,
-    prefix: `/${name}/`,
-    kind,
-    service,
-    timeoutMs: 3000,
-    targetLatencyMs: 800,
-    priority: 1,
-    maxAttempts: 2,
-    ...more,
-  });
-  return {
-    version,
-    routes: [
-      route('stream', 'streaming', MODEL_SERVICE, { resumable: true }),
-      route('once', 'unsafe', PLAIN_SERVICE, { maxAttempts: 1 }),
-      route('read', 'safe', PLAIN_SERVICE, {}),
-      route('bound', 'safe', PLAIN_SERVICE, { homeRegions: ['west'] }),
-    ],
-    services: [
-      { name: MODEL_SERVICE, warmupS: 0, coldPerS: 0, engine: { slots: 8, kvCapacityTokens: 1e5 } },
-      { name: PLAIN_SERVICE },
-    ],
-    limits: {
-      maxHeaderBytes: 4096,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 1000,
-      idleTimeoutMs: 5000,
-    },
-    ...changes,
-  };
-}
-
 export class Rig {
   readonly store = new StoreStandIn();
 
@@ -115,7 +55,7 @@
   }
 
   /** Starts a gateway and waits until it is ready. */
-  async addGateway(index: number, zone: keyof typeof ZONES): Promise<string> {
+  async addGateway(index: number, zone: Zone): Promise<string> {
     const node = `vm-${index}`;
     const ip = `127.0.0.${index}`;
     const settings = this.settings(node, ip, zone);
@@ -180,7 +120,7 @@
   /** Sends a request of a client to a gateway. */
   send(node: string, req: ClientRequest): Promise<ClientAnswer> {
     const { callers } = this.running(node).settings.gateway.listen;
-    return request(callers, req);
+    return sendRequest(callers, req);
   }
 
   /** Waits until a condition holds. */
@@ -194,7 +134,7 @@
   }
 
   private get(address: string, path: string): Promise<ClientAnswer> {
-    return request(address, { path, method: 'GET' });
+    return sendRequest(address, { path, method: 'GET' });
   }
 
   private running(node: string): RunningGateway {
@@ -207,83 +147,11 @@
     return `127.0.0.1:${this.basePort + 9}`;
   }
 
-  private settings(node: string, ip: string, zone: keyof typeof ZONES): PlatformSettings {
-    const port = (offset: number): string => `"${ip}:${this.basePort + offset}"`;
-    const result = checkPlatformSettings(
-      `
-node = "${node}"
-ip = "${ip}"
-zone = "${zone}"
-region = "${ZONES[zone]}"
-internalPorts = [${this.basePort + 4}, ${this.basePort + 8}]
-seeds = ["127.0.0.1:${this.basePort + 3}"]
-aKeyOfALaterRelease = true
-[zones]
-${Object.entries(ZONES)
-  .map(([name, region]) => `${name} = "${region}"`)
-  .join('\n')}
-[listen]
-front = ${port(0)}
-ready = ${port(1)}
-directory = ${port(2)}
-control = ${port(3)}
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retrySlack = 54
-coldOverage = 1.5
-coldSlack = 3
-ttl_max_s = 5
-[platform]
-address = "${this.storeAddress}"
-`,
-      gatewayTuningSchema.parse({}),
-    );
+  private settings(node: string, ip: string, zone: Zone): PlatformSettings {
+    const { basePort, storeAddress } = this;
+    const place = { node, ip, zone, basePort, storeAddress, seedIp: '127.0.0.1' };
+    const result = checkPlatformSettings(settingsText(place), gatewayTuningSchema.parse({}));
     if (result.kind === 'invalid') throw new Error(result.faults.join('\n'));
     return result.value;
   }
 }
-
-let lastId = 0;
-
-function request(address: string, req: ClientRequest): Promise<ClientAnswer> {
-  const [host, port] = address.split(':');
-  const body = req.body ?? '';
-  const method = req.method ?? (body === '' ? 'GET' : 'POST');
-  lastId += 1;
-  return new Promise((resolve, reject) => {
-    const out = http.request(
-      {
-        host,
-        port,
-        method,
-        path: req.path,
-        agent: false,
-        headers: {
-          host: req.host ?? HOST,
-          'request-id': req.id ?? `id-${lastId}`,
-          'deadline-ms': '3000',
-          ...(body === '' ? {} : { 'content-length': Buffer.byteLength(body) }),
-          ...req.headers,
-        },
-      },
-      (res) => {
-        const chunks: Buffer[] = [];
-        const finish = (): void =>
-          resolve({
-            status: res.statusCode ?? 0,
-            headers: res.headers,
-            body: Buffer.concat(chunks).toString('utf8'),
-            complete: res.complete,
-          });
-        res.on('data', (chunk: Buffer) => chunks.push(chunk));
-        res.on('end', finish);
-        res.on('error', finish);
-      },
-    );
-    out.on('error', reject);
-    if (req.leaveAfterMs !== undefined) setTimeout(() => out.destroy(), req.leaveAfterMs);
-    out.end(body);
-  });
-}
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -27,6 +27,8 @@
 /** A request that a target began to run. */
 export interface TargetRun {
   readonly requestId: string;
+  /** Unix ms. */
+  readonly startedAt: number;
   readonly path: string;
   readonly body: string;
   readonly headers: http.IncomingHttpHeaders;
@@ -103,6 +105,7 @@
     const body = await readText(req);
     const run: TargetRun = {
       requestId,
+      startedAt: Date.now(),
       path: req.url ?? '',
       body,
       headers: req.headers,
