Log lost and regained gateways, changed answers of the directory and targets that others can't reach; fail the start when the gossip port is taken

Change: one line each when the set of live gateways, an answer of the directory for a host and region, or the reach of a target by another gateway changes. Encoded news have tests.

--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -1,10 +1,17 @@
 /** Tasks that tell callers which gateways to use, and the platform whether this one is ready. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { chooseGateways, GatewayPhase, type GatewayTable } from '@marjoramcart/core';
+import {
+  chooseGateways,
+  GatewayPhase,
+  type GatewayTable,
+  type ListedGateway,
+} from '@marjoramcart/core';
 import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/runtime';
 import type { DirectoryProtocol, DirectoryQuery } from '../ports/request-protocol.js';
 
 const MAX_ADDRESSES = 64;
+/** Answers that are remembered to log only what changes. */
+const MAX_NOTED = 64;
 
 export interface DirectoryParts {
   /** `ip:port` each; equal when one listener serves both. */
@@ -29,6 +36,9 @@
 
   private readonly listeners: HttpListener[];
 
+  /** Last answer by region and host. */
+  private readonly noted = new Map<string, string>();
+
   constructor(private readonly parts: DirectoryParts) {
     const addresses = new Set([parts.directoryAddress, parts.readyAddress]);
     this.listeners = [...addresses].map(
@@ -75,8 +85,18 @@
     const [ip = '', port] = callersAddress.split(':');
     const own = { node: this.parts.node, region: this.parts.region, ip, phase: phase() };
     const all = [own, ...table.alive(timers.now())];
-    return chooseGateways(all, region, allowedRegions(host))
-      .slice(0, MAX_ADDRESSES)
-      .map((gateway) => `${gateway.ip}:${port}`);
+    const chosen = chooseGateways(all, region, allowedRegions(host)).slice(0, MAX_ADDRESSES);
+    this.note(host, region, chosen);
+    return chosen.map((gateway) => `${gateway.ip}:${port}`);
+  }
+
+  /** Logs an answer that differs from the one before. */
+  private note(host: string, region: string, chosen: readonly ListedGateway[]): void {
+    const key = `${region} ${host}`;
+    const nodes = chosen.map(({ node, phase }) => `${node} ${phase}`).join(', ');
+    if (this.noted.get(key) === nodes) return;
+    if (this.noted.size >= MAX_NOTED) this.noted.clear();
+    this.noted.set(key, nodes);
+    this.parts.log.info('directory answer changed', { host, region, gateways: nodes });
   }
 }
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -204,7 +204,7 @@
   ): void {
     // An exchange that the caller ended says nothing of the target.
     if (answer.gone) return;
-    const { state, timers, router, gossip } = this.parts;
+    const { state, timers, router, gossip, settings } = this.parts;
     const { work, record } = entry;
     const now = timers.now();
     if (end.kind !== 'not-run') {
@@ -218,7 +218,11 @@
     if (end.kind === 'not-run' && end.misdirected) state.onMisdirected(record.id);
     if (end.kind === 'not-sent') {
       work.onUnreachable(now);
-      gossip.announceTarget({ kind: 'unreachable', target: record.id });
+      gossip.announceTarget({
+        kind: 'unreachable',
+        target: record.id,
+        from: settings.node,
+      });
       state.suspectRestart(record.id);
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,7 +209,10 @@
       .with({ kind: 'prompt' }, ({ target, prompt }) => {
         workOf(target)?.learnPeerPrompt(prompt, now);
       })
-      .with({ kind: 'unreachable' }, ({ target }) => workOf(target)?.onUnreachable(now))
+      .with({ kind: 'unreachable' }, ({ target, from }) => {
+        workOf(target)?.onUnreachable(now);
+        this.parts.log.info('target can not be reached from another gateway', { target, from });
+      })
       .with({ kind: 'reports' }, ({ rows }) => {
         rows.forEach(({ target, report }) => workOf(target)?.learnReport(report, now));
       })
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -70,6 +70,9 @@
 
   private bytesSent = 0;
 
+  /** Gateways that were alive at the last tick. */
+  private noted: ReadonlySet<string> = new Set();
+
   private seedIps: readonly string[];
 
   constructor(
@@ -92,8 +95,12 @@
   async start(): Promise<void> {
     this.socket.on('message', (datagram, { address }) => this.receive(datagram, address));
     this.socket.on('error', (err) => this.log.warn('socket error', { err }));
-    await new Promise<void>((resolve) => {
-      this.socket.bind(this.settings.gossipPort, this.settings.ip, resolve);
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(this.settings.gossipPort, this.settings.ip, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
     });
     this.seedIps.forEach((ip) => this.send(ip));
     this.unsubscribe = this.timers.every(TICK_MS, () => this.tick());
@@ -148,6 +155,7 @@
     const now = this.timers.now();
     this.ticks += 1;
     const alive = this.table.alive(now);
+    this.noteAlive(alive, now);
     const near = this.near();
     const away = alive.filter(({ region }) => region !== this.settings.region);
     this.sendToOneOf(near, this.ticks);
@@ -155,6 +163,23 @@
     if (alive.length === 0 || this.ticks % SEED_EVERY === 0) this.knock(now);
   }
 
+  /** Logs which gateways were lost or regained since the last tick. */
+  private noteAlive(alive: readonly GatewayRecord[], now: number): void {
+    const nodes = new Set(alive.map(({ node }) => node));
+    [...this.noted]
+      .filter((node) => !nodes.has(node))
+      .forEach((node) => {
+        const silentMs = Math.round(this.table.ageMs(node, now));
+        this.log.warn('gateway lost', { node, silent_ms: silentMs, alive: nodes.size });
+      });
+    alive
+      .filter(({ node }) => !this.noted.has(node))
+      .forEach(({ node, region, phase }) => {
+        this.log.info('gateway heard', { node, region, phase, alive: nodes.size });
+      });
+    this.noted = nodes;
+  }
+
   /** Live gateways of the own region, this one not included. */
   near(): GatewayRecord[] {
     const { region } = this.settings;
--- /dev/null
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { FleetState, TargetRecord } from '@marjoramcart/core';
+import { changesBetween, decodeFleetNews, encodeFleetNews, type FleetNews } from './fleet-news.js';
+import { decodeNotification } from './notification.js';
+import { decodeTargetNews, encodeTargetNews, type TargetNews } from './target-news.js';
+
+const RECORD: TargetRecord = {
+  id: 'i-1',
+  service: 'model',
+  address: '10.0.0.1:80',
+  failureDomain: 'north-a',
+  region: 'north',
+  slots: 16,
+  draining: true,
+  coldForMs: 300,
+  bornAt: 1_700_000_000_000,
+};
+
+function stateWith(revision: number, targets: readonly TargetRecord[]): FleetState {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 };
+  const config = { version: 3, routes: [], services: new Map(), limits };
+  return { revision, config, targets, evacuated: new Set() };
+}
+
+test('news of targets come out of a datagram as they went in', () => {
+  const prompt = { id: 'r1', workMs: 700, priority: 2, parts: [{ id: 'aa', tokens: 512 }] };
+  const all: TargetNews[] = [
+    { kind: 'prompt', target: 'i-1', prompt },
+    { kind: 'unreachable', target: 'i-1', from: 'vm-2' },
+    {
+      kind: 'reports',
+      rows: [
+        { target: 'i-1', report: { requests: 3, memoryTokens: 41_000 } },
+        { target: 'i-2', report: { requests: 1 } },
+      ],
+    },
+  ];
+  all.forEach((news) => {
+    assert.deepEqual(decodeTargetNews(decodeNotification(encodeTargetNews(news))), news);
+  });
+});
+
+test('news of the fleet name what changed, and fit into a packet', () => {
+  const before = stateWith(10, [RECORD, { ...RECORD, id: 'i-2' }]);
+  const after = stateWith(12, [RECORD, { ...RECORD, id: 'i-3' }]);
+  const changes = changesBetween(before, after);
+  assert.deepEqual(changes, { since: 10, targets: [after.targets[1]], gone: ['i-2'] });
+  const news: FleetNews = {
+    node: 'vm-1',
+    ...changes,
+    revision: 12,
+    configVersion: 3,
+    sourceAgeMs: 40,
+    evacuated: ['north-a'],
+  };
+  assert.deepEqual(decodeFleetNews(decodeNotification(encodeFleetNews(news))), news);
+  const many = Array.from({ length: 30 }, (_, index) => ({ ...RECORD, id: `i-${index}` }));
+  assert.equal(changesBetween(before, stateWith(13, many)).since, undefined);
+});
+
+test('a datagram of another kind is none of these, and one that is no JSON is an error', () => {
+  const other = decodeNotification(Buffer.from('{"method":"x","params":{}}'));
+  assert.equal(decodeTargetNews(other), undefined);
+  assert.equal(decodeFleetNews(other), undefined);
+  assert.throws(() => decodeNotification(Buffer.from('\xff{')));
+});
--- a/packages/gateway/src/peers/target-news.ts
+++ b/packages/gateway/src/peers/target-news.ts
@@ -9,13 +9,15 @@
 export type TargetNews =
   /** A prompt was sent there that takes long to read. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
-  /** The target can't be reached. */
-  | { readonly kind: 'unreachable'; readonly target: string }
+  /** A gateway can't reach the target. */
+  | { readonly kind: 'unreachable'; readonly target: string; readonly from: string }
   /** Targets told their load. */
   | { readonly kind: 'reports'; readonly rows: readonly TargetReportRow[] };
 
 interface NewsParams {
   readonly t?: string;
+  /** Gateway that can't reach the target. */
+  readonly n?: string;
   /** Reports: target, requests, KV memory in tokens. */
   readonly r?: readonly (readonly [string, number, number?])[];
   /** Id, time for reading in ms, priority, parts that it leaves in the cache. */
@@ -35,9 +37,9 @@
  */
 export function decodeTargetNews({ method, params }: Notification): TargetNews | undefined {
   if (method !== METHOD) return undefined;
-  const { t: target = '', p, r } = params as NewsParams;
+  const { t: target = '', n: from = '', p, r } = params as NewsParams;
   if (r) return { kind: 'reports', rows: r.map(fromReportRow) };
-  if (!p) return { kind: 'unreachable', target };
+  if (!p) return { kind: 'unreachable', target, from };
   const [id, workMs, priority, rows] = p;
   const parts = rows.map(([part, tokens]) => ({ id: part, tokens }));
   return { kind: 'prompt', target, prompt: { id, workMs, priority, parts } };
@@ -50,7 +52,7 @@
 function paramsOf(news: TargetNews): NewsParams {
   return match(news)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toRow(prompt) }))
-    .with({ kind: 'unreachable' }, ({ target }) => ({ t: target }))
+    .with({ kind: 'unreachable' }, ({ target, from }) => ({ t: target, n: from }))
     .with({ kind: 'reports' }, ({ rows }) => ({
       r: rows.map(({ target, report: { requests, memoryTokens } }) =>
         memoryTokens === undefined
