--- a/packages/core/src/admission/admission.test.ts
+++ b/packages/core/src/admission/admission.test.ts
@@ -205,21 +205,21 @@
 
 // Pattern: a region lost its targets and sends its load here.
 test('forwarded requests leave places and queues to the callers here', () => {
-  const controller = new WindowAdmissionController(new TokenCountPolicy(), {
+  const admission = new WindowAdmissionController(new TokenCountPolicy(), {
     window: 10,
     queuePerCustomer: 8,
     maxQueued: 100,
   });
   const offers = Array.from({ length: 30 }, (_, at) =>
-    controller.offer(request(`f${at}`, 'crew', { forwarded: true }), 0),
+    admission.offer(request(`f${at}`, 'crew', { forwarded: true }), 0),
   );
   assert.equal(offers.filter(({ kind }) => kind === 'admitted').length, 7);
   assert.equal(offers.filter(({ kind }) => kind === 'refused').length, 15);
-  const own = Array.from({ length: 3 }, (_, at) => controller.offer(request(`o${at}`, 'crew'), 0));
+  const own = Array.from({ length: 3 }, (_, at) => admission.offer(request(`o${at}`, 'crew'), 0));
   assert.deepEqual(
     own.map(({ kind }) => kind),
     ['admitted', 'admitted', 'admitted'],
   );
   // The queue of forwarded requests of the same customer is full; its own queue is not.
-  assert.equal(controller.offer(request('o3', 'crew'), 0).kind, 'queued');
+  assert.equal(admission.offer(request('o3', 'crew'), 0).kind, 'queued');
 });
