Offer each request a few targets drawn at random in large regions, and tell beats of many gateways

Besides, 58 gateways took each other for lost 6,211 times, since a message told of five others only.

Change: sampleTargets offers three targets drawn at random and the home of the shared parts; ten when all of these would be late. Regions with up to four gateways compare all targets as before. Gossip carries three records and twenty beats; counts of requests are told in small regions only, where they are used. Options of other regions moved from the router into AwayRegions, with one look at the ready gateways each 100 ms.

--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -2,6 +2,7 @@
  * Gateways that know of each other by gossip. A record travels with a counter that only its owner
  * raises; a gateway is alive while its counter moves.
  */
+import type { RandomSource } from '../random-source.js';
 import type { RegionWork } from '../routing/region-choice.js';
 
 export const GatewayPhase = {
@@ -32,16 +33,24 @@
   readonly regionWork: Readonly<Record<string, RegionWork>>;
 }
 
+/** The part of a record that changes often, as one gateway passes it on to another. */
+export type GatewayBeat = Pick<
+  GatewayRecord,
+  'node' | 'bootAt' | 'beat' | 'phase' | 'configVersion' | 'revision'
+>;
+
 interface KnownGateway {
-  record: GatewayRecord;
+  readonly record: GatewayRecord;
   /** When the counter moved last, monotonic ms. */
-  heardAt: number;
+  readonly heardAt: number;
+  /** When the work of the region was told last, monotonic ms. */
+  readonly workAt: number;
 }
 
 /** A gateway of a fleet this small is taken for dead after this time. */
 const MIN_LIFETIME_MS = 3000;
 /** Records of a large fleet travel more hops. */
-const LIFETIME_PER_GATEWAY_MS = 60;
+const LIFETIME_PER_GATEWAY_MS = 80;
 const MAX_LIFETIME_MS = 7000;
 /** Records of gateways that are gone are kept, so that old messages don't bring them back. */
 const FORGET_MS = 60_000;
@@ -56,7 +65,15 @@
     if (record.node === this.self) return false;
     const known = this.known.get(record.node);
     if (known && !isNewer(record, known.record)) return false;
-    this.known.set(record.node, { record, heardAt: now });
+    this.known.set(record.node, { record, heardAt: now, workAt: now });
+    return true;
+  }
+
+  /** Takes a beat of a gateway whose record is known; true when it is newer. */
+  learnBeat(beat: GatewayBeat, now: number): boolean {
+    const known = this.known.get(beat.node);
+    if (!known || !isNewer(beat, known.record)) return false;
+    this.known.set(beat.node, { ...known, record: { ...known.record, ...beat }, heardAt: now });
     return true;
   }
 
@@ -86,12 +103,18 @@
     return known ? now - known.heardAt : Infinity;
   }
 
-  /** Records heard last, for a message of limited size; those of `except` are left out. */
-  freshest(count: number, except: string, now: number): GatewayRecord[] {
+  /** Age of the work that a gateway told of its region, ms. */
+  workAgeMs(node: string, now: number): number {
+    const known = this.known.get(node);
+    return known ? now - known.workAt : Infinity;
+  }
+
+  /** Records heard lately in random order, for a message; those of `except` are left out. */
+  recent(except: string, random: RandomSource, now: number): GatewayRecord[] {
     return [...this.known.values()]
       .filter(({ record, heardAt }) => record.node !== except && now - heardAt < MIN_LIFETIME_MS)
-      .sort((a, b) => b.heardAt - a.heardAt)
-      .slice(0, count)
+      .map(({ record }) => ({ record, at: random.next() }))
+      .sort((a, b) => a.at - b.at)
       .map(({ record }) => record);
   }
 
@@ -107,6 +130,6 @@
   }
 }
 
-function isNewer(a: GatewayRecord, b: GatewayRecord): boolean {
+function isNewer(a: GatewayBeat, b: GatewayBeat): boolean {
   return a.bootAt > b.bootAt || (a.bootAt === b.bootAt && a.beat > b.beat);
 }
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -34,10 +34,12 @@
    * @example new RendezvousChoice().choose('part-7', ['target-1', 'target-2'])
    */
   choose(key: string, members: readonly string[]): string | undefined {
-    return this.chooseWeighted(
-      key,
-      members.map((member) => ({ member, weight: 1 })),
-    );
+    const keyHash = this.hash(key);
+    const best = members.reduce<ScoredMember | undefined>((highest, member) => {
+      const next = { member, score: mixHashes(keyHash, this.hash(member)) };
+      return highest === undefined || isHigher(next, highest) ? next : highest;
+    }, undefined);
+    return best?.member;
   }
 
   /**
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -19,3 +19,4 @@
 export * from './prefill-queue.js';
 export * from './report-duty.js';
 export * from './service-pace.js';
+export * from './target-sample.js';
--- a/packages/core/src/routing/report-duty.ts
+++ b/packages/core/src/routing/report-duty.ts
@@ -4,8 +4,8 @@
  */
 import { RendezvousChoice, rendezvousOrder } from '../rendezvous.js';
 
-/** So few gateways learn each other's counts by gossip as soon as by reports. */
-const MAX_COUNTING_GATEWAYS = 4;
+/** So few gateways of a region learn each other's counts by gossip as soon as by reports. */
+export const SMALL_REGION_GATEWAYS = 4;
 /** Targets that one gateway asks, so that asking and telling stay cheap. */
 const TARGETS_PER_GATEWAY = 8;
 
@@ -19,7 +19,7 @@
    * @example duty.targetsOf('vm-1', ['vm-1', 'vm-2'], ['i-1', 'i-2', 'i-3'])
    */
   targetsOf(self: string, gateways: readonly string[], targets: readonly string[]): string[] {
-    if (gateways.length <= MAX_COUNTING_GATEWAYS) return [];
+    if (gateways.length <= SMALL_REGION_GATEWAYS) return [];
     const count = Math.ceil(targets.length / TARGETS_PER_GATEWAY);
     const asking = rendezvousOrder('reports', gateways).slice(0, count);
     if (!asking.includes(self)) return [];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,7 +79,7 @@
     const { settings, timers, log, protocol } = parts;
     this.state = new GatewayState(settings.region, timers, log.child('state'));
     const random = seededRandom(Math.floor(timers.wall()) % 2 ** 31);
-    this.gossip = new GossipTask(settings, timers, log.child('gossip'), () => this.news(), {
+    this.gossip = new GossipTask(settings, timers, random, log.child('gossip'), () => this.news(), {
       onTargetWork: (node, work) => this.learnTargetWork(node, work),
       onTargetNews: (news) => this.learnTargetNews(news),
       onFleetNews: (news) => this.watch.onNews(news),
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -1,6 +1,7 @@
 /** Gossip between gateways: JSON-RPC notifications in datagrams, with short lists for records. */
 import {
   GatewayPhase,
+  type GatewayBeat,
   type GatewayRecord,
   type PeerWork,
   type RegionWork,
@@ -19,6 +20,8 @@
   readonly from: GatewayRecord;
   /** Records of other gateways. */
   readonly others: readonly GatewayRecord[];
+  /** Beats of further gateways, which the receiver uses if it knows their records. */
+  readonly beats: readonly GatewayBeat[];
   /** Work of the sender at targets of its region; only for gateways of the same region. */
   readonly targetWork: Readonly<Record<string, PeerWork>>;
   /** Sender's clock, ms. */
@@ -40,12 +43,22 @@
   work: Readonly<Record<string, WorkRow>>,
 ];
 
+type BeatRow = readonly [
+  node: string,
+  bootAt: number,
+  beat: number,
+  phase: number,
+  configVersion: number,
+  revision: number,
+];
+
 /** Targets, slots, requests, backlog in ms, memory in use and all of it in tokens. */
 type WorkRow = readonly [number, number, number, number, number, number];
 
 interface MessageParams {
   readonly f: RecordRow;
   readonly o: readonly RecordRow[];
+  readonly b?: readonly BeatRow[];
   readonly w: Readonly<Record<string, readonly [number, number]>>;
   readonly t: number;
   readonly e?: readonly [number, number];
@@ -56,6 +69,7 @@
   const params: MessageParams = {
     f: toRow(message.from),
     o: message.others.map(toRow),
+    b: message.beats.map(toBeatRow),
     w: mapValues(message.targetWork, ({ requests, memoryTokens }) => [requests, memoryTokens]),
     t: message.sentAt,
     ...(message.echo ? { e: [message.echo.sentAt, message.echo.heldMs] as const } : {}),
@@ -71,10 +85,11 @@
  */
 export function decodeGossip({ method, params }: Notification): GossipMessage | undefined {
   if (method !== METHOD) return undefined;
-  const { f, o, w, t, e } = params as MessageParams;
+  const { f, o, b = [], w, t, e } = params as MessageParams;
   return {
     from: fromRow(f),
     others: o.map(fromRow),
+    beats: b.map(fromBeatRow),
     targetWork: mapValues(w, ([requests, memoryTokens]) => ({ requests, memoryTokens })),
     sentAt: t,
     ...(e ? { echo: { sentAt: e[0], heldMs: e[1] } } : {}),
@@ -103,6 +118,19 @@
   ];
 }
 
+function toBeatRow(beat: GatewayBeat): BeatRow {
+  const { node, bootAt, configVersion, revision } = beat;
+  return [node, bootAt, beat.beat, PHASES.indexOf(beat.phase), configVersion, revision];
+}
+
+function fromBeatRow([node, bootAt, beat, phase, configVersion, revision]: BeatRow): GatewayBeat {
+  return { node, bootAt, beat, phase: phaseAt(phase), configVersion, revision };
+}
+
+function phaseAt(index: number): GatewayPhase {
+  return PHASES[index] ?? GatewayPhase.Starting;
+}
+
 function fromRow(row: RecordRow): GatewayRecord {
   const [node, bootAt, beat, phase, region, failureDomain, ip, configVersion, revision, work] = row;
   const regionWork: Record<string, RegionWork> = mapValues(
@@ -120,7 +148,7 @@
     node,
     bootAt,
     beat,
-    phase: PHASES[phase] ?? GatewayPhase.Starting,
+    phase: phaseAt(phase),
     region,
     failureDomain,
     ip,
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -3,8 +3,11 @@
 import {
   GatewayPhase,
   GatewayTable,
+  SMALL_REGION_GATEWAYS,
   type GatewayRecord,
+  type GatewayBeat,
   type PeerWork,
+  type RandomSource,
   type RegionWork,
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
@@ -19,8 +22,12 @@
 const AWAY_EVERY = 2;
 /** Every how many ticks a seed or a lost gateway gets a message, which heals partitions. */
 const SEED_EVERY = 4;
-/** Records of others in one message, which keeps a datagram within one packet. */
-const MAX_OTHERS = 5;
+/** More than the gateways of a fleet. */
+const MAX_FIRST_TICK = 1000;
+/** Records of others in one message. */
+const MAX_OTHERS = 3;
+/** Beats of others in one message, which together keep a datagram within one packet. */
+const MAX_BEATS = 20;
 /** News that all gateways need at once goes to at most this many of them. */
 const MAX_ANNOUNCED = 64;
 /** A prompt that takes less time than this for each gateway of the region is not announced. */
@@ -59,7 +66,8 @@
 
   private beat = 0;
 
-  private ticks = 0;
+  /** Starts at random, so that gateways that start together don't all write to the same one. */
+  private ticks: number;
 
   private unsubscribe: Unsubscribe = () => undefined;
 
@@ -78,6 +86,7 @@
   constructor(
     private readonly settings: GatewaySettings,
     private readonly timers: TimerService,
+    private readonly random: RandomSource,
     private readonly log: Logger,
     private readonly news: () => OwnNews,
     private readonly listener: GossipListener,
@@ -85,6 +94,7 @@
     this.table = new GatewayTable(settings.node);
     this.seedIps = settings.seedIps;
     this.bootAt = Math.round(timers.wall());
+    this.ticks = Math.floor(random.next() * MAX_FIRST_TICK);
   }
 
   /** Bytes of all messages sent since the start. */
@@ -208,6 +218,9 @@
     const { node, region, failureDomain } = this.settings;
     const { targetWork, ...news } = this.news();
     const last = to ? this.lastFrom.get(to.node) : undefined;
+    const known = this.table.recent(to?.node ?? '', this.random, now);
+    // In larger regions the reports of targets tell more than the counts of gateways.
+    const tellsWork = to?.region === region && this.near().length < SMALL_REGION_GATEWAYS;
     const datagram = encodeGossip({
       from: {
         node,
@@ -218,8 +231,9 @@
         ip: this.settings.ip,
         ...news,
       },
-      others: this.table.freshest(MAX_OTHERS, to?.node ?? '', now),
-      targetWork: to?.region === region ? targetWork : {},
+      others: known.slice(0, MAX_OTHERS),
+      beats: known.slice(MAX_OTHERS, MAX_OTHERS + MAX_BEATS),
+      targetWork: tellsWork ? targetWork : {},
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -262,23 +276,25 @@
     const isNew = !this.table.get(from.node) || this.table.ageMs(from.node, now) > TICK_MS * 8;
     this.lastFrom.set(from.node, { sentAt: message.sentAt, at: now });
     if (message.echo) this.measure(from.node, now - message.echo.sentAt - message.echo.heldMs);
-    [from, ...message.others].forEach((record) => this.learn(record, now));
+    [from, ...message.others].forEach((record) => {
+      this.learn(record, () => this.table.learn(record, now));
+    });
+    message.beats.forEach((beat) => this.learn(beat, () => this.table.learnBeat(beat, now)));
     if (from.region === this.settings.region) {
       this.listener.onTargetWork(from.node, message.targetWork);
     }
     if (isNew) this.send(from.ip, from);
   }
 
-  private learn(record: GatewayRecord, now: number): void {
-    const before = this.table.get(record.node);
-    if (!this.table.learn(record, now)) return;
-    if (before?.phase !== record.phase || before.bootAt !== record.bootAt) {
-      this.log.info('gateway changed', {
-        node: record.node,
-        phase: record.phase,
-        before: before?.phase,
-        region: record.region,
-      });
+  /** @param takes puts the news into the table; false when they are not new */
+  private learn({ node, bootAt, phase }: GatewayBeat, takes: () => boolean): void {
+    const before = this.table.get(node);
+    if (!takes()) return;
+    const record = this.table.get(node);
+    if (!record) return;
+    if (before?.phase !== phase || before.bootAt !== bootAt) {
+      const { region } = record;
+      this.log.info('gateway changed', { node, phase, before: before?.phase, region });
     }
     this.listener.onRecord(record);
   }
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { FleetState, TargetRecord } from '@marjoramcart/core';
+import {
+  GatewayPhase,
+  type FleetState,
+  type GatewayRecord,
+  type TargetRecord,
+} from '@marjoramcart/core';
 import { changesBetween, decodeFleetNews, encodeFleetNews, type FleetNews } from './fleet-news.js';
+import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
 import { decodeNotification } from './notification.js';
 import { decodeTargetNews, encodeTargetNews, type TargetNews } from './target-news.js';
 
@@ -65,3 +71,37 @@
   assert.equal(decodeFleetNews(other), undefined);
   assert.throws(() => decodeNotification(Buffer.from('\xff{')));
 });
+
+test('gossip comes out of a datagram as it went in, with beats of further gateways', () => {
+  const work = { targets: 2, slots: 8, requests: 3, backlogMs: 40, memoryTokens: 10 };
+  const from: GatewayRecord = {
+    node: 'vm-1',
+    bootAt: 1_700_000_000_000,
+    beat: 7,
+    phase: GatewayPhase.Draining,
+    region: 'north',
+    failureDomain: 'north-a',
+    ip: '10.0.0.1',
+    configVersion: 3,
+    revision: 12,
+    regionWork: { model: { ...work, memoryCapacityTokens: 400 } },
+  };
+  const message: GossipMessage = {
+    from,
+    others: [{ ...from, node: 'vm-2', regionWork: {} }],
+    beats: [
+      {
+        node: 'vm-3',
+        bootAt: 1_700_000_000_001,
+        beat: 9,
+        phase: GatewayPhase.Ready,
+        configVersion: 2,
+        revision: 11,
+      },
+    ],
+    targetWork: { 'i-1': { requests: 2, memoryTokens: 800 } },
+    sentAt: 5000,
+    echo: { sentAt: 4000, heldMs: 12 },
+  };
+  assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
+});
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -2,8 +2,9 @@
 import {
   coldAllowance,
   ColdPacer,
-  GatewayPhase,
+  latenessMs,
   rankTargets,
+  sampleTargets,
   sharedPartOf,
   SharedPartHomes,
   sharedTokensOf,
@@ -25,7 +26,7 @@
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { TargetEntry } from '../state/target-entry.js';
-import { SentAway } from './sent-away.js';
+import { AwayRegions, allowsRegion } from './away-regions.js';
 import { ServicePaces } from './service-paces.js';
 
 /** Gateways that may join a region unseen. */
@@ -46,7 +47,7 @@
 
   private readonly pacer = new ColdPacer();
 
-  private readonly sentAway = new SentAway();
+  private readonly away: AwayRegions;
 
   private readonly homes = new SharedPartHomes();
 
@@ -60,35 +61,74 @@
   constructor(
     private readonly settings: GatewaySettings,
     private readonly state: GatewayState,
-    private readonly gossip: Pick<GossipTask, 'table' | 'roundTripMs'>,
+    private readonly gossip: Pick<GossipTask, 'table' | 'near' | 'roundTripMs'>,
     private readonly timers: TimerService,
     private readonly random: RandomSource,
   ) {
     this.paces = new ServicePaces(settings.tuning);
     this.regionGateways = new Set([settings.node]);
+    this.away = new AwayRegions({
+      region: settings.region,
+      state,
+      gossip,
+      random,
+      senders: () => this.regionGateways.size,
+    });
   }
 
   places(call: Call): Places {
     const now = this.timers.now();
-    const usable = this.allowsRegion(call, this.settings.region)
+    const usable = allowsRegion(call, this.settings.region)
       ? this.state.usableTargets(call.service)
       : [];
     const open = usable.filter((entry) => this.isOpen(entry, now));
-    const pace = this.paceOf(call.service);
-    const options = call.forwardedBy === undefined ? this.regionOptions(call, now) : [];
+    const options = call.forwardedBy === undefined ? this.away.options(call, now) : [];
     const req: RankedRequest = {
       ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
       priority: call.route.priority,
       latencyTargetMs: call.facts.latencyTargetMs,
     };
-    const local = rankTargets(req, this.toRanked(call, open, options), pace, now);
-    const candidates = withRegions(local, options, req, pace);
+    const local = this.rankLocal(call, req, open, options, now);
+    const candidates = withRegions(local, options, req, this.paceOf(call.service));
     const closed = usable
       .filter((entry) => !open.includes(entry))
       .map(({ record }): Place => ({ kind: 'target', id: record.id }));
     return { candidates, closed };
   }
 
+  /** Ranks a sample of the open targets, and a larger one when all of it would be late. */
+  private rankLocal(
+    call: Call,
+    req: RankedRequest,
+    open: readonly TargetEntry[],
+    options: readonly RegionOption[],
+    now: number,
+  ): Candidate[] {
+    const pace = this.paceOf(call.service);
+    const gateways = this.gossip.near().length + 1;
+    const home = this.homeTarget(call, open);
+    const holdsShared = home !== undefined && !this.isCachedElsewhere(call, options);
+    const rank = (late: boolean): Candidate[] =>
+      rankTargets(
+        req,
+        sampleTargets(open, { gateways, preferred: home, late }, this.random).map(
+          ({ record, work }): RankedTarget => ({
+            id: record.id,
+            failureDomain: record.failureDomain,
+            slots: record.slots,
+            work,
+            holdsShared: holdsShared && record.id === home,
+          }),
+        ),
+        pace,
+        now,
+      );
+    const first = rank(false);
+    const [best] = first;
+    const isLate = best !== undefined && latenessMs(best.expectedFirstByteMs, req) > 0;
+    return isLate && first.length < open.length ? rank(true) : first;
+  }
+
   paceOf(service: string): ServicePace {
     return this.paces.of(service, this.state.service(service)?.engine !== undefined);
   }
@@ -100,13 +140,7 @@
   }
 
   onSendToPeer(call: Call, region: string, readMs: number): void {
-    const { prompt } = call.head;
-    this.sentAway.onSend(
-      `${region} ${call.service}`,
-      readMs,
-      prompt ? sharedPartOf(prompt) : undefined,
-      this.timers.now(),
-    );
+    this.away.onSend(call, region, readMs, this.timers.now());
   }
 
   /** Notes gateways of the own region, also those that are gone. */
@@ -159,10 +193,6 @@
     };
   }
 
-  private allowsRegion({ route }: Call, region: string): boolean {
-    return route.allowedRegions.length === 0 || route.allowedRegions.includes(region);
-  }
-
   private isOpen(entry: TargetEntry, now: number): boolean {
     if (isAvoided(entry, now)) return false;
     if (entry.coldUntil <= now) return true;
@@ -177,104 +207,23 @@
     return this.pacer.maySend(entry.record.id, allowance, now);
   }
 
-  private regionOptions(call: Call, now: number): RegionOption[] {
-    const ready = this.readyAway(call, now);
-    const shared = call.head.prompt ? sharedPartOf(call.head.prompt) : undefined;
-    const home = shared === undefined ? undefined : this.homeRegion(call, shared, ready);
-    const regions = [...new Set(ready.map(({ region }) => region))];
-    return regions.map((region) => {
-      const place = `${region} ${call.service}`;
-      const warm =
-        shared !== undefined && (home === region || this.sentAway.hasShared(place, shared));
-      return this.regionOption(call, region, ready, warm, now);
-    });
-  }
-
-  /** Ready gateways of other regions whose targets may run the call. */
-  private readyAway(call: Call, now: number): GatewayRecord[] {
-    return this.gossip.table
-      .alive(now)
-      .filter(
-        ({ region, phase, regionWork }) =>
-          region !== this.settings.region &&
-          phase === GatewayPhase.Ready &&
-          regionWork[call.service] !== undefined &&
-          this.allowsRegion(call, region),
-      );
-  }
-
-  private regionOption(
-    call: Call,
-    region: string,
-    ready: readonly GatewayRecord[],
-    warm: boolean,
-    now: number,
-  ): RegionOption {
-    const nodes = ready.filter((record) => record.region === region);
-    const drawn = nodes[Math.floor(this.random.next() * nodes.length)] as GatewayRecord;
-    const [freshest] = [...nodes].sort(
-      (a, b) => this.gossip.table.ageMs(a.node, now) - this.gossip.table.ageMs(b.node, now),
+  /** Target of the region that the shared parts of a prompt belong to. */
+  private homeTarget(call: Call, open: readonly TargetEntry[]): string | undefined {
+    const shared = call.head.prompt && sharedPartOf(call.head.prompt);
+    if (shared === undefined) return undefined;
+    return this.homes.homeTarget(
+      shared,
+      open.map(({ record }) => record.id),
     );
-    const { node, regionWork } = freshest ?? drawn;
-    const since = now - this.gossip.table.ageMs(node, now);
-    const sent = this.sentAway.since(`${region} ${call.service}`, since);
-    const gateways = this.regionGateways.size;
-    return {
-      region,
-      node: drawn.node,
-      work: regionWork[call.service] as RegionWork,
-      roundTripMs: this.gossip.roundTripMs(drawn.node),
-      sentSince: { requests: sent.requests * gateways, readMs: sent.readMs * gateways },
-      warm,
-    };
   }
 
-  /** Region that a shared part belongs to, among those that may run the call. */
-  private homeRegion(
-    call: Call,
-    shared: string,
-    ready: readonly GatewayRecord[],
-  ): string | undefined {
-    const own = this.settings.region;
-    const targets = this.allowsRegion(call, own)
-      ? this.state.usableTargets(call.service).length
-      : 0;
-    const others = new Map(
-      ready.map(({ region, regionWork }) => [region, regionWork[call.service]?.targets ?? 0]),
+  /** A long part is expected in its home region only, where all gateways send it. */
+  private isCachedElsewhere({ head }: Call, options: readonly RegionOption[]): boolean {
+    return (
+      head.prompt !== undefined &&
+      sharedTokensOf(head.prompt) >= LONG_SHARED_TOKENS &&
+      options.some(({ warm }) => warm)
     );
-    const regions = [...others.entries(), [own, targets] as const]
-      .map(([region, count]) => ({ region, targets: count }))
-      .sort((a, b) => (a.region < b.region ? -1 : 1));
-    return this.homes.homeRegion(shared, regions);
-  }
-
-  /** Marks the target that is expected to hold the shared parts of the prompt. */
-  private toRanked(
-    call: Call,
-    open: readonly TargetEntry[],
-    options: readonly RegionOption[],
-  ): RankedTarget[] {
-    const { prompt } = call.head;
-    const shared = prompt && sharedPartOf(prompt);
-    const home =
-      shared === undefined
-        ? undefined
-        : this.homes.homeTarget(
-            shared,
-            open.map(({ record }) => record.id),
-          );
-    // A long part is expected in its home region only, where all gateways send it.
-    const elsewhere =
-      prompt !== undefined &&
-      sharedTokensOf(prompt) >= LONG_SHARED_TOKENS &&
-      options.some(({ warm }) => warm);
-    return open.map(({ record, work }) => ({
-      id: record.id,
-      failureDomain: record.failureDomain,
-      slots: record.slots,
-      work,
-      holdsShared: record.id === home && !elsewhere,
-    }));
   }
 }
 
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -19,6 +19,10 @@
     this.coldUntil = now + record.coldForMs;
   }
 
+  get id(): string {
+    return this.record.id;
+  }
+
   /** Takes the target for cold at least until a time. */
   extendCold(until: number): void {
     this.coldUntil = Math.max(this.coldUntil, until);
