Let a full region cost its mean wait, log the age of what is known of a place, and welcome newcomers of gossip

Change: the expected wait of the region as a whole is added to the cost of its targets when other regions are compared. A message of gossip carries one record and 24 beats, six records for a gateway that was not heard of lately. The line of an attempt tells the age of the report or summary that it relies on (load_age_ms).

--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -40,6 +40,8 @@
   readonly readMs: number;
   /** Id of a target that holds more of the prompt, from which the place fetches it. */
   readonly fetchFrom?: string;
+  /** Age of what other gateways or the target told of the load there, ms; absent without any. */
+  readonly loadAgeMs?: number;
   /** What the candidates are ordered by: the expected time and what the choice costs others, ms. */
   readonly costMs: number;
 }
--- a/packages/core/src/membership/gateway-table.test.ts
+++ b/packages/core/src/membership/gateway-table.test.ts
@@ -72,7 +72,7 @@
 // Pattern: a large fleet, where one gateway hears each other one directly only every few seconds.
 test('beats of many gateways in each message keep a fleet of 58 from losing sight of any', () => {
   const withoutBeats = play(5, 0);
-  const withBeats = play(3, 20);
+  const withBeats = play(1, 24);
   assert.ok(withoutBeats > 100, `without beats: ${withoutBeats}`);
   assert.equal(withBeats, 0);
 });
--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -50,7 +50,7 @@
 /** A gateway of a fleet this small is taken for dead after this time. */
 const MIN_LIFETIME_MS = 3000;
 /** Records of a large fleet travel more hops. */
-const LIFETIME_PER_GATEWAY_MS = 80;
+const LIFETIME_PER_GATEWAY_MS = 90;
 const MAX_LIFETIME_MS = 7000;
 /** Records of gateways that are gone are kept, so that old messages don't bring them back. */
 const FORGET_MS = 60_000;
--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -121,6 +121,7 @@
       memoryTokens: 0,
       memoryCapacityTokens: 1e6,
     },
+    workAgeMs: 300,
     roundTripMs: 160,
     sentSince: { requests: 0, readMs: 0 },
     warm,
@@ -151,6 +152,15 @@
   assert.equal(withRegions(local(1200), [busy], REQUEST, PACE)[0]?.place.kind, 'target');
 });
 
+// Pattern: a peak in a region with many gateways, each of which draws a target that looks free.
+test('a request leaves a full region though one of its targets looks free', () => {
+  const idle = option(0, true);
+  const [stays] = withRegions(local(0), [idle], REQUEST, PACE, { requests: 700, slots: 800 });
+  assert.equal(stays?.place.kind, 'target');
+  const [leaves] = withRegions(local(0), [idle], REQUEST, PACE, { requests: 1000, slots: 800 });
+  assert.equal(leaves?.place.kind, 'peer');
+});
+
 test('what was sent to a region since its summary counts as its work', () => {
   const sent = { ...option(0, false), sentSince: { requests: 30, readMs: 3600 } };
   assert.equal(withRegions(local(1200), [sent], REQUEST, PACE)[0]?.place.kind, 'target');
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -129,6 +129,7 @@
     tokensToRead,
     readMs,
     ...(source ? { fetchFrom: source.target.id } : {}),
+    ...loadAge(work.reportAgeMs(now)),
     costMs:
       expectedFirstByteMs +
       latenessMs(expectedFirstByteMs, req) +
@@ -152,11 +153,16 @@
     expectedWaitMs,
     tokensToRead: 0,
     readMs: 0,
+    ...loadAge(work.reportAgeMs(now)),
     costMs:
       expectedFirstByteMs + latenessMs(expectedFirstByteMs, req) + failureMs(work, req, pace, now),
   };
 }
 
+function loadAge(loadAgeMs: number | undefined): Pick<Candidate, 'loadAgeMs'> {
+  return loadAgeMs === undefined ? {} : { loadAgeMs };
+}
+
 /** The target of each failure domain that holds most of the prompt. */
 function fullestByDomain(holdings: readonly Holding[]): Map<string, Holding> {
   const fullest = new Map<string, Holding>();
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -29,6 +29,8 @@
   /** A ready gateway there that takes the request. */
   readonly node: string;
   readonly work: RegionWork;
+  /** Age of `work`, ms. */
+  readonly workAgeMs: number;
   readonly roundTripMs: number;
   /** Requests and their reading, ms, that were sent there since the summary, by all gateways of this region. */
   readonly sentSince: { readonly requests: number; readonly readMs: number };
@@ -45,6 +47,7 @@
  * Joins the candidates of the own region and other regions, best first.
  *
  * @param local candidates of the own region
+ * @param ownWork work of the own region; absent when other regions need not be compared
  * @example withRegions(local, options, req, pace)
  */
 export function withRegions(
@@ -52,15 +55,19 @@
   options: readonly RegionOption[],
   req: RankedRequest,
   pace: ServicePace,
+  ownWork?: Pick<RegionWork, 'requests' | 'slots'>,
 ): Candidate[] {
+  // A target that looks free in a full region will not be free when the next reports come.
+  const fullMs = ownWork ? slotWaitMs(ownWork.requests, ownWork.slots, pace) : 0;
   const away = options
     .filter(({ work }) => work.targets > 0)
     .map((option) => remoteCandidate(option, req, pace));
-  return [...local, ...away].sort((a, b) => a.costMs - b.costMs);
+  const here = local.map((candidate) => ({ ...candidate, costMs: candidate.costMs + fullMs }));
+  return [...here, ...away].sort((a, b) => a.costMs - b.costMs);
 }
 
 function remoteCandidate(
-  { work, sentSince, roundTripMs, warm, node, region }: RegionOption,
+  { work, workAgeMs, sentSince, roundTripMs, warm, node, region }: RegionOption,
   req: RankedRequest,
   pace: ServicePace,
 ): Candidate {
@@ -83,6 +90,7 @@
     ...(prompt ? { lastFirstByteMs: expectedFirstByteMs } : {}),
     tokensToRead,
     readMs,
+    loadAgeMs: workAgeMs,
     costMs:
       expectedFirstByteMs +
       latenessMs(expectedFirstByteMs, req) +
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -115,6 +115,11 @@
     return this.running.size + this.ofOthers(now).requests;
   }
 
+  /** Age of the target's last report, ms. */
+  reportAgeMs(now: number): number | undefined {
+    return this.reported && now - this.reported.at;
+  }
+
   /** Factor on expected times. */
   get slowness(): number {
     return this.pace;
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -75,11 +75,12 @@
     .otherwise(() => ({}));
 }
 
-function expectations(candidate: Candidate): Record<string, number> {
-  const { expectedFirstByteMs, expectedWaitMs, tokensToRead } = candidate;
+function expectations(candidate: Candidate): Record<string, number | undefined> {
+  const { expectedFirstByteMs, expectedWaitMs, tokensToRead, loadAgeMs } = candidate;
   return {
     expected_ms: Math.round(expectedFirstByteMs),
     wait_ms: Math.round(expectedWaitMs),
     tokens: tokensToRead,
+    load_age_ms: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
   };
 }
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -24,10 +24,10 @@
 const SEED_EVERY = 4;
 /** More than the gateways of a fleet. */
 const MAX_FIRST_TICK = 1000;
-/** Records of others in one message. */
-const MAX_OTHERS = 3;
-/** Beats of others in one message, which together keep a datagram within one packet. */
-const MAX_BEATS = 20;
+/** Whole records and beats of others in a message. */
+const USUAL_NEWS = { records: 1, beats: 24 } as const;
+/** A gateway that was not heard of lately has to learn of the others first. */
+const NEWS_FOR_NEWCOMER = { records: 6, beats: 0 } as const;
 /** News that all gateways need at once goes to at most this many of them. */
 const MAX_ANNOUNCED = 64;
 /** A prompt that takes less time than this for each gateway of the region is not announced. */
@@ -44,6 +44,11 @@
   readonly targetWork: Readonly<Record<string, PeerWork>>;
 }
 
+interface NewsSize {
+  readonly records: number;
+  readonly beats: number;
+}
+
 export interface GossipListener {
   /** A gateway of the own region told its work at targets. */
   onTargetWork(node: string, work: Readonly<Record<string, PeerWork>>): void;
@@ -212,7 +217,7 @@
     if (record) this.send(record.ip, record);
   }
 
-  private send(ip: string, to?: GatewayRecord): void {
+  private send(ip: string, to?: GatewayRecord, { records, beats }: NewsSize = USUAL_NEWS): void {
     const now = this.timers.now();
     this.beat += 1;
     const { node, region, failureDomain } = this.settings;
@@ -231,8 +236,8 @@
         ip: this.settings.ip,
         ...news,
       },
-      others: known.slice(0, MAX_OTHERS),
-      beats: known.slice(MAX_OTHERS, MAX_OTHERS + MAX_BEATS),
+      others: known.slice(0, records),
+      beats: known.slice(records, records + beats),
       targetWork: tellsWork ? targetWork : {},
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
@@ -283,7 +288,7 @@
     if (from.region === this.settings.region) {
       this.listener.onTargetWork(from.node, message.targetWork);
     }
-    if (isNew) this.send(from.ip, from);
+    if (isNew) this.send(from.ip, from, NEWS_FOR_NEWCOMER);
   }
 
   /** @param takes puts the news into the table; false when they are not new */
--- a/packages/gateway/src/routing/away-regions.ts
+++ b/packages/gateway/src/routing/away-regions.ts
@@ -101,13 +101,14 @@
   ): RegionOption {
     const { gossip, random, senders } = this.parts;
     const drawn = nodes[Math.floor(random.next() * nodes.length)] ?? freshest;
-    const since = now - gossip.table.workAgeMs(freshest.node, now);
-    const sent = this.sentAway.since(placeOf(region, call.service), since);
+    const workAgeMs = gossip.table.workAgeMs(freshest.node, now);
+    const sent = this.sentAway.since(placeOf(region, call.service), now - workAgeMs);
     const gateways = senders();
     return {
       region,
       node: drawn.node,
       work: freshest.regionWork[call.service] as RegionWork,
+      workAgeMs,
       roundTripMs: gossip.roundTripMs(drawn.node),
       sentSince: { requests: sent.requests * gateways, readMs: sent.readMs * gateways },
       warm,
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -89,7 +89,13 @@
       latencyTargetMs: call.facts.latencyTargetMs,
     };
     const local = this.rankLocal(call, req, open, options, now);
-    const candidates = withRegions(local, options, req, this.paceOf(call.service));
+    const candidates = withRegions(
+      local,
+      options,
+      req,
+      this.paceOf(call.service),
+      this.regionWork()[call.service],
+    );
     const closed = usable
       .filter((entry) => !open.includes(entry))
       .map(({ record }): Place => ({ kind: 'target', id: record.id }));
