Give up an attempt that stalls only when another one would be made

Change: wouldMove asks the step function itself what would follow if the attempt were lost, with the budget, the attempts, the deadline and the places of that moment. A first byte is awaited longer while the target sends something to others, as a pause in a stream was before.

--- a/packages/core/src/exchange/next-request-step.test.ts
+++ b/packages/core/src/exchange/next-request-step.test.ts
@@ -6,6 +6,7 @@
 import {
   mayRepeat,
   nextRequestStep,
+  wouldMove,
   type Candidate,
   type RequestFacts,
   type StepView,
@@ -179,3 +180,18 @@
   assert.equal(step.kind, 'refuse');
   assert.ok(step.kind === 'refuse' && step.comeBackMs >= 100);
 });
+
+const STREAM: RequestFacts = { ...FACTS, kind: RouteKind.Stream, resumable: true };
+
+// Pattern: engines with long queues while the retry budget is spent. A stream was given up as
+// stalled and then had no second attempt, though its engine was about to answer.
+test('an attempt that stalls is given up only for another one that would be made', () => {
+  const at = { kind: 'target', id: 'a' } as const;
+  assert.equal(wouldMove(STREAM, view(), at), true);
+  assert.equal(wouldMove(STREAM, view({ headSent: true }), at), true);
+  assert.equal(wouldMove(STREAM, view({ takeRetry: () => false }), at), false, 'budget spent');
+  assert.equal(wouldMove({ ...STREAM, maxAttempts: 1 }, view(), at), false, 'no attempt left');
+  assert.equal(wouldMove(STREAM, view({ candidates: [candidate('a')] }), at), false, 'no place');
+  assert.equal(wouldMove(STREAM, view({ now: 3990 }), at), false, 'no time left');
+  assert.equal(wouldMove({ ...STREAM, resumable: false }, view(), at), false, 'runs once');
+});
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -145,6 +145,19 @@
   return { kind: 'attempt', candidate: chosen, retry, deferred: !urgent };
 }
 
+/**
+ * Whether the request would be sent to another place if its attempt at a place were lost now. An
+ * attempt that stalls is given up only then, since its answer may still come.
+ *
+ * @param view `takeRetry` only looks whether the budget allows one more attempt
+ * @example wouldMove(facts, view, { kind: 'target', id: 'i-1' })
+ */
+export function wouldMove(facts: RequestFacts, view: StepView, place: Place): boolean {
+  const lost: AttemptRecord = { place, outcome: { kind: 'lost', runs: 1 } };
+  const step = nextRequestStep(facts, { ...view, attempts: [...view.attempts, lost] });
+  return step.kind === 'attempt';
+}
+
 /** Whether a second run does no harm. */
 export function mayRepeat(facts: Pick<RequestFacts, 'kind' | 'resumable'>): boolean {
   return match(facts.kind)
--- a/packages/core/src/retries/shared-retry-budget.test.ts
+++ b/packages/core/src/retries/shared-retry-budget.test.ts
@@ -27,3 +27,10 @@
   budget.setGateways(1);
   assert.equal(budget.tryTake(0), false);
 });
+
+test('asking whether a retry is allowed does not take one', () => {
+  const budget = new SharedRetryBudget({ windowMs: 10_000, ratio: 0, slack: 2 });
+  assert.ok(Array.from({ length: 5 }).every(() => budget.allows(0)));
+  assert.equal(budget.tryTake(0), true);
+  assert.equal(budget.allows(0), false);
+});
--- a/packages/core/src/retries/shared-retry-budget.ts
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -38,12 +38,17 @@
     this.requests.add(now);
   }
 
-  /** Takes one retry; false when the budget is spent. */
-  tryTake(now: number): boolean {
+  /** Whether a retry would be allowed now. */
+  allows(now: number): boolean {
     const { ratio, slack } = this.limits;
     const allowed =
       this.requests.count(now) * ratio * USED_PART + (slack * USED_PART) / this.gateways;
-    if (this.retries.count(now) + 1 > allowed) return false;
+    return this.retries.count(now) + 1 <= allowed;
+  }
+
+  /** Takes one retry; false when the budget is spent. */
+  tryTake(now: number): boolean {
+    if (!this.allows(now)) return false;
     this.retries.add(now);
     return true;
   }
--- a/packages/gateway/src/exchange/place-sender.ts
+++ b/packages/gateway/src/exchange/place-sender.ts
@@ -1,5 +1,11 @@
 /** Sends a call to a place and takes what the attempt says of the target and its service. */
-import { samePlace, type Candidate, type RequestStep, type LoadReport } from '@marjoramcart/core';
+import {
+  wouldMove,
+  type Candidate,
+  type LoadReport,
+  type Place,
+  type RequestStep,
+} from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { AttemptFields, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
@@ -9,7 +15,7 @@
 import type { TargetEntry } from '../state/target-entry.js';
 import { isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
-import { attemptsLeft, runsSoFar, type CallProgress } from './call-progress.js';
+import { attemptsLeft, type CallProgress } from './call-progress.js';
 import { ATTEMPTS_HEADER } from './caller-answer.js';
 import { StallWatch } from './stall-watch.js';
 
@@ -30,6 +36,11 @@
   readonly timers: TimerService;
 }
 
+interface RetryView {
+  /** Whether the budget of a service allows one more retry now. */
+  allowsRetry(service: string): boolean;
+}
+
 /** An attempt with the time until its first byte, ms. */
 export interface SentAttempt {
   readonly end: AttemptEnd;
@@ -48,7 +59,10 @@
 }
 
 export class PlaceSender {
-  constructor(private readonly parts: SenderParts) {}
+  constructor(
+    private readonly parts: SenderParts,
+    private readonly retries: RetryView,
+  ) {}
 
   async send(step: AttemptStep, progress: CallProgress): Promise<SentAttempt> {
     const { timers } = this.parts;
@@ -148,7 +162,7 @@
     const stall = new StallWatch(call.facts, candidate, timers, to.isAlive);
     const stopDeadline = timers.after(call.facts.deadlineAt - timers.now(), stop);
     // A gateway that got the request watches its own targets, and may use all attempts left.
-    if (!to.toPeer) stall.start(() => this.hasAlternative(progress, candidate), stop);
+    if (!to.toPeer) stall.start(() => this.wouldMove(progress, candidate.place), stop);
     answer.onGone(stop);
     try {
       return await runner.run({
@@ -168,16 +182,17 @@
   }
 
   /** Whether another place would take the call if this attempt were given up. */
-  private hasAlternative(progress: CallProgress, { place }: Candidate): boolean {
-    const { call, attempts } = progress;
-    const tried = [...attempts.map((attempt) => attempt.place), place];
-    const attemptsAfter = call.facts.maxAttempts - runsSoFar(progress) - 1;
-    return (
-      attemptsAfter > 0 &&
-      this.parts.router
-        .places(call)
-        .candidates.some((other) => !tried.some((one) => samePlace(one, other.place)))
-    );
+  private wouldMove({ call, answer, attempts }: CallProgress, place: Place): boolean {
+    const { router, timers } = this.parts;
+    const view = {
+      now: timers.now(),
+      attempts,
+      headSent: answer.started,
+      callerGone: answer.gone,
+      ...router.places(call),
+      takeRetry: () => this.retries.allowsRetry(call.service),
+    };
+    return wouldMove(call.facts, view, place);
   }
 
   private fields(
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -38,7 +38,9 @@
   private readonly decisions: DecisionLog;
 
   constructor(private readonly parts: ExecutorParts) {
-    this.sender = new PlaceSender(parts);
+    this.sender = new PlaceSender(parts, {
+      allowsRetry: (service) => this.budget(service).allows(parts.timers.now()),
+    });
     this.decisions = new DecisionLog(parts.log, parts.state, parts.timers);
   }
 
--- a/packages/gateway/src/exchange/stall-watch.test.ts
+++ b/packages/gateway/src/exchange/stall-watch.test.ts
@@ -61,3 +61,22 @@
 test('a request that runs at most once is never given up for silence', () => {
   assert.equal(stallsAfter({ ...FACTS, resumable: false }, 0), undefined);
 });
+
+// Pattern: engines whose queues are longer than a gateway knows.
+test('a first byte of a target that serves others is waited for longer', () => {
+  const stalledAt = (targetIsAlive: boolean): number => {
+    const timers = new ManualTimerService();
+    const seen: { at?: number } = {};
+    const watch = new StallWatch(FACTS, CANDIDATE, timers, () => targetIsAlive);
+    watch.start(
+      () => true,
+      () => {
+        seen.at = timers.now();
+      },
+    );
+    Array.from({ length: 100 }).forEach(() => timers.advance(100));
+    return seen.at ?? Infinity;
+  };
+  assert.ok(stalledAt(false) <= 1200, String(stalledAt(false)));
+  assert.ok(stalledAt(true) > 2500 && stalledAt(true) < FACTS.patienceMs, String(stalledAt(true)));
+});
--- a/packages/gateway/src/exchange/stall-watch.ts
+++ b/packages/gateway/src/exchange/stall-watch.ts
@@ -11,7 +11,7 @@
 const OVERDUE_SLACK_MS = 700;
 /** Longest pause between bytes of a stream while its target sends nothing at all. */
 const MAX_PAUSE_MS = 1500;
-/** Part of the caller's patience for a stream that pauses while its target serves others. */
+/** Part of the caller's patience for an answer that stalls while its target serves others. */
 const PATIENCE_PART = 0.6;
 /** Time between two looks at an answer that has stalled. */
 const CHECK_MS = 100;
@@ -60,13 +60,19 @@
   private stalledAt(): number {
     if (this.lastByteAt === undefined) {
       const overdueMs = this.candidate.expectedFirstByteMs * OVERDUE_FACTOR + OVERDUE_SLACK_MS;
-      return this.startedAt + overdueMs;
+      return this.startedAt + this.waitedMs(overdueMs);
     }
-    // An engine that is short of memory puts a stream back and goes on with it later.
-    const pauseMs = this.targetIsAlive()
-      ? Math.max(MAX_PAUSE_MS, this.facts.patienceMs * PATIENCE_PART)
-      : MAX_PAUSE_MS;
-    return this.lastByteAt + pauseMs;
+    return this.lastByteAt + this.waitedMs(MAX_PAUSE_MS);
+  }
+
+  /**
+   * A target that serves others has a longer queue than expected, or is short of memory and put the
+   * stream back; it goes on later, while another target would read the prompt again.
+   */
+  private waitedMs(usualMs: number): number {
+    return this.targetIsAlive()
+      ? Math.max(usualMs, this.facts.patienceMs * PATIENCE_PART)
+      : usualMs;
   }
 }
 
