--- a/tests/features/src/steps/leaving-steps.ts
+++ b/tests/features/src/steps/leaving-steps.ts
@@ -64,11 +64,23 @@
         this.chat(`${this.marker}-stream-${n}`, LONG_STREAM_TOKENS),
       ),
     );
+    const ended: CallResult[] = [];
+    state.streams.forEach((stream) => {
+      void stream.then((result) => ended.push(result));
+    });
     await waitFor(
       'the streams have started',
       () => runs(this, 'started', '-stream-').length >= streams,
       BOUND_MS,
-    );
+    ).catch((err: unknown) => {
+      const codes = ended.map(({ status, code, broken, firstTokenMs }) => ({
+        firstTokenMs,
+        status,
+        code,
+        broken,
+      }));
+      throw new Error(`streams that ended: ${JSON.stringify(codes)}`, { cause: err });
+    });
   },
 );
 
