Log what a gateway assumes about a cold target, and who shares its rate

The logs of an attempt did not tell whether the gateway took its target for cold, from what and how old that was, nor among which number of gateways it shared the rate, so that a stale belief could not be told from a rate that was divided wrongly.

Added: cold_ms, cold_reason, record_age_ms, cold_allowance and cold_gateways of an attempt, the line 'target assumed cold', the label cold of attempts_total. No decision changes.

--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -2,6 +2,7 @@
 import type { Candidate, RequestStep } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
+import type { ColdAssumption } from '../routing/router.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { CallProgress } from './call-progress.js';
@@ -11,6 +12,7 @@
     private readonly log: Logger,
     private readonly state: GatewayState,
     private readonly timers: TimerService,
+    private readonly coldAssumption: (target: string) => ColdAssumption | undefined,
   ) {}
 
   /** Logs a step; the message is the kind of the step. */
@@ -20,6 +22,7 @@
       id: call.head.id,
       route: call.route.name,
       ...inputsOf(step, candidates[0]),
+      ...this.coldFields(step),
       attempts: attempts.length || undefined,
       candidates: candidates.length,
       age_ms: this.ageMs(progress),
@@ -50,6 +53,19 @@
     });
   }
 
+  private coldFields(step: RequestStep): Record<string, unknown> {
+    if (step.kind !== 'attempt' || step.candidate.destination.kind !== 'target') return {};
+    const assumed = this.coldAssumption(step.candidate.destination.id);
+    if (!assumed) return {};
+    return {
+      cold_ms: Math.round(assumed.coldForMs),
+      cold_reason: assumed.reason,
+      record_age_ms: Math.round(assumed.recordAgeMs),
+      cold_allowance: assumed.allowance,
+      cold_gateways: assumed.allowance === undefined ? undefined : assumed.gateways,
+    };
+  }
+
   private ageMs({ call }: CallProgress): number {
     return Math.round(this.timers.now() - call.facts.arrivedAt);
   }
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -4,6 +4,7 @@
   ResultCodes,
   SharedRetryBudget,
   nextRequestStep,
+  type Destination,
   type RandomSource,
   type RequestStep,
   type ResultCode,
@@ -41,7 +42,9 @@
     this.sender = new DestinationSender(deps, {
       allowsRetry: (service) => this.budget(service).allows(deps.timers.now()),
     });
-    this.decisions = new DecisionLog(deps.log, deps.state, deps.timers);
+    this.decisions = new DecisionLog(deps.log, deps.state, deps.timers, (target) =>
+      deps.router.coldAssumption(target),
+    );
   }
 
   /** Handles a call until its response is complete. */
@@ -116,7 +119,7 @@
     const runsBefore = runsSoFar(progress);
     // A gateway that does not respond may have used all remaining attempts.
     const lostRuns = destination.kind === 'peer' ? attemptsLeft(progress) : 1;
-    this.deps.metrics.onAttempt(destination.kind, retry);
+    this.deps.metrics.onAttempt(destination.kind, retry, this.isCold(destination));
     response.setRuns(runsBefore + 1);
     const { end, firstByteMs } = await this.sender.send(step, progress);
     this.decisions.onAttemptEnd(end, progress, candidate, firstByteMs);
@@ -136,6 +139,13 @@
     return undefined;
   }
 
+  private isCold(destination: Destination): boolean {
+    return (
+      destination.kind === 'target' &&
+      (this.deps.router.coldAssumption(destination.id)?.coldForMs ?? 0) > 0
+    );
+  }
+
   private refuse(reason: RefusalReason, retryAfterMs: number, response: CallerResponse): string {
     const code = refusalCode(reason);
     sendResult(response, code, retryAfterMs * (1 + this.deps.random.next() * RETRY_AFTER_SPREAD));
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -19,10 +19,11 @@
       'route',
       'result',
     ]);
-    this.attempts = metrics.counter('attempts_total', 'Attempts by kind of destination.', [
-      'place',
-      'retry',
-    ]);
+    this.attempts = metrics.counter(
+      'attempts_total',
+      'Attempts by kind of destination, and whether a target was assumed to be cold.',
+      ['place', 'retry', 'cold'],
+    );
     this.durations = metrics.histogram(
       'request_seconds',
       'Time from the arrival of a request to the end of its response.',
@@ -31,8 +32,8 @@
     );
   }
 
-  onAttempt(destinationKind: string, retry: boolean): void {
-    this.attempts.inc({ place: destinationKind, retry: String(retry) });
+  onAttempt(destinationKind: string, retry: boolean, cold: boolean): void {
+    this.attempts.inc({ place: destinationKind, retry: String(retry), cold: String(cold) });
   }
 
   /** Counts a request that was refused before its route was known. */
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -25,7 +25,7 @@
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
-import type { TargetEntry } from '../state/target-entry.js';
+import type { ColdReason, TargetEntry } from '../state/target-entry.js';
 import { RemoteRegions, allowsRegion } from './remote-regions.js';
 import { ServiceSpeeds } from './service-speeds.js';
 
@@ -42,6 +42,20 @@
   readonly unavailable: readonly Destination[];
 }
 
+/** What a gateway assumes about a target whose service limits requests to cold targets. */
+export interface ColdAssumption {
+  /** How much longer the target is assumed to be cold, ms; 0 if it is assumed to be warm. */
+  readonly coldForMs: number;
+  /** Latest reason for which it was assumed to be cold. */
+  readonly reason: ColdReason | undefined;
+  /** Age of the target's record, ms. */
+  readonly recordAgeMs: number;
+  /** Requests that this gateway may send per rate window; undefined for a warm target. */
+  readonly allowance: number | undefined;
+  /** Number of gateways that share the rate. */
+  readonly gateways: number;
+}
+
 export class Router {
   readonly speeds: ServiceSpeeds;
 
@@ -200,18 +214,41 @@
     };
   }
 
+  /** Undefined when the service of the target has no cold rate limit. */
+  coldAssumption(id: string): ColdAssumption | undefined {
+    const entry = this.state.target(id);
+    const rate = this.coldRequestsPerS(entry);
+    if (!entry || rate === 0) return undefined;
+    const now = this.timers.now();
+    const coldForMs = Math.max(0, entry.coldUntil - now);
+    return {
+      coldForMs,
+      reason: entry.coldReason,
+      recordAgeMs: now - entry.recordReceivedAt,
+      allowance: coldForMs > 0 ? this.coldAllowanceOf(entry, rate) : undefined,
+      gateways: this.regionGateways.size,
+    };
+  }
+
   private isOpen(entry: TargetEntry, now: number): boolean {
     if (isAvoided(entry, now)) return false;
     if (entry.coldUntil <= now) return true;
-    const rate = this.state.service(entry.record.service)?.coldRequestsPerS ?? 0;
+    const rate = this.coldRequestsPerS(entry);
     if (rate === 0) return true;
+    return this.coldLimiter.maySend(entry.record.id, this.coldAllowanceOf(entry, rate), now);
+  }
+
+  private coldRequestsPerS(entry: TargetEntry | undefined): number {
+    return (entry && this.state.service(entry.record.service)?.coldRequestsPerS) ?? 0;
+  }
+
+  private coldAllowanceOf({ record }: TargetEntry, rate: number): number {
     const { factor, slack } = this.settings.coldRateLimit;
-    const allowance = coldAllowance(entry.record.id, this.settings.node, {
+    return coldAllowance(record.id, this.settings.node, {
       requestsPerS: rate * factor + slack,
       gateways: [...this.regionGateways],
       spareGateways: SPARE_GATEWAYS,
     });
-    return this.coldLimiter.maySend(entry.record.id, allowance, now);
   }
 
   /** Target of the region that is preferred for the shared prefix of a prompt. */
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -9,7 +9,7 @@
 } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { FleetListener } from '../ports/fleet-source.js';
-import { TargetEntry } from './target-entry.js';
+import { ColdReason, TargetEntry } from './target-entry.js';
 
 /** The source counts as lost after this time without a response. */
 const SOURCE_LOST_MS = 8000;
@@ -168,7 +168,7 @@
     const entry = this.targets.get(id);
     const warmupMs = entry ? (this.service(entry.record.service)?.warmupMs ?? 0) : 0;
     if (!entry || warmupMs === 0) return;
-    entry.extendCold(this.timers.now() + warmupMs + COLD_AFTER_UNREACHABLE_MS);
+    this.assumeCold(entry, warmupMs + COLD_AFTER_UNREACHABLE_MS, ColdReason.Unreachable);
   }
 
   /** Excludes a target because another target responded at its address. */
@@ -219,12 +219,11 @@
       .forEach((domain) => this.log.info('failure domain evacuated', { domain, from }));
     const restored = [...before].filter((domain) => !evacuated.has(domain));
     restored.forEach((domain) => this.log.info('failure domain restored', { domain, from }));
-    const now = this.timers.now();
     [...this.targets.values()]
       .filter(({ record }) => restored.includes(record.failureDomain))
       .forEach((entry) => {
         if (this.service(entry.record.service)?.warmupMs === 0) return;
-        entry.extendCold(now + COLD_AFTER_EVACUATION_MS);
+        this.assumeCold(entry, COLD_AFTER_EVACUATION_MS, ColdReason.Restored);
       });
   }
 
@@ -254,7 +253,12 @@
       const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
       const work = new TargetWork(cacheTokens ?? DEFAULT_CACHE_TOKENS);
       this.targets.set(record.id, new TargetEntry(record, work, now));
-      this.log.info('target listed', { target: record.id, service: record.service, from });
+      this.log.info('target listed', {
+        target: record.id,
+        service: record.service,
+        from,
+        cold_ms: record.coldForMs || undefined,
+      });
       return;
     }
     if (known.record.draining !== record.draining) {
@@ -264,7 +268,20 @@
         from,
       });
     }
-    known.update(record, now);
+    if (known.update(record, now)) this.logCold(known, now);
+  }
+
+  private assumeCold(entry: TargetEntry, forMs: number, reason: ColdReason): void {
+    const now = this.timers.now();
+    if (entry.extendCold(now + forMs, reason, now)) this.logCold(entry, now);
+  }
+
+  private logCold({ record, coldReason, coldUntil }: TargetEntry, now: number): void {
+    this.log.info('target assumed cold', {
+      target: record.id,
+      reason: coldReason,
+      cold_ms: Math.round(coldUntil - now),
+    });
   }
 
   private drop(record: TargetRecord, reason: string): void {
