Divide the rate of a cold target only among gateways that know each other

Cause: a gateway that has just started knows itself alone, and divided the rate of a cold target among the gateways it knew. With 20 gateways a region the rate is below one each, so the first four in rendezvous order send; each restarted gateway counted itself among its own first four, or took three requests alone.

Change: gateways of a region exchange digests of their rosters and, when they differ, the names. A gateway has no share before its roster is complete, and none within one rate window of its start, since the process before it may have sent. Every gateway that sends thus divides by the same set, which is what the static share always assumed.

--- a/packages/core/src/fleet/cold-rate-limiter.test.ts
+++ b/packages/core/src/fleet/cold-rate-limiter.test.ts
@@ -13,7 +13,7 @@
       (count, requestsPerS, delays) => {
         const gateways = Array.from({ length: count }, (_, index) => `vm-${index}`);
         const arrivals = gateways.flatMap((self, index) => {
-          const limiter = new ColdRateLimiter();
+          const limiter = new ColdRateLimiter(-Infinity);
           const allowance = coldAllowance('t1', self, { requestsPerS, gateways, spareGateways: 1 });
           const delayMs = delays[index % delays.length] ?? 0;
           return Array.from({ length: 300 }, (_, tick) => tick * 10)
--- a/packages/core/src/fleet/cold-rate-limiter.ts
+++ b/packages/core/src/fleet/cold-rate-limiter.ts
@@ -39,8 +39,12 @@
 export class ColdRateLimiter {
   private readonly sentAt = new Map<string, number[]>();
 
+  /** @param startedAt start of the process, monotonic ms; an earlier process may have just sent requests */
+  constructor(private readonly startedAt: number) {}
+
   /** Whether one more request may be sent now. `now` is monotonic ms. */
   maySend(target: string, allowance: number, now: number): boolean {
+    if (now - this.startedAt < RATE_WINDOW_MS) return false;
     return this.recent(target, now).length < allowance;
   }
 
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -11,6 +11,7 @@
 export * from './target-table.js';
 export { ViewLog, applyViewChanges, type ViewContent } from './view-log.js';
 export * from './vm-store.js';
+export * from './gateway-roster.js';
 export * from './gateway-table.js';
 export * from './directory-choice.js';
 export * from './watcher-assignment.js';
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -86,7 +86,8 @@
   return -weight / Math.log((hash + 1) / (HASH_VALUES + 1));
 }
 
-function hashOf(value: string): number {
+/** 32-bit hash of a string, the same in all processes. */
+export function hashOf(value: string): number {
   // For a string, the library creates a new encoder per hash, which takes most of its time.
   return murmurhash.v3(Buffer.from(value));
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,7 +89,6 @@
         onTargetUpdate: (update) => this.applyTargetUpdate(update),
         onFleetUpdate: (update) => this.watch.onFleetUpdate(update),
         onRecord: (record) => {
-          this.router.onGateway(record);
           this.fetcher.fetchIfNewer(record);
         },
       },
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -5,6 +5,8 @@
   type GatewayRecord,
   type PeerWork,
   type RegionWork,
+  type RosterMember,
+  type RosterSummary,
 } from '@marjoramcart/core';
 import { encodeNotification, type Notification } from './notification.js';
 
@@ -24,6 +26,10 @@
   readonly heartbeats: readonly GatewayHeartbeat[];
   /** Load that the sender puts on targets of its region; only sent within a small region. */
   readonly targetWork: Readonly<Record<string, PeerWork>>;
+  /** Roster of the sender's region; only sent within the region. */
+  readonly roster?: RosterSummary;
+  /** Members of that roster; sent when the receiver's roster differs. */
+  readonly rosterMembers: readonly RosterMember[];
   /** Sender's clock, ms. */
   readonly sentAt: number;
   /** `sentAt` of the receiver's last message, and the time since it was received, ms. */
@@ -62,8 +68,14 @@
   readonly w: Readonly<Record<string, readonly [number, number]>>;
   readonly t: number;
   readonly e?: readonly [number, number];
+  /** Digest of the roster, and whether it is complete. */
+  readonly r?: readonly [number, 0 | 1];
+  /** Members of the roster, and the time since their last signs of life in s. */
+  readonly m?: readonly (readonly [string, number])[];
 }
 
+const MS_PER_S = 1000;
+
 /** Encodes a message into a datagram. */
 export function encodeGossip(message: GossipMessage): Buffer {
   const params: MessageParams = {
@@ -73,6 +85,10 @@
     w: mapValues(message.targetWork, ({ requests, memoryTokens }) => [requests, memoryTokens]),
     t: message.sentAt,
     ...(message.echo ? { e: [message.echo.sentAt, message.echo.heldMs] as const } : {}),
+    ...(message.roster
+      ? { r: [message.roster.digest, message.roster.complete ? 1 : 0] as const }
+      : {}),
+    ...(message.rosterMembers.length > 0 ? { m: message.rosterMembers.map(toMemberRow) } : {}),
   };
   return encodeNotification(METHOD, params);
 }
@@ -85,7 +101,7 @@
  */
 export function decodeGossip({ method, params }: Notification): GossipMessage | undefined {
   if (method !== METHOD) return undefined;
-  const { f, o, b = [], w, t, e } = params as MessageParams;
+  const { f, o, b = [], w, t, e, r, m = [] } = params as MessageParams;
   return {
     from: fromRow(f),
     others: o.map(fromRow),
@@ -93,9 +109,15 @@
     targetWork: mapValues(w, ([requests, memoryTokens]) => ({ requests, memoryTokens })),
     sentAt: t,
     ...(e ? { echo: { sentAt: e[0], heldMs: e[1] } } : {}),
+    ...(r ? { roster: { digest: r[0], complete: r[1] === 1 } } : {}),
+    rosterMembers: m.map(([node, ageS]) => ({ node, ageMs: ageS * MS_PER_S })),
   };
 }
 
+function toMemberRow({ node, ageMs }: RosterMember): readonly [string, number] {
+  return [node, Math.round(ageMs / MS_PER_S)];
+}
+
 function toRow(record: GatewayRecord): RecordRow {
   return [
     record.node,
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -2,6 +2,7 @@
 import dgram from 'node:dgram';
 import {
   GatewayPhase,
+  GatewayRoster,
   GatewayTable,
   SMALL_REGION_MAX_GATEWAYS,
   type GatewayRecord,
@@ -17,6 +18,13 @@
 import { decodeNotification, type Notification } from './notification.js';
 import { decodeTargetUpdate, encodeTargetUpdate, type TargetUpdate } from './target-update.js';
 
+interface MessageSize {
+  readonly records: number;
+  readonly heartbeats: number;
+  /** Whether the members of the roster are sent to a gateway of the region. */
+  readonly roster: boolean;
+}
+
 const TICK_MS = 250;
 /** Number of ticks between messages to gateways of remote regions. */
 const REMOTE_EVERY_TICKS = 2;
@@ -25,9 +33,11 @@
 /** Range of the random first tick; larger than the number of gateways in a fleet. */
 const MAX_FIRST_TICK = 1000;
 /** Number of full records and of heartbeats of other gateways in a message. */
-const USUAL_SIZE = { records: 1, heartbeats: 24 } as const;
+const USUAL_SIZE: MessageSize = { records: 1, heartbeats: 24, roster: false };
 /** Size of a message to a gateway that is new or was lost, which needs full records first. */
-const NEW_PEER_SIZE = { records: 6, heartbeats: 0 } as const;
+const NEW_PEER_SIZE: MessageSize = { records: 6, heartbeats: 0, roster: true };
+/** Content of a message to a gateway of the region with another roster. */
+const ROSTER_SIZE: MessageSize = { records: 0, heartbeats: 0, roster: true };
 /** Limit of gateways that get an immediate update. */
 const MAX_RECIPIENTS = 64;
 /** A prompt with less prefill time than this per gateway of the region is not announced. */
@@ -44,11 +54,6 @@
   readonly targetWork: Readonly<Record<string, PeerWork>>;
 }
 
-interface MessageSize {
-  readonly records: number;
-  readonly heartbeats: number;
-}
-
 export interface GossipListener {
   /** A gateway of the local region sent the load that it puts on targets. */
   onTargetWork(node: string, work: Readonly<Record<string, PeerWork>>): void;
@@ -65,6 +70,9 @@
 
   readonly table: GatewayTable;
 
+  /** Gateways of the local region. */
+  readonly roster: GatewayRoster;
+
   private readonly socket = dgram.createSocket('udp4');
 
   private readonly bootAt: number;
@@ -83,6 +91,8 @@
 
   private bytesSent = 0;
 
+  private rosterCompleted = false;
+
   /** Gateways that were alive at the last tick. */
   private lastAlive: ReadonlySet<string> = new Set();
 
@@ -97,6 +107,8 @@
     private readonly listener: GossipListener,
   ) {
     this.table = new GatewayTable(settings.node);
+    this.roster = new GatewayRoster(settings.node, timers.now());
+    if (settings.seedIps.every((ip) => ip === settings.ip)) this.roster.completeAlone();
     this.seedIps = settings.seedIps;
     this.bootAt = Math.round(timers.wall());
     this.ticks = Math.floor(random.next() * MAX_FIRST_TICK);
@@ -172,6 +184,8 @@
     this.ticks += 1;
     const alive = this.table.alive(now);
     this.logAliveChanges(alive, now);
+    this.roster.expire(now);
+    this.logRosterCompletion(now);
     const peers = this.regionPeers();
     const remote = alive.filter(({ region }) => region !== this.settings.region);
     this.sendToOneOf(peers, this.ticks);
@@ -197,6 +211,12 @@
     this.lastAlive = nodes;
   }
 
+  private logRosterCompletion(now: number): void {
+    if (this.rosterCompleted || !this.roster.isComplete(now)) return;
+    this.rosterCompleted = true;
+    this.log.info('roster of the region is complete', { gateways: this.roster.size });
+  }
+
   /** Live gateways of the local region, without this one. */
   regionPeers(): GatewayRecord[] {
     const { region } = this.settings;
@@ -222,7 +242,7 @@
   private send(
     ip: string,
     to?: GatewayRecord,
-    { records, heartbeats }: MessageSize = USUAL_SIZE,
+    { records, heartbeats, roster }: MessageSize = USUAL_SIZE,
   ): void {
     const now = this.timers.now();
     this.heartbeat += 1;
@@ -231,8 +251,8 @@
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const known = this.table.shuffledRecent(to?.node ?? '', this.random, now);
     // In larger regions, load reports of the targets are more accurate than the gateways' own counts.
-    const sendsTargetWork =
-      to?.region === region && this.regionPeers().length < SMALL_REGION_MAX_GATEWAYS;
+    const toRegion = to?.region === region;
+    const sendsTargetWork = toRegion && this.regionPeers().length < SMALL_REGION_MAX_GATEWAYS;
     const datagram = encodeGossip({
       from: {
         node,
@@ -246,6 +266,8 @@
       others: known.slice(0, records),
       heartbeats: known.slice(records, records + heartbeats),
       targetWork: sendsTargetWork ? targetWork : {},
+      ...(toRegion ? { roster: this.roster.summary(now) } : {}),
+      rosterMembers: toRegion && roster ? this.roster.members(now) : [],
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -287,6 +309,7 @@
     if (from.node === this.settings.node) return;
     // A gateway that was silent for 8 ticks needs full records again.
     const isNew = !this.table.get(from.node) || this.table.ageMs(from.node, now) > TICK_MS * 8;
+    this.roster.onContact();
     this.lastFrom.set(from.node, { sentAt: message.sentAt, at: now });
     if (message.echo)
       this.recordRoundTrip(from.node, now - message.echo.sentAt - message.echo.heldMs);
@@ -296,10 +319,17 @@
     message.heartbeats.forEach((heartbeat) =>
       this.merge(heartbeat, () => this.table.mergeHeartbeat(heartbeat, now)),
     );
-    if (from.region === this.settings.region) {
-      this.listener.onTargetWork(from.node, message.targetWork);
-    }
+    const inRegion = from.region === this.settings.region;
+    if (inRegion) this.listener.onTargetWork(from.node, message.targetWork);
+    const rostersDiffer = inRegion && this.mergeRoster(message, now);
     if (isNew) this.send(from.ip, from, NEW_PEER_SIZE);
+    else if (rostersDiffer) this.send(from.ip, from, ROSTER_SIZE);
+  }
+
+  /** Returns whether the sender's roster differs from the local one. */
+  private mergeRoster({ roster, rosterMembers }: GossipMessage, now: number): boolean {
+    this.roster.merge(rosterMembers, now);
+    return roster !== undefined && this.roster.onSummary(roster, now);
   }
 
   /** @param apply adds the record or heartbeat to the table; returns false when it is not newer */
@@ -308,6 +338,9 @@
     if (!apply()) return;
     const record = this.table.get(node);
     if (!record) return;
+    if (record.region === this.settings.region) {
+      this.roster.merge([{ node, ageMs: 0 }], this.timers.now());
+    }
     if (before?.phase !== phase || before.bootAt !== bootAt) {
       const { region } = record;
       this.log.info('gateway changed', { node, phase, before: before?.phase, region });
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -107,6 +107,8 @@
     targetWork: { 'i-1': { requests: 2, memoryTokens: 800 } },
     sentAt: 5000,
     echo: { sentAt: 4000, heldMs: 12 },
+    roster: { digest: 77, complete: true },
+    rosterMembers: [{ node: 'vm-4', ageMs: 3000 }],
   };
   assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
 });
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -10,7 +10,6 @@
   sharedPrefixTokens,
   rankWithRemoteRegions,
   type Candidate,
-  type GatewayRecord,
   type PeerWork,
   type Destination,
   type RandomSource,
@@ -59,7 +58,7 @@
 export class Router {
   readonly speeds: ServiceSpeeds;
 
-  private readonly coldLimiter = new ColdRateLimiter();
+  private readonly coldLimiter: ColdRateLimiter;
 
   private readonly remoteRegions: RemoteRegions;
 
@@ -69,24 +68,21 @@
 
   private regionWorkAt = -Infinity;
 
-  /** All gateways seen in the local region; they share the request rate of cold targets. */
-  private readonly regionGateways: Set<string>;
-
   constructor(
     private readonly settings: GatewaySettings,
     private readonly state: GatewayState,
-    private readonly gossip: Pick<GossipTask, 'table' | 'regionPeers' | 'roundTripMs'>,
+    private readonly gossip: Pick<GossipTask, 'table' | 'regionPeers' | 'roster' | 'roundTripMs'>,
     private readonly timers: TimerService,
     private readonly random: RandomSource,
   ) {
     this.speeds = new ServiceSpeeds(settings.tuning);
-    this.regionGateways = new Set([settings.node]);
+    this.coldLimiter = new ColdRateLimiter(timers.now());
     this.remoteRegions = new RemoteRegions({
       region: settings.region,
       state,
       gossip,
       random,
-      senderCount: () => this.regionGateways.size,
+      senderCount: () => gossip.roster.size,
     });
   }
 
@@ -164,11 +160,6 @@
     this.remoteRegions.onSend(call, region, prefillMs, this.timers.now());
   }
 
-  /** Remembers the gateways of the local region, including those that have left. */
-  onGateway({ node, region }: GatewayRecord): void {
-    if (region === this.settings.region) this.regionGateways.add(node);
-  }
-
   /** Load and capacity of the local region by service, for remote regions. */
   regionWork(): Record<string, RegionWork> {
     const now = this.timers.now();
@@ -226,7 +217,7 @@
       reason: entry.coldReason,
       recordAgeMs: now - entry.recordReceivedAt,
       allowance: coldForMs > 0 ? this.coldAllowanceOf(entry, rate) : undefined,
-      gateways: this.regionGateways.size,
+      gateways: this.gossip.roster.size,
     };
   }
 
@@ -243,10 +234,13 @@
   }
 
   private coldAllowanceOf({ record }: TargetEntry, rate: number): number {
+    const { roster } = this.gossip;
+    // Gateways that divide the rate by different rosters would exceed it together.
+    if (!roster.isComplete(this.timers.now())) return 0;
     const { factor, slack } = this.settings.coldRateLimit;
     return coldAllowance(record.id, this.settings.node, {
       requestsPerS: rate * factor + slack,
-      gateways: [...this.regionGateways],
+      gateways: roster.names,
       spareGateways: SPARE_GATEWAYS,
     });
   }
