Give a gateway no part of the retry slack before its roster is complete

Each of many gateways that restart together could take the whole slack, so that callers' failures were multiplied at targets that were already short.

--- a/packages/core/src/retries/shared-retry-budget.test.ts
+++ b/packages/core/src/retries/shared-retry-budget.test.ts
@@ -28,8 +28,17 @@
   assert.equal(budget.tryTake(0), false);
 });
 
+// Guards against restarted gateways that each take the whole slack before they know the others.
+test('a gateway takes no part of the slack before it knows how many gateways share it', () => {
+  const budget = new SharedRetryBudget(LIMITS);
+  assert.equal(budget.tryTake(0), false);
+  Array.from({ length: 20 }).forEach(() => budget.onRequest(0));
+  assert.equal(budget.tryTake(0), true);
+});
+
 test('checking whether a retry is allowed does not take one', () => {
   const budget = new SharedRetryBudget({ windowMs: 10_000, ratio: 0, slack: 2 });
+  budget.setGateways(1);
   assert.ok(Array.from({ length: 5 }).every(() => budget.allows(0)));
   assert.equal(budget.tryTake(0), true);
   assert.equal(budget.allows(0), false);
--- a/packages/core/src/retries/shared-retry-budget.ts
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -21,16 +21,20 @@
 
   private readonly retries: SlidingWindowCounter;
 
-  private gateways = 1;
+  /** Undefined until the number of gateways is known. */
+  private gateways: number | undefined;
 
   constructor(private readonly limits: SharedBudgetLimits) {
     this.requests = new SlidingWindowCounter(limits.windowMs);
     this.retries = new SlidingWindowCounter(limits.windowMs);
   }
 
-  /** Keeps the largest number of gateways seen, so that a partition doesn't raise the shares. */
+  /**
+   * Sets the number of gateways that share the slack; without it, this gateway has no part of it. Keeps
+   * the largest number seen, so that a partition doesn't raise the shares.
+   */
   setGateways(count: number): void {
-    this.gateways = Math.max(this.gateways, count);
+    this.gateways = Math.max(this.gateways ?? 1, count);
   }
 
   /** Counts a request from a client. `now` is monotonic ms. */
@@ -41,8 +45,8 @@
   /** Whether a retry is allowed now; takes none from the budget. */
   allows(now: number): boolean {
     const { ratio, slack } = this.limits;
-    const allowed =
-      this.requests.count(now) * ratio * USED_SHARE + (slack * USED_SHARE) / this.gateways;
+    const slackShare = this.gateways === undefined ? 0 : (slack * USED_SHARE) / this.gateways;
+    const allowed = this.requests.count(now) * ratio * USED_SHARE + slackShare;
     return this.retries.count(now) + 1 <= allowed;
   }
 
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -35,7 +35,7 @@
   readonly router: Router;
   readonly runner: AttemptRunner;
   readonly protocol: RequestProtocol;
-  readonly gossip: Pick<GossipTask, 'table' | 'announceTarget'>;
+  readonly gossip: Pick<GossipTask, 'table' | 'roster' | 'announceTarget'>;
   readonly timers: TimerService;
 }
 
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -166,7 +166,12 @@
     const { settings, gossip, timers } = this.deps;
     const budget = this.budgets.get(service) ?? new SharedRetryBudget(settings.retryBudget);
     this.budgets.set(service, budget);
-    budget.setGateways(gossip.table.alive(timers.now()).length + 1);
+    const now = timers.now();
+    if (gossip.roster.isComplete(now)) {
+      // Gateways of other regions may not be known yet; regions are assumed to be of similar size.
+      const estimated = gossip.roster.size * new Set(settings.regionOfDomain.values()).size;
+      budget.setGateways(Math.max(gossip.table.alive(now).length + 1, estimated));
+    }
     return budget;
   }
 }
