Refuse prompt segments that crash targets

Cause: every failure was judged by itself at one gateway. No two such requests are alike, so that a table of whole requests would not help; what they share is a segment of the prompt, and only the whole fleet sees enough deaths to tell it from the segments of its neighbours.

In the logs of one crash 31 requests lost their connection, and just one had no first byte: it is the one that crashed the next target 0.9 s later.

Change: requests without a first byte on a connection that broke are evidence against their shared segments, once the target refuses connections. Gateways exchange it; an answer clears the segments of its request. A segment is refused after three separate deaths without an answer (five if it was answered lately), with 503 and code 4202, and tried again by one gateway after 20 s and more.

--- a/packages/core/src/codes/result-codes.ts
+++ b/packages/core/src/codes/result-codes.ts
@@ -140,6 +140,14 @@
     'Targets died while running this request; it is refused.',
     'Do not send it again.',
   ),
+  PromptCrashesTargets: row(
+    4202,
+    'prompt_crashes_targets',
+    503,
+    NotRun,
+    'Targets died while running requests that share a part of this prompt; it is refused.',
+    'Send it without that part, or much later.',
+  ),
   TargetFailed: row(
     4301,
     'target_failed',
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -65,6 +65,11 @@
   readonly candidates: readonly Candidate[];
   /** Destinations that accept no request now but may do so later. */
   readonly unavailable: readonly Destination[];
+  /**
+   * Set when a part of the prompt is known to crash targets: time until such a request is tried again,
+   * ms.
+   */
+  readonly refusedForMs?: number;
   /** Takes one retry from the budget; false when it is spent. Called at most once. */
   readonly takeRetry: () => boolean;
 }
@@ -73,6 +78,7 @@
   NoTarget: 'no-target',
   Overload: 'overload',
   RetryBudget: 'retry-budget',
+  CrashesTargets: 'crashes-targets',
   Deadline: 'deadline',
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
@@ -133,6 +139,7 @@
   const started = attempts.some(mayHaveRun);
   const timedOut = facts.deadlineAt - now < MIN_REMAINING_MS;
   if (timedOut) return finalStep(view, RefusalReason.Deadline);
+  if (view.refusedForMs !== undefined) return finalStep(view, RefusalReason.CrashesTargets);
   if (view.headSent && !facts.resumable) return { kind: 'cut' };
   if (started && !mayRepeat(facts)) return finalStep(view, RefusalReason.NoTarget);
   const runs = attempts.reduce((sum, attempt) => sum + possibleRunsOf(attempt), 0);
@@ -258,6 +265,6 @@
   const reportedMs = attempts
     .map(({ outcome }) => (outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined))
     .filter((ms) => ms !== undefined);
-  const retryAfterMs = Math.max(DEFAULT_RETRY_AFTER_MS, ...reportedMs);
+  const retryAfterMs = Math.max(view.refusedForMs ?? DEFAULT_RETRY_AFTER_MS, ...reportedMs);
   return { kind: 'refuse', reason, retryAfterMs };
 }
--- /dev/null
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { seededRandom } from '../random-source.js';
+import { CrashSuspects } from './crash-suspects.js';
+
+const NEVER = (): boolean => false;
+const ALWAYS = (): boolean => true;
+const TRIAL_DUE_MS = 25_000;
+
+/** Targets die one second after the other while they have requests with the segments. */
+function deaths(
+  count: number,
+  suspects: CrashSuspects,
+  segments: readonly string[],
+  from = 0,
+): void {
+  Array.from({ length: count }).forEach((_, index) => {
+    suspects.onDeath(`i-${index}`, `req-${index}`, segments, from + index * 1000);
+  });
+}
+
+// Guards against requests that share a part of their prompt and crash one target after the other.
+test('a segment is refused after three deaths without an answer', () => {
+  const suspects = new CrashSuspects();
+  deaths(3, suspects, ['bad']);
+  assert.equal(suspects.verdict(['good', 'bad'], NEVER, 2100)?.segment, 'bad');
+  assert.equal(suspects.verdict(['good'], NEVER, 2100), undefined);
+});
+
+// Guards against refusing all requests of a route because of the prompt that they share.
+test('a segment that is answered between deaths is not refused', () => {
+  const suspects = new CrashSuspects();
+  Array.from({ length: 20 }).forEach((_, index) => {
+    const at = index * 1000;
+    suspects.onDeath(`i-${index}`, `req-${index}`, ['system', 'bad'], at);
+    suspects.onAnswered(['system', `document-${index}`], at + 400, at + 600);
+  });
+  assert.equal(suspects.verdict(['system'], NEVER, 20_000), undefined);
+  assert.equal(suspects.verdict(['system', 'bad'], NEVER, 20_000)?.segment, 'bad');
+});
+
+// Guards against taking the loss of a rack, or of all targets, for a bad prompt.
+test('targets that die together count as one death', () => {
+  const suspects = new CrashSuspects();
+  Array.from({ length: 30 }).forEach((_, index) => {
+    suspects.onDeath(`i-${index}`, `req-${index}`, ['system'], index * 5);
+  });
+  assert.equal(suspects.verdict(['system'], NEVER, 1000), undefined);
+});
+
+test('one request that is retried at several targets does not blame the segments that it shares', () => {
+  const suspects = new CrashSuspects();
+  [0, 1, 2, 3].forEach((index) => {
+    suspects.onDeath(`i-${index}`, 'req-1', ['document'], index * 1000);
+  });
+  assert.equal(suspects.verdict(['document'], NEVER, 4000), undefined);
+});
+
+test('a segment whose requests were answered before needs five deaths', () => {
+  const suspects = new CrashSuspects();
+  suspects.onAnswered(['document'], 0, 0);
+  deaths(3, suspects, ['document'], 1000);
+  assert.equal(suspects.verdict(['document'], NEVER, 4000), undefined);
+  suspects.onDeath('i-3', 'req-3', ['document'], 5000);
+  suspects.onDeath('i-4', 'req-4', ['document'], 6000);
+  assert.notEqual(suspects.verdict(['document'], NEVER, 6100), undefined);
+});
+
+test('an answer that began before a death does not clear its segments of it', () => {
+  const suspects = new CrashSuspects();
+  deaths(5, suspects, ['bad'], 1000);
+  suspects.onAnswered(['bad'], 500, 6000);
+  assert.notEqual(suspects.verdict(['bad'], NEVER, 6100), undefined);
+});
+
+test('one gateway tries a refused segment again, and an answer ends the refusal everywhere', () => {
+  const trying = new CrashSuspects();
+  const other = new CrashSuspects();
+  deaths(3, trying, ['part']);
+  other.merge(trying.rows(8, 2000), 2000);
+  assert.notEqual(other.verdict(['part'], NEVER, 2100), undefined);
+  assert.equal(trying.verdict(['part'], ALWAYS, TRIAL_DUE_MS), undefined);
+  trying.onSend(['part'], TRIAL_DUE_MS);
+  assert.notEqual(trying.verdict(['part'], ALWAYS, TRIAL_DUE_MS + 10), undefined);
+  other.merge(
+    trying.onAnswered(['part'], TRIAL_DUE_MS + 100, TRIAL_DUE_MS + 200),
+    TRIAL_DUE_MS + 200,
+  );
+  assert.equal(trying.verdict(['part'], NEVER, TRIAL_DUE_MS + 300), undefined);
+  assert.equal(other.verdict(['part'], NEVER, TRIAL_DUE_MS + 300), undefined);
+});
+
+test('evidence that arrives after the answer that refuted it is ignored', () => {
+  const suspects = new CrashSuspects();
+  const behind = new CrashSuspects();
+  deaths(3, behind, ['part']);
+  const stale = behind.rows(8, 2100);
+  suspects.onDeath('i-0', 'req-0', ['part'], 0);
+  suspects.onAnswered(['part'], 2050, 2100);
+  suspects.merge(stale, 2100);
+  assert.equal(suspects.verdict(['part'], NEVER, 2200), undefined);
+});
+
+test('gateways agree on a segment in whatever order their evidence arrives, and keep it bounded', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
+      const random = seededRandom(seed);
+      const gateways = Array.from({ length: 6 }, () => new CrashSuspects());
+      Array.from({ length: 8 }).forEach((_, index) => {
+        const witness = gateways[Math.floor(random.next() * gateways.length)];
+        witness?.onDeath(`i-${index}`, `req-${index}`, ['bad', `own-${index}`], index * 700);
+      });
+      Array.from({ length: 600 }).forEach((_, index) => {
+        gateways[0]?.onDeath('i-8', `req-${index}`, [`filler-${index}`], 5700);
+      });
+      // A row is gossiped once its gateway saw two deaths; single deaths are announced to all.
+      const rows = gateways.flatMap((gateway) => gateway.rows(300, 6000));
+      const shuffled = rows
+        .map((row) => ({ row, key: random.next() }))
+        .sort((a, b) => a.key - b.key)
+        .map(({ row }) => row);
+      const late = new CrashSuspects();
+      late.merge(shuffled, 6000);
+      const early = new CrashSuspects();
+      early.merge([...shuffled].reverse(), 6000);
+      assert.deepEqual(
+        late.verdict(['bad'], NEVER, 6100)?.deaths,
+        early.verdict(['bad'], NEVER, 6100)?.deaths,
+      );
+      assert.ok(gateways.every(({ size }) => size <= 256));
+    }),
+    { seed: 20261, numRuns: 100 },
+  );
+});
--- /dev/null
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -0,0 +1,264 @@
+/**
+ * Finds prompt segments that crash targets. Every request that awaited its first byte when a target
+ * died is a witness against its segments; a request that is answered clears them. A segment is refused
+ * after several deaths without an answer in between. All gateways exchange what they saw, as one of
+ * them rarely sees enough.
+ */
+import { hashOf } from '../rendezvous.js';
+
+/** What one process knows about a segment; times are relative, so that clocks need not agree. */
+export interface SuspectRow {
+  readonly segment: string;
+  /** Deaths since the segment was last cleared. */
+  readonly deaths: readonly SuspectDeath[];
+  /** Time since a request with the segment was answered; absent if none was since the first death. */
+  readonly clearedAgeMs?: number;
+}
+
+export interface SuspectDeath {
+  /** Identifies the target that died. */
+  readonly target: number;
+  /** Identifies one of the requests with the segment that the target had. */
+  readonly request: number;
+  readonly ageMs: number;
+}
+
+/** Why a segment is refused. */
+export interface CrashVerdict {
+  readonly segment: string;
+  /** Deaths that count, without those at nearly the same time. */
+  readonly deaths: number;
+  readonly lastDeathAgeMs: number;
+  /** Time until a request with the segment is tried again. */
+  readonly retryAfterMs: number;
+}
+
+interface Death {
+  readonly request: number;
+  readonly at: number;
+}
+
+interface Suspect {
+  readonly deaths: Map<number, Death>;
+  clearedAt: number;
+  /** When this process last tried a request although the segment is refused. */
+  triedAt: number;
+}
+
+/** Deaths after which a segment is refused. */
+const MAX_DEATHS = 3;
+/** The same for a segment whose requests were answered before the first death. */
+const MAX_DEATHS_KNOWN_GOOD = 5;
+/** Targets that die within this time, as in the loss of a rack, count as one death. */
+const SAME_CAUSE_MS = 300;
+/** A single request that was retried is no evidence against the segments that it shares. */
+const MIN_REQUESTS = 2;
+/** Lifetime of a refused segment since its last death. */
+const REFUSED_LIFETIME_MS = 600_000;
+/** Lifetime of a segment that is not refused. */
+const SUSPECT_LIFETIME_MS = 60_000;
+const KNOWN_GOOD_LIFETIME_MS = 300_000;
+/** The news that a segment was cleared is repeated for this time. */
+const CLEARED_SENT_MS = 10_000;
+/** A refused segment is tried again after this time, then after twice as long each time. */
+const MIN_TRIAL_DELAY_MS = 20_000;
+const MAX_TRIAL_DELAY_MS = 300_000;
+/** A trial has a result within this time. */
+const TRIAL_MS = 10_000;
+const MAX_SUSPECTS = 256;
+const MAX_DEATHS_KEPT = 8;
+const MAX_KNOWN_GOOD = 2000;
+
+export class CrashSuspects {
+  private readonly suspects = new Map<string, Suspect>();
+
+  /** Segments by the time at which a request with them was last answered, oldest first. */
+  private readonly answeredAt = new Map<string, number>();
+
+  /** Number of segments that are tracked. */
+  get size(): number {
+    return this.suspects.size;
+  }
+
+  /**
+   * Counts the death of a target that had not answered a request yet.
+   *
+   * @param segments segments that the request shares with others
+   * @param now monotonic ms, as in all methods
+   * @returns rows for the other gateways
+   * @example suspects.onDeath('i-1', 'req-7', ['system', 'document'], timers.now())
+   */
+  onDeath(target: string, request: string, segments: readonly string[], now: number): SuspectRow[] {
+    const death = { target: hashOf(target), request: hashOf(request), ageMs: 0 };
+    const rows = segments.map((segment) => ({ segment, deaths: [death] }));
+    this.merge(rows, now);
+    return rows;
+  }
+
+  /**
+   * Clears the segments of a request that was answered.
+   *
+   * @param firstByteAt when its first byte arrived; deaths after that still count
+   * @returns rows of the segments that were suspects, for the other gateways
+   */
+  onAnswered(segments: readonly string[], firstByteAt: number, now: number): SuspectRow[] {
+    segments.forEach((segment) => this.rememberAnswer(segment, firstByteAt));
+    return segments
+      .filter((segment) => this.clear(segment, firstByteAt))
+      .map((segment) => ({ segment, deaths: [], clearedAgeMs: now - firstByteAt }));
+  }
+
+  /** Adds what another gateway saw. */
+  merge(rows: readonly SuspectRow[], now: number): void {
+    rows.forEach(({ segment, deaths, clearedAgeMs }) => {
+      if (deaths.length > 0) this.addDeaths(segment, deaths, now);
+      if (clearedAgeMs !== undefined) this.clear(segment, now - clearedAgeMs);
+    });
+  }
+
+  /**
+   * The segment for which a request is refused; undefined when it may run.
+   *
+   * @param maySendTrial whether this gateway tries a refused segment again; one of the fleet should
+   * @example suspects.verdict(['system', 'document'], () => false, timers.now()) // undefined
+   */
+  verdict(
+    segments: readonly string[],
+    maySendTrial: (segment: string) => boolean,
+    now: number,
+  ): CrashVerdict | undefined {
+    if (this.suspects.size === 0) return undefined;
+    return segments
+      .map((segment) => this.verdictOn(segment, maySendTrial, now))
+      .find((verdict) => verdict !== undefined);
+  }
+
+  /** Notes that a request with refused segments is sent to find out whether it still crashes targets. */
+  onSend(segments: readonly string[], now: number): void {
+    segments.forEach((segment) => {
+      const suspect = this.suspects.get(segment);
+      if (suspect && this.isRefused(segment, suspect)) suspect.triedAt = now;
+    });
+  }
+
+  /** Rows of the strongest suspects with several deaths, and of those cleared lately. */
+  rows(limit: number, now: number): SuspectRow[] {
+    this.expire(now);
+    return [...this.suspects]
+      .filter(
+        ([, suspect]) => countSeparate(suspect) > 1 || now - suspect.clearedAt < CLEARED_SENT_MS,
+      )
+      .sort(([, a], [, b]) => b.deaths.size - a.deaths.size)
+      .slice(0, limit)
+      .map(([segment, { deaths, clearedAt }]) => ({
+        segment,
+        deaths: [...deaths].map(([target, { request, at }]) => ({
+          target,
+          request,
+          ageMs: Math.round(now - at),
+        })),
+        ...(clearedAt > -Infinity ? { clearedAgeMs: Math.round(now - clearedAt) } : {}),
+      }));
+  }
+
+  private verdictOn(
+    segment: string,
+    maySendTrial: (segment: string) => boolean,
+    now: number,
+  ): CrashVerdict | undefined {
+    const suspect = this.suspects.get(segment);
+    if (!suspect || !this.isRefused(segment, suspect)) return undefined;
+    const deaths = countSeparate(suspect);
+    const lastDeathAt = lastDeathOf(suspect);
+    const delayMs = Math.min(MAX_TRIAL_DELAY_MS, MIN_TRIAL_DELAY_MS * 2 ** (deaths - MAX_DEATHS));
+    const retryAfterMs = lastDeathAt + delayMs - now;
+    const trialDue = retryAfterMs <= 0 && now - suspect.triedAt > TRIAL_MS;
+    if (trialDue && maySendTrial(segment)) return undefined;
+    return {
+      segment,
+      deaths,
+      lastDeathAgeMs: now - lastDeathAt,
+      retryAfterMs: Math.max(TRIAL_MS, retryAfterMs),
+    };
+  }
+
+  private isRefused(segment: string, suspect: Suspect): boolean {
+    const requests = new Set([...suspect.deaths.values()].map(({ request }) => request));
+    if (requests.size < MIN_REQUESTS) return false;
+    const maxDeaths = this.wasGood(segment, suspect) ? MAX_DEATHS_KNOWN_GOOD : MAX_DEATHS;
+    return countSeparate(suspect) >= maxDeaths;
+  }
+
+  private wasGood(segment: string, suspect: Suspect): boolean {
+    const answeredAt = this.answeredAt.get(segment) ?? suspect.clearedAt;
+    return lastDeathOf(suspect) - answeredAt < KNOWN_GOOD_LIFETIME_MS;
+  }
+
+  private addDeaths(segment: string, deaths: readonly SuspectDeath[], now: number): void {
+    const suspect = this.suspects.get(segment) ?? {
+      deaths: new Map<number, Death>(),
+      clearedAt: -Infinity,
+      triedAt: -Infinity,
+    };
+    deaths
+      .map(({ target, request, ageMs }) => ({ target, request, at: now - ageMs }))
+      .filter(({ target, at }) => at > suspect.clearedAt && !suspect.deaths.has(target))
+      .forEach(({ target, request, at }) => suspect.deaths.set(target, { request, at }));
+    [...suspect.deaths]
+      .sort(([, a], [, b]) => b.at - a.at)
+      .slice(MAX_DEATHS_KEPT)
+      .forEach(([target]) => suspect.deaths.delete(target));
+    if (suspect.deaths.size === 0) return;
+    this.suspects.delete(segment);
+    this.suspects.set(segment, suspect);
+    const [oldest] = this.suspects.keys();
+    if (this.suspects.size > MAX_SUSPECTS && oldest !== undefined) this.suspects.delete(oldest);
+  }
+
+  /** Returns whether any death of the segment was before that time. */
+  private clear(segment: string, at: number): boolean {
+    const suspect = this.suspects.get(segment);
+    if (!suspect || at <= suspect.clearedAt) return false;
+    suspect.clearedAt = at;
+    const cleared = [...suspect.deaths].filter(([, death]) => death.at <= at);
+    cleared.forEach(([target]) => suspect.deaths.delete(target));
+    return cleared.length > 0;
+  }
+
+  private rememberAnswer(segment: string, at: number): void {
+    this.answeredAt.delete(segment);
+    this.answeredAt.set(segment, at);
+    const [oldest] = this.answeredAt.keys();
+    if (this.answeredAt.size > MAX_KNOWN_GOOD && oldest !== undefined) {
+      this.answeredAt.delete(oldest);
+    }
+  }
+
+  private expire(now: number): void {
+    [...this.suspects]
+      .filter(([segment, suspect]) => {
+        const refused = this.isRefused(segment, suspect);
+        const lifetimeMs = refused ? REFUSED_LIFETIME_MS : SUSPECT_LIFETIME_MS;
+        return now - lastEventOf(suspect) > lifetimeMs;
+      })
+      .forEach(([segment]) => this.suspects.delete(segment));
+  }
+}
+
+/** Number of deaths that did not happen at nearly the same time. */
+function countSeparate({ deaths }: Suspect): number {
+  const times = [...deaths.values()].map(({ at }) => at).sort((a, b) => a - b);
+  return times.reduce(
+    ({ count, countedAt }, at) =>
+      at - countedAt > SAME_CAUSE_MS ? { count: count + 1, countedAt: at } : { count, countedAt },
+    { count: 0, countedAt: -Infinity },
+  ).count;
+}
+
+function lastDeathOf({ deaths }: Suspect): number {
+  return Math.max(-Infinity, ...[...deaths.values()].map(({ at }) => at));
+}
+
+function lastEventOf(suspect: Suspect): number {
+  return Math.max(lastDeathOf(suspect), suspect.clearedAt);
+}
--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -1,3 +1,4 @@
+export * from './crash-suspects.js';
 export * from './retry-budget.js';
 export * from './suspect-table.js';
 export * from './shared-retry-budget.js';
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -1,5 +1,5 @@
 /** Logs each step of a call with the inputs of the decision, and each attempt with its result. */
-import type { Candidate, RequestStep } from '@marjoramcart/core';
+import type { Candidate, CrashVerdict, RequestStep } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import type { ColdAssumption } from '../routing/router.js';
@@ -16,13 +16,19 @@
   ) {}
 
   /** Logs a step; the message is the kind of the step. */
-  onStep(step: RequestStep, progress: CallProgress, candidates: readonly Candidate[]): void {
+  onStep(
+    step: RequestStep,
+    progress: CallProgress,
+    candidates: readonly Candidate[],
+    verdict: CrashVerdict | undefined,
+  ): void {
     const { call, attempts } = progress;
     this.log.info(step.kind, {
       id: call.head.id,
       route: call.route.name,
       ...inputsOf(step, candidates[0]),
       ...this.coldFields(step),
+      ...verdictFields(verdict),
       attempts: attempts.length || undefined,
       candidates: candidates.length,
       age_ms: this.ageMs(progress),
@@ -95,6 +101,16 @@
     .otherwise(() => ({}));
 }
 
+function verdictFields(verdict: CrashVerdict | undefined): Record<string, unknown> {
+  return verdict
+    ? {
+        segment: verdict.segment,
+        deaths: verdict.deaths,
+        last_death_ms: Math.round(verdict.lastDeathAgeMs),
+      }
+    : {};
+}
+
 function expectedTimes(candidate: Candidate): Record<string, number | undefined> {
   const { expectedFirstByteMs, expectedWaitMs, uncachedTokens, loadAgeMs } = candidate;
   return {
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -10,13 +10,14 @@
   type RequestStep,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
+import type { CrashWatch } from '../crashes/crash-watch.js';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { AttemptFields, HeaderList, RequestProtocol } from '../ports/request-protocol.js';
 import type { Router } from '../routing/router.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { TargetEntry } from '../state/target-entry.js';
-import { isTargetFailure, type AttemptEnd } from './attempt-end.js';
+import { isSuccess, isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
 import { attemptsLeft, type CallProgress } from './call-progress.js';
 import { ATTEMPTS_HEADER } from './caller-response.js';
@@ -26,6 +27,8 @@
 const RETRY_PRIORITY = 0;
 /** Deferred requests are prefilled after all others. */
 const DEFERRED_PRIORITY = 9;
+/** A request that crashes its target does so within this time after its first byte, if it gets one. */
+const SURVIVAL_MS = 200;
 
 export type AttemptStep = Extract<RequestStep, { kind: 'attempt' }>;
 
@@ -36,6 +39,7 @@
   readonly runner: AttemptRunner;
   readonly protocol: RequestProtocol;
   readonly gossip: Pick<GossipTask, 'table' | 'roster' | 'announceTarget'>;
+  readonly crashes: CrashWatch;
   readonly timers: TimerService;
 }
 
@@ -90,13 +94,14 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { state, timers, router, protocol, gossip } = this.deps;
+    const { state, timers, router, protocol, gossip, crashes } = this.deps;
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed' };
     const { record, work } = entry;
     const { head } = progress.call;
     const startedAt = timers.now();
     router.onSendToTarget(entry);
+    crashes.onSend(head);
     const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
     work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
     if (head.prompt) {
@@ -104,8 +109,8 @@
       const prompt = { id: head.id, workMs: prefillMs * work.latencyFactor, priority, segments };
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
-    const seen: { firstByteAt?: number } = {};
-    const end = await this.exchange(progress, candidate, {
+    const seen: { firstByteAt?: number; survived?: boolean } = {};
+    const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
       headers: protocol.targetHeaders(
         head,
@@ -120,8 +125,18 @@
         if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
         else work.onByte(timers.now());
         seen.firstByteAt ??= timers.now();
+        if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
+          seen.survived = true;
+          crashes.onAnswered(head, seen.firstByteAt);
+        }
       },
     });
+    if (isComplete(end) && !seen.survived) {
+      crashes.onAnswered(head, seen.firstByteAt ?? timers.now());
+    }
+    if (end.kind === 'lost' && !aborted && seen.firstByteAt === undefined) {
+      crashes.onLost(record, head);
+    }
     work.onEnd(head.id, timers.now());
     this.recordResult(entry, end, progress, startedAt);
     if (end.kind === 'streamed' && seen.firstByteAt !== undefined) {
@@ -142,7 +157,7 @@
     if (!peer) return { kind: 'not-sent', message: 'gateway no longer known' };
     const { call } = progress;
     router.onSendToPeer(call, region, candidate.prefillMs);
-    return this.exchange(progress, candidate, {
+    const { end } = await this.exchange(progress, candidate, {
       address: `${peer.ip}:${settings.forwardPort}`,
       headers: [
         ...protocol.peerHeaders(call.head, this.attemptFields(priority, progress, candidate)),
@@ -154,6 +169,7 @@
       onReport: () => undefined,
       onBytes,
     });
+    return end;
   }
 
   /** Sends one request; aborts it at the deadline, when the caller disconnects or on a stall. */
@@ -161,7 +177,7 @@
     progress: CallProgress,
     candidate: Candidate,
     outbound: OutboundRequest,
-  ): Promise<AttemptEnd> {
+  ): Promise<{ readonly end: AttemptEnd; readonly aborted: boolean }> {
     const { timers, runner } = this.deps;
     const { call, response } = progress;
     const abort = new AbortController();
@@ -173,7 +189,7 @@
       stall.start(() => this.hasAlternative(progress, candidate.destination), stop);
     response.onDisconnect(stop);
     try {
-      return await runner.run({
+      const end = await runner.run({
         ...outbound,
         progress,
         signal: abort.signal,
@@ -182,6 +198,7 @@
           outbound.onBytes();
         },
       });
+      return { end, aborted: abort.signal.aborted };
     } finally {
       stall.stop();
       stopDeadline();
@@ -254,6 +271,11 @@
   }
 }
 
+/** Whether the target completed its answer. */
+function isComplete(end: AttemptEnd): boolean {
+  return end.kind === 'streamed' || (end.kind === 'answered' && isSuccess(end.status));
+}
+
 function priorityOf({ retry, deferred }: AttemptStep, { call }: CallProgress): number {
   if (deferred) return DEFERRED_PRIORITY;
   return retry ? RETRY_PRIORITY : call.route.priority;
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -69,8 +69,9 @@
   }
 
   private nextStep(progress: CallProgress): RequestStep {
-    const { router, timers } = this.deps;
+    const { router, timers, crashes } = this.deps;
     const { call, response, attempts } = progress;
+    const verdict = crashes.verdict(call.head);
     const now = timers.now();
     const { candidates, unavailable } = router.destinations(call);
     const step = nextRequestStep(call.facts, {
@@ -80,9 +81,10 @@
       callerDisconnected: response.disconnected,
       candidates,
       unavailable,
+      ...(verdict ? { refusedForMs: verdict.retryAfterMs } : {}),
       takeRetry: () => this.budget(call.service).tryTake(now),
     });
-    this.decisions.onStep(step, progress, candidates);
+    this.decisions.onStep(step, progress, candidates, verdict);
     return step;
   }
 
@@ -193,5 +195,6 @@
     .with(RefusalReason.NoTarget, () => ResultCodes.NoReadyTarget)
     .with(RefusalReason.Overload, RefusalReason.Deadline, () => ResultCodes.DeadlineUnreachable)
     .with(RefusalReason.RetryBudget, () => ResultCodes.RetriesSpent)
+    .with(RefusalReason.CrashesTargets, () => ResultCodes.PromptCrashesTargets)
     .exhaustive();
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import {
   AdminTask,
   HttpClient,
+  probeConnection,
   type Logger,
   type Metrics,
   type Task,
@@ -10,6 +11,7 @@
 } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import { CallerTask } from './callers/caller-task.js';
+import { CrashWatch } from './crashes/crash-watch.js';
 import { DirectoryTask } from './directory/directory-task.js';
 import { AttemptRunner } from './exchange/attempt-runner.js';
 import { RequestExecutor } from './exchange/request-executor.js';
@@ -60,6 +62,8 @@
 
   private readonly router: Router;
 
+  private readonly crashes: CrashWatch;
+
   private readonly fetcher: StateFetcher;
 
   private readonly watch: WatchTask;
@@ -88,6 +92,7 @@
         onTargetWork: (node, work) => this.recordPeerTargetWork(node, work),
         onTargetUpdate: (update) => this.applyTargetUpdate(update),
         onFleetUpdate: (update) => this.watch.onFleetUpdate(update),
+        onSuspects: (rows) => this.crashes.merge(rows),
         onRecord: (record) => {
           this.fetcher.fetchIfNewer(record);
         },
@@ -101,6 +106,7 @@
       log.child('fetch'),
     );
     this.watch = this.createWatchTask();
+    this.crashes = this.createCrashWatch();
     this.router = new Router(settings, this.state, this.gossip, timers, random);
     const metrics = new GatewayMetrics(deps.metrics, timers);
     const httpClient = new HttpClient({}, CONNECT_TIMEOUT_MS);
@@ -111,6 +117,7 @@
       runner: new AttemptRunner(httpClient, protocol),
       protocol,
       gossip: this.gossip,
+      crashes: this.crashes,
       timers,
       random,
       metrics,
@@ -202,6 +209,7 @@
       revision: this.state.revision,
       regionWork: this.router.regionWork(),
       targetWork: this.router.localTargetWork(),
+      suspects: this.crashes.rows(),
     };
   }
 
@@ -274,6 +282,18 @@
     });
   }
 
+  private createCrashWatch(): CrashWatch {
+    const { settings, timers, log } = this.deps;
+    return new CrashWatch({
+      node: settings.node,
+      timers,
+      log: log.child('crashes'),
+      otherGateways: () => this.gossip.table.alive(timers.now()).map(({ node }) => node),
+      probe: (address) => probeConnection(address, CONNECT_TIMEOUT_MS),
+      announce: (rows) => this.gossip.announceSuspects(rows),
+    });
+  }
+
   private createReportTask(httpClient: HttpClient): ReportTask {
     const { settings, reportProtocol, timers } = this.deps;
     return new ReportTask({
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -7,8 +7,10 @@
   type RegionWork,
   type RosterMember,
   type RosterSummary,
+  type SuspectRow,
 } from '@marjoramcart/core';
 import { encodeNotification, type Notification } from './notification.js';
+import { fromSuspectWireRow, toSuspectWireRow, type SuspectWireRow } from './suspect-rows.js';
 
 const METHOD = 'gateway.gossip';
 const PHASES = [
@@ -30,6 +32,8 @@
   readonly roster?: RosterSummary;
   /** Members of that roster; sent when the receiver's roster differs. */
   readonly rosterMembers: readonly RosterMember[];
+  /** Prompt segments that may crash targets. */
+  readonly suspects: readonly SuspectRow[];
   /** Sender's clock, ms. */
   readonly sentAt: number;
   /** `sentAt` of the receiver's last message, and the time since it was received, ms. */
@@ -72,6 +76,7 @@
   readonly r?: readonly [number, 0 | 1];
   /** Members of the roster, and the time since their last signs of life in s. */
   readonly m?: readonly (readonly [string, number])[];
+  readonly s?: readonly SuspectWireRow[];
 }
 
 const MS_PER_S = 1000;
@@ -89,6 +94,7 @@
       ? { r: [message.roster.digest, message.roster.complete ? 1 : 0] as const }
       : {}),
     ...(message.rosterMembers.length > 0 ? { m: message.rosterMembers.map(toMemberRow) } : {}),
+    ...(message.suspects.length > 0 ? { s: message.suspects.map(toSuspectWireRow) } : {}),
   };
   return encodeNotification(METHOD, params);
 }
@@ -101,7 +107,7 @@
  */
 export function decodeGossip({ method, params }: Notification): GossipMessage | undefined {
   if (method !== METHOD) return undefined;
-  const { f, o, b = [], w, t, e, r, m = [] } = params as MessageParams;
+  const { f, o, b = [], w, t, e, r, m = [], s = [] } = params as MessageParams;
   return {
     from: fromRow(f),
     others: o.map(fromRow),
@@ -111,6 +117,7 @@
     ...(e ? { echo: { sentAt: e[0], heldMs: e[1] } } : {}),
     ...(r ? { roster: { digest: r[0], complete: r[1] === 1 } } : {}),
     rosterMembers: m.map(([node, ageS]) => ({ node, ageMs: ageS * MS_PER_S })),
+    suspects: s.map(fromSuspectWireRow),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -10,12 +10,14 @@
   type PeerWork,
   type RandomSource,
   type RegionWork,
+  type SuspectRow,
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { GatewaySettings } from '../settings.js';
 import { decodeFleetUpdate, encodeFleetUpdate, type FleetUpdate } from './fleet-update.js';
 import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
 import { decodeNotification, type Notification } from './notification.js';
+import { decodeSuspects, encodeSuspects } from './suspect-rows.js';
 import { decodeTargetUpdate, encodeTargetUpdate, type TargetUpdate } from './target-update.js';
 
 interface MessageSize {
@@ -52,6 +54,7 @@
   readonly revision: number;
   readonly regionWork: Readonly<Record<string, RegionWork>>;
   readonly targetWork: Readonly<Record<string, PeerWork>>;
+  readonly suspects: readonly SuspectRow[];
 }
 
 export interface GossipListener {
@@ -61,6 +64,8 @@
   onTargetUpdate(update: TargetUpdate): void;
   /** A gateway of the local region that watches the source sent an update. */
   onFleetUpdate(update: FleetUpdate): void;
+  /** A gateway sent what it knows about prompt segments that may crash targets. */
+  onSuspects(rows: readonly SuspectRow[]): void;
   /** The record of a gateway changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -163,6 +168,14 @@
     this.sendToRegion(encodeTargetUpdate(update));
   }
 
+  /** Sends new evidence about prompt segments to all gateways; gossip spreads it to those left out. */
+  announceSuspects(rows: readonly SuspectRow[]): void {
+    const recipients = this.table.alive(this.timers.now()).slice(0, MAX_RECIPIENTS);
+    encodeSuspects(rows).forEach((datagram) =>
+      recipients.forEach(({ ip }) => this.sendDatagram(datagram, ip)),
+    );
+  }
+
   /** Sends changes that were read from the source to the other gateways of the region. */
   announceFleet(update: FleetUpdate): void {
     this.sendToRegion(encodeFleetUpdate(update));
@@ -247,7 +260,7 @@
     const now = this.timers.now();
     this.heartbeat += 1;
     const { node, region, failureDomain } = this.settings;
-    const { targetWork, ...state } = this.localState();
+    const { targetWork, suspects, ...state } = this.localState();
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const known = this.table.shuffledRecent(to?.node ?? '', this.random, now);
     // In larger regions, load reports of the targets are more accurate than the gateways' own counts.
@@ -268,6 +281,7 @@
       targetWork: sendsTargetWork ? targetWork : {},
       ...(toRegion ? { roster: this.roster.summary(now) } : {}),
       rosterMembers: toRegion && roster ? this.roster.members(now) : [],
+      suspects,
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -298,9 +312,11 @@
     if (targetUpdate) this.listener.onTargetUpdate(targetUpdate);
     const fleetUpdate = decodeFleetUpdate(notification);
     if (fleetUpdate) this.listener.onFleetUpdate(fleetUpdate);
+    const suspects = decodeSuspects(notification);
+    if (suspects) this.listener.onSuspects(suspects);
     const message = decodeGossip(notification);
     if (message) this.handleGossip(message);
-    return [targetUpdate, fleetUpdate, message].some((decoded) => decoded !== undefined);
+    return [targetUpdate, fleetUpdate, suspects, message].some((decoded) => decoded !== undefined);
   }
 
   private handleGossip(message: GossipMessage): void {
@@ -319,6 +335,7 @@
     message.heartbeats.forEach((heartbeat) =>
       this.merge(heartbeat, () => this.table.mergeHeartbeat(heartbeat, now)),
     );
+    this.listener.onSuspects(message.suspects);
     const inRegion = from.region === this.settings.region;
     if (inRegion) this.listener.onTargetWork(from.node, message.targetWork);
     const rostersDiffer = inRegion && this.mergeRoster(message, now);
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -109,6 +109,10 @@
     echo: { sentAt: 4000, heldMs: 12 },
     roster: { digest: 77, complete: true },
     rosterMembers: [{ node: 'vm-4', ageMs: 3000 }],
+    suspects: [
+      { segment: 'aa', deaths: [{ target: 1, request: 2, ageMs: 300 }], clearedAgeMs: 900 },
+      { segment: 'bb', deaths: [] },
+    ],
   };
   assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
 });
--- /dev/null
+++ b/packages/gateway/src/peers/suspect-rows.ts
@@ -0,0 +1,51 @@
+/** Rows about prompt segments that may crash targets, in gossip and in messages of their own. */
+import type { SuspectRow } from '@marjoramcart/core';
+import { encodeNotification, type Notification } from './notification.js';
+
+const METHOD = 'segments.suspects';
+/** Limit of rows in one datagram. */
+const MAX_ROWS = 32;
+
+/** Segment, deaths as target, request and age in ms, and the time since it was cleared, ms. */
+export type SuspectWireRow = readonly [
+  string,
+  readonly (readonly [number, number, number])[],
+  number?,
+];
+
+export function toSuspectWireRow({ segment, deaths, clearedAgeMs }: SuspectRow): SuspectWireRow {
+  const rows = deaths.map(
+    ({ target, request, ageMs }) => [target, request, Math.round(ageMs)] as const,
+  );
+  return clearedAgeMs === undefined
+    ? [segment, rows]
+    : [segment, rows, Math.round(Math.max(0, clearedAgeMs))];
+}
+
+export function fromSuspectWireRow([segment, rows, clearedAgeMs]: SuspectWireRow): SuspectRow {
+  return {
+    segment,
+    deaths: rows.map(([target, request, ageMs]) => ({ target, request, ageMs })),
+    ...(clearedAgeMs === undefined ? {} : { clearedAgeMs }),
+  };
+}
+
+/** Encodes rows into datagrams. */
+export function encodeSuspects(rows: readonly SuspectRow[]): Buffer[] {
+  return Array.from({ length: Math.ceil(rows.length / MAX_ROWS) }, (_, index) =>
+    encodeNotification(METHOD, {
+      s: rows.slice(index * MAX_ROWS, (index + 1) * MAX_ROWS).map(toSuspectWireRow),
+    }),
+  );
+}
+
+/**
+ * Decodes a notification.
+ *
+ * @returns undefined when it is of another kind
+ * @throws TypeError when its parameters are malformed
+ */
+export function decodeSuspects({ method, params }: Notification): SuspectRow[] | undefined {
+  if (method !== METHOD) return undefined;
+  return (params as { s: readonly SuspectWireRow[] }).s.map(fromSuspectWireRow);
+}
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -38,6 +38,7 @@
 
 const EVENT_COUNT = 6;
 const EVENT_INTERVAL_MS = 10;
+const RESTART_MS = 200;
 
 export class TargetStandIn {
   private readonly server = http.createServer((req, res) => {
@@ -51,6 +52,12 @@
   /** Requests in flight, as sent in its load reports. */
   active = 0;
 
+  /** Prompt segment at which the target crashes before it answers; it is back after some time. */
+  crashesOn: string | undefined;
+
+  /** Whether the target was closed for good. */
+  private closed = false;
+
   constructor(
     readonly id: string,
     readonly address: string,
@@ -65,10 +72,22 @@
   }
 
   close(): void {
+    this.closed = true;
+    this.stopListening();
+  }
+
+  private stopListening(): void {
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  private crash(): void {
+    this.stopListening();
+    setTimeout(() => {
+      if (!this.closed) void this.listen();
+    }, RESTART_MS);
+  }
+
   /** Entry of this target in the store, by which gateways discover it. */
   entry(service: string, zone: string, changes: object = {}): object {
     return {
@@ -117,7 +136,8 @@
       this.active -= 1;
       run.cancelled = !res.writableFinished;
     });
-    this.respond(run, res);
+    if (this.crashesOn !== undefined && hasSegment(run, this.crashesOn)) this.crash();
+    else this.respond(run, res);
   }
 
   private respond(run: TargetRun, res: ServerResponse): void {
@@ -181,6 +201,13 @@
   }
 }
 
+/** Whether the prompt of a request contains a segment. */
+export function hasSegment({ headers }: TargetRun, segment: string): boolean {
+  return String(headers['prompt-prefix'] ?? '')
+    .split(',')
+    .some((part) => part.startsWith(`${segment}:`));
+}
+
 function send(res: ServerResponse, status: number, headers: object, body: string): void {
   res.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) }).end(body);
 }
