Close responses without end that are not needed

Heads and bodies that are read were bounded already. A rejection (503 that was not run, 421) was drained for ever, so that one such target held a connection and processor time of a gateway for each rejection. The entry daemon drained responses to a cancelled or resumed stream in the same way.

Change: what is not needed is drained for at most 64 KB or 1 s, then its connection is closed.

The test with an endless rejection fails on the code before (the connection stays open for 8 s) and passes now; those with an endless head and an endless body passed before and stay. 96 tests of the files touched pass.

--- a/packages/entry/src/dispatch/target-exchange.ts
+++ b/packages/entry/src/dispatch/target-exchange.ts
@@ -1,7 +1,12 @@
 /** Runs one attempt of a call on a target, relays the response and resumes broken streams. */
 import type { IncomingMessage } from 'node:http';
 import { type TargetState, SseFrameParser } from '@marjoramcart/core';
-import { readResponseBody, type TimerService, type HttpClient } from '@marjoramcart/runtime';
+import {
+  discardResponse,
+  readResponseBody,
+  type TimerService,
+  type HttpClient,
+} from '@marjoramcart/runtime';
 import { completeMeta, type CallerResponse } from '../relay/caller-response.js';
 import { relayedHeaders, relayStream, type RelayResult } from '../relay/relay.js';
 import type { Call } from '../request/call.js';
@@ -159,7 +164,7 @@
     );
     if (sent.kind !== 'answer') return broken;
     if (sent.res.statusCode !== 200 || !isEventStream(sent.res)) {
-      sent.res.resume();
+      discardResponse(sent.res, this.timers);
       return broken;
     }
     const result = await relayStream(sent.res, ctx);
@@ -183,7 +188,7 @@
       () => true,
       AbortSignal.timeout(CANCEL_TIMEOUT_MS),
     );
-    if (sent.kind === 'answer') sent.res.on('error', () => undefined).resume();
+    if (sent.kind === 'answer') discardResponse(sent.res, this.timers);
   }
 }
 
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -1,7 +1,13 @@
 /** Carries out one attempt: sends the request to a target or a gateway and reads the response. */
 import type { IncomingMessage } from 'node:http';
 import { RouteKind, RunState, SseFrameParser, type LoadReport } from '@marjoramcart/core';
-import { readResponseBody, type HttpClient, type RequestResult } from '@marjoramcart/runtime';
+import {
+  discardResponse,
+  readResponseBody,
+  type HttpClient,
+  type RequestResult,
+  type TimerService,
+} from '@marjoramcart/runtime';
 import type { HeaderList, RequestProtocol } from '../ports/request-protocol.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { Call } from './call.js';
@@ -29,6 +35,7 @@
   constructor(
     private readonly httpClient: HttpClient,
     private readonly protocol: RequestProtocol,
+    private readonly timers: TimerService,
   ) {}
 
   async run(options: AttemptOptions): Promise<AttemptEnd> {
@@ -64,13 +71,13 @@
     const { res } = sent;
     const refused = options.toPeer ? readPeerRefusal(res) : undefined;
     if (refused) {
-      discard(res);
+      discardResponse(res, this.timers);
       return refused;
     }
     const head = this.protocol.readResponseHead(res, options.progress.call.head);
     switch (head.kind) {
       case 'not-run':
-        discard(res);
+        discardResponse(res, this.timers);
         return head;
       case 'invalid':
         res.on('error', () => undefined);
@@ -163,9 +170,3 @@
     ...(Number.isFinite(retryAfterS) ? { retryAfterMs: retryAfterS * MS_PER_S } : {}),
   };
 }
-
-/** Drains a response that is not needed, so that its connection can be reused. */
-function discard(res: IncomingMessage): void {
-  res.on('error', () => undefined);
-  res.resume();
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -114,7 +114,7 @@
       settings,
       state: this.state,
       router: this.router,
-      runner: new AttemptRunner(httpClient, protocol),
+      runner: new AttemptRunner(httpClient, protocol, timers),
       protocol,
       gossip: this.gossip,
       crashes: this.crashes,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admin/admin-task.js';
 export * from './cli/daemon-cli.js';
 export * from './http/read-body.js';
+export * from './http/discard-response.js';
 export * from './http/http-client.js';
 export * from './http/lingering-close.js';
 export * from './http/listener.js';
--- a/tests/stand-ins/src/users-platform/gateway.test.ts
+++ b/tests/stand-ins/src/users-platform/gateway.test.ts
@@ -101,6 +101,20 @@
     }),
 );
 
+// Guards against reading on for ever from a target that sends bytes that are no answer.
+[
+  { mode: TargetMode.EndlessHead, status: 502 },
+  { mode: TargetMode.EndlessBody, status: 502 },
+  { mode: TargetMode.EndlessRejection, status: 503 },
+].forEach(({ mode, status }) =>
+  test(`the connection of a response without end is closed: ${mode}`, async () => {
+    plainTargets.forEach((target) => Object.assign(target, { mode }));
+    const response = await fleet.send('vm-1', { path: '/once/x', body: 'book' });
+    assert.equal(response.status, status);
+    await fleet.until(() => plainTargets.every(({ endlessResponses }) => endlessResponses === 0));
+  }),
+);
+
 test('reports that a request was not run only when all targets rejected it', async () => {
   plainTargets.forEach((target) => Object.assign(target, { mode: TargetMode.Sheds }));
   const response = await fleet.send('vm-1', { path: '/once/x', body: 'book' });
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -21,6 +21,12 @@
   BreaksStream: 'breaks-stream',
   /** Runs the request and never responds. */
   Silent: 'silent',
+  /** Sends header lines until the connection is closed. */
+  EndlessHead: 'endless-head',
+  /** Sends a body without a length until the connection is closed. */
+  EndlessBody: 'endless-body',
+  /** Rejects the request without running it, with a body that does not end. */
+  EndlessRejection: 'endless-rejection',
 } as const;
 export type TargetMode = (typeof TargetMode)[keyof typeof TargetMode];
 
@@ -39,6 +45,8 @@
 const EVENT_COUNT = 6;
 const EVENT_INTERVAL_MS = 10;
 const RESTART_MS = 200;
+const ENDLESS_CHUNK_BYTES = 64 * 1024;
+const ENDLESS_INTERVAL_MS = 1;
 
 export class TargetStandIn {
   private readonly server = http.createServer((req, res) => {
@@ -55,6 +63,9 @@
   /** Prompt segment at which the target crashes before it answers; it is back after some time. */
   crashesOn: string | undefined;
 
+  /** Responses without end that are being sent. */
+  endlessResponses = 0;
+
   /** Whether the target was closed for good. */
   private closed = false;
 
@@ -115,6 +126,11 @@
       res.writeHead(421, { 'instance-id': this.id, 'content-length': 0 }).end();
       return;
     }
+    if (this.mode === TargetMode.EndlessRejection) {
+      const head = `HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: ${requestId}\r\n\r\n`;
+      this.sendEndless(res, head, 'x'.repeat(ENDLESS_CHUNK_BYTES));
+      return;
+    }
     if (this.mode === TargetMode.Sheds) {
       res
         .writeHead(503, { 'not-executed': '1', 'request-id': requestId, 'content-length': 0 })
@@ -164,6 +180,16 @@
         return;
       case TargetMode.Silent:
         return;
+      case TargetMode.EndlessHead:
+        this.sendEndless(res, 'HTTP/1.1 200 OK\r\n', 'X-More: and more\r\n');
+        return;
+      case TargetMode.EndlessBody:
+        this.sendEndless(
+          res,
+          `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Signature: ${signature}\r\n\r\n`,
+          'x'.repeat(ENDLESS_CHUNK_BYTES),
+        );
+        return;
       default:
         if (this.streams) this.stream(run, signature, res);
         else
@@ -176,6 +202,18 @@
     }
   }
 
+  private sendEndless({ socket }: ServerResponse, head: string, chunk: string): void {
+    if (!socket) return;
+    this.endlessResponses += 1;
+    const timer = setInterval(() => socket.write(chunk), ENDLESS_INTERVAL_MS);
+    socket.on('close', () => {
+      this.endlessResponses -= 1;
+      clearInterval(timer);
+    });
+    socket.on('error', () => undefined);
+    socket.write(head);
+  }
+
   private stream(run: TargetRun, signature: string, res: ServerResponse): void {
     res.writeHead(200, {
       'content-type': 'text/event-stream',
