--- a/packages/core/src/membership/gateway-roster.ts
+++ b/packages/core/src/membership/gateway-roster.ts
@@ -60,11 +60,6 @@
     return [...this.seenAt.keys()];
   }
 
-  /** Marks the roster as complete without waiting for others, when no others are configured. */
-  completeAlone(): void {
-    this.completed = true;
-  }
-
   /** Whether this gateway may assume that no other gateway of the region is missing. */
   isComplete(now: number): boolean {
     const reachable = this.reachesOthers && now - this.startedAt >= UNCONFIRMED_MS;
@@ -72,7 +67,7 @@
     return this.completed;
   }
 
-  /** Handles a message of any gateway, also of other regions. */
+  /** Handles a message of any gateway, also of other regions, or that none is configured. */
   onContact(): void {
     this.reachesOthers = true;
   }
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -113,7 +113,7 @@
   ) {
     this.table = new GatewayTable(settings.node);
     this.roster = new GatewayRoster(settings.node, timers.now());
-    if (settings.seedIps.every((ip) => ip === settings.ip)) this.roster.completeAlone();
+    if (settings.seedIps.every((ip) => ip === settings.ip)) this.roster.onContact();
     this.seedIps = settings.seedIps;
     this.bootAt = Math.round(timers.wall());
     this.ticks = Math.floor(random.next() * MAX_FIRST_TICK);
