Ask for the verdict on a prompt before a stalled attempt is aborted

Found by reading: the check whether a stalled attempt would be retried did not know that a request with a refused part gets no further attempt, so that its running attempt was aborted for nothing. The new test of the step function fails when the check is left out. 63 tests of the files touched pass.

--- a/packages/core/src/exchange/next-request-step.test.ts
+++ b/packages/core/src/exchange/next-request-step.test.ts
@@ -223,3 +223,19 @@
     'runs once',
   );
 });
+
+// Guards against aborting a stalled attempt of a request that would be refused instead of retried.
+test('a stalled attempt is not aborted when a part of its prompt is refused', () => {
+  const facts = { ...FACTS, kind: RouteKind.Repeatable };
+  assert.equal(wouldRetryAfterLoss(facts, view(), { kind: 'target', id: 'a' }), true);
+  const refused = view({ refusedForMs: 20_000 });
+  assert.equal(wouldRetryAfterLoss(facts, refused, { kind: 'target', id: 'a' }), false);
+});
+
+test('a request with a refused part is refused as not run only if no attempt may have run', () => {
+  const fresh = nextRequestStep(FACTS, view({ refusedForMs: 20_000 }));
+  assert.deepEqual(fresh, { kind: 'refuse', reason: 'crashes-targets', retryAfterMs: 20_000 });
+  const attempts = [tried('a', { kind: 'lost', runs: 1 })];
+  const facts = { ...FACTS, kind: RouteKind.Repeatable };
+  assert.equal(nextRequestStep(facts, view({ attempts, refusedForMs: 20_000 })).kind, 'fail');
+});
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -12,7 +12,7 @@
 import type { ConnectionProbe, Logger, TimerService } from '@marjoramcart/runtime';
 import type { CallHead } from '../ports/request-protocol.js';
 
-/** Requests of one target that are considered when it dies; the one that crashed it is among the first. */
+/** Limit of requests of one target that are considered when it dies. */
 const MAX_WITNESSES = 32;
 const MAX_SEGMENTS = 16;
 /** Longer ids are not tracked, which bounds the memory. */
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -211,13 +211,15 @@
     { call, response, attempts }: CallProgress,
     destination: Destination,
   ): boolean {
-    const { router, timers } = this.deps;
+    const { router, timers, crashes } = this.deps;
+    const verdict = crashes.verdict(call.head);
     const view = {
       now: timers.now(),
       attempts,
       headSent: response.started,
       callerDisconnected: response.disconnected,
       ...router.destinations(call),
+      ...(verdict ? { refusedForMs: verdict.retryAfterMs } : {}),
       takeRetry: () => this.retries.allowsRetry(call.service),
     };
     return wouldRetryAfterLoss(call.facts, view, destination);
