Keep refused prompt segments while others become suspects

Found by reading: at the limit of 256 suspects the one that was touched longest ago was dropped. A refused segment gets no new deaths, so that the loss of a rack, with some hundred unanswered requests at once, would have dropped it, and its requests would have crashed targets again.

Change: a refused segment is dropped only if all are refused.

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -91,6 +91,17 @@
   assert.equal(other.verdict(['part'], NEVER, TRIAL_DUE_MS + 300), undefined);
 });
 
+// Guards against admitting a refused segment again because many targets die with other requests.
+test('a refused segment is kept while many other segments become suspects', () => {
+  const suspects = new CrashSuspects();
+  deaths(3, suspects, ['bad']);
+  Array.from({ length: 600 }).forEach((_, index) => {
+    suspects.onDeath('i-9', `req-${index}`, [`other-${index}`], 5000);
+  });
+  assert.notEqual(suspects.verdict(['bad'], NEVER, 5100), undefined);
+  assert.ok(suspects.size <= 256);
+});
+
 test('evidence that arrives after the answer that refuted it is ignored', () => {
   const suspects = new CrashSuspects();
   const behind = new CrashSuspects();
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -211,8 +211,17 @@
     if (suspect.deaths.size === 0) return;
     this.suspects.delete(segment);
     this.suspects.set(segment, suspect);
+    if (this.suspects.size > MAX_SUSPECTS) this.evictOne();
+  }
+
+  /** Drops the oldest suspect; a refused segment only if there is no other, as it gets no new deaths. */
+  private evictOne(): void {
+    const evictable = [...this.suspects].find(
+      ([segment, suspect]) => !this.isRefused(segment, suspect),
+    );
     const [oldest] = this.suspects.keys();
-    if (this.suspects.size > MAX_SUSPECTS && oldest !== undefined) this.suspects.delete(oldest);
+    const evicted = evictable?.[0] ?? oldest;
+    if (evicted !== undefined) this.suspects.delete(evicted);
   }
 
   /** Returns whether any death of the segment was before that time. */
