Keep the deaths that count when a prompt segment gets more of them

Cause: a gateway kept the eight newest deaths of a segment. Several targets die within 0.3 s there, which count as one; newer deaths pushed out those that counted, so that the count fell below three and the segment was admitted.

Change: deaths that do not count are dropped first.

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -91,6 +91,16 @@
   assert.equal(other.verdict(['part'], NEVER, TRIAL_DUE_MS + 300), undefined);
 });
 
+// Guards against admitting a refused segment again because further deaths replace those that count.
+test('a refused segment stays refused when many more targets die together', () => {
+  const suspects = new CrashSuspects();
+  deaths(3, suspects, ['bad']);
+  Array.from({ length: 12 }).forEach((_, index) => {
+    suspects.onDeath(`i-${index + 10}`, `req-${index + 10}`, ['bad'], 3000 + index * 10);
+    assert.notEqual(suspects.verdict(['bad'], NEVER, 3200), undefined);
+  });
+});
+
 // Guards against admitting a refused segment again because many targets die with other requests.
 test('a refused segment is kept while many other segments become suspects', () => {
   const suspects = new CrashSuspects();
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -204,10 +204,7 @@
       .map(({ target, request, ageMs }) => ({ target, request, at: now - ageMs }))
       .filter(({ target, at }) => at > suspect.clearedAt && !suspect.deaths.has(target))
       .forEach(({ target, request, at }) => suspect.deaths.set(target, { request, at }));
-    [...suspect.deaths]
-      .sort(([, a], [, b]) => b.at - a.at)
-      .slice(MAX_DEATHS_KEPT)
-      .forEach(([target]) => suspect.deaths.delete(target));
+    dropSurplusDeaths(suspect);
     if (suspect.deaths.size === 0) return;
     this.suspects.delete(segment);
     this.suspects.set(segment, suspect);
@@ -255,13 +252,31 @@
 }
 
 /** Number of deaths that did not happen at nearly the same time. */
-function countSeparate({ deaths }: Suspect): number {
-  const times = [...deaths.values()].map(({ at }) => at).sort((a, b) => a - b);
-  return times.reduce(
-    ({ count, countedAt }, at) =>
-      at - countedAt > SAME_CAUSE_MS ? { count: count + 1, countedAt: at } : { count, countedAt },
-    { count: 0, countedAt: -Infinity },
-  ).count;
+function countSeparate(suspect: Suspect): number {
+  return separateDeaths(suspect).length;
+}
+
+/** Targets whose deaths count, oldest first: each died some time after the one counted before. */
+function separateDeaths({ deaths }: Suspect): number[] {
+  const byTime = [...deaths].sort(([, a], [, b]) => a.at - b.at);
+  return byTime.reduce<{ targets: number[]; countedAt: number }>(
+    ({ targets, countedAt }, [target, { at }]) =>
+      at - countedAt > SAME_CAUSE_MS
+        ? { targets: [...targets, target], countedAt: at }
+        : { targets, countedAt },
+    { targets: [], countedAt: -Infinity },
+  ).targets;
+}
+
+/** Drops deaths that do not count first, so that more evidence never lowers the count below the limit. */
+function dropSurplusDeaths(suspect: Suspect): void {
+  const { deaths } = suspect;
+  if (deaths.size <= MAX_DEATHS_KEPT) return;
+  const separate = separateDeaths(suspect);
+  const others = [...deaths.keys()].filter((target) => !separate.includes(target));
+  [...others, ...separate]
+    .slice(0, deaths.size - MAX_DEATHS_KEPT)
+    .forEach((target) => deaths.delete(target));
 }
 
 function lastDeathOf({ deaths }: Suspect): number {
