--- a/packages/core/src/membership/gateway-roster.ts
+++ b/packages/core/src/membership/gateway-roster.ts
@@ -67,7 +67,7 @@
     return this.completed;
   }
 
-  /** Handles a message of any gateway, also of other regions, or that none is configured. */
+  /** Notes that another gateway of any region was heard, or that no other is configured. */
   onContact(): void {
     this.reachesOthers = true;
   }
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -63,7 +63,7 @@
 /** A refused segment is tried again after this time, then after twice as long each time. */
 const MIN_TRIAL_DELAY_MS = 20_000;
 const MAX_TRIAL_DELAY_MS = 300_000;
-/** A trial has a result within this time. */
+/** Shortest time between two requests that try the same refused segment again. */
 const TRIAL_MS = 10_000;
 const MAX_SUSPECTS = 256;
 const MAX_DEATHS_KEPT = 8;
