--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -2,3 +2,4 @@
 export * from './fleet-config.js';
 export * from './route-table.js';
 export * from './target-record.js';
+export * from './version-lag.js';
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -223,6 +223,8 @@
       result: code.name,
       detail,
       config: state.config?.version ?? 0,
+      newest_config: state.newestConfigVersion,
+      config_behind_ms: Math.round(state.configBehindMs),
       source_age_ms: Math.round(state.sourceAgeMs),
     });
     metrics.onRefusal(code.name);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
 import { GatewayState } from './state/gateway-state.js';
+import { StateMetrics } from './state/state-metrics.js';
 
 /** New requests are accepted for this time after the stop signal: callers cache the directory. */
 const ACCEPT_AFTER_STOP_MS = 2800;
@@ -80,7 +81,12 @@
 
   constructor(private readonly deps: GatewayDeps) {
     const { settings, timers, log, requestProtocol: protocol } = deps;
-    this.state = new GatewayState(settings.region, timers, log.child('state'));
+    this.state = new GatewayState(
+      settings.region,
+      timers,
+      log.child('state'),
+      new StateMetrics(deps.metrics, () => this.state),
+    );
     const random = seededRandom(Math.floor(timers.wall()) % 2 ** 31);
     this.gossip = new GossipTask(
       settings,
@@ -94,6 +100,7 @@
         onFleetUpdate: (update) => this.watch.onFleetUpdate(update),
         onSuspects: (rows) => this.crashes.merge(rows),
         onRecord: (record) => {
+          this.state.onPeerVersions(record);
           this.fetcher.fetchIfNewer(record);
         },
       },
@@ -328,6 +335,9 @@
         config: this.state.config?.version ?? 0,
         revision: this.state.revision,
         source_age_ms: Math.round(this.state.sourceAgeMs),
+        newest_config: this.state.newestConfigVersion,
+        config_behind_ms: Math.round(this.state.configBehindMs),
+        revision_behind_ms: Math.round(this.state.revisionBehindMs),
         watches_source: this.watchesSource,
         in_flight: this.callers.requestsInFlight,
         roster: this.gossip.roster.size,
--- a/packages/gateway/src/peers/state-fetcher.ts
+++ b/packages/gateway/src/peers/state-fetcher.ts
@@ -57,6 +57,8 @@
         version: fetched.config.version,
         revision: fetched.revision,
         source_age_ms: Math.round(this.state.sourceAgeMs),
+        config_behind_ms: Math.round(this.state.configBehindMs),
+        revision_behind_ms: Math.round(this.state.revisionBehindMs),
       });
       this.state.applyFromPeer(fetched, node);
     } catch (err) {
--- a/packages/gateway/src/peers/watch-task.ts
+++ b/packages/gateway/src/peers/watch-task.ts
@@ -88,6 +88,7 @@
   /** Applies an update of another gateway of the region. */
   onFleetUpdate(update: FleetUpdate): void {
     const { state, timers, source, fetcher } = this.deps;
+    state.onPeerVersions(update);
     if (update.sourceAgeMs > MAX_SOURCE_AGE_MS) return;
     this.assignment.onUpdate(update.node, timers.now());
     if (this.watching) return;
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -2,6 +2,7 @@
 import {
   RouteTable,
   TargetWork,
+  VersionLag,
   type FleetConfig,
   type FleetState,
   type ServiceSpec,
@@ -9,6 +10,7 @@
 } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { FleetListener } from '../ports/fleet-source.js';
+import type { StateMetrics } from './state-metrics.js';
 import { ColdReason, TargetEntry } from './target-entry.js';
 
 /** The source counts as lost after this time without a response. */
@@ -21,6 +23,13 @@
 const COLD_AFTER_EVACUATION_MS = 2500;
 const DEFAULT_CACHE_TOKENS = 400_000;
 
+/** What another gateway has in force. */
+export interface PeerVersions {
+  readonly node: string;
+  readonly configVersion: number;
+  readonly revision: number;
+}
+
 export class GatewayState implements FleetListener {
   private currentConfig: FleetConfig | undefined;
 
@@ -41,10 +50,15 @@
 
   private sourceRegainedAt = -Infinity;
 
+  private readonly configLag = new VersionLag();
+
+  private readonly revisionLag = new VersionLag();
+
   constructor(
     private readonly region: string,
     private readonly timers: TimerService,
     private readonly log: Logger,
+    private readonly metrics: StateMetrics,
   ) {
     this.lastContactAt = timers.now();
   }
@@ -74,6 +88,21 @@
     return this.sourceFailing || this.sourceAgeMs > SOURCE_LOST_MS;
   }
 
+  /** How long this gateway has known of a newer configuration than the one in force, ms. */
+  get configBehindMs(): number {
+    return this.configLag.behindMs(this.timers.now());
+  }
+
+  /** How long this gateway has known of a newer revision than its own, ms. */
+  get revisionBehindMs(): number {
+    return this.revisionLag.behindMs(this.timers.now());
+  }
+
+  /** Version of the newest configuration that this gateway has heard of. */
+  get newestConfigVersion(): number {
+    return Math.max(0, this.configLag.newestVersion);
+  }
+
   service(name: string): ServiceSpec | undefined {
     return this.currentConfig?.services.get(name);
   }
@@ -140,6 +169,19 @@
     this.apply(state, node);
   }
 
+  /** Notes which versions another gateway has in force. */
+  onPeerVersions({ node, configVersion, revision }: PeerVersions): void {
+    const now = this.timers.now();
+    this.revisionLag.onHeard(revision, now);
+    if (!this.configLag.onHeard(configVersion, now)) return;
+    this.log.info('another gateway has a newer configuration', {
+      version: configVersion,
+      node,
+      before: this.currentConfig?.version ?? 0,
+      source_age_ms: Math.round(this.sourceAgeMs),
+    });
+  }
+
   /** @param ageMs time since the source responded to another gateway; 0 when it responded to this one */
   onContact(ageMs = 0): void {
     const now = this.timers.now();
@@ -154,6 +196,7 @@
   }
 
   onFailure(reason: string): void {
+    this.metrics.onSourceFailure();
     if (this.sourceFailing) return;
     this.sourceFailing = true;
     this.log.warn('configuration source lost', {
@@ -192,6 +235,7 @@
     this.applyConfig(state.config, from);
     if (state.revision < this.currentRevision) return;
     this.currentRevision = state.revision;
+    this.revisionLag.onReached(state.revision, this.timers.now());
     this.applyEvacuated(state.evacuated, from);
     this.applyTargets(state.targets, from);
     this.usableByService.clear();
@@ -203,11 +247,14 @@
     if (config.version <= before) return;
     this.currentConfig = config;
     this.routeTable = new RouteTable(config.routes);
+    const behindMs = this.configLag.onReached(config.version, this.timers.now());
+    this.metrics.onConfigInForce(behindMs ?? 0);
     this.log.info('configuration in force', {
       version: config.version,
       before,
       from,
       routes: config.routes.length,
+      behind_ms: behindMs === undefined ? undefined : Math.round(behindMs),
     });
   }
 
