Reproduce configurations that are late at VMs that the store does not answer

The store of the stand-ins has an address for each gateway now, so that it can treat them differently.

--- a/tests/stand-ins/src/users-platform/store.ts
+++ b/tests/stand-ins/src/users-platform/store.ts
@@ -13,9 +13,33 @@
 
 const PAGE_SIZE = 3;
 const POLL_MS = 5;
+const STATUS_REFUSED = 503;
+const STATUS_COMPACTED = 410;
+
+/** How the store treats the requests that arrive at one of its addresses. */
+export const StoreMode = {
+  Serves: 'serves',
+  /** Keeps connections open without a response. */
+  Silent: 'silent',
+  /** Responds with status 503. */
+  Refuses: 'refuses',
+  /** Loses responses that contain keys of the operator; the connection stays open. */
+  LosesOperatorKeys: 'loses-operator-keys',
+  /** Answers lists as of the last call of `freezeLists`, and refuses watches. */
+  StaleLists: 'stale-lists',
+} as const;
+export type StoreMode = (typeof StoreMode)[keyof typeof StoreMode];
+
+const OPERATOR_PREFIX = 'op/';
 
 export class StoreStandIn {
-  private readonly server = http.createServer((req, res) => this.handle(req, res));
+  private readonly servers: http.Server[] = [];
+
+  private readonly modes = new Map<string, StoreMode>();
+
+  private frozenItems = new Map<string, Change>();
+
+  private frozenRevision = 0;
 
   private readonly items = new Map<string, Change>();
 
@@ -31,16 +55,32 @@
   /** Requests received so far. */
   calls = 0;
 
+  /** Listens on one more address; gateways with different addresses can be treated differently. */
   async listen(address: string): Promise<void> {
     const [host, port] = address.split(':');
+    const server = http.createServer((req, res) => this.handle(req, res, address));
+    this.servers.push(server);
     await new Promise<void>((resolve) => {
-      this.server.listen(Number(port), host, resolve);
+      server.listen(Number(port), host, resolve);
     });
   }
 
   close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.servers.forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+
+  /** Sets how requests are treated that arrive at an address; pending watches are affected too. */
+  setMode(address: string, mode: StoreMode): void {
+    this.modes.set(address, mode);
+  }
+
+  /** Keeps the present entries and revision for lists in the mode `StaleLists`. */
+  freezeLists(): void {
+    this.frozenItems = new Map(this.items);
+    this.frozenRevision = this.revision;
   }
 
   put(key: string, value: unknown): void {
@@ -66,46 +106,76 @@
     else this.items.set(key, change);
   }
 
-  private handle(req: IncomingMessage, res: ServerResponse): void {
+  private handle(req: IncomingMessage, res: ServerResponse, address: string): void {
     this.calls += 1;
-    if (this.failureStatus === 0) return;
-    if (this.failureStatus !== undefined) {
-      res.writeHead(this.failureStatus).end();
+    const mode = this.modeOf(address);
+    if (this.failureStatus === 0 || mode === StoreMode.Silent) return;
+    const { pathname, searchParams } = new URL(req.url ?? '', 'http://store');
+    const isList = pathname === '/api/kv-range';
+    const status = this.failureStatus ?? (refuses(mode, isList) ? STATUS_REFUSED : undefined);
+    if (status !== undefined) {
+      res.writeHead(status).end();
       return;
     }
-    const { pathname, searchParams } = new URL(req.url ?? '', 'http://store');
     const prefix = searchParams.get('prefix') ?? '';
-    if (pathname === '/api/kv-range') this.range(prefix, searchParams.get('after') ?? '', res);
-    else
-      this.watch(
-        prefix,
-        Number(searchParams.get('after')),
-        Number(searchParams.get('waitMs')),
-        res,
-      );
+    const after = searchParams.get('after') ?? '';
+    if (isList) this.range(prefix, after, res, address);
+    else this.watch(prefix, Number(after), Number(searchParams.get('waitMs')), res, address);
+  }
+
+  private modeOf(address: string): StoreMode {
+    return this.modes.get(address) ?? StoreMode.Serves;
   }
 
-  private range(prefix: string, after: string, res: ServerResponse): void {
-    const keys = [...this.items.keys()]
-      .filter((key) => key.startsWith(prefix) && key > after)
-      .sort();
-    const page = keys.slice(0, PAGE_SIZE).map((key) => this.items.get(key));
-    sendJson(res, 200, { items: page, hasMore: keys.length > PAGE_SIZE, asOf: this.revision });
+  private range(prefix: string, after: string, res: ServerResponse, address: string): void {
+    const stale = this.modeOf(address) === StoreMode.StaleLists;
+    const items = stale ? this.frozenItems : this.items;
+    const keys = [...items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort();
+    const page = keys
+      .slice(0, PAGE_SIZE)
+      .map((key) => items.get(key))
+      .filter((item) => item !== undefined);
+    const asOf = stale ? this.frozenRevision : this.revision;
+    this.respond(res, address, page, { items: page, hasMore: keys.length > PAGE_SIZE, asOf });
   }
 
-  private watch(prefix: string, after: number, waitMs: number, res: ServerResponse): void {
+  private watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    res: ServerResponse,
+    address: string,
+  ): void {
+    if (this.modeOf(address) === StoreMode.Silent) return;
     if (after < this.compactedAt) {
-      res.writeHead(410).end();
+      res.writeHead(STATUS_COMPACTED).end();
       return;
     }
-    const events = this.history
-      .filter(({ key, revision }) => key.startsWith(prefix) && revision > after)
-      .map(({ key, value, revision }) =>
+    const changes = this.history.filter(
+      ({ key, revision }) => key.startsWith(prefix) && revision > after,
+    );
+    if (changes.length > 0 || waitMs <= 0) {
+      const events = changes.map(({ key, value, revision }) =>
         value === undefined ? { key, revision, deleted: true } : { key, value, revision },
       );
-    if (events.length > 0 || waitMs <= 0) sendJson(res, 200, { events, asOf: this.revision });
-    else if (!res.destroyed) {
-      setTimeout(() => this.watch(prefix, after, waitMs - POLL_MS, res), POLL_MS);
+      this.respond(res, address, changes, { events, asOf: this.revision });
+    } else if (!res.destroyed) {
+      setTimeout(() => this.watch(prefix, after, waitMs - POLL_MS, res, address), POLL_MS);
     }
   }
+
+  private respond(
+    res: ServerResponse,
+    address: string,
+    items: readonly Change[],
+    body: object,
+  ): void {
+    const hasOperatorKeys = items.some(({ key }) => key.startsWith(OPERATOR_PREFIX));
+    const isLost = this.modeOf(address) === StoreMode.LosesOperatorKeys && hasOperatorKeys;
+    if (!isLost) sendJson(res, 200, body);
+  }
+}
+
+function refuses(mode: StoreMode, isList: boolean): boolean {
+  return mode === StoreMode.Refuses || (mode === StoreMode.StaleLists && !isList);
 }
--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -15,7 +15,7 @@
 import { Metrics, SystemTimerService, silentLogger } from '@marjoramcart/runtime';
 import { sendRequest, type ClientResponse, type ClientRequest } from './client-request.js';
 import { HOST, MODEL_SERVICE, exampleConfig, renderSettings, type Zone } from './example-config.js';
-import { StoreStandIn } from './store.js';
+import { StoreStandIn, type StoreMode } from './store.js';
 import { TargetStandIn } from './target.js';
 
 const POLL_MS = 10;
@@ -32,14 +32,16 @@
 
   private readonly targets: TargetStandIn[] = [];
 
+  private readonly storeAddresses = new Set<string>();
+
   private readonly gateways = new Map<string, RunningGateway>();
 
   /** @param basePort first of ten free ports; fleets that run at the same time need different ones */
   constructor(private readonly basePort: number) {}
 
-  async start(): Promise<void> {
-    await this.store.listen(this.storeAddress);
+  start(): Promise<void> {
     this.store.put('op/config', exampleConfig(3));
+    return Promise.resolve();
   }
 
   async stop(): Promise<void> {
@@ -61,7 +63,12 @@
   async addGateway(index: number, zone: Zone): Promise<string> {
     const node = `vm-${index}`;
     const ip = `127.0.0.${index}`;
-    const settings = this.settings(node, ip, zone);
+    const storeAddress = this.storeAddressOf(index);
+    if (!this.storeAddresses.has(storeAddress)) {
+      this.storeAddresses.add(storeAddress);
+      await this.store.listen(storeAddress);
+    }
+    const settings = this.settings(node, ip, zone, storeAddress);
     const timers = new SystemTimerService();
     const source = new StoreSource(
       new StoreClient(settings.storeAddress),
@@ -84,6 +91,11 @@
     return node;
   }
 
+  /** Sets how the store treats the requests of a gateway. */
+  setStoreMode(node: string, mode: StoreMode): void {
+    this.store.setMode(this.running(node).settings.storeAddress, mode);
+  }
+
   gateway(node: string): Gateway {
     return this.running(node).gateway;
   }
@@ -149,12 +161,12 @@
     return running;
   }
 
-  private get storeAddress(): string {
-    return `127.0.0.1:${this.basePort + 9}`;
+  private storeAddressOf(index: number): string {
+    return `127.0.2.${index}:${this.basePort + 9}`;
   }
 
-  private settings(node: string, ip: string, zone: Zone): PlatformSettings {
-    const { basePort, storeAddress } = this;
+  private settings(node: string, ip: string, zone: Zone, storeAddress: string): PlatformSettings {
+    const { basePort } = this;
     const location = { node, ip, zone, basePort, storeAddress, seedIp: '127.0.0.1' };
     const result = checkPlatformSettings(renderSettings(location), gatewayTuningSchema.parse({}));
     if (result.kind === 'invalid') throw new Error(result.errors.join('\n'));
