Fetch a newer configuration from another gateway once it is known for 0.5 s

Callers saw requests refused or run as an older configuration says, for longer than the bound after an acknowledged change.

Cause: a gateway fetched from another one only if its last contact with the store was old. A gateway that does not watch the store takes its contact from the updates of those that watch, so the contact looked recent while the store did not answer its own read of the configuration (up to 2.5 s, again and again); its revision advanced with the updates. At a watching gateway each change of a target was a contact, which hid that the answers with the configuration did not arrive.

Now the age of the knowledge that a newer version exists decides, not the age of the contact: whatever keeps the own read from succeeding, a gateway that has heard of a newer configuration for 0.5 s (of a newer revision for 1.5 s) asks live gateways that have it, at most three at a time and each time another one, those of its region first.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -101,17 +101,18 @@
         onSuspects: (rows) => this.crashes.merge(rows),
         onRecord: (record) => {
           this.state.onPeerVersions(record);
-          this.fetcher.fetchIfNewer(record);
+          this.fetcher.check();
         },
       },
     );
-    this.fetcher = new StateFetcher(
-      this.state,
-      this.gossip.table,
-      settings.peerRpcPort,
+    this.fetcher = new StateFetcher({
+      settings,
+      state: this.state,
+      table: this.gossip.table,
       timers,
-      log.child('fetch'),
-    );
+      random,
+      log: log.child('fetch'),
+    });
     this.watch = this.createWatchTask();
     this.crashes = this.createCrashWatch();
     this.router = new Router(settings, this.state, this.gossip, timers, random);
@@ -172,6 +173,7 @@
       .catch((err: unknown) => log.error('metrics listener failed to open', { err }));
     timers.every(HOUSEKEEPING_INTERVAL_MS, () => {
       this.state.dropExpired();
+      this.fetcher.check();
       this.callers.applyLimits();
       this.gossip.table.expire(timers.now());
     });
