--- a/packages/core/src/membership/watcher-assignment.test.ts
+++ b/packages/core/src/membership/watcher-assignment.test.ts
@@ -13,7 +13,7 @@
     const watching = GATEWAYS.filter((node) => assignments.get(node)?.shouldWatch(GATEWAYS, now));
     watching
       .filter((node) => canReach(node, now))
-      .forEach((node) => assignments.forEach((assignment) => assignment.onUpdate(node, now)));
+      .forEach((node) => assignments.forEach((assignment) => assignment.onUpdate(node, 0, now)));
     return watching;
   });
 }
--- a/packages/core/src/membership/watcher-assignment.ts
+++ b/packages/core/src/membership/watcher-assignment.ts
@@ -6,27 +6,35 @@
 import { rendezvousOrder } from '../rendezvous.js';
 
 const WATCHERS_PER_REGION = 2;
-/** Time without an update after which the next gateway watches; updates arrive every second. */
-const UPDATE_TIMEOUT_MS = 1600;
+/**
+ * Age of the newest information from higher-ranked gateways at which the next gateway watches. A watch
+ * without changes ends after 1.5 s, and its gateway then sends an update.
+ */
+const INFORMATION_TIMEOUT_MS = 2000;
 /** Added to the timeout for each further gateway in the ranking. */
-const TIMEOUT_STEP_MS = 500;
+const TIMEOUT_STEP_MS = 300;
 
 export class WatcherAssignment {
-  /** Time of the last update from each watching gateway, monotonic ms. */
-  private readonly updateAtByNode = new Map<string, number>();
+  /** When each watching gateway last had contact with the service, monotonic ms. */
+  private readonly contactAtByNode = new Map<string, number>();
 
-  private lastUpdateAt: number;
+  private lastContactAt: number;
 
   constructor(
     private readonly self: string,
     now: number,
   ) {
-    this.lastUpdateAt = now;
+    this.lastContactAt = now;
   }
 
-  /** Records an update from a gateway that reaches the service. */
-  onUpdate(node: string, now: number): void {
-    this.updateAtByNode.set(node, now);
+  /**
+   * Records an update from a watching gateway.
+   *
+   * @param ageMs time since that gateway's last contact with the service
+   */
+  onUpdate(node: string, ageMs: number, now: number): void {
+    const before = this.contactAtByNode.get(node) ?? -Infinity;
+    this.contactAtByNode.set(node, Math.max(before, now - ageMs));
   }
 
   /**
@@ -39,11 +47,11 @@
     const order = rendezvousOrder('watch', gateways);
     const rank = order.indexOf(this.self);
     if (rank < WATCHERS_PER_REGION) return true;
-    const higherRankedUpdates = order
+    const higherRankedContacts = order
       .slice(0, rank)
-      .map((node) => this.updateAtByNode.get(node) ?? -Infinity);
-    this.lastUpdateAt = Math.max(this.lastUpdateAt, ...higherRankedUpdates);
-    const timeoutMs = UPDATE_TIMEOUT_MS + (rank - WATCHERS_PER_REGION) * TIMEOUT_STEP_MS;
-    return now - this.lastUpdateAt > timeoutMs;
+      .map((node) => this.contactAtByNode.get(node) ?? -Infinity);
+    this.lastContactAt = Math.max(this.lastContactAt, ...higherRankedContacts);
+    const timeoutMs = INFORMATION_TIMEOUT_MS + (rank - WATCHERS_PER_REGION) * TIMEOUT_STEP_MS;
+    return now - this.lastContactAt > timeoutMs;
   }
 }
--- a/packages/gateway/src/peers/state-fetcher.ts
+++ b/packages/gateway/src/peers/state-fetcher.ts
@@ -39,14 +39,10 @@
   check(): void {
     const { state } = this.deps;
     if (!this.mayStart()) return;
-    const configIsLate = state.configBehindMs >= CONFIG_GRACE_MS;
-    const revisionIsLate = state.revisionBehindMs >= REVISION_GRACE_MS;
-    const isBehind = state.configBehindMs > 0 || state.revisionBehindMs > 0;
     const isNeeded =
       state.config === undefined ||
-      configIsLate ||
-      revisionIsLate ||
-      (isBehind && state.sourceLost);
+      state.configBehindMs >= CONFIG_GRACE_MS ||
+      state.revisionBehindMs >= REVISION_GRACE_MS;
     const record = isNeeded ? this.chooseGateway() : undefined;
     if (record) this.start(record);
   }
--- a/packages/gateway/src/peers/watch-task.ts
+++ b/packages/gateway/src/peers/watch-task.ts
@@ -10,13 +10,10 @@
 import type { StateFetcher } from './state-fetcher.js';
 
 const CHECK_INTERVAL_MS = 250;
-/** Interval of updates while nothing changes. */
-const UPDATE_INTERVAL_MS = 1000;
-/**
- * Updates from a gateway whose last contact with the source is older are ignored. A watch without
- * changes lasts 5 s.
- */
-const MAX_SOURCE_AGE_MS = 6500;
+/** Longest time between two updates. One is sent at each contact with the source. */
+const MAX_UPDATE_INTERVAL_MS = 1000;
+/** A gateway whose last contact with the source is older sends no updates, as others watch by then. */
+const MAX_CONTACT_AGE_MS = 6000;
 
 export interface WatchTaskDeps {
   readonly node: string;
@@ -40,9 +37,12 @@
   /** State at the last update that was sent. */
   private lastSent: FleetState | undefined;
 
-  private stopChecks = (): void => undefined;
+  private lastSentAt = -Infinity;
 
-  private stopUpdates = (): void => undefined;
+  /** When the source last responded to this gateway itself, monotonic ms. */
+  private contactAt = -Infinity;
+
+  private stopChecks = (): void => undefined;
 
   constructor(private readonly deps: WatchTaskDeps) {
     this.assignment = new WatcherAssignment(deps.node, deps.timers.now());
@@ -56,19 +56,21 @@
   start(): Promise<void> {
     const { source, timers } = this.deps;
     source.start(this);
-    this.stopChecks = timers.every(CHECK_INTERVAL_MS, () => this.checkAssignment());
-    this.stopUpdates = timers.every(UPDATE_INTERVAL_MS, () => this.sendUpdate());
+    this.stopChecks = timers.every(CHECK_INTERVAL_MS, () => {
+      this.checkAssignment();
+      if (timers.now() - this.lastSentAt >= MAX_UPDATE_INTERVAL_MS) this.sendUpdate();
+    });
     return Promise.resolve();
   }
 
   stop(): Promise<void> {
     this.stopChecks();
-    this.stopUpdates();
     this.deps.source.stop();
     return Promise.resolve();
   }
 
   onState(state: FleetState): void {
+    this.contactAt = this.deps.timers.now();
     this.deps.state.onState(state);
     this.sendUpdate(state);
   }
@@ -78,27 +80,31 @@
   }
 
   onContact(): void {
+    this.contactAt = this.deps.timers.now();
     this.deps.state.onContact();
+    this.sendUpdate();
   }
 
   onFailure(reason: string): void {
     this.deps.state.onFailure(reason);
   }
 
-  /** Applies an update of another gateway of the region. */
+  /**
+   * Applies an update of another gateway of the region. A gateway that watches the source applies it
+   * too, since its own watch may have stopped delivering, but waits for its own reads before it fetches.
+   */
   onFleetUpdate(update: FleetUpdate): void {
     const { state, timers, source, fetcher } = this.deps;
     state.onPeerVersions(update);
-    if (update.sourceAgeMs > MAX_SOURCE_AGE_MS) return;
-    this.assignment.onUpdate(update.node, timers.now());
-    if (this.watching) return;
-    state.onContact(update.sourceAgeMs);
-    if (update.configVersion > (state.config?.version ?? 0)) source.refreshConfig();
+    this.assignment.onUpdate(update.node, update.sourceAgeMs, timers.now());
+    state.onPeerContact(update.sourceAgeMs);
+    const hasNewerConfig = update.configVersion > (state.config?.version ?? 0);
+    if (hasNewerConfig && !this.watching) source.refreshConfig();
     if (update.revision < state.revision) return;
     const before = state.snapshot();
     const canApplyChanges = update.since !== undefined && update.since <= state.revision;
     if (before && canApplyChanges) state.applyFromPeer(withChanges(before, update), update.node);
-    else if (update.revision > state.revision) fetcher.fetchFrom(update.node);
+    else if (update.revision > state.revision && !this.watching) fetcher.fetchFrom(update.node);
   }
 
   private checkAssignment(): void {
@@ -117,16 +123,19 @@
   }
 
   private sendUpdate(current: FleetState | undefined = this.lastSent): void {
-    const { node, state, announce } = this.deps;
-    if (!this.watching || !current || state.sourceLost) return;
+    const { node, timers, announce } = this.deps;
+    const now = timers.now();
+    const contactAgeMs = now - this.contactAt;
+    if (!this.watching || !current || contactAgeMs > MAX_CONTACT_AGE_MS) return;
     const before = this.lastSent ?? current;
     this.lastSent = current;
+    this.lastSentAt = now;
     announce({
       node,
       ...changesBetween(before, current),
       revision: current.revision,
       configVersion: current.config.version,
-      sourceAgeMs: state.sourceAgeMs,
+      sourceAgeMs: contactAgeMs,
       evacuated: [...current.evacuated],
     });
   }
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -13,8 +13,8 @@
 import type { StateMetrics } from './state-metrics.js';
 import { ColdReason, TargetEntry } from './target-entry.js';
 
-/** The source counts as lost after this time without a response. */
-const SOURCE_LOST_MS = 8000;
+/** Entries can have expired if the source was not heard of, directly or through others, for this time. */
+const OUTAGE_MS = 2500;
 /** Targets whose entries expired while the source was unreachable register again within this time. */
 const RELIST_MS = 2500;
 /** Time beyond the warm-up for which an unreachable target is assumed to be cold after a restart. */
@@ -79,15 +79,11 @@
     return this.evacuatedDomains;
   }
 
-  /** Time since the last response of the source, ms. */
+  /** Time since the last response of the source to this gateway or to one that told this one, ms. */
   get sourceAgeMs(): number {
     return this.timers.now() - this.lastContactAt;
   }
 
-  get sourceLost(): boolean {
-    return this.sourceFailing || this.sourceAgeMs > SOURCE_LOST_MS;
-  }
-
   /** How long this gateway has known of a newer configuration than the one in force, ms. */
   get configBehindMs(): number {
     return this.configLag.behindMs(this.timers.now());
@@ -182,16 +178,19 @@
     });
   }
 
-  /** @param ageMs time since the source responded to another gateway; 0 when it responded to this one */
-  onContact(ageMs = 0): void {
-    const now = this.timers.now();
+  onContact(): void {
     if (this.sourceFailing) {
       this.sourceFailing = false;
-      this.sourceRegainedAt = now;
-      this.log.info('configuration source regained', {
-        lost_ms: Math.round(now - this.lastContactAt),
-      });
+      this.log.info('configuration source regained', { lost_ms: Math.round(this.sourceAgeMs) });
+      this.sourceRegainedAt = this.timers.now();
     }
+    this.onPeerContact(0);
+  }
+
+  /** @param ageMs time since the source responded to another gateway */
+  onPeerContact(ageMs: number): void {
+    const now = this.timers.now();
+    if (now - ageMs - this.lastContactAt > OUTAGE_MS) this.sourceRegainedAt = now;
     this.lastContactAt = Math.max(this.lastContactAt, now - ageMs);
   }
 
--- a/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
+++ b/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
@@ -118,3 +118,12 @@
   fleet.store.put('op/config', exampleConfig(20));
   await Promise.all(NODES.map((node) => fleet.until(() => versionAt(node) === 20, APPLY_MS)));
 });
+
+// Guards against a silent connection that is noticed only after a missed change is overdue.
+test('a change is in force in time after the connections of all watches have gone silent', async () => {
+  NODES.forEach((node) => fleet.setStoreMode(node, StoreMode.Silent));
+  await pause(CHANGE_INTERVAL_MS);
+  NODES.forEach((node) => fleet.setStoreMode(node, StoreMode.Serves));
+  fleet.store.put('op/config', exampleConfig(20));
+  await Promise.all(NODES.map((node) => fleet.until(() => versionAt(node) === 20, APPLY_MS)));
+});
