--- a/tests/stand-ins/src/users-platform/store.ts
+++ b/tests/stand-ins/src/users-platform/store.ts
@@ -25,7 +25,7 @@
   Refuses: 'refuses',
   /** Loses responses that contain keys of the operator; the connection stays open. */
   LosesOperatorKeys: 'loses-operator-keys',
-  /** Answers lists as of the last call of `freezeLists`, and refuses watches. */
+  /** Answers lists as of the last call of `freezeLists`. */
   StaleLists: 'stale-lists',
 } as const;
 export type StoreMode = (typeof StoreMode)[keyof typeof StoreMode];
@@ -112,7 +112,7 @@
     if (this.failureStatus === 0 || mode === StoreMode.Silent) return;
     const { pathname, searchParams } = new URL(req.url ?? '', 'http://store');
     const isList = pathname === '/api/kv-range';
-    const status = this.failureStatus ?? (refuses(mode, isList) ? STATUS_REFUSED : undefined);
+    const status = this.failureStatus ?? (mode === StoreMode.Refuses ? STATUS_REFUSED : undefined);
     if (status !== undefined) {
       res.writeHead(status).end();
       return;
@@ -175,7 +175,3 @@
     if (!isLost) sendJson(res, 200, body);
   }
 }
-
-function refuses(mode: StoreMode, isList: boolean): boolean {
-  return mode === StoreMode.Refuses || (mode === StoreMode.StaleLists && !isList);
-}
