Run no forwarded request by an older configuration than its sender's

Callers could see a request handled as an older configuration says after the same gateway had already served by the newer one ("came back older"): a gateway that forwards a request to another region did not tell by which version it was routed, and the other one matched it again with its own configuration, which is older for a moment after each change and for longer where the store does not answer it.

A forward carries the version now. The receiver waits up to 0.15 s for its own read, then fetches from the sender and waits up to 0.45 s more; if that fails it refuses with code 3109, which says that the request was not run, so that the sender may try elsewhere.

--- a/packages/core/src/codes/result-codes.ts
+++ b/packages/core/src/codes/result-codes.ts
@@ -123,6 +123,14 @@
     'The request was not run, and the retry budget of its service is spent.',
     RETRY_LATER,
   ),
+  ConfigurationBehind: row(
+    3109,
+    'configuration_behind',
+    503,
+    NotRun,
+    'A newer configuration is in force elsewhere, and this gateway does not have it yet.',
+    OTHER_ENTRY,
+  ),
   NoReadyTarget: row(4102, 'no_ready_target', 503, NotRun, 'No target is ready.', RETRY_LATER),
   TargetUnreachable: row(
     4103,
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -19,12 +19,13 @@
   type TimerService,
 } from '@marjoramcart/runtime';
 import type { Call } from '../exchange/call.js';
-import { ATTEMPTS_HEADER, CallerResponse } from '../exchange/caller-response.js';
+import { ATTEMPTS_HEADER, CallerResponse, CONFIG_HEADER } from '../exchange/caller-response.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
 import type { CallHead, RequestProtocol } from '../ports/request-protocol.js';
 import type { GatewayState } from '../state/gateway-state.js';
+import type { ConfigCatchUp } from './config-catch-up.js';
 
 /** Request header with the name of the gateway that forwarded the request. */
 export const FORWARDED_BY_HEADER = 'marjoramcart-forwarded-by';
@@ -39,7 +40,12 @@
  * which a request is already in transit.
  */
 const IDLE_SLACK_MS = 1000;
-/** Retry-After of a gateway that is not ready or draining; another gateway can serve the caller. */
+/** Refusals of one gateway while another one can serve the caller. */
+const OTHER_GATEWAY_CODES: ReadonlySet<ResultCode> = new Set([
+  ResultCodes.EntryNotReady,
+  ResultCodes.EntryDraining,
+  ResultCodes.ConfigurationBehind,
+]);
 const OTHER_GATEWAY_RETRY_AFTER_MS = 150;
 /** Limits until the first configuration is in force. */
 const DEFAULT_LIMITS = {
@@ -54,6 +60,7 @@
   readonly callersAddress: string;
   readonly forwardAddress: string;
   readonly state: GatewayState;
+  readonly configCatchUp: ConfigCatchUp;
   readonly protocol: RequestProtocol;
   readonly executor: RequestExecutor;
   readonly timers: TimerService;
@@ -183,6 +190,16 @@
       this.refuse(req, response, code, head.id);
       return;
     }
+    const forwardedBy = forwarded
+      ? String(req.headers[FORWARDED_BY_HEADER] ?? 'unknown')
+      : undefined;
+    if (forwardedBy !== undefined) {
+      const version = Number(req.headers[CONFIG_HEADER]) || 0;
+      if (!(await this.deps.configCatchUp.reach(version, forwardedBy))) {
+        this.refuse(req, response, ResultCodes.ConfigurationBehind, head.id);
+        return;
+      }
+    }
     // The configuration may have changed while the body was received.
     const currentConfig = state.config ?? config;
     const route = state.routes.match(head.host, head.path);
@@ -192,9 +209,6 @@
       return;
     }
     const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
-    const forwardedBy = forwarded
-      ? String(req.headers[FORWARDED_BY_HEADER] ?? 'unknown')
-      : undefined;
     const call = makeCall(
       head,
       body.body,
@@ -228,9 +242,8 @@
       source_age_ms: Math.round(state.sourceAgeMs),
     });
     metrics.onRefusal(code.name);
-    const tryOtherGateway =
-      code === ResultCodes.EntryNotReady || code === ResultCodes.EntryDraining;
-    sendResult(response, code, tryOtherGateway ? OTHER_GATEWAY_RETRY_AFTER_MS : undefined);
+    const retryAfterMs = OTHER_GATEWAY_CODES.has(code) ? OTHER_GATEWAY_RETRY_AFTER_MS : undefined;
+    sendResult(response, code, retryAfterMs);
     if (!req.complete) lingeringClose(req, timers, true);
   }
 
--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -16,6 +16,9 @@
  */
 export const ATTEMPTS_HEADER = 'marjoramcart-attempts';
 
+/** In a forwarded request: version of the configuration by which it was routed. */
+export const CONFIG_HEADER = 'marjoramcart-config';
+
 const LINE_END = '\r\n';
 const LAST_CHUNK = '0\r\n\r\n';
 
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -20,7 +20,7 @@
 import { isSuccess, isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
 import { attemptsLeft, type CallProgress } from './call-progress.js';
-import { ATTEMPTS_HEADER } from './caller-response.js';
+import { ATTEMPTS_HEADER, CONFIG_HEADER } from './caller-response.js';
 import { StallDetector } from './stall-detector.js';
 
 /** Retries are prefilled before first attempts of other requests. */
@@ -163,6 +163,8 @@
         ...protocol.peerHeaders(call.head, this.attemptFields(priority, progress, candidate)),
         ATTEMPTS_HEADER,
         String(attemptsLeft(progress)),
+        CONFIG_HEADER,
+        String(call.configVersion),
       ],
       toPeer: true,
       isAlive: () => false,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import { CallerTask } from './callers/caller-task.js';
+import { ConfigCatchUp } from './callers/config-catch-up.js';
 import { CrashWatch } from './crashes/crash-watch.js';
 import { DirectoryTask } from './directory/directory-task.js';
 import { AttemptRunner } from './exchange/attempt-runner.js';
@@ -135,6 +136,11 @@
       callersAddress: settings.listen.callers,
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
       state: this.state,
+      configCatchUp: new ConfigCatchUp({
+        state: this.state,
+        timers,
+        fetchFrom: (node) => this.fetcher.fetchFrom(node),
+      }),
       protocol,
       executor,
       timers,
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -8,7 +8,7 @@
   type ServiceSpec,
   type TargetRecord,
 } from '@marjoramcart/core';
-import type { Logger, TimerService } from '@marjoramcart/runtime';
+import type { Logger, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { FleetListener } from '../ports/fleet-source.js';
 import type { StateMetrics } from './state-metrics.js';
 import { ColdReason, TargetEntry } from './target-entry.js';
@@ -54,6 +54,9 @@
 
   private readonly revisionLag = new VersionLag();
 
+  /** Called once after the next configuration is in force. */
+  private readonly configListeners = new Set<() => void>();
+
   constructor(
     private readonly region: string,
     private readonly timers: TimerService,
@@ -167,8 +170,13 @@
 
   /** Notes which versions another gateway has in force. */
   onPeerVersions({ node, configVersion, revision }: PeerVersions): void {
+    this.revisionLag.onHeard(revision, this.timers.now());
+    this.onPeerConfig(node, configVersion);
+  }
+
+  /** Notes which version of the configuration another gateway has in force. */
+  onPeerConfig(node: string, configVersion: number): void {
     const now = this.timers.now();
-    this.revisionLag.onHeard(revision, now);
     if (!this.configLag.onHeard(configVersion, now)) return;
     this.log.info('another gateway has a newer configuration', {
       version: configVersion,
@@ -178,6 +186,12 @@
     });
   }
 
+  /** Calls `fn` once after the next configuration is in force, unless unsubscribed before. */
+  onNextConfig(fn: () => void): Unsubscribe {
+    this.configListeners.add(fn);
+    return () => this.configListeners.delete(fn);
+  }
+
   onContact(): void {
     if (this.sourceFailing) {
       this.sourceFailing = false;
@@ -248,6 +262,9 @@
     this.routeTable = new RouteTable(config.routes);
     const behindMs = this.configLag.onReached(config.version, this.timers.now());
     this.metrics.onConfigInForce(behindMs ?? 0);
+    const listeners = [...this.configListeners];
+    this.configListeners.clear();
+    listeners.forEach((listener) => listener());
     this.log.info('configuration in force', {
       version: config.version,
       before,
