Answer 503, not 404, for unknown paths while a newer configuration is known

Callers of a route that was added a moment ago could get 404, which no client repeats, from a gateway that had already heard of the newer configuration but did not have it yet.

Unknown paths get 404 as before when nothing newer is known. The test gets 404 on the parent commit.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -200,14 +200,16 @@
         return;
       }
     }
-    // The configuration may have changed while the body was received.
-    const currentConfig = state.config ?? config;
-    const route = state.routes.match(head.host, head.path);
+    const route = state.routes.match(head.host, head.path) ?? (await this.matchNewest(head));
     const service = route && pickWeightedService(route, this.deps.random);
     if (!route || service === undefined) {
-      this.refuse(req, response, ResultCodes.NoSuchPath, head.id);
+      const isBehind = state.configBehindMs > 0;
+      const code = isBehind ? ResultCodes.ConfigurationBehind : ResultCodes.NoSuchPath;
+      this.refuse(req, response, code, head.id);
       return;
     }
+    // The configuration may have changed while the body was received.
+    const currentConfig = state.config ?? config;
     const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
     const call = makeCall(
       head,
@@ -222,6 +224,14 @@
     await executor.run(call, response);
   }
 
+  /** Matches a request again after waiting for a newer configuration, which may have added its route. */
+  private async matchNewest({ host, path }: CallHead): Promise<Route | undefined> {
+    const { state, configCatchUp } = this.deps;
+    if (state.configBehindMs === 0) return undefined;
+    await configCatchUp.reachNewest();
+    return state.routes.match(host, path);
+  }
+
   /** Sends a refusal for a request that is not run, and discards the rest of its body. */
   private refuse(
     req: IncomingMessage,
--- a/packages/gateway/src/callers/config-catch-up.ts
+++ b/packages/gateway/src/callers/config-catch-up.ts
@@ -32,6 +32,11 @@
     return this.waitFor(version, FETCH_MS);
   }
 
+  /** Waits for the newest configuration that this gateway has heard of, which is being read or fetched. */
+  async reachNewest(): Promise<boolean> {
+    return this.waitFor(this.deps.state.newestConfigVersion, OWN_READ_MS + FETCH_MS);
+  }
+
   private isInForce(version: number): boolean {
     return (this.deps.state.config?.version ?? 0) >= version;
   }
--- a/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
+++ b/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
-import { PLAIN_SERVICE, exampleConfig } from './example-config.js';
+import { HOST, PLAIN_SERVICE, exampleConfig } from './example-config.js';
 import { StoreMode } from './store.js';
 import { TestFleet } from './test-fleet.js';
 
@@ -127,3 +127,30 @@
   fleet.store.put('op/config', exampleConfig(20));
   await Promise.all(NODES.map((node) => fleet.until(() => versionAt(node) === 20, APPLY_MS)));
 });
+
+// Guards against a final refusal of requests on routes that were added a moment ago.
+test('a gateway that knows of a newer configuration does not refuse unknown paths with 404', async () => {
+  const node = 'vm-2';
+  const { state } = fleet.gateway(node);
+  NODES.forEach((name) => fleet.setStoreMode(name, StoreMode.Silent));
+  state.onPeerConfig('vm-9', 40);
+  const refused = await fleet.send(node, { path: '/added/x' });
+  assert.equal(refused.status, 503);
+  assert.ok(Number(refused.headers['retry-after']) > 0);
+
+  const held = fleet.send(node, { path: '/added/x' });
+  const route = {
+    name: 'added',
+    host: HOST,
+    prefix: '/added/',
+    kind: 'safe',
+    service: PLAIN_SERVICE,
+    maxAttempts: 1,
+  };
+  NODES.forEach((name) => fleet.setStoreMode(name, StoreMode.Serves));
+  fleet.store.put('op/config', exampleConfig(40, { routes: [route] }));
+  await fleet.until(() => state.config?.version === 40);
+  assert.ok([200, 503].includes((await held).status));
+  await fleet.until(async () => (await fleet.send(node, { path: '/added/x' })).status === 200);
+  assert.equal((await fleet.send(node, { path: '/nowhere/x' })).status, 404);
+});
