Notice a silent watch of the control daemon before a change is overdue

If the connections of the two watchers of a failure domain go silent, and no other domain tells of the change, it is in force up to 32 s late; the bound is 6 s.

A watch of the configuration waits 3 s now and ends after 4 s without an answer. The watch of the list of VMs is as it was.

--- a/packages/control/src/platform/platform-client.ts
+++ b/packages/control/src/platform/platform-client.ts
@@ -13,11 +13,16 @@
   readonly vms: string;
 }
 
-/** Time for which the platform holds a watch (long poll) without a change. */
-export const WATCH_WAIT_MS = 30_000;
-
+/**
+ * Time for which the platform holds a watch (long poll) of the configuration without a change. A watch
+ * on a connection that has gone silent has to end before a change that it misses is overdue.
+ */
+const CONFIG_WATCH_WAIT_MS = 3000;
+const VMS_WATCH_WAIT_MS = 30_000;
 const READ_TIMEOUT_MS = 2000;
-const WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 2000;
+/** Time beyond its wait after which a watch without a response fails. */
+const CONFIG_WATCH_SLACK_MS = 1000;
+const VMS_WATCH_SLACK_MS = 2000;
 /** Request line and headers that Node.js adds to a plain GET. */
 const REQUEST_HEADER_BYTES = 80;
 const CONFIG_PREFIX = encodeURIComponent('config/');
@@ -40,20 +45,21 @@
     return this.get('config_range', url, READ_TIMEOUT_MS);
   }
 
-  /** Waits for a revision above `after`, for at most `WATCH_WAIT_MS`; returns the current revision. */
+  /** Waits some seconds for a revision above `after`; returns the current revision. */
   watchConfig(after: number, signal: AbortSignal): Promise<PlatformResult<{ revision: number }>> {
-    const url = `${this.urls.config}/v1/watch?prefix=${CONFIG_PREFIX}&after=${after}&wait_ms=${WATCH_WAIT_MS}`;
-    return this.get('config_watch', url, WATCH_TIMEOUT_MS, signal);
+    const url = `${this.urls.config}/v1/watch?prefix=${CONFIG_PREFIX}&after=${after}&wait_ms=${CONFIG_WATCH_WAIT_MS}`;
+    const timeoutMs = CONFIG_WATCH_WAIT_MS + CONFIG_WATCH_SLACK_MS;
+    return this.get('config_watch', url, timeoutMs, signal);
   }
 
   readVms(): Promise<PlatformResult<VmList>> {
     return this.get('vms', `${this.urls.vms}/v1/vms`, READ_TIMEOUT_MS);
   }
 
-  /** Waits for a version above `after`, for at most `WATCH_WAIT_MS`; returns the current version. */
+  /** Waits for a version above `after`, for at most half a minute; returns the current version. */
   watchVms(after: number, signal: AbortSignal): Promise<PlatformResult<{ version: number }>> {
-    const url = `${this.urls.vms}/v1/vms/watch?after=${after}&wait_ms=${WATCH_WAIT_MS}`;
-    return this.get('vms_watch', url, WATCH_TIMEOUT_MS, signal);
+    const url = `${this.urls.vms}/v1/vms/watch?after=${after}&wait_ms=${VMS_WATCH_WAIT_MS}`;
+    return this.get('vms_watch', url, VMS_WATCH_WAIT_MS + VMS_WATCH_SLACK_MS, signal);
   }
 
   close(): void {
