Send nothing more to a target that said that it is leaving

Callers' requests still reached a target after an answer had told the VM that it leaves.

Cause: the gateway knew only from the store that a target leaves. While the entry is late, or cannot be written or read, requests went on for as long as the target answered. The class: what a target says about itself was not among the sources of what is known of it.

Now a target that says so in any response or load report is out for this start of it (id, address, start time), until 10 min after it last said so: also while its entry says that it serves, or lapses and is listed again. The other gateways of the region are told at once and by gossip, gateways that start get the latest 64. Whether the target may still be used is checked again immediately before the request is written; an attempt that is withdrawn there does not count as an unreachable target.

--- a/packages/core/src/fleet/leaving-targets.test.ts
+++ b/packages/core/src/fleet/leaving-targets.test.ts
@@ -40,4 +40,5 @@
       ['i-4999', 7],
     ],
   );
+  assert.deepEqual(leaving.rows(2, 7, 7), []);
 });
--- a/packages/core/src/fleet/leaving-targets.ts
+++ b/packages/core/src/fleet/leaving-targets.ts
@@ -20,6 +20,8 @@
 
 interface LeavingTarget {
   readonly target: TargetIncarnation;
+  /** When this gateway first knew of it, monotonic ms. */
+  readonly knownAt: number;
   /** Time of the latest response that said so, monotonic ms. */
   readonly toldAt: number;
 }
@@ -49,6 +51,7 @@
     const before = this.known.get(key);
     this.known.set(key, {
       target: { id: target.id, address: target.address, bornAt: target.bornAt },
+      knownAt: before?.knownAt ?? now,
       toldAt: Math.max(before?.toldAt ?? -Infinity, now - ageMs),
     });
     if (this.known.size > MAX_TARGETS) this.dropOldest();
@@ -59,10 +62,15 @@
     return this.known.has(keyOf(target));
   }
 
-  /** The latest targets to become known, at most `max`. */
-  rows(max: number, now: number): LeavingRow[] {
+  /**
+   * The latest targets to become known, at most `max`.
+   *
+   * @param maxKnownMs leaves out those that have been known for longer, ms
+   */
+  rows(max: number, now: number, maxKnownMs = Infinity): LeavingRow[] {
     return [...this.known.values()]
       .slice(-max)
+      .filter(({ knownAt }) => now - knownAt < maxKnownMs)
       .map(({ target, toldAt }) => ({ ...target, ageMs: now - toldAt }));
   }
 
--- a/packages/gateway/src/exchange/attempt-end.ts
+++ b/packages/gateway/src/exchange/attempt-end.ts
@@ -15,7 +15,12 @@
   /** A stream was forwarded to the caller until its end. */
   | { readonly kind: 'streamed' }
   /** The request was not written to the connection. */
-  | { readonly kind: 'not-sent'; readonly message: string }
+  | {
+      readonly kind: 'not-sent';
+      readonly message: string;
+      /** The gateway itself decided so, which says nothing about the target. */
+      readonly withdrawn?: true;
+    }
   /** The receiver reports that it did not run the request. */
   | { readonly kind: 'not-run'; readonly misdirected: boolean; readonly retryAfterMs?: number }
   /** The request was sent, and no valid response came; it may have run. */
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -19,6 +19,8 @@
   readonly address: string;
   readonly headers: HeaderList;
   readonly signal: AbortSignal;
+  /** Whether the destination may still be used; called immediately before the request is written. */
+  readonly mayWrite: () => boolean;
   /** Whether the receiver is a gateway rather than a target. */
   readonly toPeer: boolean;
   /** Called for each received part of the response body. */
@@ -55,7 +57,7 @@
         // open whether the request ran.
         newConnection: atMostOnce && !options.toPeer,
       },
-      () => !signal.aborted,
+      () => !signal.aborted && options.mayWrite(),
       signal,
     );
     return this.readResponse(sent, options);
@@ -65,8 +67,11 @@
     sent: RequestResult,
     options: AttemptOptions,
   ): Promise<AttemptEnd> | AttemptEnd {
-    if (sent.kind === 'vetoed')
-      return { kind: 'not-sent', message: 'aborted before the request was written' };
+    if (sent.kind === 'vetoed') {
+      return options.signal.aborted
+        ? { kind: 'not-sent', message: 'aborted before the request was written' }
+        : { kind: 'not-sent', message: 'the target may no longer be used', withdrawn: true };
+    }
     if (sent.kind === 'failed') {
       return { kind: sent.sent ? 'lost' : 'not-sent', message: sent.message };
     }
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -64,6 +64,8 @@
   readonly address: string;
   readonly headers: HeaderList;
   readonly toPeer: boolean;
+  /** Whether the destination may still be used. */
+  readonly mayWrite: () => boolean;
   /** Whether this process received anything from the destination recently. */
   readonly isAlive: () => boolean;
   readonly onBytes: () => void;
@@ -102,7 +104,7 @@
   ): Promise<AttemptEnd> {
     const { state, timers, router, protocol, gossip, crashes } = this.deps;
     const entry = state.target(id);
-    if (!entry) return { kind: 'not-sent', message: 'target no longer listed' };
+    if (!entry) return { kind: 'not-sent', message: 'target no longer listed', withdrawn: true };
     const { record, work } = entry;
     const { head } = progress.call;
     const startedAt = timers.now();
@@ -124,6 +126,7 @@
         record,
       ),
       toPeer: false,
+      mayWrite: () => state.target(id) === entry && state.mayUse(entry),
       isAlive: () => work.isAlive(timers.now()),
       onReport: (report) => work.updateLoadReport(report, timers.now()),
       onSignals: (signals) => state.onTargetSignals(record, signals, head.id),
@@ -174,6 +177,7 @@
         String(call.configVersion),
       ],
       toPeer: true,
+      mayWrite: () => true,
       isAlive: () => false,
       onReport: () => undefined,
       onSignals: () => undefined,
@@ -271,7 +275,7 @@
       router.speeds.onPlainDuration(call.service, now - startedAt);
     }
     if (end.kind === 'not-run' && end.misdirected) state.onMisdirected(record.id);
-    if (end.kind === 'not-sent') {
+    if (end.kind === 'not-sent' && !end.withdrawn) {
       work.onUnreachable(now);
       gossip.announceTarget({
         kind: 'unreachable',
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -3,12 +3,14 @@
   GatewayPhase,
   type GatewayHeartbeat,
   type GatewayRecord,
+  type LeavingRow,
   type PeerWork,
   type RegionWork,
   type RosterMember,
   type RosterSummary,
   type SuspectRow,
 } from '@marjoramcart/core';
+import { fromLeavingWireRow, toLeavingWireRow, type LeavingWireRow } from './leaving-rows.js';
 import { encodeNotification, type Notification } from './notification.js';
 import { fromSuspectWireRow, toSuspectWireRow, type SuspectWireRow } from './suspect-rows.js';
 
@@ -34,6 +36,8 @@
   readonly rosterMembers: readonly RosterMember[];
   /** Prompt segments that may crash targets. */
   readonly suspects: readonly SuspectRow[];
+  /** Targets of the sender's region that are leaving; only sent within the region. */
+  readonly leaving: readonly LeavingRow[];
   /** Sender's clock, ms. */
   readonly sentAt: number;
   /** `sentAt` of the receiver's last message, and the time since it was received, ms. */
@@ -77,6 +81,7 @@
   /** Members of the roster, and the time since their last signs of life in s. */
   readonly m?: readonly (readonly [string, number])[];
   readonly s?: readonly SuspectWireRow[];
+  readonly l?: readonly LeavingWireRow[];
 }
 
 const MS_PER_S = 1000;
@@ -95,6 +100,7 @@
       : {}),
     ...(message.rosterMembers.length > 0 ? { m: message.rosterMembers.map(toMemberRow) } : {}),
     ...(message.suspects.length > 0 ? { s: message.suspects.map(toSuspectWireRow) } : {}),
+    ...(message.leaving.length > 0 ? { l: message.leaving.map(toLeavingWireRow) } : {}),
   };
   return encodeNotification(METHOD, params);
 }
@@ -107,7 +113,7 @@
  */
 export function decodeGossip({ method, params }: Notification): GossipMessage | undefined {
   if (method !== METHOD) return undefined;
-  const { f, o, b = [], w, t, e, r, m = [], s = [] } = params as MessageParams;
+  const { f, o, b = [], w, t, e, r, m = [], s = [], l = [] } = params as MessageParams;
   return {
     from: fromRow(f),
     others: o.map(fromRow),
@@ -118,6 +124,7 @@
     ...(r ? { roster: { digest: r[0], complete: r[1] === 1 } } : {}),
     rosterMembers: m.map(([node, ageS]) => ({ node, ageMs: ageS * MS_PER_S })),
     suspects: s.map(fromSuspectWireRow),
+    leaving: l.map(fromLeavingWireRow),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -8,6 +8,7 @@
   type GatewayRecord,
   type GatewayHeartbeat,
   type PeerWork,
+  type LeavingRow,
   type RandomSource,
   type RegionWork,
   type SuspectRow,
@@ -25,6 +26,8 @@
   readonly heartbeats: number;
   /** Whether the members of the roster are sent to a gateway of the region. */
   readonly roster: boolean;
+  /** Limit of leaving targets that are sent to a gateway of the region, and of the time they have been known, ms. */
+  readonly leaving: { readonly max: number; readonly maxKnownMs: number };
 }
 
 const TICK_MS = 250;
@@ -35,11 +38,26 @@
 /** Range of the random first tick; larger than the number of gateways in a fleet. */
 const MAX_FIRST_TICK = 1000;
 /** Number of full records and of heartbeats of other gateways in a message. */
-const USUAL_SIZE: MessageSize = { records: 1, heartbeats: 24, roster: false };
+const USUAL_SIZE: MessageSize = {
+  records: 1,
+  heartbeats: 24,
+  roster: false,
+  leaving: { max: 8, maxKnownMs: 10_000 },
+};
 /** Size of a message to a gateway that is new or was lost, which needs full records first. */
-const NEW_PEER_SIZE: MessageSize = { records: 6, heartbeats: 0, roster: true };
+const NEW_PEER_SIZE: MessageSize = {
+  records: 6,
+  heartbeats: 0,
+  roster: true,
+  leaving: { max: 64, maxKnownMs: Infinity },
+};
 /** Content of a message to a gateway of the region with another roster. */
-const ROSTER_SIZE: MessageSize = { records: 0, heartbeats: 0, roster: true };
+const ROSTER_SIZE: MessageSize = {
+  records: 0,
+  heartbeats: 0,
+  roster: true,
+  leaving: { max: 0, maxKnownMs: 0 },
+};
 /** Limit of gateways that get an immediate update. */
 const MAX_RECIPIENTS = 64;
 /** A prompt with less prefill time than this per gateway of the region is not announced. */
@@ -55,6 +73,8 @@
   readonly regionWork: Readonly<Record<string, RegionWork>>;
   readonly targetWork: Readonly<Record<string, PeerWork>>;
   readonly suspects: readonly SuspectRow[];
+  /** Leaving targets of the region; see `LeavingTargets.rows`. */
+  readonly leaving: (max: number, maxKnownMs: number) => readonly LeavingRow[];
 }
 
 export interface GossipListener {
@@ -66,6 +86,8 @@
   onFleetUpdate(update: FleetUpdate): void;
   /** A gateway sent what it knows about prompt segments that may crash targets. */
   onSuspects(rows: readonly SuspectRow[]): void;
+  /** A gateway of the local region sent which targets are leaving. */
+  onLeaving(rows: readonly LeavingRow[], node: string): void;
   /** The record of a gateway changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -255,12 +277,12 @@
   private send(
     ip: string,
     to?: GatewayRecord,
-    { records, heartbeats, roster }: MessageSize = USUAL_SIZE,
+    { records, heartbeats, roster, leaving }: MessageSize = USUAL_SIZE,
   ): void {
     const now = this.timers.now();
     this.heartbeat += 1;
     const { node, region, failureDomain } = this.settings;
-    const { targetWork, suspects, ...state } = this.localState();
+    const { targetWork, suspects, leaving: leavingRows, ...state } = this.localState();
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const known = this.table.shuffledRecent(to?.node ?? '', this.random, now);
     // In larger regions, load reports of the targets are more accurate than the gateways' own counts.
@@ -282,6 +304,7 @@
       ...(toRegion ? { roster: this.roster.summary(now) } : {}),
       rosterMembers: toRegion && roster ? this.roster.members(now) : [],
       suspects,
+      leaving: toRegion ? leavingRows(leaving.max, leaving.maxKnownMs) : [],
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -338,6 +361,7 @@
     this.listener.onSuspects(message.suspects);
     const inRegion = from.region === this.settings.region;
     if (inRegion) this.listener.onTargetWork(from.node, message.targetWork);
+    if (inRegion) this.listener.onLeaving(message.leaving, from.node);
     const rostersDiffer = inRegion && this.mergeRoster(message, now);
     if (isNew) this.send(from.ip, from, NEW_PEER_SIZE);
     else if (rostersDiffer) this.send(from.ip, from, ROSTER_SIZE);
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -39,6 +39,11 @@
   const all: TargetUpdate[] = [
     { kind: 'prompt', target: 'i-1', prompt },
     { kind: 'unreachable', target: 'i-1', from: 'vm-2' },
+    {
+      kind: 'leaving',
+      rows: [{ id: 'i-1', address: '10.0.0.9:80', bornAt: 7, ageMs: 40 }],
+      from: 'vm-2',
+    },
     {
       kind: 'reports',
       rows: [
@@ -113,6 +118,7 @@
       { segment: 'aa', deaths: [{ target: 1, request: 2, ageMs: 300 }], clearedAgeMs: 900 },
       { segment: 'bb', deaths: [] },
     ],
+    leaving: [{ id: 'i-1', address: '10.0.0.9:80', bornAt: 1_700_000_000_002, ageMs: 40 }],
   };
   assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
 });
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -1,7 +1,8 @@
 /** Updates about targets that a gateway sends to its region at once, without waiting for gossip. */
-import type { PeerPrompt } from '@marjoramcart/core';
+import type { LeavingRow, PeerPrompt } from '@marjoramcart/core';
 import { match } from 'ts-pattern';
 import type { TargetReportRow } from '../reports/report-task.js';
+import { fromLeavingWireRow, toLeavingWireRow, type LeavingWireRow } from './leaving-rows.js';
 import { encodeNotification, type Notification } from './notification.js';
 
 const METHOD = 'target.news';
@@ -11,13 +12,16 @@
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** A gateway can't reach the target. */
   | { readonly kind: 'unreachable'; readonly target: string; readonly from: string }
+  /** Targets said that they are leaving. */
+  | { readonly kind: 'leaving'; readonly rows: readonly LeavingRow[]; readonly from: string }
   /** Load reports of targets. */
   | { readonly kind: 'reports'; readonly rows: readonly TargetReportRow[] };
 
 interface UpdateParams {
   readonly t?: string;
-  /** Gateway that can't reach the target. */
+  /** Gateway that can't reach the target, or that sends the leaving targets. */
   readonly n?: string;
+  readonly l?: readonly LeavingWireRow[];
   /** Reports: target, requests, KV memory in tokens. */
   readonly r?: readonly (readonly [string, number, number?])[];
   /** Id, prefill time in ms, priority, prompt segments that stay in the cache. */
@@ -37,7 +41,8 @@
  */
 export function decodeTargetUpdate({ method, params }: Notification): TargetUpdate | undefined {
   if (method !== METHOD) return undefined;
-  const { t: target = '', n: from = '', p, r } = params as UpdateParams;
+  const { t: target = '', n: from = '', p, r, l } = params as UpdateParams;
+  if (l) return { kind: 'leaving', rows: l.map(fromLeavingWireRow), from };
   if (r) return { kind: 'reports', rows: r.map(fromReportRow) };
   if (!p) return { kind: 'unreachable', target, from };
   const [id, workMs, priority, rows] = p;
@@ -63,6 +68,7 @@
   return match(update)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toPromptRow(prompt) }))
     .with({ kind: 'unreachable' }, ({ target, from }) => ({ t: target, n: from }))
+    .with({ kind: 'leaving' }, ({ rows, from }) => ({ n: from, l: rows.map(toLeavingWireRow) }))
     .with({ kind: 'reports' }, ({ rows }) => ({
       r: rows.map(({ target, report: { requests, memoryTokens } }) =>
         memoryTokens === undefined
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -6,10 +6,12 @@
   VersionLag,
   type FleetConfig,
   type FleetState,
+  type LeavingRow,
   type ServiceSpec,
+  type TargetIncarnation,
   type TargetRecord,
 } from '@marjoramcart/core';
-import type { Logger, TimerService, Unsubscribe } from '@marjoramcart/runtime';
+import type { LogFields, Logger, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { FleetListener } from '../ports/fleet-source.js';
 import type { TargetSignals } from '../ports/request-protocol.js';
 import type { StateMetrics } from './state-metrics.js';
@@ -66,6 +68,8 @@
     private readonly timers: TimerService,
     private readonly log: Logger,
     private readonly metrics: StateMetrics,
+    /** Tells the other gateways of the region that targets are leaving. */
+    private readonly announceLeaving: (rows: readonly LeavingRow[]) => void,
   ) {
     this.lastContactAt = timers.now();
   }
@@ -130,12 +134,20 @@
 
   private findUsable(service: string): TargetEntry[] {
     return [...this.targets.values()].filter(
-      ({ record, misdirected }) =>
-        record.service === service &&
-        record.region === this.region &&
-        !record.draining &&
-        !misdirected &&
-        !this.evacuatedDomains.has(record.failureDomain),
+      (entry) =>
+        entry.record.service === service &&
+        entry.record.region === this.region &&
+        this.mayUse(entry),
+    );
+  }
+
+  /** Whether a target may get requests, as far as its entry and its responses tell. */
+  mayUse({ record, misdirected }: TargetEntry): boolean {
+    return (
+      !record.draining &&
+      !misdirected &&
+      !this.evacuatedDomains.has(record.failureDomain) &&
+      !this.leavingTargets.isLeaving(record)
     );
   }
 
@@ -240,11 +252,29 @@
     if (!leaving) return;
     this.metrics.onTargetSignal('leaving');
     if (!this.leavingTargets.onLeaving(target, this.timers.now())) return;
+    this.announceLeaving(this.leavingTargets.rows(1, this.timers.now()));
+    this.onNewLeaving(target, { id: requestId, draining: target.draining });
+  }
+
+  /** Notes leaving targets that another gateway knows of. */
+  onPeerLeaving(rows: readonly LeavingRow[], node: string): void {
+    const now = this.timers.now();
+    rows
+      .filter((row) => this.leavingTargets.onLeaving(row, now, row.ageMs))
+      .forEach((row) => this.onNewLeaving(row, { from: node, age_ms: Math.round(row.ageMs) }));
+  }
+
+  /** Leaving targets, the latest ones first to be told; see `LeavingTargets.rows`. */
+  leavingRows(max: number, maxKnownMs: number): LeavingRow[] {
+    return this.leavingTargets.rows(max, this.timers.now(), maxKnownMs);
+  }
+
+  private onNewLeaving(target: TargetIncarnation, fields: LogFields): void {
+    this.usableByService.clear();
     this.log.info('target says that it is leaving', {
       target: target.id,
       born: target.bornAt,
-      id: requestId,
-      draining: target.draining,
+      ...fields,
       record_age_ms: Math.round(this.recordAgeMs(target.id)),
       source_age_ms: Math.round(this.sourceAgeMs),
     });
@@ -266,6 +296,7 @@
   /** Drops the targets that are no longer listed and whose retention time has passed. */
   dropExpired(): void {
     const now = this.timers.now();
+    this.leavingTargets.expire(now);
     [...this.targets.values()]
       .filter(({ dropAt }) => dropAt !== undefined && now >= dropAt)
       .forEach(({ record }) => this.drop(record, 'entry gone'));
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -55,6 +55,9 @@
 
   mode: TargetMode = TargetMode.Good;
 
+  /** Whether all responses say that the target is leaving. */
+  leaving = false;
+
   readonly runs: TargetRun[] = [];
 
   /** Requests in flight, as sent in its load reports. */
@@ -116,6 +119,7 @@
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.leaving) res.setHeader('server-leaving', '1');
     if (req.url === '/api/report') {
       const body = JSON.stringify({ queued: 0, inFlight: this.active, kvUsed: this.active * 1000 });
       send(res, 200, {}, body);
