--- a/tests/stand-ins/src/users-platform/leaving-target.test.ts
+++ b/tests/stand-ins/src/users-platform/leaving-target.test.ts
@@ -91,6 +91,16 @@
     await fleet.send('vm-1', { path: '/read/x' });
     return runsAfter(leaver, restartedAt) > 0;
   });
+
+  leaver.leaving = true;
+  await untilTold('vm-1');
+  leaver.close();
+  fleet.store.delete(`servers/${leaver.id}`);
+  const successor = await fleet.addTarget(1, PLAIN_SERVICE, ZONE, 'i-9');
+  await fleet.until(async () => {
+    await fleet.send('vm-1', { path: '/read/x' });
+    return successor.runs.length > 0;
+  });
 });
 
 // Guards against each gateway having to be told by the target itself.
--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -50,9 +50,15 @@
     this.store.close();
   }
 
-  async addTarget(index: number, service: string, zone: string): Promise<TargetStandIn> {
+  /** @param index determines the address, which a closed target frees for another one */
+  async addTarget(
+    index: number,
+    service: string,
+    zone: string,
+    id = `i-${index}`,
+  ): Promise<TargetStandIn> {
     const address = `127.0.1.${index}:${this.basePort}`;
-    const target = new TargetStandIn(`i-${index}`, address, service === MODEL_SERVICE);
+    const target = new TargetStandIn(id, address, service === MODEL_SERVICE);
     await target.listen();
     this.targets.push(target);
     this.store.put(`servers/${target.id}`, target.entry(service, zone));
