Log and count the rate limits that targets name in their responses

`TargetLimits` keeps the latest value of each start of a target. Changes are log lines, responses with a limit are counted. Nothing acts on it yet.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -2,5 +2,6 @@
 export * from './fleet-config.js';
 export * from './leaving-targets.js';
 export * from './route-table.js';
+export * from './target-limits.js';
 export * from './target-record.js';
 export * from './version-lag.js';
--- a/packages/core/src/fleet/leaving-targets.ts
+++ b/packages/core/src/fleet/leaving-targets.ts
@@ -47,7 +47,7 @@
    */
   onLeaving(target: TargetIncarnation, now: number, ageMs = 0): boolean {
     if (ageMs >= RETENTION_MS) return false;
-    const key = keyOf(target);
+    const key = incarnationKey(target);
     const before = this.known.get(key);
     this.known.set(key, {
       target: { id: target.id, address: target.address, bornAt: target.bornAt },
@@ -59,7 +59,7 @@
   }
 
   isLeaving(target: TargetIncarnation): boolean {
-    return this.known.has(keyOf(target));
+    return this.known.has(incarnationKey(target));
   }
 
   /**
@@ -87,6 +87,7 @@
   }
 }
 
-function keyOf({ id, address, bornAt }: TargetIncarnation): string {
+/** Key of one start of a target. */
+export function incarnationKey({ id, address, bornAt }: TargetIncarnation): string {
   return `${id} ${address} ${bornAt}`;
 }
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,6 @@
 /** Interfaces to the protocols of callers, gateways and targets, which a platform adapter implements. */
 import type { IncomingMessage } from 'node:http';
-import type { Prompt, TargetRecord, LoadReport } from '@marjoramcart/core';
+import type { LoadReport, Prompt, RateLimitSignal, TargetRecord } from '@marjoramcart/core';
 
 /** Flat list of header names and values, as Node.js reads and writes them. */
 export type HeaderList = string[];
@@ -57,6 +57,7 @@
 export interface TargetSignals {
   /** The target is leaving: it wants no new requests and ends soon. */
   readonly leaving: boolean;
+  readonly rateLimit: RateLimitSignal;
 }
 
 export interface RequestProtocol {
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -2,11 +2,13 @@
 import {
   LeavingTargets,
   RouteTable,
+  TargetLimits,
   TargetWork,
   VersionLag,
   type FleetConfig,
   type FleetState,
   type LeavingRow,
+  type RateLimitSignal,
   type ServiceSpec,
   type TargetIncarnation,
   type TargetRecord,
@@ -26,6 +28,8 @@
 /** After an evacuation, targets are assumed to be cold until their entries are updated. */
 const COLD_AFTER_EVACUATION_MS = 2500;
 const DEFAULT_CACHE_TOKENS = 400_000;
+/** Limit of log lines about invalid rate limits. */
+const MAX_INVALID_LIMITS = 256;
 
 /** What another gateway has in force. */
 export interface PeerVersions {
@@ -47,6 +51,11 @@
 
   private readonly leavingTargets = new LeavingTargets();
 
+  private readonly limits = new TargetLimits();
+
+  /** Targets whose invalid limits were logged. */
+  private readonly invalidLimits = new Set<string>();
+
   /** Usable targets by service; cleared at each change. */
   private readonly usableByService = new Map<string, TargetEntry[]>();
 
@@ -248,7 +257,13 @@
    *
    * @param requestId request that it answered; absent for its reports
    */
-  onTargetSignals(target: TargetRecord, { leaving }: TargetSignals, requestId?: string): void {
+  onTargetSignals(
+    target: TargetRecord,
+    { leaving, rateLimit }: TargetSignals,
+    requestId?: string,
+  ): void {
+    if (rateLimit.kind === 'invalid') this.onInvalidLimit(target, rateLimit.text, requestId);
+    else this.onRateLimit(target, rateLimit, requestId);
     if (!leaving) return;
     this.metrics.onTargetSignal('leaving');
     if (!this.leavingTargets.onLeaving(target, this.timers.now())) return;
@@ -256,6 +271,37 @@
     this.onNewLeaving(target, { id: requestId, draining: target.draining });
   }
 
+  private onRateLimit(
+    target: TargetRecord,
+    signal: Exclude<RateLimitSignal, { kind: 'invalid' }>,
+    requestId: string | undefined,
+  ): void {
+    // Targets need not name their limits in load reports.
+    if (signal.kind === 'none' && requestId === undefined) return;
+    if (signal.kind === 'limited') this.metrics.onTargetSignal('rate_limit');
+    const before = this.limits.limitOf(target);
+    const requestsPerS = signal.kind === 'limited' ? signal.requestsPerS : undefined;
+    if (!this.limits.onSaid(target, requestsPerS, this.timers.now())) return;
+    this.logLimit(target.id, { limit_per_s: requestsPerS, before, id: requestId });
+  }
+
+  private onInvalidLimit(target: TargetRecord, text: string, requestId: string | undefined): void {
+    this.metrics.onTargetSignal('invalid_rate_limit');
+    if (this.invalidLimits.has(target.id)) return;
+    // One line for each target, up to a limit; the counter has the rest.
+    if (this.invalidLimits.size < MAX_INVALID_LIMITS) this.invalidLimits.add(target.id);
+    else return;
+    this.log.warn('target names a rate limit that is not a rate; it is ignored', {
+      target: target.id,
+      text,
+      id: requestId,
+    });
+  }
+
+  private logLimit(target: string, fields: LogFields): void {
+    this.log.info('rate limit of target changed', { target, ...fields });
+  }
+
   /** Notes leaving targets that another gateway knows of. */
   onPeerLeaving(rows: readonly LeavingRow[], node: string): void {
     const now = this.timers.now();
@@ -297,6 +343,7 @@
   dropExpired(): void {
     const now = this.timers.now();
     this.leavingTargets.expire(now);
+    this.limits.expire(now).forEach(({ id }) => this.logLimit(id, { reason: 'not confirmed' }));
     [...this.targets.values()]
       .filter(({ dropAt }) => dropAt !== undefined && now >= dropAt)
       .forEach(({ record }) => this.drop(record, 'entry gone'));
