--- a/packages/core/src/fleet/cold-rate-limiter.test.ts
+++ b/packages/core/src/fleet/shared-rate.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { ColdRateLimiter, coldAllowance } from './cold-rate-limiter.js';
+import { SharedRateLimiter, shareOf } from './shared-rate.js';
+
+const WINDOW_MS = 1300;
 
 // A failure domain restarts cold and every gateway has queued requests for it.
 test('all gateways together stay within the rate limit of a cold target in any second', () => {
@@ -13,8 +15,12 @@
       (count, requestsPerS, delays) => {
         const gateways = Array.from({ length: count }, (_, index) => `vm-${index}`);
         const arrivals = gateways.flatMap((self, index) => {
-          const limiter = new ColdRateLimiter(-Infinity);
-          const allowance = coldAllowance('t1', self, { requestsPerS, gateways, spareGateways: 1 });
+          const limiter = new SharedRateLimiter({ windowMs: WINDOW_MS, startedAt: -Infinity });
+          const allowance = shareOf('t1', self, {
+            requests: requestsPerS,
+            gateways,
+            spareGateways: 1,
+          });
           const delayMs = delays[index % delays.length] ?? 0;
           return Array.from({ length: 300 }, (_, tick) => tick * 10)
             .filter((now) => {
@@ -36,7 +42,7 @@
 
 test('every cold target gets requests from some gateway even if the rate is too low for all', () => {
   const gateways = Array.from({ length: 20 }, (_, index) => `vm-${index}`);
-  const limit = { requestsPerS: 7, gateways, spareGateways: 1 };
-  const allowed = gateways.filter((self) => coldAllowance('t1', self, limit) > 0);
+  const rate = { requests: 7, gateways, spareGateways: 1 };
+  const allowed = gateways.filter((self) => shareOf('t1', self, rate) > 0);
   assert.ok(allowed.length >= 1);
 });
--- a/packages/core/src/membership/gateway-roster.test.ts
+++ b/packages/core/src/membership/gateway-roster.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { coldAllowance } from '../fleet/cold-rate-limiter.js';
+import { shareOf } from '../fleet/shared-rate.js';
 import { seededRandom, type RandomSource } from '../random-source.js';
 import { GatewayRoster } from './gateway-roster.js';
 
 const TICK_MS = 250;
 const SEEDS = 3;
-const RATE = { requestsPerS: 6, spareGateways: 1 } as const;
+const RATE = { requests: 6, spareGateways: 1 } as const;
 
 /** Gateways that exchange rosters over a network that loses messages. */
 class RosterNetwork {
@@ -46,7 +46,7 @@
     return this.nodes.filter((self) => {
       const roster = this.roster(self);
       if (!roster.isComplete(this.now)) return false;
-      return coldAllowance(target, self, { ...RATE, gateways: roster.names }) > 0;
+      return shareOf(target, self, { ...RATE, gateways: roster.names }) > 0;
     }).length;
   }
 
@@ -87,7 +87,7 @@
         const network = new RosterNetwork(nodes, lossRate, random);
         const check = (): void => {
           const senders = network.senders('t1');
-          assert.ok(senders <= RATE.requestsPerS, `${senders} senders`);
+          assert.ok(senders <= RATE.requests, `${senders} senders`);
         };
         network.run(40, check);
         assert.ok(network.allComplete);
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,7 +1,5 @@
 /** Ranks the destinations that may take a call now, best first. */
 import {
-  coldAllowance,
-  ColdRateLimiter,
   latenessCostMs,
   rankTargets,
   sampleTargets,
@@ -9,6 +7,8 @@
   SharedPrefixAffinity,
   sharedPrefixTokens,
   rankWithRemoteRegions,
+  SharedRateLimiter,
+  shareOf,
   type Candidate,
   type PeerWork,
   type Destination,
@@ -30,6 +30,8 @@
 
 /** Allowance for gateways of the region that this gateway does not know yet. */
 const SPARE_GATEWAYS = 1;
+/** Window of the rate of a cold target; longer than one second, since delays can bunch requests together. */
+const COLD_WINDOW_MS = 1300;
 /** Lifetime of the cached summary of the local region. */
 const REGION_WORK_LIFETIME_MS = 200;
 /** Shared prefixes from this length on are cached in one region only, if possible. */
@@ -58,7 +60,7 @@
 export class Router {
   readonly speeds: ServiceSpeeds;
 
-  private readonly coldLimiter: ColdRateLimiter;
+  private readonly coldLimiter: SharedRateLimiter;
 
   private readonly remoteRegions: RemoteRegions;
 
@@ -76,7 +78,10 @@
     private readonly random: RandomSource,
   ) {
     this.speeds = new ServiceSpeeds(settings.tuning);
-    this.coldLimiter = new ColdRateLimiter(timers.now());
+    this.coldLimiter = new SharedRateLimiter({
+      windowMs: COLD_WINDOW_MS,
+      startedAt: timers.now(),
+    });
     this.remoteRegions = new RemoteRegions({
       region: settings.region,
       state,
@@ -238,8 +243,8 @@
     // Gateways that divide the rate by different rosters would exceed it together.
     if (!roster.isComplete(this.timers.now())) return 0;
     const { factor, slack } = this.settings.coldRateLimit;
-    return coldAllowance(record.id, this.settings.node, {
-      requestsPerS: rate * factor + slack,
+    return shareOf(record.id, this.settings.node, {
+      requests: rate * factor + slack,
       gateways: roster.names,
       spareGateways: SPARE_GATEWAYS,
     });
