Log which gateways the directory chose and by which restriction

Change: the choice says which group was taken; the line also has the restricted routes of the host, the regions that all of them allow, the version of the configuration and the age of the oldest belief about a phase. The choice itself is as before.

--- a/packages/core/src/fleet/route-table.test.ts
+++ b/packages/core/src/fleet/route-table.test.ts
@@ -52,8 +52,12 @@
     restricted('/b/', ['w', 's']),
     restricted('/', []),
   ]);
-  assert.deepEqual(hosts.allowedRegions('a.example'), ['w']);
-  assert.deepEqual(table.allowedRegions('a.example'), []);
+  assert.deepEqual(hosts.residencyOf('a.example'), {
+    routes: 3,
+    restrictedRoutes: 2,
+    allowedRegions: ['w'],
+  });
+  assert.deepEqual(table.residencyOf('a.example').allowedRegions, []);
 });
 
 test('services are picked in proportion to their weights', () => {
--- a/packages/core/src/fleet/route-table.ts
+++ b/packages/core/src/fleet/route-table.ts
@@ -2,6 +2,15 @@
 import type { RandomSource } from '../random-source.js';
 import type { Route } from './fleet-config.js';
 
+/** Where requests for a host may be handled. */
+export interface HostResidency {
+  /** Routes of the host, and those of them that are restricted to some regions. */
+  readonly routes: number;
+  readonly restrictedRoutes: number;
+  /** Regions that all restricted routes allow; empty if no route is restricted. */
+  readonly allowedRegions: readonly string[];
+}
+
 export class RouteTable {
   private readonly hosts = new Map<string, Map<string, Route>>();
 
@@ -33,14 +42,17 @@
     return undefined;
   }
 
-  /** Regions allowed by all region-restricted routes of a host; empty if no route is restricted. */
-  allowedRegions(host: string): string[] {
-    const restricted = [...(this.hosts.get(hostName(host))?.values() ?? [])].filter(
-      ({ allowedRegions }) => allowedRegions.length > 0,
-    );
-    return [...(restricted[0]?.allowedRegions ?? [])].filter((region) =>
-      restricted.every(({ allowedRegions }) => allowedRegions.includes(region)),
-    );
+  /** @example new RouteTable(routes).residencyOf('api.example').allowedRegions // ['north', 'west'] */
+  residencyOf(host: string): HostResidency {
+    const routes = [...(this.hosts.get(hostName(host))?.values() ?? [])];
+    const restricted = routes.filter(({ allowedRegions }) => allowedRegions.length > 0);
+    return {
+      routes: routes.length,
+      restrictedRoutes: restricted.length,
+      allowedRegions: [...(restricted[0]?.allowedRegions ?? [])].filter((region) =>
+        restricted.every(({ allowedRegions }) => allowedRegions.includes(region)),
+      ),
+    };
   }
 }
 
--- a/packages/core/src/membership/directory-choice.test.ts
+++ b/packages/core/src/membership/directory-choice.test.ts
@@ -8,7 +8,7 @@
 }
 
 function chosen(gateways: ListedGateway[], allowed: string[] = []): string[] {
-  return chooseGateways(gateways, 'north', allowed).map(({ node }) => node);
+  return chooseGateways(gateways, 'north', allowed).gateways.map(({ node }) => node);
 }
 
 const WEST = gateway('w', 'west', GatewayPhase.Ready);
--- a/packages/gateway/src/directory/directory-task.test.ts
+++ b/packages/gateway/src/directory/directory-task.test.ts
@@ -63,7 +63,8 @@
     table: tableOf(GATEWAYS),
     phase: () => GatewayPhase.Ready,
     random: seededRandom(20261),
-    allowedRegions: () => [],
+    residencyOf: () => ({ routes: 1, restrictedRoutes: 0, allowedRegions: [] }),
+    configVersion: () => 1,
     timers: new ManualTimerService(),
     log: {
       info: (message: string, fields: object) => lines.push(`${message} ${JSON.stringify(fields)}`),
--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -4,8 +4,9 @@
   chooseGateways,
   GatewayPhase,
   sampleItems,
+  type DirectoryChoice,
   type GatewayTable,
-  type ListedGateway,
+  type HostResidency,
   type RandomSource,
 } from '@marjoramcart/core';
 import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/runtime';
@@ -29,8 +30,9 @@
   readonly table: GatewayTable;
   readonly phase: () => GatewayPhase;
   readonly random: RandomSource;
-  /** Regions in which the routes of a host may run; empty when all regions are allowed. */
-  readonly allowedRegions: (host: string) => readonly string[];
+  /** Where requests for a host may be handled, by the configuration in force. */
+  readonly residencyOf: (host: string) => HostResidency;
+  readonly configVersion: () => number;
   readonly timers: TimerService;
   readonly log: Logger;
 }
@@ -40,7 +42,7 @@
 
   private readonly listeners: HttpListener[];
 
-  /** Numbers of gateways to choose from for the last response, by region and host. */
+  /** Group and numbers of gateways of the last response, by region and host. */
   private readonly lastResponses = new Map<string, string>();
 
   constructor(private readonly deps: DirectoryTaskDeps) {
@@ -85,30 +87,51 @@
   }
 
   private addresses({ host, region }: DirectoryQuery): string[] {
-    const { table, timers, callersAddress, phase, random, allowedRegions } = this.deps;
+    const { table, timers, callersAddress, phase, random, residencyOf } = this.deps;
     const [ip = '', port] = callersAddress.split(':');
     const self = { node: this.deps.node, region: this.deps.region, ip, phase: phase() };
     const all = [self, ...table.alive(timers.now())];
-    const chosen = chooseGateways(all, region, allowedRegions(host));
-    this.logChange(host, region, chosen);
-    return sampleItems(chosen, MAX_ADDRESSES, random).map((gateway) => `${gateway.ip}:${port}`);
+    const residency = residencyOf(host);
+    const choice = chooseGateways(all, region, residency.allowedRegions);
+    this.logChange(host, region, choice, residency);
+    return sampleItems(choice.gateways, MAX_ADDRESSES, random).map(
+      (gateway) => `${gateway.ip}:${port}`,
+    );
   }
 
-  /** Logs how many gateways may be named when that differs from before for the region and host. */
-  private logChange(host: string, region: string, chosen: readonly ListedGateway[]): void {
+  /** Logs a response when it differs from the one before for the region and host in kind or size. */
+  private logChange(
+    host: string,
+    region: string,
+    { group, gateways }: DirectoryChoice,
+    { restrictedRoutes, allowedRegions }: HostResidency,
+  ): void {
     const key = `${region} ${host}`;
-    const ready = chosen.filter(({ phase }) => phase === GatewayPhase.Ready).length;
-    const local = chosen.filter((gateway) => gateway.region === region).length;
-    const numbers = `${chosen.length} ${ready} ${local}`;
-    if (this.lastResponses.get(key) === numbers) return;
+    const ready = gateways.filter(({ phase }) => phase === GatewayPhase.Ready).length;
+    const local = gateways.filter((gateway) => gateway.region === region).length;
+    const outline = `${group} ${gateways.length} ${ready} ${local}`;
+    if (this.lastResponses.get(key) === outline) return;
     if (this.lastResponses.size >= MAX_REMEMBERED_RESPONSES) this.lastResponses.clear();
-    this.lastResponses.set(key, numbers);
+    this.lastResponses.set(key, outline);
     this.deps.log.info('directory response changed', {
       host,
       region,
-      gateways: chosen.length,
+      group,
+      gateways: gateways.length,
       ready,
       local,
+      restricted: restrictedRoutes,
+      allowed: allowedRegions.length,
+      config: this.deps.configVersion(),
+      oldest_ms: this.oldestBeliefMs(),
     });
   }
+
+  /** Time since the gateway that has been silent for longest last told its phase, ms. */
+  private oldestBeliefMs(): number {
+    const { table, timers } = this.deps;
+    const now = timers.now();
+    const ages = table.alive(now).map(({ node }) => table.ageMs(node, now));
+    return Math.round(Math.max(0, ...ages));
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -293,7 +293,8 @@
       table: this.gossip.table,
       phase: () => this.phase(),
       random: this.random,
-      allowedRegions: (host) => this.state.routes.allowedRegions(host),
+      residencyOf: (host) => this.state.routes.residencyOf(host),
+      configVersion: () => this.state.config?.version ?? 0,
       timers,
       log: log.child('directory'),
     });
