--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -130,11 +130,12 @@
     );
   }
 
-  /** Addresses that a gateway's directory returns to callers of a region. */
+  /** Addresses that a gateway's directory returns to callers of a region; none when it refuses. */
   async directory(node: string, region: string): Promise<string[]> {
     const { directory } = this.running(node).settings.gateway.listen;
     const path = `/api/resolve?name=${HOST}&region=${region}&zone=${region}-a`;
-    const { body } = await this.get(directory, path);
+    const { status, body } = await this.get(directory, path);
+    if (status !== 200) return [];
     return (JSON.parse(body) as { addresses: string[] }).addresses;
   }
 
