Lead callers only to regions that all routes of their host allow

Cause: an empty set read as "no restriction". The regions of a host were the intersection of the homes of its bound routes, as a list, and an empty list meant any region. Besides, the choice fell back past the regions: when none of their gateways was ready, it took all ready ones, then all, also closing ones.

Change: a scope of regions is "any" or "only these", also in a route; the scope of a host is the intersection of those of its routes, and none for a host that the configuration in force lacks. Only gateways of the caller's region or of that scope can be listed; phase and distance choose among them. Without one that accepts requests the directory answers 503, and callers keep the response before.

--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -1,4 +1,5 @@
 /** Configuration of a gateway that routes by host and path: routes, services and limits. */
+import type { RegionScope } from '../residency/region-scope.js';
 
 /** Whether requests of a route may run more than once. */
 export const RouteKind = {
@@ -38,8 +39,8 @@
   readonly maxAttempts: number;
   /** Whether an interrupted stream may be resumed at another target after its last event. */
   readonly resumable: boolean;
-  /** Regions in which the requests may run; empty when any region may run them. */
-  readonly allowedRegions: readonly string[];
+  /** Regions in which the requests may run. */
+  readonly regions: RegionScope;
 }
 
 /** Properties of the inference engine of a service. */
--- a/packages/core/src/fleet/route-table.test.ts
+++ b/packages/core/src/fleet/route-table.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { seededRandom } from '../random-source.js';
+import { ANY_REGION, NO_REGION } from '../residency/region-scope.js';
 import { RouteKind, type Route } from './fleet-config.js';
 import { RouteTable, pickWeightedService } from './route-table.js';
 
@@ -20,7 +21,7 @@
     ],
     maxAttempts: 1,
     resumable: false,
-    allowedRegions: [],
+    regions: ANY_REGION,
   };
 }
 
@@ -42,22 +43,29 @@
   assert.deepEqual(found, ['deep', 'short', 'root', undefined, undefined]);
 });
 
+function restricted(prefix: string, regions: string[]): Route {
+  return { ...route(prefix, 'a.example', prefix), regions: { kind: 'only', regions } };
+}
+
 test('a host allows only regions that all its region-restricted routes allow', () => {
-  const restricted = (prefix: string, allowedRegions: string[]): Route => ({
-    ...route(prefix, 'a.example', prefix),
-    allowedRegions,
-  });
   const hosts = new RouteTable([
     restricted('/a/', ['n', 'w']),
     restricted('/b/', ['w', 's']),
-    restricted('/', []),
+    route('rest', 'a.example', '/'),
   ]);
   assert.deepEqual(hosts.residencyOf('a.example'), {
-    routes: 3,
     restrictedRoutes: 2,
-    allowedRegions: ['w'],
+    regions: { kind: 'only', regions: ['w'] },
   });
-  assert.deepEqual(table.residencyOf('a.example').allowedRegions, []);
+  assert.deepEqual(table.residencyOf('a.example'), { restrictedRoutes: 0, regions: ANY_REGION });
+});
+
+// Guards against callers that are led out of all homes because the routes of their host have none in
+// common, or because the host is not known yet.
+test('a host whose routes have no region in common, or that has no routes, allows no region', () => {
+  const hosts = new RouteTable([restricted('/a/', ['n']), restricted('/b/', ['w', 's'])]);
+  assert.deepEqual(hosts.residencyOf('a.example'), { restrictedRoutes: 2, regions: NO_REGION });
+  assert.deepEqual(hosts.residencyOf('new.example'), { restrictedRoutes: 0, regions: NO_REGION });
 });
 
 test('services are picked in proportion to their weights', () => {
--- a/packages/core/src/fleet/route-table.ts
+++ b/packages/core/src/fleet/route-table.ts
@@ -1,14 +1,14 @@
 /** Matches requests to routes by host and longest path prefix. */
 import type { RandomSource } from '../random-source.js';
+import { NO_REGION, intersectScopes, type RegionScope } from '../residency/region-scope.js';
 import type { Route } from './fleet-config.js';
 
 /** Where requests for a host may be handled. */
 export interface HostResidency {
-  /** Routes of the host, and those of them that are restricted to some regions. */
-  readonly routes: number;
+  /** Routes of the host that are restricted to some regions. */
   readonly restrictedRoutes: number;
-  /** Regions that all restricted routes allow; empty if no route is restricted. */
-  readonly allowedRegions: readonly string[];
+  /** Regions that all routes of the host allow; none for a host without routes. */
+  readonly regions: RegionScope;
 }
 
 export class RouteTable {
@@ -42,16 +42,19 @@
     return undefined;
   }
 
-  /** @example new RouteTable(routes).residencyOf('api.example').allowedRegions // ['north', 'west'] */
+  /**
+   * Regions to which all requests for a host may be sent. Routes of a host that the configuration in
+   * force lacks may be restricted in the next one.
+   *
+   * @example new RouteTable(routes).residencyOf('api.example').regions // { kind: 'any' }
+   */
   residencyOf(host: string): HostResidency {
-    const routes = [...(this.hosts.get(hostName(host))?.values() ?? [])];
-    const restricted = routes.filter(({ allowedRegions }) => allowedRegions.length > 0);
+    const scopes = [...(this.hosts.get(hostName(host))?.values() ?? [])].map(
+      ({ regions }) => regions,
+    );
     return {
-      routes: routes.length,
-      restrictedRoutes: restricted.length,
-      allowedRegions: [...(restricted[0]?.allowedRegions ?? [])].filter((region) =>
-        restricted.every(({ allowedRegions }) => allowedRegions.includes(region)),
-      ),
+      restrictedRoutes: scopes.filter(({ kind }) => kind === 'only').length,
+      regions: scopes.length === 0 ? NO_REGION : intersectScopes(scopes),
     };
   }
 }
--- a/packages/core/src/membership/directory-choice.ts
+++ b/packages/core/src/membership/directory-choice.ts
@@ -1,8 +1,8 @@
 /**
- * Chooses the gateways that the directory lists for a caller. While the gateways of a region are
- * replaced one after the other, there can be some seconds in which none of them accepts requests,
- * so the list falls back to other regions.
+ * Chooses the gateways that the directory lists for a caller. Where its requests may be handled is a
+ * condition that each listed gateway meets; phase and distance only decide among those that do.
  */
+import { allowsRegion, type RegionScope } from '../residency/region-scope.js';
 import { GatewayPhase, type GatewayRecord } from './gateway-table.js';
 
 /** Properties of a gateway that the choice depends on. */
@@ -12,10 +12,9 @@
 export const DirectoryGroup = {
   ReadyInRegion: 'ready-in-region',
   DrainingInRegion: 'draining-in-region',
-  ReadyInAllowedRegions: 'ready-in-allowed-regions',
-  Ready: 'ready',
-  Draining: 'draining',
-  All: 'all',
+  ReadyElsewhere: 'ready-elsewhere',
+  DrainingElsewhere: 'draining-elsewhere',
+  None: 'none',
 } as const;
 export type DirectoryGroup = (typeof DirectoryGroup)[keyof typeof DirectoryGroup];
 
@@ -26,31 +25,33 @@
 }
 
 /**
- * Returns the first of these groups that is not empty: ready gateways of the caller's region;
- * draining ones of that region, which still accept requests; ready ones of `allowedRegions`, since
- * requests must not pass through other regions; all ready ones; all draining ones; all gateways.
+ * Returns the first of the groups that is not empty. Gateways of other regions than the caller's
+ * belong to one only if the host allows requests there. No gateway is better than one that has to
+ * refuse, since callers then keep the response before and ask again.
  *
- * @param allowedRegions regions that the host's region-bound routes allow; empty for any region
- * @example chooseGateways(gateways, 'north', ['north', 'west']).gateways
+ * @param region region of the caller
+ * @param allowed regions to which all requests for the host may be sent
+ * @example chooseGateways(gateways, 'north', { kind: 'only', regions: ['west'] }).gateways
  */
 export function chooseGateways(
   gateways: readonly ListedGateway[],
   region: string,
-  allowedRegions: readonly string[],
+  allowed: RegionScope,
 ): DirectoryChoice {
-  const inPhase = (phase: GatewayPhase): ListedGateway[] =>
-    gateways.filter((gateway) => gateway.phase === phase);
-  const isLocal = (gateway: ListedGateway): boolean => gateway.region === region;
-  const isAllowed = (gateway: ListedGateway): boolean => allowedRegions.includes(gateway.region);
-  const ready = inPhase(GatewayPhase.Ready);
-  const draining = inPhase(GatewayPhase.Draining);
+  const local = gateways.filter((gateway) => gateway.region === region);
+  const remote = gateways.filter(
+    (gateway) => gateway.region !== region && allowsRegion(allowed, gateway.region),
+  );
   const choices: DirectoryChoice[] = [
-    { group: DirectoryGroup.ReadyInRegion, gateways: ready.filter(isLocal) },
-    { group: DirectoryGroup.DrainingInRegion, gateways: draining.filter(isLocal) },
-    { group: DirectoryGroup.ReadyInAllowedRegions, gateways: ready.filter(isAllowed) },
-    { group: DirectoryGroup.Ready, gateways: ready },
-    { group: DirectoryGroup.Draining, gateways: draining },
+    { group: DirectoryGroup.ReadyInRegion, gateways: inPhase(local, GatewayPhase.Ready) },
+    { group: DirectoryGroup.DrainingInRegion, gateways: inPhase(local, GatewayPhase.Draining) },
+    { group: DirectoryGroup.ReadyElsewhere, gateways: inPhase(remote, GatewayPhase.Ready) },
+    { group: DirectoryGroup.DrainingElsewhere, gateways: inPhase(remote, GatewayPhase.Draining) },
   ];
   const chosen = choices.find((choice) => choice.gateways.length > 0);
-  return chosen ?? { group: DirectoryGroup.All, gateways };
+  return chosen ?? { group: DirectoryGroup.None, gateways: [] };
+}
+
+function inPhase(gateways: readonly ListedGateway[], phase: GatewayPhase): ListedGateway[] {
+  return gateways.filter((gateway) => gateway.phase === phase);
 }
--- a/packages/core/src/residency/index.ts
+++ b/packages/core/src/residency/index.ts
@@ -1,2 +1,3 @@
 export * from './allowed-regions.js';
 export * from './forward-path.js';
+export * from './region-scope.js';
--- a/packages/gateway/src/directory/directory-task.test.ts
+++ b/packages/gateway/src/directory/directory-task.test.ts
@@ -2,10 +2,17 @@
 import { once } from 'node:events';
 import http from 'node:http';
 import { afterEach, test } from 'node:test';
-import { GatewayPhase, GatewayTable, seededRandom } from '@marjoramcart/core';
+import {
+  ANY_REGION,
+  GatewayPhase,
+  GatewayTable,
+  seededRandom,
+  type HostResidency,
+} from '@marjoramcart/core';
 import { ManualTimerService, readResponseBody, type Logger } from '@marjoramcart/runtime';
 import type { DirectoryProtocol } from '../ports/request-protocol.js';
 import { DirectoryTask } from './directory-task.js';
+import { GatewayDirectory } from './gateway-directory.js';
 
 const ADDRESS = '127.0.3.1:26900';
 const GATEWAYS = 80;
@@ -52,20 +59,27 @@
     readQuery: () => ({ host: 'api.example', region: 'north', failureDomain: 'north-a' }),
     encodeResponse: (addresses: readonly string[]) => Buffer.from(JSON.stringify(addresses)),
   } as unknown as DirectoryProtocol;
+  const phase = (): GatewayPhase => GatewayPhase.Ready;
+  const residencyOf = (): HostResidency => ({ restrictedRoutes: 0, regions: ANY_REGION });
   directory = new DirectoryTask({
     directoryAddress: ADDRESS,
     readyAddress: ADDRESS,
-    callersAddress: '10.0.0.0:80',
-    node: 'vm-0',
-    region: 'north',
+    callersPort: 80,
     ttlS: 5,
     protocol,
-    table: tableOf(GATEWAYS),
-    phase: () => GatewayPhase.Ready,
+    directory: new GatewayDirectory({
+      node: 'vm-0',
+      region: 'north',
+      ip: '10.0.0.0',
+      phase,
+      table: tableOf(GATEWAYS),
+      residencyOf,
+      timers: new ManualTimerService(),
+    }),
+    phase,
     random: seededRandom(20261),
-    residencyOf: () => ({ routes: 1, restrictedRoutes: 0, allowedRegions: [] }),
+    residencyOf,
     configVersion: () => 1,
-    timers: new ManualTimerService(),
     log: {
       info: (message: string, fields: object) => lines.push(`${message} ${JSON.stringify(fields)}`),
     } as unknown as Logger,
--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -1,16 +1,15 @@
 /** Task that serves the directory of gateways to callers and the readiness check to the platform. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  chooseGateways,
   GatewayPhase,
   sampleItems,
   type DirectoryChoice,
-  type GatewayTable,
   type HostResidency,
   type RandomSource,
 } from '@marjoramcart/core';
-import { HttpListener, type Logger, type Task, type TimerService } from '@marjoramcart/runtime';
+import { HttpListener, type Logger, type Task } from '@marjoramcart/runtime';
 import type { DirectoryProtocol, DirectoryQuery } from '../ports/request-protocol.js';
+import type { GatewayDirectory } from './gateway-directory.js';
 
 /** Limit of gateway addresses in a response; of more gateways, each response names others. */
 const MAX_ADDRESSES = 64;
@@ -21,19 +20,15 @@
   /** `ip:port` of the directory and of the readiness check; equal when one listener serves both. */
   readonly directoryAddress: string;
   readonly readyAddress: string;
-  /** `ip:port` at which callers reach this gateway; the port is the same on all VMs. */
-  readonly callersAddress: string;
-  readonly node: string;
-  readonly region: string;
+  /** Port at which callers reach gateways; the same on all VMs. */
+  readonly callersPort: number;
   readonly ttlS: number;
   readonly protocol: DirectoryProtocol;
-  readonly table: GatewayTable;
+  readonly directory: GatewayDirectory;
   readonly phase: () => GatewayPhase;
   readonly random: RandomSource;
-  /** Where requests for a host may be handled, by the configuration in force. */
   readonly residencyOf: (host: string) => HostResidency;
   readonly configVersion: () => number;
-  readonly timers: TimerService;
   readonly log: Logger;
 }
 
@@ -80,32 +75,29 @@
       res.writeHead(query ? 503 : 404, { 'content-length': 0 }).end();
       return;
     }
-    const body = protocol.encodeResponse(this.addresses(query), this.deps.ttlS);
+    const { gateways } = this.choose(query);
+    if (gateways.length === 0) {
+      res.writeHead(503, { 'content-length': 0 }).end();
+      return;
+    }
+    const { callersPort, ttlS, random } = this.deps;
+    const addresses = sampleItems(gateways, MAX_ADDRESSES, random).map(
+      ({ ip }) => `${ip}:${callersPort}`,
+    );
+    const body = protocol.encodeResponse(addresses, ttlS);
     res
       .writeHead(200, { 'content-type': 'application/json', 'content-length': body.length })
       .end(body);
   }
 
-  private addresses({ host, region }: DirectoryQuery): string[] {
-    const { table, timers, callersAddress, phase, random, residencyOf } = this.deps;
-    const [ip = '', port] = callersAddress.split(':');
-    const self = { node: this.deps.node, region: this.deps.region, ip, phase: phase() };
-    const all = [self, ...table.alive(timers.now())];
-    const residency = residencyOf(host);
-    const choice = chooseGateways(all, region, residency.allowedRegions);
-    this.logChange(host, region, choice, residency);
-    return sampleItems(choice.gateways, MAX_ADDRESSES, random).map(
-      (gateway) => `${gateway.ip}:${port}`,
-    );
+  private choose({ host, region }: DirectoryQuery): DirectoryChoice {
+    const choice = this.deps.directory.choose({ host, region });
+    this.logChange(host, region, choice);
+    return choice;
   }
 
   /** Logs a response when it differs from the one before for the region and host in kind or size. */
-  private logChange(
-    host: string,
-    region: string,
-    { group, gateways }: DirectoryChoice,
-    { restrictedRoutes, allowedRegions }: HostResidency,
-  ): void {
+  private logChange(host: string, region: string, { group, gateways }: DirectoryChoice): void {
     const key = `${region} ${host}`;
     const ready = gateways.filter(({ phase }) => phase === GatewayPhase.Ready).length;
     const local = gateways.filter((gateway) => gateway.region === region).length;
@@ -113,7 +105,9 @@
     if (this.lastResponses.get(key) === outline) return;
     if (this.lastResponses.size >= MAX_REMEMBERED_RESPONSES) this.lastResponses.clear();
     this.lastResponses.set(key, outline);
-    this.deps.log.info('directory response changed', {
+    const { directory, residencyOf, configVersion, log } = this.deps;
+    const { restrictedRoutes, regions } = residencyOf(host);
+    log.info('directory response changed', {
       host,
       region,
       group,
@@ -121,17 +115,9 @@
       ready,
       local,
       restricted: restrictedRoutes,
-      allowed: allowedRegions.length,
-      config: this.deps.configVersion(),
-      oldest_ms: this.oldestBeliefMs(),
+      allowed: regions.kind === 'any' ? 'any' : regions.regions.length,
+      config: configVersion(),
+      oldest_ms: Math.round(directory.oldestBeliefMs()),
     });
   }
-
-  /** Time since the gateway that has been silent for longest last told its phase, ms. */
-  private oldestBeliefMs(): number {
-    const { table, timers } = this.deps;
-    const now = timers.now();
-    const ages = table.alive(now).map(({ node }) => table.ageMs(node, now));
-    return Math.round(Math.max(0, ...ages));
-  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
   GatewayPhase,
   hashOf,
   seededRandom,
+  type HostResidency,
   type PeerWork,
   type RandomSource,
   type TargetWork,
@@ -21,6 +22,7 @@
 import { ConfigCatchUp } from './callers/config-catch-up.js';
 import { CrashWatch } from './crashes/crash-watch.js';
 import { DirectoryTask } from './directory/directory-task.js';
+import { GatewayDirectory } from './directory/gateway-directory.js';
 import { AttemptRunner } from './exchange/attempt-runner.js';
 import { RequestExecutor } from './exchange/request-executor.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
@@ -282,20 +284,26 @@
 
   private createDirectoryTask(): DirectoryTask {
     const { settings, directoryProtocol, timers, log } = this.deps;
+    const residencyOf = (host: string): HostResidency => this.state.routes.residencyOf(host);
     return new DirectoryTask({
       directoryAddress: settings.listen.directory,
       readyAddress: settings.listen.ready,
-      callersAddress: settings.listen.callers,
-      node: settings.node,
-      region: settings.region,
+      callersPort: Number(settings.listen.callers.split(':')[1]),
       ttlS: Math.min(settings.tuning.directory_ttl_s, settings.maxDirectoryTtlS),
       protocol: directoryProtocol,
-      table: this.gossip.table,
+      directory: new GatewayDirectory({
+        node: settings.node,
+        region: settings.region,
+        ip: settings.ip,
+        phase: () => this.phase(),
+        table: this.gossip.table,
+        residencyOf,
+        timers,
+      }),
       phase: () => this.phase(),
       random: this.random,
-      residencyOf: (host) => this.state.routes.residencyOf(host),
+      residencyOf,
       configVersion: () => this.state.config?.version ?? 0,
-      timers,
       log: log.child('directory'),
     });
   }
--- a/packages/gateway/src/routing/remote-regions.ts
+++ b/packages/gateway/src/routing/remote-regions.ts
@@ -2,6 +2,7 @@
 import {
   GatewayPhase,
   SharedPrefixAffinity,
+  allowsRegion,
   sharedPrefixOf,
   type GatewayRecord,
   type RandomSource,
@@ -48,7 +49,7 @@
   options(call: Call, now: number): RegionOption[] {
     const ready = this.readyRegions(now).filter(
       ({ region, summary }) =>
-        summary.work[call.service] !== undefined && allowsRegion(call, region),
+        summary.work[call.service] !== undefined && allowsRegion(call.route.regions, region),
     );
     const shared = call.head.prompt ? sharedPrefixOf(call.head.prompt) : undefined;
     const preferredRegion =
@@ -125,7 +126,7 @@
     ready: readonly ReadyRegion[],
   ): string | undefined {
     const { region: localRegion, state } = this.deps;
-    const localTargets = allowsRegion(call, localRegion)
+    const localTargets = allowsRegion(call.route.regions, localRegion)
       ? state.usableTargets(call.service).length
       : 0;
     const regions = ready
@@ -139,11 +140,6 @@
   }
 }
 
-/** Whether the route of a call may run in a region. */
-export function allowsRegion({ route }: Call, region: string): boolean {
-  return route.allowedRegions.length === 0 || route.allowedRegions.includes(region);
-}
-
 function keyOf(region: string, service: string): string {
   return `${region} ${service}`;
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,5 +1,6 @@
 /** Ranks the destinations that may take a call now, best first. */
 import {
+  allowsRegion,
   latenessCostMs,
   rankTargets,
   sampleTargets,
@@ -29,7 +30,7 @@
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { ColdReason, TargetEntry } from '../state/target-entry.js';
-import { RemoteRegions, allowsRegion } from './remote-regions.js';
+import { RemoteRegions } from './remote-regions.js';
 import { ServiceSpeeds } from './service-speeds.js';
 
 const MS_PER_S = 1000;
@@ -134,7 +135,7 @@
   /** Ranks the destinations of the next attempt; a forwarded call stays in the local region. */
   destinations(call: Call): AvailableDestinations {
     const now = this.timers.now();
-    const usable = allowsRegion(call, this.settings.region)
+    const usable = allowsRegion(call.route.regions, this.settings.region)
       ? this.state.usableTargets(call.service)
       : [];
     const share = this.limitedShareRequest(call, usable, now);
