Tell callers without a gateway when one of their region has restarted

Callers saw: a gateway that leaves refused with a retry delay of 150 ms, also when no other gateway of the region accepted requests; most clients retry once, came back within the same gap and gave up.

Cause: the delay assumed that another gateway serves the caller.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -20,6 +20,7 @@
 } from '@marjoramcart/runtime';
 import type { Call } from '../exchange/call.js';
 import { ATTEMPTS_HEADER, CallerResponse, CONFIG_HEADER } from '../exchange/caller-response.js';
+import type { GatewayDirectory } from '../directory/gateway-directory.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
@@ -47,6 +48,8 @@
   ResultCodes.ConfigurationBehind,
 ]);
 const OTHER_GATEWAY_RETRY_AFTER_MS = 150;
+/** Upper bound of the random share that is added to a longer delay, so that retries are spread. */
+const RETRY_AFTER_SPREAD = 0.3;
 /** Limits until the first configuration is in force. */
 const DEFAULT_LIMITS = {
   maxHeaderBytes: 16 * 1024,
@@ -61,6 +64,7 @@
   readonly forwardAddress: string;
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
+  readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
   readonly protocol: RequestProtocol;
   readonly executor: RequestExecutor;
   readonly timers: TimerService;
@@ -188,7 +192,7 @@
     }
     const { head } = decoded;
     if (!forwarded && !this.endsInTime(head, arrivedAt)) {
-      this.refuse(req, response, ResultCodes.EntryDraining, head.id);
+      this.refuse(req, response, ResultCodes.EntryDraining, head.id, undefined, head.host);
       return;
     }
     const body = await readRequestBody(req, limits.maxBodyBytes, timers);
@@ -255,6 +259,7 @@
     code: ResultCode,
     id?: string,
     detail?: string,
+    host?: string,
   ): void {
     const { log, metrics, state, timers } = this.deps;
     log.info('refuse', {
@@ -268,11 +273,18 @@
       source_age_ms: Math.round(state.sourceAgeMs),
     });
     metrics.onRefusal(code.name);
-    const retryAfterMs = OTHER_GATEWAY_CODES.has(code) ? OTHER_GATEWAY_RETRY_AFTER_MS : undefined;
-    sendResult(response, code, retryAfterMs);
+    sendResult(response, code, this.retryAfterMs(code, host));
     if (!req.complete) lingeringClose(req, timers, true);
   }
 
+  private retryAfterMs(code: ResultCode, host: string | undefined): number | undefined {
+    if (!OTHER_GATEWAY_CODES.has(code)) return undefined;
+    const { directory, random } = this.deps;
+    const acceptsInMs = host === undefined ? 0 : directory.acceptsInMs(host);
+    if (acceptsInMs === 0) return OTHER_GATEWAY_RETRY_AFTER_MS;
+    return acceptsInMs * (1 + random.next() * RETRY_AFTER_SPREAD);
+  }
+
   private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
     const bytes = (err as { rawPacket?: Buffer }).rawPacket?.length ?? 0;
     if (this.refusedConnections.discard(socket, bytes)) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,7 @@
         timers,
         fetchFrom: (node) => this.fetcher.fetchFrom(node),
       }),
+      directory: this.directory,
       protocol,
       executor,
       timers,
@@ -284,8 +285,10 @@
       region: settings.region,
       ip: settings.ip,
       phase: () => this.phase(),
+      leavingAt: () => this.shutdown.startedAt,
       table: this.gossip.table,
       residencyOf: (host) => this.state.routes.residencyOf(host),
+      graceMs: settings.graceMs,
       timers,
     });
   }
--- a/packages/gateway/src/shutdown/graceful-shutdown.ts
+++ b/packages/gateway/src/shutdown/graceful-shutdown.ts
@@ -41,6 +41,8 @@
 export class GracefulShutdown {
   private currentPhase: GatewayPhase | undefined;
 
+  private startTime: number | undefined;
+
   constructor(private readonly deps: GracefulShutdownDeps) {}
 
   /** Undefined before the shutdown. */
@@ -48,10 +50,16 @@
     return this.currentPhase;
   }
 
+  /** When the shutdown started, monotonic ms; undefined before. */
+  get startedAt(): number | undefined {
+    return this.startTime;
+  }
+
   /** Resolves when no request is in flight, or at the end of the grace period. */
   async run(): Promise<void> {
     const { graceMs, directoryTtlMs, callers, shortestTimeoutMs, timers, log } = this.deps;
     const startedAt = timers.now();
+    this.startTime = startedAt;
     const endAt = startedAt + graceMs - EXIT_MARGIN_MS;
     this.enter(GatewayPhase.Draining);
     callers.announceClose();
--- a/tests/stand-ins/src/users-platform/last-gateway.test.ts
+++ b/tests/stand-ins/src/users-platform/last-gateway.test.ts
@@ -10,6 +10,7 @@
 const GAP_MS = 800;
 /** After the stop signal; a route of 3 s still ends in the grace period of 8 s. */
 const LATE_MS = 3700;
+const LONG_MS = 12_000;
 const ROUTE = {
   host: HOST,
   kind: 'safe',
@@ -17,7 +18,10 @@
   timeoutMs: 3000,
   homeRegions: ['north'],
 };
-const ROUTES = [{ ...ROUTE, name: 'read', prefix: '/read/' }];
+const ROUTES = [
+  { ...ROUTE, name: 'read', prefix: '/read/' },
+  { ...ROUTE, name: 'long', prefix: '/long/', timeoutMs: LONG_MS },
+];
 
 let fleet: TestFleet;
 let stopped: Promise<unknown>;
@@ -63,3 +67,14 @@
   assert.deepEqual(await fleet.directory(LAST, 'north'), [`127.0.0.2:${BASE_PORT}`]);
   assert.equal((await fleet.send(LAST, { path: '/read/x' })).status, 200);
 });
+
+// Guards against callers that come back at once, again to a region without a gateway, and give up.
+test('callers whose request can not end in time are told when a gateway has restarted', async () => {
+  const { status, headers } = await fleet.send(LAST, {
+    path: '/long/x',
+    headers: { 'deadline-ms': String(LONG_MS) },
+  });
+  assert.equal(status, 503);
+  const retryAfterMs = Number(headers['retry-after']) * 1000;
+  assert.ok(retryAfterMs > 3000 && retryAfterMs < 9000, `${retryAfterMs} ms`);
+});
