Lead callers whose region has no gateway where the routes they use are allowed

Callers saw: since only regions are named that all routes of a host allow, callers whose own region had no gateway that accepts requests were told none, also for good after its gateways were removed.

Cause: callers ask the directory by host, but homes belong to routes. A route counted as much if it had one request in a hundred as if it had all. Ruled out: the regions that most routes allow, whatever is sent on them. Two routes of one host with different homes, both used, would have half of their callers led out of the homes.

Change: each gateway counts the recent requests of its callers on bound routes, by route. Where a request may run is checked as before.

--- a/packages/core/src/fleet/route-table.ts
+++ b/packages/core/src/fleet/route-table.ts
@@ -42,6 +42,11 @@
     return undefined;
   }
 
+  /** @example new RouteTable(routes).routesOf('api.example').length // 3 */
+  routesOf(host: string): readonly Route[] {
+    return [...(this.hosts.get(hostName(host))?.values() ?? [])];
+  }
+
   /**
    * Regions to which all requests for a host may be sent. Routes of a host that the configuration in
    * force lacks may be restricted in the next one.
@@ -49,9 +54,7 @@
    * @example new RouteTable(routes).residencyOf('api.example').regions // { kind: 'any' }
    */
   residencyOf(host: string): HostResidency {
-    const scopes = [...(this.hosts.get(hostName(host))?.values() ?? [])].map(
-      ({ regions }) => regions,
-    );
+    const scopes = this.routesOf(host).map(({ regions }) => regions);
     return {
       restrictedRoutes: scopes.filter(({ kind }) => kind === 'only').length,
       regions: scopes.length === 0 ? NO_REGION : intersectScopes(scopes),
--- a/packages/core/src/membership/directory-choice.test.ts
+++ b/packages/core/src/membership/directory-choice.test.ts
@@ -8,8 +8,13 @@
   return { node, region, phase, ip: '10.0.0.1' };
 }
 
-function chosen(gateways: ListedGateway[], allowed: RegionScope = ANY_REGION): string[] {
-  return chooseGateways(gateways, 'north', allowed).gateways.map(({ node }) => node);
+function chosen(
+  gateways: ListedGateway[],
+  allowed: RegionScope = ANY_REGION,
+  tolerated: RegionScope = allowed,
+): string[] {
+  const choice = chooseGateways(gateways, 'north', { allowed, tolerated: () => tolerated });
+  return choice.gateways.map(({ node }) => node);
 }
 
 function only(...regions: string[]): RegionScope {
@@ -58,3 +63,11 @@
   assert.deepEqual(chosen([CLOSING, away, WEST], only('east')), ['e']);
   assert.deepEqual(chosen([finishing, away], only('east')), ['n1']);
 });
+
+test('a region that can handle most requests is used if no allowed one accepts all', () => {
+  const finishing = gateway('n1', 'north', GatewayPhase.Finishing);
+  assert.deepEqual(chosen([finishing, WEST, SOUTH], NO_REGION, only('west')), ['w']);
+  assert.deepEqual(chosen([finishing, WEST, SOUTH], only('south'), only('south', 'west')), ['s']);
+  const draining = gateway('n2', 'north', GatewayPhase.Draining);
+  assert.deepEqual(chosen([draining, WEST], NO_REGION, only('west')), ['n2']);
+});
--- a/packages/core/src/membership/directory-choice.ts
+++ b/packages/core/src/membership/directory-choice.ts
@@ -14,6 +14,8 @@
   DrainingInRegion: 'draining-in-region',
   ReadyElsewhere: 'ready-elsewhere',
   DrainingElsewhere: 'draining-elsewhere',
+  ReadyForMost: 'ready-for-most',
+  DrainingForMost: 'draining-for-most',
   FinishingInRegion: 'finishing-in-region',
   FinishingElsewhere: 'finishing-elsewhere',
   None: 'none',
@@ -26,34 +28,51 @@
   readonly gateways: readonly ListedGateway[];
 }
 
+/** Where the requests for a host may be handled. */
+export interface DirectoryScopes {
+  /** Regions to which all requests may be sent. */
+  readonly allowed: RegionScope;
+  /** Regions that can handle all but few requests; only read while no allowed region serves all. */
+  readonly tolerated: () => RegionScope;
+}
+
 /**
  * Returns the first of the groups that is not empty. Gateways of other regions than the caller's
- * belong to one only if the host allows requests there. No gateway is better than one that has to
- * refuse, since callers then keep the response before and ask again.
+ * belong to one only if the host allows or tolerates requests there. No gateway is better than one
+ * that has to refuse, since callers then keep the response before and ask again.
  *
  * @param region region of the caller
- * @param allowed regions to which all requests for the host may be sent
- * @example chooseGateways(gateways, 'north', { kind: 'only', regions: ['west'] }).gateways
+ * @example chooseGateways(gateways, 'north', { allowed, tolerated: () => allowed }).gateways
  */
 export function chooseGateways(
   gateways: readonly ListedGateway[],
   region: string,
-  allowed: RegionScope,
+  { allowed, tolerated }: DirectoryScopes,
 ): DirectoryChoice {
   const local = gateways.filter((gateway) => gateway.region === region);
-  const remote = gateways.filter(
-    (gateway) => gateway.region !== region && allowsRegion(allowed, gateway.region),
-  );
-  const choices: DirectoryChoice[] = [
-    { group: DirectoryGroup.ReadyInRegion, gateways: inPhase(local, GatewayPhase.Ready) },
-    { group: DirectoryGroup.DrainingInRegion, gateways: inPhase(local, GatewayPhase.Draining) },
-    { group: DirectoryGroup.ReadyElsewhere, gateways: inPhase(remote, GatewayPhase.Ready) },
-    { group: DirectoryGroup.DrainingElsewhere, gateways: inPhase(remote, GatewayPhase.Draining) },
-    { group: DirectoryGroup.FinishingInRegion, gateways: inPhase(local, GatewayPhase.Finishing) },
-    { group: DirectoryGroup.FinishingElsewhere, gateways: inPhase(remote, GatewayPhase.Finishing) },
+  const remote = gateways.filter((gateway) => gateway.region !== region);
+  const elsewhere = remote.filter((gateway) => allowsRegion(allowed, gateway.region));
+  const forMost = (): ListedGateway[] => {
+    const scope = tolerated();
+    return remote.filter((gateway) => allowsRegion(scope, gateway.region));
+  };
+  const { Ready, Draining, Finishing } = GatewayPhase;
+  const groups: readonly (readonly [DirectoryGroup, () => ListedGateway[]])[] = [
+    [DirectoryGroup.ReadyInRegion, () => inPhase(local, Ready)],
+    [DirectoryGroup.DrainingInRegion, () => inPhase(local, Draining)],
+    [DirectoryGroup.ReadyElsewhere, () => inPhase(elsewhere, Ready)],
+    [DirectoryGroup.DrainingElsewhere, () => inPhase(elsewhere, Draining)],
+    [DirectoryGroup.ReadyForMost, () => inPhase(forMost(), Ready)],
+    [DirectoryGroup.DrainingForMost, () => inPhase(forMost(), Draining)],
+    [DirectoryGroup.FinishingInRegion, () => inPhase(local, Finishing)],
+    [DirectoryGroup.FinishingElsewhere, () => inPhase(elsewhere, Finishing)],
   ];
-  const chosen = choices.find((choice) => choice.gateways.length > 0);
-  return chosen ?? { group: DirectoryGroup.None, gateways: [] };
+  const none: DirectoryChoice = { group: DirectoryGroup.None, gateways: [] };
+  return groups.reduce<DirectoryChoice>((chosen, [group, members]) => {
+    if (chosen.gateways.length > 0) return chosen;
+    const found = members();
+    return found.length > 0 ? { group, gateways: found } : none;
+  }, none);
 }
 
 function inPhase(gateways: readonly ListedGateway[], phase: GatewayPhase): ListedGateway[] {
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -8,6 +8,7 @@
   type RandomSource,
   type ResultCode,
   type Route,
+  type RouteUsage,
 } from '@marjoramcart/core';
 import {
   HttpListener,
@@ -65,6 +66,7 @@
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
+  readonly usage: Pick<RouteUsage, 'onRequest'>;
   readonly protocol: RequestProtocol;
   readonly executor: RequestExecutor;
   readonly timers: TimerService;
@@ -221,6 +223,7 @@
       this.refuse(req, response, code, head.id);
       return;
     }
+    if (!forwarded && route.regions.kind === 'only') this.deps.usage.onRequest(route);
     // The configuration may have changed while the body was received.
     const currentConfig = state.config ?? config;
     const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
--- a/packages/gateway/src/directory/directory-task.test.ts
+++ b/packages/gateway/src/directory/directory-task.test.ts
@@ -6,8 +6,12 @@
   ANY_REGION,
   GatewayPhase,
   GatewayTable,
+  RouteKind,
+  RouteTable,
+  RouteUsage,
   seededRandom,
   type HostResidency,
+  type Route,
 } from '@marjoramcart/core';
 import { ManualTimerService, readResponseBody, type Logger } from '@marjoramcart/runtime';
 import type { DirectoryProtocol } from '../ports/request-protocol.js';
@@ -18,6 +22,21 @@
 const GATEWAYS = 80;
 const RESPONSES = 40;
 
+const ROUTE: Route = {
+  name: 'read',
+  host: 'api.example',
+  prefix: '/',
+  kind: RouteKind.Repeatable,
+  timeoutMs: 1000,
+  latencyTargetMs: 100,
+  patienceMs: 1000,
+  priority: 0,
+  services: [{ service: 'one', weight: 1 }],
+  maxAttempts: 1,
+  resumable: false,
+  regions: ANY_REGION,
+};
+
 let directory: DirectoryTask | undefined;
 
 afterEach(() => directory?.stop());
@@ -74,7 +93,9 @@
       phase,
       leavingAt: () => undefined,
       table: tableOf(GATEWAYS),
-      residencyOf,
+      routes: () => new RouteTable([ROUTE]),
+      usage: new RouteUsage(),
+      maxMisdirectedShare: 0.05,
       graceMs: 8000,
       timers: new ManualTimerService(),
     }),
--- a/packages/gateway/src/directory/gateway-directory.ts
+++ b/packages/gateway/src/directory/gateway-directory.ts
@@ -2,21 +2,25 @@
 import {
   DirectoryGroup,
   chooseGateways,
+  toleratedRegions,
   type DirectoryChoice,
   type GatewayPhase,
   type GatewayTable,
-  type HostResidency,
   type ListedGateway,
+  type RouteTable,
+  type RouteUsage,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { DirectoryQuery } from '../ports/request-protocol.js';
 
-/** Groups whose gateways accept all requests. */
+/** Groups whose gateways accept requests of any duration. */
 const FULL_SERVICE: ReadonlySet<DirectoryGroup> = new Set([
   DirectoryGroup.ReadyInRegion,
   DirectoryGroup.DrainingInRegion,
   DirectoryGroup.ReadyElsewhere,
   DirectoryGroup.DrainingElsewhere,
+  DirectoryGroup.ReadyForMost,
+  DirectoryGroup.DrainingForMost,
 ]);
 
 /** Time in which a process that has ended starts again and is known as ready. */
@@ -30,8 +34,11 @@
   /** When this gateway started to leave, monotonic ms; undefined before. */
   readonly leavingAt: () => number | undefined;
   readonly table: GatewayTable;
-  /** Where requests for a host may be handled, by the configuration in force. */
-  readonly residencyOf: (host: string) => HostResidency;
+  /** Routes of the configuration in force. */
+  readonly routes: () => RouteTable;
+  readonly usage: RouteUsage;
+  /** Largest share of the requests on restricted routes that may be sent where they can't be handled. */
+  readonly maxMisdirectedShare: number;
   /** Longest time from the stop signal to the end of a process, ms. */
   readonly graceMs: number;
   readonly timers: TimerService;
@@ -52,7 +59,7 @@
   }
 
   /**
-   * Time until another gateway accepts requests of this region's callers for a host, ms: 0 if one does,
+   * Time until another gateway accepts all requests of this region's callers for a host, ms: 0 if one does,
    * else until the first one of the region that is leaving has restarted, at the latest.
    *
    * @example directory.acceptsInMs('api.example') // 0
@@ -86,6 +93,16 @@
     host: string,
     region: string,
   ): DirectoryChoice {
-    return chooseGateways(gateways, region, this.deps.residencyOf(host).regions);
+    const { usage, maxMisdirectedShare } = this.deps;
+    const routes = this.deps.routes();
+    return chooseGateways(gateways, region, {
+      allowed: routes.residencyOf(host).regions,
+      tolerated: () =>
+        toleratedRegions(
+          routes.routesOf(host),
+          (route) => usage.countOf(route),
+          maxMisdirectedShare,
+        ),
+    });
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Creates the tasks of a gateway, which runs as one process on each VM, and drains them on stop. */
 import {
   GatewayPhase,
+  RouteUsage,
   hashOf,
   seededRandom,
   type PeerWork,
@@ -85,6 +86,8 @@
 
   private readonly directory: GatewayDirectory;
 
+  private readonly usage = new RouteUsage();
+
   private readonly shutdown: GracefulShutdown;
 
   constructor(private readonly deps: GatewayDeps) {
@@ -154,6 +157,7 @@
         fetchFrom: (node) => this.fetcher.fetchFrom(node),
       }),
       directory: this.directory,
+      usage: this.usage,
       protocol,
       executor,
       timers,
@@ -287,7 +291,9 @@
       phase: () => this.phase(),
       leavingAt: () => this.shutdown.startedAt,
       table: this.gossip.table,
-      residencyOf: (host) => this.state.routes.residencyOf(host),
+      routes: () => this.state.routes,
+      usage: this.usage,
+      maxMisdirectedShare: settings.tuning.directory_misdirected_share,
       graceMs: settings.graceMs,
       timers,
     });
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -32,6 +32,11 @@
   metrics_port: z.number().int().min(1).max(65_535).default(9464),
   /** Lifetime of a directory response, s. Callers may cache it three times as long. */
   directory_ttl_s: z.number().positive().default(1),
+  /**
+   * Largest share of the requests on region-bound routes of a host that the directory may send to
+   * regions in which they can't be handled, where they are refused.
+   */
+  directory_misdirected_share: z.number().min(0).max(1).default(0.05),
 });
 
 export type GatewayTuning = z.output<typeof gatewayTuningSchema>;
