Check the residency of a request by the configuration in force

Cause: an entry checked a request against the regions of its customer and service only at its arrival, and kept both from the configuration of that time. When a newer one excluded the region while the body arrived, or while the request waited for admission, a sync or a retry, the request was still run here, and forwards were still checked by the earlier regions. Change: the dispatcher and the forwards look up the regions by the ids of customer and service in the configuration in force, before each decision and again immediately before the write. A customer or service that it lacks allows no region. A request that waited here is refused with the new code 2202, not run.

--- a/packages/core/src/codes/result-codes.ts
+++ b/packages/core/src/codes/result-codes.ts
@@ -80,6 +80,14 @@
     'The request may not be handled in this region; the body was not read.',
     'Use one of the entries in error.entries.',
   ),
+  RegionWithdrawn: row(
+    2202,
+    'region_withdrawn',
+    421,
+    NotRun,
+    'While the request waited, a new configuration excluded this region.',
+    OTHER_ENTRY,
+  ),
   RateLimited: row(3101, 'rate_limited', 429, NotRun, 'The rate limit is reached.', RETRY_LATER),
   QueueFull: row(3102, 'queue_full', 429, NotRun, "The customer's queue is full.", RETRY_LATER),
   DeadlineUnreachable: row(
--- a/packages/core/src/membership/gossiped-suspect-table.ts
+++ b/packages/core/src/membership/gossiped-suspect-table.ts
@@ -1,7 +1,7 @@
 /** Requests suspected of crashing targets, exchanged by gossip between control daemons. */
 import type { ConfigView } from '../config/snapshot.js';
 import type { SuspectRecord } from '../messages/messages.js';
-import { allowedRegions } from '../residency/allowed-regions.js';
+import { allowedRegionsById } from '../residency/allowed-regions.js';
 
 /** Limits memory use and message size if a fault reports an unlimited number of suspects. */
 const MAX_SUSPECTS = 1000;
@@ -24,9 +24,7 @@
   record: Pick<SuspectRecord, 'customer' | 'service'>,
   region: string,
 ): boolean {
-  const customer = view.customersById.get(record.customer);
-  const service = view.services[record.service];
-  return Boolean(customer && service && allowedRegions(view, customer, service).includes(region));
+  return allowedRegionsById(view, record).includes(region);
 }
 
 export class GossipedSuspectTable {
--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -16,6 +16,7 @@
   keyDigest,
   keyOf,
   send,
+  sendAroundRestriction,
   startEntry,
   targetState,
   testConfig,
@@ -343,6 +344,21 @@
   assert.match(only, /"code":1102/);
 });
 
+test('a request is not run if its customer is restricted to other regions while its body arrives', async (t) => {
+  // Guards against checking residency only against the configuration at the arrival of a request.
+  const target = await new FakeTarget((_req, res) => {
+    res.writeHead(200, STREAM_HEADERS).end(streamEvents(1, ['a']) + doneEvent(2));
+  }).listen();
+  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  t.after(async () => {
+    target.crash();
+    await entry.stop();
+  });
+  const response = await sendAroundRestriction(entry, ['west']);
+  assert.match(response, /HTTP\/1.1 421 .*"code":2202,.*"run":"not_run"/s);
+  assert.equal(target.calls.length, 0);
+});
+
 test('a rejected retry reports not_run only at the owner of its key', async (t) => {
   // Guards against a wrong not_run from an entry that doesn't know what the owner did.
   const entry = await startEntry();
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -48,6 +48,8 @@
   readonly exchange: TargetExchange;
   readonly forwards: ForwardExchange;
   readonly probe: DeathProbe;
+  /** Whether the configuration in force allows the local region for a call. */
+  readonly mayRunHere: (call: Call) => boolean;
   readonly suspects: SuspectTable;
   readonly suspectQueue: SuspectQueue;
   readonly budget: RetryBudget;
@@ -102,6 +104,7 @@
     const { suspects, timers } = this.options;
     const ended = this.endedEarly(progress);
     if (ended) return ended;
+    if (!this.options.mayRunHere(call)) return this.regionWithdrawn(progress);
     const level = suspects.level(call.digest, timers.now());
     if (level === SuspicionLevel.Refused) return this.refusedSuspect(progress);
     const isSuspect = level === SuspicionLevel.Suspect;
@@ -307,7 +310,7 @@
     )
       return false;
     if (suspects.level(progress.call.digest, now) === SuspicionLevel.Refused) return false;
-    if (!destinationReady()) return false;
+    if (!this.options.mayRunHere(progress.call) || !destinationReady()) return false;
     return progress.markSent();
   }
 
@@ -337,6 +340,11 @@
     return this.fail(progress, tried ? ResultCodes.TargetUnreachable : ResultCodes.NoReadyTarget);
   }
 
+  private regionWithdrawn(progress: DispatchProgress): DispatchResult {
+    const { TargetFailed, RegionWithdrawn } = ResultCodes;
+    return this.fail(progress, progress.sent ? TargetFailed : RegionWithdrawn);
+  }
+
   private refusedSuspect(progress: DispatchProgress, target?: string): DispatchResult {
     return this.fail(progress, ResultCodes.RequestCrashesTargets, target);
   }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -4,7 +4,6 @@
   KeyTable,
   RetryBudget,
   SuspectTable,
-  allowedRegions,
   hashText,
   seededRandom,
   type ProcessRef,
@@ -113,8 +112,7 @@
     timers,
     revision: () => state.revision,
     recordLinkBytes: (region, bytes) => links.spend(region, bytes),
-    allowedRegions: (call) =>
-      state.config ? allowedRegions(state.config, call.customer, call.config) : [],
+    allowedRegions: (call) => state.allowedRegions(call),
   });
   const openCalls = new OpenCalls();
   const sync = new SyncTask({
@@ -151,6 +149,7 @@
     exchange: new TargetExchange(httpClient, timers),
     forwards,
     probe: new DeathProbe(httpClient),
+    mayRunHere: (call) => state.allowedRegions(call).includes(self.region),
     suspects,
     suspectQueue: new SuspectQueue(targets, timers),
     budget,
--- a/packages/entry/src/forward/forward-exchange.ts
+++ b/packages/entry/src/forward/forward-exchange.ts
@@ -7,6 +7,7 @@
   resultCodeByNumber,
   type ForwardHop,
   type ForwardReason,
+  type ForwardViolation,
   type ProcessRef,
   SseFrameParser,
 } from '@marjoramcart/core';
@@ -75,7 +76,7 @@
   readonly revision: () => number;
   /** Counts bytes sent over the link to a region or received over it. */
   readonly recordLinkBytes: (region: string, bytes: number) => void;
-  /** Regions that may handle the call. */
+  /** Regions that may handle the call now. */
   readonly allowedRegions: (call: Call) => readonly string[];
 }
 
@@ -86,7 +87,9 @@
     const { call, entry, reason } = options;
     const { self, httpClient, allowedRegions } = this.deps;
     const visited = [...call.visited, hopOf(self)];
-    const violation = checkForward(visited, entry, reason, allowedRegions(call));
+    const findViolation = (): ForwardViolation | undefined =>
+      checkForward(visited, entry, reason, allowedRegions(call));
+    const violation = findViolation();
     if (violation) return { kind: 'not-run', message: violation.kind };
     const remainingMs = call.deadlineAt - this.deps.timers.now() - entry.oneWayMs - HOP_MARGIN_MS;
     if (remainingMs <= 0)
@@ -109,7 +112,7 @@
         body: call.body,
         newConnection: !call.repeatable,
       },
-      options.mayWrite,
+      () => findViolation() === undefined && options.mayWrite(),
       options.signal,
     );
     if (sent.kind === 'vetoed') return sent;
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -11,6 +11,7 @@
   errorCode,
   keyOf,
   send,
+  sendAroundRestriction,
   startEntry,
   targetState,
   testConfig,
@@ -258,6 +259,14 @@
   assert.equal(target.calls.length, 0);
 });
 
+test('a call is not forwarded to a region that its customer lost while its body arrived', async (t) => {
+  // Guards against a forward by the regions at the arrival of a call, to an entry that still has them.
+  const { local, target } = await startPair(t);
+  const response = await sendAroundRestriction(local, ['north']);
+  assert.match(response, /"code":4102/);
+  assert.equal(target.calls.length, 0);
+});
+
 test('a suspect refused by another failure domain is not retried locally', async (t) => {
   // Guards against a third crashed target before gossip has spread the refusal.
   const { local, remote } = await startPair(t);
--- a/packages/entry/src/routing/domain-chooser.ts
+++ b/packages/entry/src/routing/domain-chooser.ts
@@ -1,7 +1,6 @@
 /** Decides whether a call is forwarded and to which entry of the chosen failure domain. */
 import {
   MembershipTiming,
-  allowedRegions,
   checkForward,
   correctedOutstanding,
   type DomainOption,
@@ -72,9 +71,7 @@
 
   private eligible(call: Call, excluded: ReadonlySet<string>): DomainSummary[] {
     const { self, state } = this.options;
-    const { config } = state;
-    if (!config) return [];
-    const allowed = allowedRegions(config, call.customer, call.config);
+    const allowed = state.allowedRegions(call);
     const visited = [...call.visited, self];
     return state.view.summaries.filter(
       (summary) =>
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -1,5 +1,6 @@
 /** The entry's view of the fleet: the latest snapshot and view of its control daemon. */
 import {
+  allowedRegionsById,
   applyDelta,
   applyViewChanges,
   viewOfSnapshot,
@@ -11,6 +12,7 @@
   type Snapshot,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
+import type { Call } from '../request/call.js';
 
 const CONTROL_LOST_AFTER_MS = 3000;
 
@@ -90,6 +92,11 @@
     return this.config !== undefined && !this.draining;
   }
 
+  /** Regions that may handle a call by the configuration in force, whatever was in force at its arrival. */
+  allowedRegions({ customer, service }: Pick<Call, 'customer' | 'service'>): readonly string[] {
+    return allowedRegionsById(this.config, { customer: customer.id, service });
+  }
+
   /** Records a revision seen in a message; returns true when it is higher than the current one. */
   witness(revision: number): boolean {
     if (!Number.isSafeInteger(revision) || revision <= this.revision) return false;
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -1,6 +1,8 @@
 /** Test harness that starts entries with a fake control daemon and fake targets in this process. */
 import { createHash } from 'node:crypto';
+import { once } from 'node:events';
 import http, { type IncomingHttpHeaders } from 'node:http';
+import net from 'node:net';
 import type { DomainView, TargetState } from '@marjoramcart/core';
 import {
   Metrics,
@@ -181,6 +183,42 @@
   });
 }
 
+/**
+ * Sends a chat completion of customer `c1`, which is restricted to `regions` before the body follows;
+ * returns all bytes of the response.
+ */
+export async function sendAroundRestriction(
+  entry: Harness,
+  regions: readonly string[],
+): Promise<string> {
+  const { daemon, control } = entry;
+  const [host, port] = daemon.callers.address.split(':');
+  const body = JSON.stringify(chatBody('x'));
+  const socket = net.connect({ host, port: Number(port) });
+  const chunks: Buffer[] = [];
+  const received = (): string => Buffer.concat(chunks).toString('utf8');
+  socket.on('data', (chunk) => chunks.push(chunk));
+  const closed = once(socket, 'close');
+  socket.write(
+    [
+      'POST /v1/chat/completions HTTP/1.1',
+      'host: x',
+      `authorization: Bearer ${API_KEY}`,
+      `content-length: ${body.length}`,
+      'expect: 100-continue',
+      'connection: close',
+      '\r\n',
+    ].join('\r\n'),
+  );
+  await until(() => received().includes('100 Continue'));
+  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
+  control.snapshot = testSnapshot(2, testConfig({ customers: [customer] }));
+  await until(() => daemon.state.revision === 2);
+  socket.write(body);
+  await closed;
+  return received();
+}
+
 /** Body of a chat completion. */
 export function chatBody(text: string, stream = true): unknown {
   return { model: 'chat', stream, messages: [{ role: 'user', content: text }] };
