Check the homes of a waiting request by the configuration in force

Cause: a gateway kept the route that a request had at its arrival, so that a retry, a resumed stream or a forward went by the homes of that route when a newer configuration had others. A forward was not checked at all before its write. Change: a region has to be in the homes of the route at the arrival and of the one in force, for each choice of a destination and again before each write to a target or a gateway.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -102,7 +102,7 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { state, timers, router, protocol, gossip, crashes } = this.deps;
+    const { state, timers, router, protocol, gossip, crashes, settings } = this.deps;
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed', withdrawn: true };
     const { record, work } = entry;
@@ -126,7 +126,10 @@
         record,
       ),
       toPeer: false,
-      mayWrite: () => state.target(id) === entry && state.mayUse(entry),
+      mayWrite: () =>
+        state.target(id) === entry &&
+        state.mayUse(entry) &&
+        router.mayRunIn(progress.call, settings.region),
       isAlive: () => work.isAlive(timers.now()),
       onReport: (report) => work.updateLoadReport(report, timers.now()),
       onSignals: (signals) => state.onTargetSignals(record, signals, head.id),
@@ -177,7 +180,7 @@
         String(call.configVersion),
       ],
       toPeer: true,
-      mayWrite: () => true,
+      mayWrite: () => router.mayRunIn(call, region),
       isAlive: () => false,
       onReport: () => undefined,
       onSignals: () => undefined,
--- a/packages/gateway/src/routing/remote-regions.ts
+++ b/packages/gateway/src/routing/remote-regions.ts
@@ -49,7 +49,7 @@
   options(call: Call, now: number): RegionOption[] {
     const ready = this.readyRegions(now).filter(
       ({ region, summary }) =>
-        summary.work[call.service] !== undefined && allowsRegion(call.route.regions, region),
+        summary.work[call.service] !== undefined && mayRunIn(call, region, this.deps.state),
     );
     const shared = call.head.prompt ? sharedPrefixOf(call.head.prompt) : undefined;
     const preferredRegion =
@@ -126,7 +126,7 @@
     ready: readonly ReadyRegion[],
   ): string | undefined {
     const { region: localRegion, state } = this.deps;
-    const localTargets = allowsRegion(call.route.regions, localRegion)
+    const localTargets = mayRunIn(call, localRegion, state)
       ? state.usableTargets(call.service).length
       : 0;
     const regions = ready
@@ -140,6 +140,16 @@
   }
 }
 
+/**
+ * Whether a call may run in a region. If the configuration has changed since its arrival, both have to
+ * allow the region, since a gateway there may have either in force.
+ */
+export function mayRunIn(call: Call, region: string, state: GatewayState): boolean {
+  return [call.route, state.routeInForce(call)].every(({ regions }) =>
+    allowsRegion(regions, region),
+  );
+}
+
 function keyOf(region: string, service: string): string {
   return `${region} ${service}`;
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,6 +1,5 @@
 /** Ranks the destinations that may take a call now, best first. */
 import {
-  allowsRegion,
   latenessCostMs,
   rankTargets,
   sampleTargets,
@@ -30,7 +29,7 @@
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { ColdReason, TargetEntry } from '../state/target-entry.js';
-import { RemoteRegions } from './remote-regions.js';
+import { RemoteRegions, mayRunIn } from './remote-regions.js';
 import { ServiceSpeeds } from './service-speeds.js';
 
 const MS_PER_S = 1000;
@@ -135,7 +134,7 @@
   /** Ranks the destinations of the next attempt; a forwarded call stays in the local region. */
   destinations(call: Call): AvailableDestinations {
     const now = this.timers.now();
-    const usable = allowsRegion(call.route.regions, this.settings.region)
+    const usable = this.mayRunIn(call, this.settings.region)
       ? this.state.usableTargets(call.service)
       : [];
     const share = this.limitedShareRequest(call, usable, now);
@@ -174,6 +173,11 @@
     return { candidates, unavailable, ...(opensInMs < Infinity ? { opensInMs } : {}) };
   }
 
+  /** Whether the homes of a call's route include a region, also by the configuration in force. */
+  mayRunIn(call: Call, region: string): boolean {
+    return mayRunIn(call, region, this.state);
+  }
+
   /** Ranks a sample of the open targets, and a larger sample when even the best one would be late. */
   private rankLocal(
     call: Call,
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -9,11 +9,13 @@
   type FleetConfig,
   type FleetState,
   type RateLimitSignal,
+  type Route,
   type ServiceSpec,
   type TargetIncarnation,
   type TargetRecord,
 } from '@marjoramcart/core';
 import type { LogFields, Logger, TimerService, Unsubscribe } from '@marjoramcart/runtime';
+import type { Call } from '../exchange/call.js';
 import { NO_SIGNALS, type SignalRows } from '../peers/signal-rows.js';
 import type { FleetListener } from '../ports/fleet-source.js';
 import type { TargetSignals } from '../ports/request-protocol.js';
@@ -92,6 +94,12 @@
     return this.routeTable;
   }
 
+  /** Route of a call by the configuration in force; its own if that has none for it any more. */
+  routeInForce({ head, route, configVersion }: Call): Route {
+    if (configVersion === this.currentConfig?.version) return route;
+    return this.routeTable.match(head.host, head.path) ?? route;
+  }
+
   get revision(): number {
     return this.currentRevision;
   }
