Check a pooled request again after its connection is established

Cause: HttpClient asked mayWrite before it took a connection from the pool. When none was free, the bytes were written up to a second later, after the connection was established, without another check, so that they could reach a target that was leaving or evacuated by then, or a region that the homes no longer include. Change: mayWrite is called once more when such a connection is established; if it returns false, the connection is closed and nothing is written. The dispatcher of the entry then takes back the mark that the key was sent.

--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -316,6 +316,7 @@
 
   /** A vetoed write is no target failure: the call is dispatched again without using the budget. */
   private onVetoedWrite(progress: DispatchProgress): Promise<DispatchResult> {
+    progress.markUnsent();
     const ended = this.endedEarly(progress);
     if (ended) return Promise.resolve(ended);
     if (progress.attempts >= MAX_ATTEMPTS) return Promise.resolve(this.noTarget(progress));
--- a/packages/runtime/src/http/http-client.test.ts
+++ b/packages/runtime/src/http/http-client.test.ts
@@ -59,3 +59,40 @@
   );
   assert.ok(!kinds.includes('complete'), kinds.join(' '));
 });
+
+test('a pooled request is checked again once its new connection is established', async (t) => {
+  // Guards against a request written to a destination that was withdrawn while it was being connected.
+  const received: Buffer[] = [];
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => received.push(bytes));
+  });
+  const closed = new Promise((resolve) => {
+    server.once('connection', (socket) => socket.once('close', resolve));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpClient({});
+  t.after(() => {
+    client.close();
+    server.close();
+  });
+  const checks = [true, false];
+  const sent = await client.send(
+    {
+      address: `127.0.0.1:${port}`,
+      method: 'POST',
+      path: '/',
+      headers: {},
+      body: Buffer.from('body'),
+      newConnection: false,
+    },
+    () => checks.shift() ?? false,
+    AbortSignal.timeout(1000),
+  );
+  await closed;
+  assert.equal(sent.kind, 'vetoed');
+  assert.equal(Buffer.concat(received).length, 0);
+});
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -77,14 +77,16 @@
 
   /**
    * Sends a request and waits for the head of the response. `mayWrite` is called immediately before
-   * the write, with `newConnection` after it is established. If it returns false, nothing is sent.
+   * the write, and again if a connection had to be established for it. If it returns false, nothing is
+   * sent.
    */
   async send(
     out: OutgoingRequest,
     mayWrite: () => boolean,
     signal: AbortSignal,
   ): Promise<RequestResult> {
-    if (!out.newConnection) return mayWrite() ? this.write(out, undefined, signal) : VETOED;
+    if (!out.newConnection)
+      return mayWrite() ? this.write(out, undefined, signal, mayWrite) : VETOED;
     const socket = await connect(out.address, signal, this.connectTimeoutMs);
     if (!(socket instanceof net.Socket)) return socket;
     if (socket.destroyed) return failure(false, false, 'connection closed before the write');
@@ -101,6 +103,7 @@
     out: OutgoingRequest,
     socket: net.Socket | undefined,
     signal: AbortSignal,
+    mayWrite = (): boolean => true,
   ): Promise<RequestResult> {
     const [host, port] = out.address.split(':');
     return new Promise((resolve) => {
@@ -126,9 +129,13 @@
           () => req.destroy(new Error('connect timeout')),
           this.connectTimeoutMs,
         );
+        // Called before the bytes that wait for the connection are written.
         used.once('connect', () => {
-          sent = true;
           clearTimeout(timer);
+          sent = mayWrite();
+          if (sent) return;
+          resolve(VETOED);
+          req.destroy();
         });
         used.once('close', () => clearTimeout(timer));
       });
