Do not report not_run for a refused forward whose key has run

Cause: when an entry forwards a call to the owner of its key, and the configuration of the owner no longer allows the customer's region there, the owner refused the forward as not run without looking at the key. The refusal of an owner is relayed to the caller as it is, although an earlier call with that key may have run. Change: a refused forward says unknown if its key may have run here, as for calls of callers.

--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -10,6 +10,7 @@
   chatBody,
   errorCode,
   keyOf,
+  restrictCustomer,
   send,
   sendAroundRestriction,
   startEntry,
@@ -197,6 +198,18 @@
   assert.equal(target.calls.length, 1);
 });
 
+test('an owner that may no longer handle a key does not report not_run for a call that ran', async (t) => {
+  // Guards against a wrong not_run when the configuration excludes the owner's region after the run.
+  const { local, remote, target } = await startPair(t);
+  const headers = { 'idempotency-key': keyOf(remote.daemon, 'nonce-0001') };
+  const request = { path: '/svc/booking/slots', body: { crane: 1 }, headers };
+  assert.equal((await send(local.daemon.callers.address, request)).status, 201);
+  await restrictCustomer(remote, ['north']);
+  const retry = await send(local.daemon.callers.address, request);
+  assert.equal(retry.headers['marjoramcart-run'], 'unknown');
+  assert.equal(target.calls.length, 1);
+});
+
 test('a restarted process does not report outcomes for keys of its predecessor', async (t) => {
   // Guards against a `not_run` for a request that ran before its owner was restarted.
   const { local, remote } = await startPair(t);
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   ResultCodes,
+  RunState,
   allowedRegions,
   checkForward,
   isSuspectVisible,
@@ -121,12 +122,12 @@
     // The deadline counts from the arrival, since the request may wait for a sync.
     const accepted = this.accept(envelope, arrivedAt);
     if (accepted.kind === 'refused') {
-      this.refuse(req, res, accepted.code);
+      this.refuse(req, res, accepted.code, envelope.key);
       return;
     }
     const body = await readRequestBody(req, MAX_BODY_BYTES, timers);
     if (body.kind !== 'complete' || bodyHash(body.body) !== envelope.bodyHash) {
-      this.refuse(req, res, ResultCodes.InvalidRequest);
+      this.refuse(req, res, ResultCodes.InvalidRequest, envelope.key);
       return;
     }
     const response = this.createResponse(res, envelope.key !== undefined);
@@ -170,15 +171,27 @@
     return { kind: 'call', call: callOf(envelope, { customer, service, key, arrivedAt }) };
   }
 
-  private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode): void {
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    code: ResultCode,
+    keyText?: string,
+  ): void {
     // A connection reset would make the outcome of this refusal unknown to the sender.
     const onWritten = (): void => lingeringClose(req, this.options.timers, false);
     this.createResponse(res, false).fail(
-      { code, run: code.run, attempts: 0 },
+      { code, run: this.mayHaveRun(keyText) ? RunState.Unknown : code.run, attempts: 0 },
       { close: true, ...(!req.complete && { onWritten }) },
     );
   }
 
+  /** An earlier request with the key may have run here, by an earlier configuration. */
+  private mayHaveRun(keyText = ''): boolean {
+    const { keys, timers } = this.options;
+    const key = parseIdempotencyKey(keyText);
+    return key !== undefined && keys.mayHaveRun(key, timers.wall());
+  }
+
   private createResponse(res: ServerResponse, record: boolean): CallerResponse {
     const { state } = this.options;
     return new CallerResponse(res, {
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -183,6 +183,14 @@
   });
 }
 
+/** Restricts customer `c1` to regions in the configuration of an entry. */
+export async function restrictCustomer(entry: Harness, regions: readonly string[]): Promise<void> {
+  const { daemon, control } = entry;
+  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
+  control.snapshot = testSnapshot(2, testConfig({ customers: [customer] }));
+  await until(() => daemon.state.revision === 2);
+}
+
 /**
  * Sends a chat completion of customer `c1`, which is restricted to `regions` before the body follows;
  * returns all bytes of the response.
@@ -191,8 +199,7 @@
   entry: Harness,
   regions: readonly string[],
 ): Promise<string> {
-  const { daemon, control } = entry;
-  const [host, port] = daemon.callers.address.split(':');
+  const [host, port] = entry.daemon.callers.address.split(':');
   const body = JSON.stringify(chatBody('x'));
   const socket = net.connect({ host, port: Number(port) });
   const chunks: Buffer[] = [];
@@ -211,9 +218,7 @@
     ].join('\r\n'),
   );
   await until(() => received().includes('100 Continue'));
-  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
-  control.snapshot = testSnapshot(2, testConfig({ customers: [customer] }));
-  await until(() => daemon.state.revision === 2);
+  await restrictCustomer(entry, regions);
   socket.write(body);
   await closed;
   return received();
