Keep the leaving mark of a target when its last result expires

Cause: whether a target leaves was read only from probe results that have not expired, but an isolated control daemon keeps using targets by an expired result. Without any other result the mark was lost, and the entries were told that the target may get new work. Change: the report that is shown for a target also counts for its leaving mark. Result: the new test got healthy without the mark before, and with it now; all tests of core and control pass.

--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -156,6 +156,17 @@
   assert.ok(table.states(10).every(({ leaving }) => leaving));
 });
 
+test('an isolated process keeps the leaving mark of a target whose prober is silent', () => {
+  // Guards against new work for a leaving target when the result that shows the mark has expired.
+  const table = new TargetTable('self');
+  table.setRecords(['t1', 't2', 't3'].map((vm) => target(vm)));
+  const result = { report: report({ leaving: true }), failures: 0, reportedAt: 0, receivedAt: 0 };
+  table.setProbeResult('t3', 'other', result);
+  ['t1', 't2'].forEach((vm) => fail(table, vm, 8000));
+  const state = table.states(10_500).find(({ vm }) => vm === 't3');
+  assert.deepEqual([state?.healthy, state?.leaving], [true, true]);
+});
+
 test('a pause of this process does not expire its probe results and members', () => {
   const table = tableOf(1);
   const members = new MemberTable(control('self'), 0);
--- a/packages/core/src/membership/target-table.ts
+++ b/packages/core/src/membership/target-table.ts
@@ -204,6 +204,8 @@
         );
       const shown = best ?? live[0] ?? this.latestResult(record.vm);
       const report = shown?.report ?? NO_REPORT;
+      // An isolated process also uses targets of which it has only an expired result.
+      const leaves = report.leaving || live.some((result) => result.report.leaving);
       return {
         vm: record.vm,
         address: record.address,
@@ -214,7 +216,7 @@
         waitMs: report.waitMs,
         concurrency: report.concurrency,
         sequence: report.sequence,
-        leaving: record.state === 'leaving' || live.some((result) => result.report.leaving),
+        leaving: record.state === 'leaving' || leaves,
         healthy: best !== undefined || (isolated && shown !== undefined),
         reportAgeMs: shown ? Math.round(nowMs - shown.reportedAt) : 0,
       };
