Report configured failure domains that are silent

Cause: the status of a control daemon left out expired summaries, and marjoramctl looked for lost failure domains among those that it got. So a region whose last control daemon has left, or that is cut off, was missing from the status, which said that the fleet is healthy, unlike what the operators' guide says. Change: the status names each configured failure domain without a recent summary, also after a restart of the daemon that answers, and marjoramctl reports it as a problem.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -86,6 +86,11 @@
     });
   }
 
+  /** Time since the start of this daemon, ms. */
+  get uptimeMs(): number {
+    return this.timers.now() - this.startedAt;
+  }
+
   /** Calls `fn` after a new revision, a new list of VMs, or an entry starting to drain. */
   onChange(fn: Listener): void {
     this.listeners.push(fn);
@@ -185,7 +190,7 @@
         ({ failureDomain }) =>
           failureDomain === this.self.failureDomain || fresh.has(failureDomain),
       );
-    this.warmedUp = covered || nowMs - this.startedAt >= WARM_UP_TIMEOUT_MS;
+    this.warmedUp = covered || this.uptimeMs >= WARM_UP_TIMEOUT_MS;
     return this.warmedUp;
   }
 
--- a/packages/control/src/status.ts
+++ b/packages/control/src/status.ts
@@ -1,5 +1,5 @@
 /** Builds the status of a control daemon for operators. */
-import type { StatusResult } from '@marjoramcart/core';
+import { MembershipTiming, type SilentDomain, type StatusResult } from '@marjoramcart/core';
 import type { ControlState } from './control-state.js';
 
 /**
@@ -19,6 +19,21 @@
     processes: state.processes(),
     targets: state.targetStates(),
     summaries: state.summaries.unexpired(nowMs),
+    silentDomains: silentDomains(state, nowMs),
     gaps: state.gaps,
   };
 }
+
+function silentDomains(
+  { cfg, self, summaries, uptimeMs }: ControlState,
+  nowMs: number,
+): SilentDomain[] {
+  return Object.values(cfg?.regions ?? {})
+    .flatMap((region) => region.failure_domains)
+    .filter((failureDomain) => failureDomain !== self.failureDomain)
+    .map((failureDomain) => ({
+      failureDomain,
+      ageMs: Math.round(Math.min(summaries.ageOf(failureDomain, nowMs), uptimeMs)),
+    }))
+    .filter(({ ageMs }) => ageMs > MembershipTiming.SummaryExpiryMs);
+}
--- a/packages/core/src/messages/messages.ts
+++ b/packages/core/src/messages/messages.ts
@@ -261,10 +261,19 @@
   readonly configServiceAgeMs: number;
   readonly processes: readonly ProcessRecord[];
   readonly targets: readonly TargetState[];
+  /** Summaries that have not expired. */
   readonly summaries: readonly DomainSummary[];
+  /** Other configured failure domains, without such a summary; absent from earlier releases. */
+  readonly silentDomains?: readonly SilentDomain[];
   readonly gaps: readonly PlacementGap[];
 }
 
+export interface SilentDomain {
+  readonly failureDomain: string;
+  /** Time since the last summary, or since the start of the daemon that lacks one. */
+  readonly ageMs: number;
+}
+
 /** Parameters and results by method name. */
 export interface RpcMethods {
   'entry.sync': { params: EntrySyncParams; result: EntrySyncResult };
--- a/packages/ctl/src/program.test.ts
+++ b/packages/ctl/src/program.test.ts
@@ -98,13 +98,14 @@
   assert.match(out, /^revision 7\n/);
 });
 
-test('status names stale and missing daemons, gaps and a rejected revision', async () => {
+test('status names stale and missing daemons, gaps, silent failure domains and a rejected revision', async () => {
   // Guards against a status that looks healthy while part of the fleet has an old revision.
   const gap = { failureDomain: 'north-1', service: 's', wanted: 4, ready: 1 };
   const behind = statusAt(7, {
     control: { ...daemon('vm-2', 'control') },
     revision: 9,
     rejected: { revision: 10, message: 'config/main:3:1: unknown key' },
+    silentDomains: [{ failureDomain: 'west-1', ageMs: 12_000 }],
     gaps: [{ ...gap, sinceMs: 65_000, reason: 'loading' }],
   });
   const { code, out } = await run(['status', 'a:1', 'b:2'], { 'a:1': behind });
@@ -112,6 +113,7 @@
   assert.match(out, /vm-1 +entry +\S+ +7 +stale +2 behind/);
   assert.match(out, /b:2 +- +missing +no answer/);
   assert.match(out, /north-1 +s +1\/4 +65s +loading/);
+  assert.match(out, /north-1 has not heard from west-1 for 12 s/);
   assert.match(out, /revision 10 is rejected: config\/main:3:1/);
   const json = await run(['status', '--json', 'a:1'], { 'a:1': behind });
   assert.equal((JSON.parse(json.out) as { revision: number }).revision, 9);
--- a/packages/ctl/src/status/fleet-status.ts
+++ b/packages/ctl/src/status/fleet-status.ts
@@ -1,10 +1,5 @@
 /** Merges the status of several control daemons into one status of the fleet. */
-import {
-  MembershipTiming,
-  type PlacementGap,
-  type ProcessRecord,
-  type StatusResult,
-} from '@marjoramcart/core';
+import type { PlacementGap, ProcessRecord, StatusResult } from '@marjoramcart/core';
 
 /** Result of fetching the status from one address. */
 export type StatusResponse =
@@ -123,14 +118,17 @@
   return [...byDomainAndService.values()];
 }
 
-function problemsOf({ control, rejected, configServiceAgeMs, summaries }: StatusResult): string[] {
+function problemsOf({
+  control,
+  rejected,
+  configServiceAgeMs,
+  silentDomains = [],
+}: StatusResult): string[] {
   const domain = control.failureDomain;
-  const lost = summaries
-    .filter(({ ageMs }) => ageMs > MembershipTiming.SummaryExpiryMs)
-    .map(
-      ({ failureDomain, ageMs }) =>
-        `${domain} has not heard from ${failureDomain} for ${Math.round(ageMs / 1000)} s`,
-    );
+  const lost = silentDomains.map(
+    ({ failureDomain, ageMs }) =>
+      `${domain} has not heard from ${failureDomain} for ${Math.round(ageMs / 1000)} s`,
+  );
   return [
     ...(rejected ? [`revision ${rejected.revision} is rejected: ${rejected.message}`] : []),
     ...(configServiceAgeMs > STALE_CONFIG_SERVICE_MS
