Sync after a pause before a call is forwarded to the owner of its key

Cause: after a pause the dispatcher waits for a sync before it sends a call, but a call with the key of another entry is forwarded without the dispatcher, by the regions and entries from before the pause. Change: such a forward waits for the sync as well, and is checked for a pause again before its write.

--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -125,7 +125,7 @@
   }
 
   /** After a pause the state is stale, so nothing is sent before the next sync. */
-  private async waitForFreshState(): Promise<void> {
+  async waitForFreshState(): Promise<void> {
     this.options.checkPause();
     const pending = this.options.syncAfterPause();
     if (!pending) return;
@@ -133,6 +133,12 @@
     await this.waitForFreshState();
   }
 
+  /** Whether the state is from before a pause. */
+  hasStaleState(): boolean {
+    this.options.checkPause();
+    return this.options.syncAfterPause() !== undefined;
+  }
+
   private chooseTarget({ call, excluded }: DispatchProgress): TargetState | undefined {
     const { targets, targetPolicy, random } = this.options;
     const candidates = targets.candidates(call.service, excluded);
@@ -300,15 +306,10 @@
 
   /** Repeats the checks whose results may have changed; called immediately before the write. */
   private mayWrite(progress: DispatchProgress, destinationReady: () => boolean): boolean {
-    const { timers, suspects, syncAfterPause, checkPause } = this.options;
-    checkPause();
+    const { timers, suspects } = this.options;
+    const isStale = this.hasStaleState();
     const now = timers.now();
-    if (
-      progress.signal.aborted ||
-      progress.call.deadlineAt <= now ||
-      syncAfterPause() !== undefined
-    )
-      return false;
+    if (isStale || progress.signal.aborted || progress.call.deadlineAt <= now) return false;
     if (suspects.level(progress.call.digest, now) === SuspicionLevel.Refused) return false;
     if (!this.options.mayRunHere(progress.call) || !destinationReady()) return false;
     return progress.markSent();
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import http from 'node:http';
+import net from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { SuspectTable, type DomainSummary } from '@marjoramcart/core';
 import { AUTH_HEADER, MessageAuthenticator, RpcClient, SENDER_HEADER } from '@marjoramcart/runtime';
@@ -7,10 +9,12 @@
 import { FLEET_SECRET } from '../testing/fake-control.js';
 import { FakeTarget, STREAM_HEADERS, doneEvent, streamEvents } from '../testing/fake-target.js';
 import {
+  API_KEY,
   chatBody,
   errorCode,
   keyOf,
   restrictCustomer,
+  restrictedSnapshot,
   send,
   sendAroundRestriction,
   startEntry,
@@ -21,6 +25,8 @@
 } from '../testing/harness.js';
 import { FORWARD_HEADER, FORWARD_PATH, bodyHash, encodeEnvelope } from './forward-envelope.js';
 
+/** Longer than the time between two ticks of the timer service that counts as a pause. */
+const PAUSE_MS = 1700;
 const STREAM = streamEvents(1, ['a', 'b']) + doneEvent(3);
 
 function summaryOf(harness: Harness, ready: number): DomainSummary {
@@ -210,6 +216,25 @@
   assert.equal(target.calls.length, 1);
 });
 
+test('after a pause a call is not forwarded to the owner of its key before a sync', async (t) => {
+  // Guards against a forward to a region that the configuration excluded during the pause.
+  const { local, remote, target } = await startPair(t);
+  const [host, port] = local.daemon.callers.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  const headers = `host: x\r\nauthorization: Bearer ${API_KEY}\r\n`;
+  socket.write(`GET /v1/models HTTP/1.1\r\n${headers}\r\n`);
+  await once(socket, 'data');
+  // Arrives during the pause, since the connection is open.
+  const key = `idempotency-key: ${keyOf(remote.daemon, 'nonce-0001')}\r\n`;
+  const lines = `${headers}${key}content-length: 2\r\nconnection: close\r\n`;
+  socket.write(`POST /svc/booking/slots HTTP/1.1\r\n${lines}\r\n{}`);
+  local.control.snapshot = restrictedSnapshot(['north']);
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
+  const [response] = (await once(socket, 'data')) as [Buffer];
+  assert.match(response.toString(), /"code":5201/);
+  assert.equal(target.calls.length, 0);
+});
+
 test('a restarted process does not report outcomes for keys of its predecessor', async (t) => {
   // Guards against a `not_run` for a request that ran before its owner was restarted.
   const { local, remote } = await startPair(t);
--- a/packages/entry/src/request/call-runner.ts
+++ b/packages/entry/src/request/call-runner.ts
@@ -147,6 +147,7 @@
     response: CallerResponse,
     timer: CallTimer,
   ): Promise<void> {
+    await this.options.dispatcher.waitForFreshState();
     const owner = this.findEntry(key.bootId);
     const unknown: DispatchResult = {
       kind: 'failed',
@@ -171,7 +172,7 @@
     response: CallerResponse,
     timer: CallTimer,
   ): Promise<ForwardResult> {
-    const { forwards, timers } = this.options;
+    const { forwards, timers, dispatcher } = this.options;
     const abort = new AbortController();
     const stopTimer = timers.after(Math.max(0, call.deadlineAt - timers.now()), () =>
       abort.abort(),
@@ -184,7 +185,7 @@
         entry,
         reason: 'key',
         signal: abort.signal,
-        mayWrite: () => call.deadlineAt > timers.now(),
+        mayWrite: () => !dispatcher.hasStaleState() && call.deadlineAt > timers.now(),
         onEvents: timer.onEvents,
       });
     } finally {
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events';
 import http, { type IncomingHttpHeaders } from 'node:http';
 import net from 'node:net';
-import type { DomainView, TargetState } from '@marjoramcart/core';
+import type { DomainView, Snapshot, TargetState } from '@marjoramcart/core';
 import {
   Metrics,
   SystemTimerService,
@@ -183,11 +183,16 @@
   });
 }
 
+/** Configuration of the tests in which customer `c1` is restricted to regions, at revision 2. */
+export function restrictedSnapshot(regions: readonly string[]): Snapshot {
+  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
+  return testSnapshot(2, testConfig({ customers: [customer] }));
+}
+
 /** Restricts customer `c1` to regions in the configuration of an entry. */
 export async function restrictCustomer(entry: Harness, regions: readonly string[]): Promise<void> {
   const { daemon, control } = entry;
-  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
-  control.snapshot = testSnapshot(2, testConfig({ customers: [customer] }));
+  control.snapshot = restrictedSnapshot(regions);
   await until(() => daemon.state.revision === 2);
 }
 
