Report suspects by the regions of the configuration in force

Cause: the entry that sees a target die reported the digest of the request by the regions that its customer had at the arrival of the request, and so also to entries in regions that a newer configuration excludes. A receiver with the newer configuration drops it; one without keeps it. Change: the regions are those of the configuration in force. Result: the test of the report now gives the call an older customer; it reported to the excluded region before and does not now. It checks the same as before for the others.

--- a/packages/entry/src/dispatch/suspect-broadcast.test.ts
+++ b/packages/entry/src/dispatch/suspect-broadcast.test.ts
@@ -22,17 +22,23 @@
   // Guards against a caller that crashes a target at each entry it tries, and against a digest of
   // customer data in a region that this data may not enter.
   const suspects = new SuspectTable();
+  const service = { regions: ['north', 'west', 'south'] };
+  const customer = { id: 'c1', regions: ['north', 'west'] };
+  const customersById = new Map([['c1', customer]]);
+  const config = { regions: {}, services: { s: service }, customersById };
+  // The customer of the call is that of an older configuration.
   const call = {
     digest: 'd1',
-    customer: { id: 'c1', regions: ['north', 'west'] },
-    config: { regions: ['north', 'west', 'south'] },
+    customer: { ...customer, regions: service.regions },
+    service: 's',
+    config: service,
   } as unknown as Call;
   suspects.onDeath({ digest: 'd1', customer: 'c1', service: 's' }, 0);
   suspects.onDeath({ digest: 'other', customer: 'c1', service: 's' }, 0);
   const reports: [string, string[]][] = [];
   const broadcast = new SuspectBroadcast({
     self,
-    state: { config: { regions: {} }, view } as unknown as EntryState,
+    state: { config, view } as unknown as EntryState,
     suspects,
     timers: { now: () => 0 },
     rpc: {
--- a/packages/entry/src/dispatch/suspect-broadcast.ts
+++ b/packages/entry/src/dispatch/suspect-broadcast.ts
@@ -2,7 +2,7 @@
  * Reports a request that crashed a target to other entries immediately. Gossip between regions
  * takes seconds, in which a caller that retries at each entry would crash a target at each.
  */
-import { allowedRegions, type ProcessRef, type SuspectTable } from '@marjoramcart/core';
+import { allowedRegionsById, type ProcessRef, type SuspectTable } from '@marjoramcart/core';
 import type { RpcClient, TimerService } from '@marjoramcart/runtime';
 import type { Call } from '../request/call.js';
 import type { EntryState } from '../state/entry-state.js';
@@ -41,7 +41,8 @@
     const { self, state } = this.deps;
     const { config, view } = state;
     if (!config) return [];
-    const regions = allowedRegions(config, call.customer, call.config);
+    const { service, customer } = call;
+    const regions = allowedRegionsById(config, { customer: customer.id, service });
     const local = view.processes
       .map(({ process }) => process)
       .filter(({ role, bootId }) => role === 'entry' && bootId !== self.bootId)
