Check again whether a customer may call a service before a waiting call is sent

Cause: as with regions, an entry checked the services that a customer may call only at the arrival of a request, so that a call which waited still ran after a newer configuration had withdrawn them. Change: the dispatcher asks for the reason why the configuration in force excludes a call, which is now also that its customer may no longer call the service (2104, not run). Result: the test of residency now also withdraws the service while the body arrives; that call ran with status 200 before, and is refused with 403 now; all 58 tests of the entry pass.

--- a/packages/entry/src/callers/callers.test.ts
+++ b/packages/entry/src/callers/callers.test.ts
@@ -21,6 +21,7 @@
   targetState,
   testConfig,
   until,
+  type Harness,
 } from '../testing/harness.js';
 
 const OVERSIZED_BODY_BYTES = 5_000_000;
@@ -344,18 +345,24 @@
   assert.match(only, /"code":1102/);
 });
 
-test('a request is not run if its customer is restricted to other regions while its body arrives', async (t) => {
-  // Guards against checking residency only against the configuration at the arrival of a request.
+test('a request is not run if its customer loses the region or the service while its body arrives', async (t) => {
+  // Guards against checking a request only against the configuration at its arrival.
   const target = await new FakeTarget((_req, res) => {
     res.writeHead(200, STREAM_HEADERS).end(streamEvents(1, ['a']) + doneEvent(2));
   }).listen();
-  const entry = await startEntry({ targets: [targetState('t1', target)] });
+  const targets = [targetState('t1', target)];
+  const entries = await Promise.all([startEntry({ targets }), startEntry({ targets })]);
   t.after(async () => {
     target.crash();
-    await entry.stop();
+    await Promise.all(entries.map((entry) => entry.stop()));
   });
-  const response = await sendAroundRestriction(entry, ['west']);
-  assert.match(response, /HTTP\/1.1 421 .*"code":2202,.*"run":"not_run"/s);
+  const responses = await Promise.all(
+    [{ regions: ['west'] }, { services: ['booking'] }].map((restriction, index) =>
+      sendAroundRestriction(entries[index] as Harness, restriction),
+    ),
+  );
+  assert.match(responses[0] ?? '', /HTTP\/1.1 421 .*"code":2202,.*"run":"not_run"/s);
+  assert.match(responses[1] ?? '', /HTTP\/1.1 403 .*"code":2104,.*"run":"not_run"/s);
   assert.equal(target.calls.length, 0);
 });
 
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -48,8 +48,8 @@
   readonly exchange: TargetExchange;
   readonly forwards: ForwardExchange;
   readonly probe: DeathProbe;
-  /** Whether the configuration in force allows the local region for a call. */
-  readonly mayRunHere: (call: Call) => boolean;
+  /** Why the configuration in force excludes a call from the local region; undefined if it doesn't. */
+  readonly exclusionOf: (call: Call) => ResultCode | undefined;
   readonly suspects: SuspectTable;
   readonly suspectQueue: SuspectQueue;
   readonly budget: RetryBudget;
@@ -104,7 +104,8 @@
     const { suspects, timers } = this.options;
     const ended = this.endedEarly(progress);
     if (ended) return ended;
-    if (!this.options.mayRunHere(call)) return this.regionWithdrawn(progress);
+    const exclusion = this.options.exclusionOf(call);
+    if (exclusion) return this.fail(progress, progress.sent ? ResultCodes.TargetFailed : exclusion);
     const level = suspects.level(call.digest, timers.now());
     if (level === SuspicionLevel.Refused) return this.refusedSuspect(progress);
     const isSuspect = level === SuspicionLevel.Suspect;
@@ -311,7 +312,7 @@
     const now = timers.now();
     if (isStale || progress.signal.aborted || progress.call.deadlineAt <= now) return false;
     if (suspects.level(progress.call.digest, now) === SuspicionLevel.Refused) return false;
-    if (!this.options.mayRunHere(progress.call) || !destinationReady()) return false;
+    if (this.options.exclusionOf(progress.call) || !destinationReady()) return false;
     return progress.markSent();
   }
 
@@ -342,11 +343,6 @@
     return this.fail(progress, tried ? ResultCodes.TargetUnreachable : ResultCodes.NoReadyTarget);
   }
 
-  private regionWithdrawn(progress: DispatchProgress): DispatchResult {
-    const { TargetFailed, RegionWithdrawn } = ResultCodes;
-    return this.fail(progress, progress.sent ? TargetFailed : RegionWithdrawn);
-  }
-
   private refusedSuspect(progress: DispatchProgress, target?: string): DispatchResult {
     return this.fail(progress, ResultCodes.RequestCrashesTargets, target);
   }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -149,7 +149,7 @@
     exchange: new TargetExchange(httpClient, timers),
     forwards,
     probe: new DeathProbe(httpClient),
-    mayRunHere: (call) => state.allowedRegions(call).includes(self.region),
+    exclusionOf: (call) => state.exclusionOf(call),
     suspects,
     suspectQueue: new SuspectQueue(targets, timers),
     budget,
--- a/packages/entry/src/forward/forward.test.ts
+++ b/packages/entry/src/forward/forward.test.ts
@@ -210,7 +210,7 @@
   const headers = { 'idempotency-key': keyOf(remote.daemon, 'nonce-0001') };
   const request = { path: '/svc/booking/slots', body: { crane: 1 }, headers };
   assert.equal((await send(local.daemon.callers.address, request)).status, 201);
-  await restrictCustomer(remote, ['north']);
+  await restrictCustomer(remote, { regions: ['north'] });
   const retry = await send(local.daemon.callers.address, request);
   assert.equal(retry.headers['marjoramcart-run'], 'unknown');
   assert.equal(target.calls.length, 1);
@@ -228,7 +228,7 @@
   const key = `idempotency-key: ${keyOf(remote.daemon, 'nonce-0001')}\r\n`;
   const lines = `${headers}${key}content-length: 2\r\nconnection: close\r\n`;
   socket.write(`POST /svc/booking/slots HTTP/1.1\r\n${lines}\r\n{}`);
-  local.control.snapshot = restrictedSnapshot(['north']);
+  local.control.snapshot = restrictedSnapshot({ regions: ['north'] });
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
   const [response] = (await once(socket, 'data')) as [Buffer];
   assert.match(response.toString(), /"code":5201/);
@@ -300,7 +300,7 @@
 test('a call is not forwarded to a region that its customer lost while its body arrived', async (t) => {
   // Guards against a forward by the regions at the arrival of a call, to an entry that still has them.
   const { local, target } = await startPair(t);
-  const response = await sendAroundRestriction(local, ['north']);
+  const response = await sendAroundRestriction(local, { regions: ['north'] });
   assert.match(response, /"code":4102/);
   assert.equal(target.calls.length, 0);
 });
--- a/packages/entry/src/state/entry-state.ts
+++ b/packages/entry/src/state/entry-state.ts
@@ -1,5 +1,6 @@
 /** The entry's view of the fleet: the latest snapshot and view of its control daemon. */
 import {
+  ResultCodes,
   allowedRegionsById,
   applyDelta,
   applyViewChanges,
@@ -9,6 +10,7 @@
   type EntrySyncResult,
   type ParsedSnapshot,
   type ProcessRef,
+  type ResultCode,
   type Snapshot,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
@@ -97,6 +99,16 @@
     return allowedRegionsById(this.config, { customer: customer.id, service });
   }
 
+  /** Why the configuration in force excludes a call here that an earlier one allowed; else undefined. */
+  exclusionOf(call: Pick<Call, 'customer' | 'service'>): ResultCode | undefined {
+    const customer = this.config?.customersById.get(call.customer.id);
+    if (customer?.services && !customer.services.includes(call.service)) {
+      return ResultCodes.ServiceNotAllowed;
+    }
+    const isAllowedHere = this.allowedRegions(call).includes(this.self.region);
+    return isAllowedHere ? undefined : ResultCodes.RegionWithdrawn;
+  }
+
   /** Records a revision seen in a message; returns true when it is higher than the current one. */
   witness(revision: number): boolean {
     if (!Number.isSafeInteger(revision) || revision <= this.revision) return false;
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -183,26 +183,32 @@
   });
 }
 
-/** Configuration of the tests in which customer `c1` is restricted to regions, at revision 2. */
-export function restrictedSnapshot(regions: readonly string[]): Snapshot {
-  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', regions };
+/** Regions or services to which a customer is restricted. */
+export interface Restriction {
+  readonly regions?: readonly string[];
+  readonly services?: readonly string[];
+}
+
+/** Configuration of the tests in which customer `c1` is restricted, at revision 2. */
+export function restrictedSnapshot(restriction: Restriction): Snapshot {
+  const customer = { id: 'c1', key: keyDigest(API_KEY), class: 'standard', ...restriction };
   return testSnapshot(2, testConfig({ customers: [customer] }));
 }
 
-/** Restricts customer `c1` to regions in the configuration of an entry. */
-export async function restrictCustomer(entry: Harness, regions: readonly string[]): Promise<void> {
+/** Restricts customer `c1` in the configuration of an entry. */
+export async function restrictCustomer(entry: Harness, restriction: Restriction): Promise<void> {
   const { daemon, control } = entry;
-  control.snapshot = restrictedSnapshot(regions);
+  control.snapshot = restrictedSnapshot(restriction);
   await until(() => daemon.state.revision === 2);
 }
 
 /**
- * Sends a chat completion of customer `c1`, which is restricted to `regions` before the body follows;
+ * Sends a chat completion of customer `c1`, which is restricted before the body follows;
  * returns all bytes of the response.
  */
 export async function sendAroundRestriction(
   entry: Harness,
-  regions: readonly string[],
+  restriction: Restriction,
 ): Promise<string> {
   const [host, port] = entry.daemon.callers.address.split(':');
   const body = JSON.stringify(chatBody('x'));
@@ -223,7 +229,7 @@
     ].join('\r\n'),
   );
   await until(() => received().includes('100 Continue'));
-  await restrictCustomer(entry, regions);
+  await restrictCustomer(entry, restriction);
   socket.write(body);
   await closed;
   return received();
--- a/packages/entry/src/testing/scheduled-entry.ts
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -118,7 +118,7 @@
       domains: { choose: this.chooseDomain.bind(this) } as unknown as DomainChooser,
       exchange: new TargetExchange(httpClient, timers),
       probe: new DeathProbe(httpClient),
-      mayRunHere: () => true,
+      exclusionOf: () => undefined,
       suspects: new SuspectTable(),
       suspectQueue: new SuspectQueue(targets, timers),
       budget: new RetryBudget(1, 0),
