Send no suspects to daemons whose region is not known

Cause: a control daemon without a list of VMs gossips with its seeds, and sent them the suspects that its own region may know. A seed may be in another region, which drops them, but then the digest of a request has left the regions of its customer. Change: daemons that are not known as live members of the local failure domain get no suspects.

--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -120,8 +120,14 @@
     this.updateLocalState();
     const unknown = pickRandom(this.random, this.unknownAddresses(), 1);
     const known = pickRandom(this.random, this.liveAddresses(), PEERS_PER_ROUND);
-    [...known, ...unknown].forEach((address, index) => {
-      void this.exchange(address, this.buildMessage(address, true, index === 0));
+    const [first] = [...known, ...unknown];
+    known.forEach((address) => {
+      void this.exchange(address, this.buildMessage(address, true, address === first));
+    });
+    unknown.forEach((address) => {
+      const message = this.buildMessage(address, true, address === first);
+      // A seed may be in a region that must not know the local suspects.
+      void this.exchange(address, { ...message, suspects: [] });
     });
     if (state.vms.current.version === 0) void this.fetchFromPeers();
   }
