Forward requests to leaving gateways of a region without ready ones

Callers saw: a request whose home regions had only leaving gateways was refused at a gateway of another region (no-target), although those still served forwarded requests for seconds.

Cause: only ready gateways were destinations of forwards. Change: while no gateway of a region is ready, its leaving ones are destinations of requests whose deadline they outlive, with a second to spare. Result: the new test of home-regions.test.ts gets 503 on the parent, 200 now.

--- a/packages/gateway/src/routing/remote-regions.ts
+++ b/packages/gateway/src/routing/remote-regions.ts
@@ -15,11 +15,27 @@
 import type { GatewayState } from '../state/gateway-state.js';
 import { RecentForwards } from './recent-forwards.js';
 
-/** Lifetime of the cached list of ready gateways. */
-const READY_LIFETIME_MS = 100;
+/** Lifetime of the cached list of gateways. */
+const GATEWAYS_LIFETIME_MS = 100;
+/** Time by which a gateway that leaves may have ended before its grace period seems to be over. */
+const END_MARGIN_MS = 1000;
+/** Phases in which a gateway that leaves still serves forwarded requests. */
+const SERVING_PHASES: ReadonlySet<GatewayPhase> = new Set([
+  GatewayPhase.Draining,
+  GatewayPhase.Finishing,
+]);
+
+/** Gateways of one region that serve forwarded requests. */
+interface ServingRegion {
+  readonly region: string;
+  readonly ready: readonly GatewayRecord[];
+  /** Gateways that leave. */
+  readonly leaving: readonly GatewayRecord[];
+  readonly summary: RegionSummary;
+}
 
-/** Ready gateways of one region. */
-interface ReadyRegion {
+/** Gateways of one region to which a certain call may be forwarded. */
+interface CandidateRegion {
   readonly region: string;
   readonly nodes: readonly GatewayRecord[];
   readonly summary: RegionSummary;
@@ -32,6 +48,8 @@
   readonly random: RandomSource;
   /** Number of gateways of the local region that may forward to remote regions. */
   readonly senderCount: () => number;
+  /** Longest time from the stop signal to the end of a gateway, ms. */
+  readonly graceMs: number;
 }
 
 export class RemoteRegions {
@@ -39,22 +57,25 @@
 
   private readonly affinity = new SharedPrefixAffinity();
 
-  private ready: readonly ReadyRegion[] = [];
+  private serving: readonly ServingRegion[] = [];
 
-  private readyAt = -Infinity;
+  private servingAt = -Infinity;
 
   constructor(private readonly deps: RemoteRegionsDeps) {}
 
   /** Remote regions that could run a call. */
   options(call: Call, now: number): RegionOption[] {
-    const ready = this.readyRegions(now).filter(
-      ({ region, summary }) =>
-        summary.work[call.service] !== undefined && mayRunIn(call, region, this.deps.state),
-    );
+    const regions = this.servingRegions(now)
+      .filter(
+        ({ region, summary }) =>
+          summary.work[call.service] !== undefined && mayRunIn(call, region, this.deps.state),
+      )
+      .map((region): CandidateRegion => ({ ...region, nodes: this.nodesFor(call, region) }))
+      .filter(({ nodes }) => nodes.length > 0);
     const shared = call.head.prompt ? sharedPrefixOf(call.head.prompt) : undefined;
     const preferredRegion =
-      shared === undefined ? undefined : this.preferredRegion(call, shared, ready);
-    return ready.map((region) => {
+      shared === undefined ? undefined : this.preferredRegion(call, shared, regions);
+    return regions.map((region) => {
       const key = keyOf(region.region, call.service);
       const sharedPrefixCached =
         shared !== undefined &&
@@ -69,33 +90,45 @@
     this.recentForwards.onSend(keyOf(region, call.service), prefillMs, shared, now);
   }
 
-  private readyRegions(now: number): readonly ReadyRegion[] {
-    if (now - this.readyAt >= READY_LIFETIME_MS) {
-      this.readyAt = now;
-      this.ready = this.findReady(now);
+  private servingRegions(now: number): readonly ServingRegion[] {
+    if (now - this.servingAt >= GATEWAYS_LIFETIME_MS) {
+      this.servingAt = now;
+      this.serving = this.findServing(now);
     }
-    return this.ready;
+    return this.serving;
   }
 
-  private findReady(now: number): ReadyRegion[] {
+  private findServing(now: number): ServingRegion[] {
     const { gossip, region: localRegion } = this.deps;
     const { table } = gossip;
     const byRegion = new Map<string, GatewayRecord[]>();
     table
       .alive(now)
-      .filter(({ region, phase }) => region !== localRegion && phase === GatewayPhase.Ready)
+      .filter(({ region }) => region !== localRegion)
       .forEach((record) => {
         byRegion.set(record.region, [...(byRegion.get(record.region) ?? []), record]);
       });
     return [...byRegion].flatMap(([region, nodes]) => {
       const summary = table.summaryOf(region, now);
-      return summary ? [{ region, nodes, summary }] : [];
+      const ready = nodes.filter(({ phase }) => phase === GatewayPhase.Ready);
+      const leaving = nodes.filter(({ phase }) => SERVING_PHASES.has(phase));
+      return summary ? [{ region, ready, leaving, summary }] : [];
+    });
+  }
+
+  /** Ready gateways; without any, those that leave and outlive the call. */
+  private nodesFor({ facts }: Call, { ready, leaving }: ServingRegion): readonly GatewayRecord[] {
+    if (ready.length > 0) return ready;
+    const { gossip, graceMs } = this.deps;
+    return leaving.filter(({ node }) => {
+      const leavingAt = gossip.table.leavingAt(node) ?? -Infinity;
+      return facts.deadlineAt <= leavingAt + graceMs - END_MARGIN_MS;
     });
   }
 
   private regionOption(
     call: Call,
-    { region, nodes, summary }: ReadyRegion,
+    { region, nodes, summary }: CandidateRegion,
     sharedPrefixCached: boolean,
     now: number,
   ): RegionOption {
@@ -123,13 +156,13 @@
   private preferredRegion(
     call: Call,
     shared: string,
-    ready: readonly ReadyRegion[],
+    candidates: readonly CandidateRegion[],
   ): string | undefined {
     const { region: localRegion, state } = this.deps;
     const localTargets = mayRunIn(call, localRegion, state)
       ? state.usableTargets(call.service).length
       : 0;
-    const regions = ready
+    const regions = candidates
       .map(({ region, summary }) => ({
         region,
         targets: summary.work[call.service]?.targets ?? 0,
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -128,6 +128,7 @@
       gossip,
       random,
       senderCount: () => gossip.roster.size,
+      graceMs: settings.graceMs,
     });
   }
 
--- a/tests/stand-ins/src/users-platform/home-regions.test.ts
+++ b/tests/stand-ins/src/users-platform/home-regions.test.ts
@@ -7,6 +7,8 @@
 /** Address of the only gateway in the north. */
 const NORTH = `127.0.0.1:${BASE_PORT}`;
 const CONFIG_VERSION = 4;
+/** After its stop signal, a gateway still serves requests of 3 s. */
+const LEAVING_MS = 1000;
 const POLL_MS = 50;
 /** Time after which a gateway that has left is no longer listed by the others. */
 const LOST_AFTER_MS = 4000;
@@ -82,3 +84,18 @@
   assert.deepEqual([...new Set(responses.flat())], [NORTH]);
   assert.deepEqual(responses.at(-1), []);
 });
+
+// Guards against refused requests while the gateways of their home region leave but still serve them.
+test('a request is forwarded to its home region while the only gateway there leaves', async () => {
+  fleet.store.put('op/config', configWithHomes(['north']));
+  await fleet.until(() => fleet.gateway('vm-2').state.config?.version === CONFIG_VERSION);
+  const send = async (): Promise<number> =>
+    (await fleet.send('vm-2', { path: '/bound-0/x' })).status;
+  await fleet.until(async () => (await send()) === 200);
+  const ended = fleet.shutDown('vm-1');
+  await new Promise((resolve) => {
+    setTimeout(resolve, LEAVING_MS);
+  });
+  assert.equal(await send(), 200);
+  await ended;
+});
