Use other ports when a stand-in's port is taken meanwhile

Cause: in a clean clone beside the project's tests, case 2 exited with 2, since a port found free was in use when the store bound it. The stand-ins try other ports, and an error outside the case ends all processes and exits with 2.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -20,6 +20,7 @@
 const STORE_IP = '127.3.0.1';
 const READY_MS = 30_000;
 const PORTS_TRIED = 200;
+const BINDS_TRIED = 5;
 
 export const sleep = (ms) =>
   new Promise((resolve) => {
@@ -238,16 +239,9 @@
       })),
     );
     const ips = [...gateways.map(({ ip }) => ip), ...runners.map(({ host }) => host), STORE_IP];
-    this.base = await freeBase([...new Set(ips)]);
-    await this.store.listen(STORE_IP, this.base + 13);
-    this.store.put('op/config', config(7));
     this.runners = runners;
-    await Promise.all(
-      runners.map((runner) => {
-        Object.assign(runner, { port: this.base + 14 });
-        return runner.start();
-      }),
-    );
+    await this.bind([...new Set(ips)]);
+    this.store.put('op/config', config(7));
     runners.forEach((runner) => this.store.put(`servers/${runner.id}`, runner.entry()));
     this.folder = await mkdtemp(join(tmpdir(), 'review-'));
     const seeds = Object.keys(ZONES).map((_, index) => `127.1.${index + 1}.1`);
@@ -257,6 +251,22 @@
     this.log(`all ${this.gateways.length} gateways are ready`);
   }
 
+  /** Binds the stand-ins to free ports; other ones if another program takes one of them meanwhile. */
+  async bind(ips, tries = BINDS_TRIED) {
+    this.base = await freeBase(ips);
+    try {
+      await this.store.listen(STORE_IP, this.base + 13);
+      this.runners.forEach((runner) => Object.assign(runner, { port: this.base + 14 }));
+      await Promise.all(this.runners.map((runner) => runner.start()));
+    } catch (err) {
+      if (tries === 0) throw err;
+      this.store.close();
+      this.runners.filter(({ up }) => up).forEach((runner) => runner.stop());
+      await sleep(200);
+      await this.bind(ips, tries - 1);
+    }
+  }
+
   async startGateway(gateway, seeds) {
     const folder = join(this.folder, gateway.node);
     await mkdir(folder);
@@ -317,6 +327,11 @@
   const trouble = process.env.TROUBLE !== '0';
   deployment.log(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
   let code = 2;
+  process.once('uncaughtException', (err) => {
+    deployment.log(`RESULT: the case could not run: ${err.stack}`);
+    // eslint-disable-next-line n/no-process-exit
+    void deployment.stop().finally(() => process.exit(2));
+  });
   try {
     const held = await body(deployment, trouble);
     code = held ? 0 : 1;
