Count each death of a target that is back under its old entry

What callers saw: a request or a part of prompts that crashes targets was refused later than after three crashes, or never, when the same target was hit again after its restart. Cause: CrashSuspects kept one death for each target incarnation. A target that is back before its new entry is known has the incarnation of before, so that its further deaths were taken for reports of the first one. Log of three gateways that got one crashing request each 450 ms: 'target died before it answered requests' three times for i-5, then three times for i-6, and the refusal only after the first death of i-7 (deaths=3). Fix: two deaths of a target are one only if they were noticed within 1 s, in which all gateways notice a death; a target that dies later must have started in between.

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -49,6 +49,19 @@
   assert.equal(suspects.verdict(['system'], NEVER, 1000), undefined);
 });
 
+// Guards against a request that crashes the only target of a service again and again.
+test('a target that dies again after its restart counts again, also when its entry is the old one', () => {
+  const suspects = new CrashSuspects();
+  const other = new CrashSuspects();
+  [0, 2000, 4000].forEach((at, index) => {
+    const rows = suspects.onDeath('i-1', `req-${index}`, ['bad'], at);
+    other.merge(rows, at + 80);
+    other.onDeath('i-1', `req-b-${index}`, ['bad'], at + 500);
+  });
+  assert.equal(suspects.verdict(['bad'], NEVER, 4100)?.deaths, 3);
+  assert.equal(other.verdict(['bad'], NEVER, 4600)?.deaths, 3);
+});
+
 test('one request that is retried at several targets does not blame the segments that it shares', () => {
   const suspects = new CrashSuspects();
   [0, 1, 2, 3].forEach((index) => {
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -34,12 +34,14 @@
 }
 
 interface Death {
+  readonly target: number;
   readonly request: number;
   readonly at: number;
 }
 
 interface Suspect {
-  readonly deaths: Map<number, Death>;
+  /** Oldest first. */
+  deaths: readonly Death[];
   clearedAt: number;
   /** When this process last tried a request although the segment is refused. */
   triedAt: number;
@@ -51,6 +53,8 @@
 const MAX_DEATHS_KNOWN_GOOD = 5;
 /** Targets that die within this time, as in the loss of a rack, count as one death. */
 const SAME_CAUSE_MS = 300;
+/** Gateways notice one death of a target within this time; a later one is another, after a restart. */
+const SAME_DEATH_MS = 1000;
 /** A single request that was retried is no evidence against the segments that it shares. */
 const MIN_REQUESTS = 2;
 /** Lifetime of a refused segment since its last death. */
@@ -148,11 +152,11 @@
       .filter(
         ([, suspect]) => countSeparate(suspect) > 1 || now - suspect.clearedAt < CLEARED_SENT_MS,
       )
-      .sort(([, a], [, b]) => b.deaths.size - a.deaths.size)
+      .sort(([, a], [, b]) => b.deaths.length - a.deaths.length)
       .slice(0, limit)
       .map(([segment, { deaths, clearedAt }]) => ({
         segment,
-        deaths: [...deaths].map(([target, { request, at }]) => ({
+        deaths: deaths.map(({ target, request, at }) => ({
           target,
           request,
           ageMs: Math.round(now - at),
@@ -183,7 +187,7 @@
   }
 
   private isRefused(segment: string, suspect: Suspect): boolean {
-    const requests = new Set([...suspect.deaths.values()].map(({ request }) => request));
+    const requests = new Set(suspect.deaths.map(({ request }) => request));
     if (requests.size < MIN_REQUESTS) return false;
     const maxDeaths = this.wasGood(segment, suspect) ? MAX_DEATHS_KNOWN_GOOD : MAX_DEATHS;
     return countSeparate(suspect) >= maxDeaths;
@@ -196,16 +200,17 @@
 
   private addDeaths(segment: string, deaths: readonly SuspectDeath[], now: number): void {
     const suspect = this.suspects.get(segment) ?? {
-      deaths: new Map<number, Death>(),
+      deaths: [],
       clearedAt: -Infinity,
       triedAt: -Infinity,
     };
-    deaths
+    const added = deaths
       .map(({ target, request, ageMs }) => ({ target, request, at: now - ageMs }))
-      .filter(({ target, at }) => at > suspect.clearedAt && !suspect.deaths.has(target))
-      .forEach(({ target, request, at }) => suspect.deaths.set(target, { request, at }));
-    dropSurplusDeaths(suspect);
-    if (suspect.deaths.size === 0) return;
+      .filter((death) => death.at > suspect.clearedAt && !isKnown(death, suspect.deaths));
+    suspect.deaths = withoutSurplus(
+      [...suspect.deaths, ...added].sort((a, b) => a.at - b.at || a.target - b.target),
+    );
+    if (suspect.deaths.length === 0) return;
     this.suspects.delete(segment);
     this.suspects.set(segment, suspect);
     if (this.suspects.size > MAX_SUSPECTS) this.evictOne();
@@ -226,9 +231,9 @@
     const suspect = this.suspects.get(segment);
     if (!suspect || at <= suspect.clearedAt) return false;
     suspect.clearedAt = at;
-    const cleared = [...suspect.deaths].filter(([, death]) => death.at <= at);
-    cleared.forEach(([target]) => suspect.deaths.delete(target));
-    return cleared.length > 0;
+    const { deaths } = suspect;
+    suspect.deaths = deaths.filter((death) => death.at > at);
+    return suspect.deaths.length < deaths.length;
   }
 
   private rememberAnswer(segment: string, at: number): void {
@@ -251,36 +256,37 @@
   }
 }
 
+/** Whether the death is one of those known, which another gateway may have noticed at another time. */
+function isKnown(death: Death, known: readonly Death[]): boolean {
+  return known.some(
+    ({ target, at }) => target === death.target && Math.abs(at - death.at) < SAME_DEATH_MS,
+  );
+}
+
 /** Number of deaths that did not happen at nearly the same time. */
-function countSeparate(suspect: Suspect): number {
-  return separateDeaths(suspect).length;
+function countSeparate({ deaths }: Suspect): number {
+  return separateDeaths(deaths).length;
 }
 
-/** Targets whose deaths count, oldest first: each died some time after the one counted before. */
-function separateDeaths({ deaths }: Suspect): number[] {
-  const byTime = [...deaths].sort(([, a], [, b]) => a.at - b.at);
-  return byTime.reduce<{ targets: number[]; countedAt: number }>(
-    ({ targets, countedAt }, [target, { at }]) =>
-      at - countedAt > SAME_CAUSE_MS
-        ? { targets: [...targets, target], countedAt: at }
-        : { targets, countedAt },
-    { targets: [], countedAt: -Infinity },
-  ).targets;
+/** Deaths that count, oldest first: each target died some time after the one counted before. */
+function separateDeaths(deaths: readonly Death[]): Death[] {
+  return deaths.reduce<Death[]>((counted, death) => {
+    const last = counted.at(-1);
+    return last && death.at - last.at <= SAME_CAUSE_MS ? counted : [...counted, death];
+  }, []);
 }
 
 /** Drops deaths that do not count first, so that more evidence never lowers the count below the limit. */
-function dropSurplusDeaths(suspect: Suspect): void {
-  const { deaths } = suspect;
-  if (deaths.size <= MAX_DEATHS_KEPT) return;
-  const separate = separateDeaths(suspect);
-  const others = [...deaths.keys()].filter((target) => !separate.includes(target));
-  [...others, ...separate]
-    .slice(0, deaths.size - MAX_DEATHS_KEPT)
-    .forEach((target) => deaths.delete(target));
+function withoutSurplus(deaths: readonly Death[]): readonly Death[] {
+  if (deaths.length <= MAX_DEATHS_KEPT) return deaths;
+  const separate = separateDeaths(deaths);
+  const others = deaths.filter((death) => !separate.includes(death));
+  const dropped = new Set([...others, ...separate].slice(0, deaths.length - MAX_DEATHS_KEPT));
+  return deaths.filter((death) => !dropped.has(death));
 }
 
 function lastDeathOf({ deaths }: Suspect): number {
-  return Math.max(-Infinity, ...[...deaths.values()].map(({ at }) => at));
+  return deaths.at(-1)?.at ?? -Infinity;
 }
 
 function lastEventOf(suspect: Suspect): number {
