Refuse plain requests that crash targets at all gateways

What callers saw: a request without a prompt that crashes each target that runs it was sent on whenever it came again, so that other callers lost their requests at one target after the other. Cause: CrashWatch linked deaths by the shared segments of prompts only. A plain request has none, so its deaths were dropped before they were counted. The log had no line about the deaths; it now has 'target died before it answered requests' for each, and 'refuse' with reason=crashes-targets, the suspect and its deaths. Fix: a request without a prompt has a key of its own (method, host, path and body), which is handled like a segment.

--- a/packages/core/src/codes/result-codes.ts
+++ b/packages/core/src/codes/result-codes.ts
@@ -161,8 +161,8 @@
     'prompt_crashes_targets',
     503,
     NotRun,
-    'Targets died while running requests that share a part of this prompt; it is refused.',
-    'Send it without that part, or much later.',
+    'Targets died while running this request, or others with a part of its prompt; it is refused.',
+    'Do not send it again, or much later; or without that part of the prompt.',
   ),
   TargetFailed: row(
     4301,
--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -68,8 +68,8 @@
   /** Time until the next of them is known to accept one, ms; absent if that is not known. */
   readonly opensInMs?: number;
   /**
-   * Set when a part of the prompt is known to crash targets: time until such a request is tried again,
-   * ms.
+   * Set when the request or a part of its prompt is known to crash targets: time until it is tried
+   * again, ms.
    */
   readonly refusedForMs?: number;
   /** Takes one retry from the budget; false when it is spent. Called at most once. */
--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { seededRandom } from '../random-source.js';
-import { CrashSuspects } from './crash-suspects.js';
+import { CrashSuspects, isSegmentKey, requestKey } from './crash-suspects.js';
 
 const NEVER = (): boolean => false;
 const ALWAYS = (): boolean => true;
@@ -24,7 +24,7 @@
 test('a segment is refused after three deaths without an answer', () => {
   const suspects = new CrashSuspects();
   deaths(3, suspects, ['bad']);
-  assert.equal(suspects.verdict(['good', 'bad'], NEVER, 2100)?.segment, 'bad');
+  assert.equal(suspects.verdict(['good', 'bad'], NEVER, 2100)?.key, 'bad');
   assert.equal(suspects.verdict(['good'], NEVER, 2100), undefined);
 });
 
@@ -37,7 +37,7 @@
     suspects.onAnswered(['system', `document-${index}`], at + 400, at + 600);
   });
   assert.equal(suspects.verdict(['system'], NEVER, 20_000), undefined);
-  assert.equal(suspects.verdict(['system', 'bad'], NEVER, 20_000)?.segment, 'bad');
+  assert.equal(suspects.verdict(['system', 'bad'], NEVER, 20_000)?.key, 'bad');
 });
 
 // Guards against taking the loss of a rack, or of all targets, for a bad prompt.
@@ -70,6 +70,42 @@
   assert.equal(suspects.verdict(['document'], NEVER, 4000), undefined);
 });
 
+test('a whole request is refused after three deaths, also if all were attempts of one client request', () => {
+  const suspects = new CrashSuspects();
+  const key = requestKey('/orders/7', 16, () => 'digest') ?? '';
+  [0, 1, 2].forEach((index) => suspects.onDeath(`i-${index}`, 'req-1', [key], index * 1000));
+  assert.equal(suspects.verdict([key], NEVER, 2100)?.key, key);
+});
+
+// Guards against a request that crashes targets for ever, once in each trial.
+test('a whole request is tried again at most three times', () => {
+  const suspects = new CrashSuspects();
+  const key = requestKey('/orders/7', 16, () => 'digest') ?? '';
+  deaths(3, suspects, [key]);
+  const trials = Array.from({ length: 600 }, (_, index) => 3000 + index * 1000).filter((now) => {
+    if (suspects.verdict([key], ALWAYS, now)) return false;
+    suspects.onSend([key], now);
+    suspects.onDeath(`i-${now}`, `req-${now}`, [key], now);
+    return true;
+  });
+  assert.equal(trials.length, 3);
+});
+
+test('a request is digested only if one with its path and size is a suspect', () => {
+  const suspects = new CrashSuspects();
+  const unexpected = (): string => assert.fail('digested');
+  const isTracked = (prefix: string): boolean => suspects.hasPrefix(prefix);
+  const key = requestKey('/orders/7', 16, () => 'digest') ?? '';
+  suspects.onDeath('i-1', 'req-1', [key], 0);
+  assert.equal(requestKey('/orders/7', 17, unexpected, isTracked), undefined);
+  assert.equal(requestKey('/orders/8', 16, unexpected, isTracked), undefined);
+  assert.equal(
+    requestKey('/orders/7', 16, () => 'digest', isTracked),
+    key,
+  );
+  assert.equal(isSegmentKey(key), false);
+});
+
 test('a segment whose requests were answered before needs five deaths', () => {
   const suspects = new CrashSuspects();
   suspects.onAnswered(['document'], 0, 0);
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -1,24 +1,32 @@
 /**
- * Collects evidence about prompt segments that crash targets, exchanges it with the other gateways and
- * decides which requests are refused for it.
+ * Collects evidence about prompt segments and requests that crash targets, exchanges it with the other
+ * gateways and decides which requests are refused for it.
  */
+import { createHash } from 'node:crypto';
 import {
   CrashSuspects,
+  isSegmentKey,
   rendezvousOrder,
+  requestKey,
   type CrashVerdict,
   type SuspectRow,
   type TargetRecord,
 } from '@marjoramcart/core';
 import type { ConnectionProbe, Logger, TimerService } from '@marjoramcart/runtime';
-import type { CallHead } from '../ports/request-protocol.js';
+import type { Call } from '../exchange/call.js';
 
 /** Limit of requests of one target that are considered when it dies. */
 const MAX_WITNESSES = 32;
 const MAX_SEGMENTS = 16;
-/** Longer ids are not tracked, which bounds the memory. */
+/** Longer segment ids are not tracked, which bounds the memory. */
 const MAX_SEGMENT_ID_LENGTH = 128;
 /** Rows in a regular message to another gateway. */
 const MAX_GOSSIPED_ROWS = 8;
+/** Characters of the digest in the key of a request; 96 bits. */
+const DIGEST_CHARS = 16;
+
+/** The parts of a call that identify it when it comes again. */
+type TrackedCall = Pick<Call, 'head' | 'body'>;
 
 export interface CrashWatchDeps {
   readonly node: string;
@@ -34,43 +42,44 @@
   private readonly suspects = new CrashSuspects();
 
   /** Requests without a first byte whose connections broke, by target, until the target is probed. */
-  private readonly unconfirmed = new Map<string, CallHead[]>();
+  private readonly unconfirmed = new Map<string, TrackedCall[]>();
+
+  private readonly digests = new WeakMap<TrackedCall, string>();
 
   constructor(private readonly deps: CrashWatchDeps) {}
 
   /** Handles the loss of a connection on which a request had no first byte yet. */
-  onLost(target: TargetRecord, head: CallHead): void {
-    if (sharedSegments(head).length === 0) return;
+  onLost(target: TargetRecord, call: TrackedCall): void {
     const waiting = this.unconfirmed.get(target.id);
     if (waiting) {
-      if (waiting.length < MAX_WITNESSES) waiting.push(head);
+      if (waiting.length < MAX_WITNESSES) waiting.push(call);
       return;
     }
-    this.unconfirmed.set(target.id, [head]);
+    this.unconfirmed.set(target.id, [call]);
     void this.confirm(target);
   }
 
   /** Handles a request that is answered. `firstByteAt` is monotonic ms. */
-  onAnswered(head: CallHead, firstByteAt: number): void {
+  onAnswered(call: TrackedCall, firstByteAt: number): void {
     const { timers, announce, log } = this.deps;
-    const segments = sharedSegments(head);
-    if (segments.length === 0) return;
-    const rows = this.suspects.onAnswered(segments, firstByteAt, timers.now());
+    const keys = this.trackedKeys(call);
+    if (keys.length === 0) return;
+    const rows = this.suspects.onAnswered(keys, firstByteAt, timers.now());
     if (rows.length === 0) return;
-    log.info('prompt segments cleared', { id: head.id, segments: namesOf(rows) });
+    log.info('suspects of crashes cleared', { id: call.head.id, suspects: keysOf(rows) });
     announce(rows);
   }
 
-  onSend(head: CallHead): void {
-    this.suspects.onSend(sharedSegments(head), this.deps.timers.now());
+  onSend(call: TrackedCall): void {
+    this.suspects.onSend(this.trackedKeys(call), this.deps.timers.now());
   }
 
   /** Why a request is refused; undefined when it may run. */
-  verdict(head: CallHead): CrashVerdict | undefined {
+  verdict(call: TrackedCall): CrashVerdict | undefined {
     if (this.suspects.size === 0) return undefined;
     return this.suspects.verdict(
-      sharedSegments(head),
-      (segment) => this.isTrialGateway(segment),
+      this.trackedKeys(call),
+      (key) => this.isTrialGateway(key),
       this.deps.timers.now(),
     );
   }
@@ -87,40 +96,71 @@
   private async confirm(target: TargetRecord): Promise<void> {
     const { probe, timers, log, announce } = this.deps;
     const result = await probe(target.address);
-    const heads = this.unconfirmed.get(target.id) ?? [];
+    const calls = this.unconfirmed.get(target.id) ?? [];
     this.unconfirmed.delete(target.id);
     // A connection can also be lost on the way, or be reset by a target that goes on.
     if (result !== 'refused') return;
     const incarnation = `${target.id} ${target.bornAt}`;
     const now = timers.now();
-    const rows = heads.flatMap((head) =>
-      this.suspects.onDeath(incarnation, head.id, sharedSegments(head), now),
+    const rows = calls.flatMap((call) =>
+      this.suspects.onDeath(incarnation, call.head.id, this.allKeys(call), now),
     );
-    const bySegment = new Map(rows.map((row) => [row.segment, row]));
+    const byKey = new Map(rows.map((row) => [row.key, row]));
     log.info('target died before it answered requests', {
       target: target.id,
-      ids: heads.map(({ id }) => id),
-      segments: bySegment.size,
+      ids: calls.map(({ head }) => head.id),
+      suspects: byKey.size,
     });
-    announce([...bySegment.values()]);
+    announce([...byKey.values()]);
   }
 
-  /** Whether this gateway is the one of the fleet that tries a refused segment again. */
-  private isTrialGateway(segment: string): boolean {
+  /** Whether this gateway is the one of the fleet that tries a refused key again. */
+  private isTrialGateway(key: string): boolean {
     const { node, otherGateways } = this.deps;
-    return rendezvousOrder(segment, [node, ...otherGateways()])[0] === node;
+    return rendezvousOrder(key, [node, ...otherGateways()])[0] === node;
+  }
+
+  private allKeys(call: TrackedCall): string[] {
+    return this.keysOf(call, () => true);
+  }
+
+  /** Keys of a call; its own only if it may be a suspect, so that large bodies are rarely digested. */
+  private trackedKeys(call: TrackedCall): string[] {
+    return this.keysOf(call, (prefix) => this.suspects.hasPrefix(prefix));
   }
+
+  private keysOf(call: TrackedCall, isTracked: (prefix: string) => boolean): string[] {
+    const { head, body } = call;
+    // A request with a prompt is known by the segments that it shares with others.
+    if (head.prompt) return sharedSegments(head);
+    const own = requestKey(head.path, body.length, () => this.digestOf(call), isTracked);
+    return own === undefined ? [] : [own];
+  }
+
+  private digestOf(call: TrackedCall): string {
+    const digest = this.digests.get(call) ?? digestOfRequest(call);
+    this.digests.set(call, digest);
+    return digest;
+  }
+}
+
+function digestOfRequest({ head, body }: TrackedCall): string {
+  return createHash('sha256')
+    .update(JSON.stringify([head.method, head.host, head.path]))
+    .update(body)
+    .digest('base64url')
+    .slice(0, DIGEST_CHARS);
 }
 
 /** Ids of the segments that a request may share with others: all but the last. */
-function sharedSegments({ prompt }: CallHead): string[] {
+function sharedSegments({ prompt }: Call['head']): string[] {
   return (prompt?.segments ?? [])
     .slice(0, -1)
     .slice(0, MAX_SEGMENTS)
     .map(({ id }) => id)
-    .filter((id) => id.length <= MAX_SEGMENT_ID_LENGTH);
+    .filter((id) => id.length <= MAX_SEGMENT_ID_LENGTH && isSegmentKey(id));
 }
 
-function namesOf(rows: readonly SuspectRow[]): string[] {
-  return rows.map(({ segment }) => segment);
+function keysOf(rows: readonly SuspectRow[]): string[] {
+  return rows.map(({ key }) => key);
 }
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -118,7 +118,7 @@
 function verdictFields(verdict: CrashVerdict | undefined): Record<string, unknown> {
   return verdict
     ? {
-        segment: verdict.segment,
+        suspect: verdict.key,
         deaths: verdict.deaths,
         last_death_ms: Math.round(verdict.lastDeathAgeMs),
       }
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -106,10 +106,11 @@
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed', withdrawn: true };
     const { record, work } = entry;
-    const { head } = progress.call;
+    const { call } = progress;
+    const { head } = call;
     const startedAt = timers.now();
     router.onSendToTarget(entry, progress.call);
-    crashes.onSend(head);
+    crashes.onSend(call);
     const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
     work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
     if (head.prompt) {
@@ -140,15 +141,15 @@
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
-          crashes.onAnswered(head, seen.firstByteAt);
+          crashes.onAnswered(call, seen.firstByteAt);
         }
       },
     });
     if (isComplete(end) && !seen.survived) {
-      crashes.onAnswered(head, seen.firstByteAt ?? timers.now());
+      crashes.onAnswered(call, seen.firstByteAt ?? timers.now());
     }
     if (end.kind === 'lost' && !aborted && seen.firstByteAt === undefined) {
-      crashes.onLost(record, head);
+      crashes.onLost(record, call);
     }
     work.onEnd(head.id, timers.now());
     this.recordResult(entry, end, progress, startedAt);
@@ -229,7 +230,7 @@
     destination: Destination,
   ): boolean {
     const { router, timers, crashes } = this.deps;
-    const verdict = crashes.verdict(call.head);
+    const verdict = crashes.verdict(call);
     const view = {
       now: timers.now(),
       attempts,
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -69,7 +69,7 @@
   private nextStep(progress: CallProgress): RequestStep {
     const { router, timers, crashes } = this.deps;
     const { call, response, attempts } = progress;
-    const verdict = crashes.verdict(call.head);
+    const verdict = crashes.verdict(call);
     const now = timers.now();
     const destinations = router.destinations(call);
     const step = nextRequestStep(call.facts, {
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -121,8 +121,8 @@
     roster: { digest: 77, complete: true },
     rosterMembers: [{ node: 'vm-4', ageMs: 3000 }],
     suspects: [
-      { segment: 'aa', deaths: [{ target: 1, request: 2, ageMs: 300 }], clearedAgeMs: 900 },
-      { segment: 'bb', deaths: [] },
+      { key: 'aa', deaths: [{ target: 1, request: 2, ageMs: 300 }], clearedAgeMs: 900 },
+      { key: 'bb', deaths: [] },
     ],
     signals: SIGNALS,
   };
--- a/packages/gateway/src/peers/suspect-rows.ts
+++ b/packages/gateway/src/peers/suspect-rows.ts
@@ -1,4 +1,4 @@
-/** Rows about prompt segments that may crash targets, in gossip and in messages of their own. */
+/** Rows about prompt segments and requests that may crash targets, in gossip and in messages of their own. */
 import type { SuspectRow } from '@marjoramcart/core';
 import { encodeNotification, type Notification } from './notification.js';
 
@@ -6,25 +6,25 @@
 /** Limit of rows in one datagram. */
 const MAX_ROWS = 32;
 
-/** Segment, deaths as target, request and age in ms, and the time since it was cleared, ms. */
+/** Key, deaths as target, request and age in ms, and the time since it was cleared, ms. */
 export type SuspectWireRow = readonly [
   string,
   readonly (readonly [number, number, number])[],
   number?,
 ];
 
-export function toSuspectWireRow({ segment, deaths, clearedAgeMs }: SuspectRow): SuspectWireRow {
+export function toSuspectWireRow({ key, deaths, clearedAgeMs }: SuspectRow): SuspectWireRow {
   const rows = deaths.map(
     ({ target, request, ageMs }) => [target, request, Math.round(ageMs)] as const,
   );
   return clearedAgeMs === undefined
-    ? [segment, rows]
-    : [segment, rows, Math.round(Math.max(0, clearedAgeMs))];
+    ? [key, rows]
+    : [key, rows, Math.round(Math.max(0, clearedAgeMs))];
 }
 
-export function fromSuspectWireRow([segment, rows, clearedAgeMs]: SuspectWireRow): SuspectRow {
+export function fromSuspectWireRow([key, rows, clearedAgeMs]: SuspectWireRow): SuspectRow {
   return {
-    segment,
+    key,
     deaths: rows.map(([target, request, ageMs]) => ({ target, request, ageMs })),
     ...(clearedAgeMs === undefined ? {} : { clearedAgeMs }),
   };
--- a/tests/stand-ins/src/users-platform/crashing-segment.test.ts
+++ b/tests/stand-ins/src/users-platform/crashing-segment.test.ts
@@ -2,7 +2,7 @@
 import { after, before, test } from 'node:test';
 import { MODEL_SERVICE } from './example-config.js';
 import { TestFleet } from './test-fleet.js';
-import { hasSegment, type TargetStandIn } from './target.js';
+import { hasSegment, type TargetRun, type TargetStandIn } from './target.js';
 
 const fleet = new TestFleet(24_700);
 const NODES = ['vm-1', 'vm-2', 'vm-3'];
@@ -23,7 +23,8 @@
       ),
     )),
   );
-  targets.forEach((target) => Object.assign(target, { crashesOn: BAD_SEGMENT }));
+  const crashesOn = (run: TargetRun): boolean => hasSegment(run, BAD_SEGMENT);
+  targets.forEach((target) => Object.assign(target, { crashesOn }));
   await fleet.addGateway(1, 'north-a');
   await fleet.addGateway(2, 'north-a');
   await fleet.addGateway(3, 'north-a');
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -66,8 +66,8 @@
   /** Requests in flight, as sent in its load reports. */
   active = 0;
 
-  /** Prompt segment at which the target crashes before it answers; it is back after some time. */
-  crashesOn: string | undefined;
+  /** Whether the target crashes before it answers a request; it is back after some time. */
+  crashesOn: (run: TargetRun) => boolean = () => false;
 
   /** Responses without end that are being sent. */
   endlessResponses = 0;
@@ -160,7 +160,7 @@
       this.active -= 1;
       run.cancelled = !res.writableFinished;
     });
-    if (this.crashesOn !== undefined && hasSegment(run, this.crashesOn)) this.crash();
+    if (this.crashesOn(run)) this.crash();
     else this.respond(run, res);
   }
 
