Refuse requests with a prompt that crash targets for their own part

What callers saw: a request whose own part crashes engines was passed on for ever, to two engines each time, and streams of others broke there. Cause: a request with a prompt was known by the segments that it shares with others only, and sound requests clear these, rightly. Besides, each repeat of it had a new id and counted as another witness against the shared segments, so that sound requests with a rarely used document could be refused for it. Fix: every request has a key by method, host, path and body, beside the segments of its prompt; witnesses are told apart by content. Test: 'a request whose own part crashes targets is refused, others with its shared segments are served' fails on the parent commit.

--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -19,7 +19,7 @@
 export interface SuspectDeath {
   /** Identifies the target that died. */
   readonly target: number;
-  /** Identifies one of the requests with the key that the target had. */
+  /** Identifies one of the requests with the key that the target had, by its content. */
   readonly request: number;
   readonly ageMs: number;
 }
@@ -56,7 +56,7 @@
 const SAME_CAUSE_MS = 300;
 /** Gateways notice one death of a target within this time; a later one is another, after a restart. */
 const SAME_DEATH_MS = 1000;
-/** A single request that was retried is no evidence against the segments that it shares. */
+/** A single request that was sent again is no evidence against the segments that it shares. */
 const MIN_REQUESTS = 2;
 /** Lifetime of a refused key since its last death. */
 const REFUSED_LIFETIME_MS = 600_000;
@@ -121,6 +121,7 @@
   /**
    * Counts the death of a target that had not answered a request yet.
    *
+   * @param request identifies the request; the same when it comes again
    * @param keys its segments that it shares with others, and its own key
    * @param now monotonic ms, as in all methods
    * @returns rows for the other gateways
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -103,7 +103,7 @@
     const incarnation = `${target.id} ${target.bornAt}`;
     const now = timers.now();
     const rows = calls.flatMap((call) =>
-      this.suspects.onDeath(incarnation, call.head.id, this.allKeys(call), now),
+      this.suspects.onDeath(incarnation, this.contentOf(call), this.allKeys(call), now),
     );
     const byKey = new Map(rows.map((row) => [row.key, row]));
     log.info('target died before it answered requests', {
@@ -131,10 +131,13 @@
 
   private keysOf(call: TrackedCall, isTracked: (prefix: string) => boolean): string[] {
     const { head, body } = call;
-    // A request with a prompt is known by the segments that it shares with others.
-    if (head.prompt) return sharedSegments(head);
     const own = requestKey(head.path, body.length, () => this.digestOf(call), isTracked);
-    return own === undefined ? [] : [own];
+    return [...sharedSegments(head), ...(own === undefined ? [] : [own])];
+  }
+
+  /** Identifies a request that comes again, under another id, as one witness against its segments. */
+  private contentOf(call: TrackedCall): string {
+    return `${this.digestOf(call)} ${call.head.prompt?.segments.at(-1)?.id ?? ''}`;
   }
 
   private digestOf(call: TrackedCall): string {
--- a/tests/stand-ins/src/users-platform/crashing-request.test.ts
+++ b/tests/stand-ins/src/users-platform/crashing-request.test.ts
@@ -100,3 +100,21 @@
     path: '/once/7',
     body: `other sheet ${index}`,
   })));
+
+// Guards against a request with a prompt that crashes target after target although its shared segments
+// are sound, and against refusing other requests with these segments.
+test('a request whose own part crashes targets is refused, others with its shared segments are served', () => {
+  const ask = (document: string, own: string): ClientRequest => ({
+    path: `/stream/${own}`,
+    body: `question ${own}`,
+    headers: {
+      model: 'm',
+      'token-count': '900,40',
+      'prompt-prefix': `system:500,${document}:300,${own}:100`,
+    },
+  });
+  return checkRefusal(ask('document', 'bad'), (index) =>
+    // The document is asked about again only after the crashes.
+    ask(index < REPEATS ? `other-${index}` : 'document', `own-${index}`),
+  );
+});
