Count the crash of an immediate retry of a whole request by itself

Cause: deaths within 0.3 s count as one, as in the loss of a rack. The second engine died that soon, but only because the retry was sent to it after the first one had died. Fix: the time that a request had been at its target is told with each death. For a whole request, a death counts by itself if the request was sent after the death before it; a loss of several targets that all have the request still counts once. Test: 'an immediate retry of a whole request that kills another target counts as a death of its own' (fails on the parent).

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -91,6 +91,30 @@
   assert.equal(trials.length, 3);
 });
 
+// Guards against six crashes by three client requests that each were retried at once.
+test('an immediate retry of a whole request that kills another target counts as a death of its own', () => {
+  const suspects = new CrashSuspects();
+  const other = new CrashSuspects();
+  const key = requestKey('/orders/7', 16, () => 'digest') ?? '';
+  const firstRows = suspects.onDeath('i-1', 'req-1', [key], 105, { ageMs: 5, ranMs: 40 });
+  const retryRows = suspects.onDeath('i-2', 'req-1', [key], 120, { ageMs: 5, ranMs: 13 });
+  const next = suspects.onDeath('i-3', 'req-2', [key], 5000, { ageMs: 5, ranMs: 13 });
+  assert.equal(suspects.verdict([key], NEVER, 5100)?.deaths, 3);
+  other.merge(firstRows, 185);
+  other.merge(retryRows, 200);
+  other.merge(next, 5080);
+  assert.equal(other.verdict([key], NEVER, 5100)?.deaths, 3);
+});
+
+test('a whole request that is at several targets that die together counts as one death', () => {
+  const suspects = new CrashSuspects();
+  const key = requestKey('/status', 0, () => 'digest') ?? '';
+  [0, 50, 100].forEach((at, index) => {
+    suspects.onDeath(`i-${index}`, 'req', [key], at, { ageMs: 0, ranMs: 300 });
+  });
+  assert.equal(suspects.verdict([key], NEVER, 400), undefined);
+});
+
 test('a request is digested only if one with its path and size is a suspect', () => {
   const suspects = new CrashSuspects();
   const unexpected = (): string => assert.fail('digested');
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -22,8 +22,12 @@
   /** Identifies one of the requests with the key that the target had, by its content. */
   readonly request: number;
   readonly ageMs: number;
+  /** Time from the sending of the request to the death; absent in messages of earlier releases. */
+  readonly ranMs?: number;
 }
 
+type DeathTimes = Pick<SuspectDeath, 'ageMs' | 'ranMs'>;
+
 /** Why a request is refused. */
 export interface CrashVerdict {
   readonly key: string;
@@ -38,6 +42,8 @@
   readonly target: number;
   readonly request: number;
   readonly at: number;
+  /** When the request was sent to the target; -Infinity if that is not known. */
+  readonly sentAt: number;
 }
 
 interface Suspect {
@@ -54,6 +60,8 @@
 const MAX_DEATHS_KNOWN_GOOD = 5;
 /** Targets that die within this time, as in the loss of a rack, count as one death. */
 const SAME_CAUSE_MS = 300;
+/** Accuracy of the order of events that another gateway reports. */
+const ORDER_ACCURACY_MS = 20;
 /** Gateways notice one death of a target within this time; a later one is another, after a restart. */
 const SAME_DEATH_MS = 1000;
 /** A single request that was sent again is no evidence against the segments that it shares. */
@@ -124,11 +132,23 @@
    * @param request identifies the request; the same when it comes again
    * @param keys its segments that it shares with others, and its own key
    * @param now monotonic ms, as in all methods
+   * @param times age of the death, and how long the request had been at the target, ms
    * @returns rows for the other gateways
    * @example suspects.onDeath('i-1', 'req-7', ['system', 'document'], timers.now())
    */
-  onDeath(target: string, request: string, keys: readonly string[], now: number): SuspectRow[] {
-    const death = { target: hashOf(target), request: hashOf(request), ageMs: 0 };
+  onDeath(
+    target: string,
+    request: string,
+    keys: readonly string[],
+    now: number,
+    { ageMs, ranMs }: DeathTimes = { ageMs: 0 },
+  ): SuspectRow[] {
+    const death = {
+      target: hashOf(target),
+      request: hashOf(request),
+      ageMs,
+      ...(ranMs === undefined ? {} : { ranMs }),
+    };
     const rows = keys.map((key) => ({ key, deaths: [death] }));
     this.merge(rows, now);
     return rows;
@@ -185,16 +205,18 @@
     this.expire(now);
     return [...this.suspects]
       .filter(
-        ([, suspect]) => countSeparate(suspect) > 1 || now - suspect.clearedAt < CLEARED_SENT_MS,
+        ([key, suspect]) =>
+          countSeparate(key, suspect) > 1 || now - suspect.clearedAt < CLEARED_SENT_MS,
       )
       .sort(([, a], [, b]) => b.deaths.length - a.deaths.length)
       .slice(0, limit)
       .map(([key, { deaths, clearedAt }]) => ({
         key,
-        deaths: deaths.map(({ target, request, at }) => ({
+        deaths: deaths.map(({ target, request, at, sentAt }) => ({
           target,
           request,
           ageMs: Math.round(now - at),
+          ...(sentAt > -Infinity ? { ranMs: Math.round(at - sentAt) } : {}),
         })),
         ...(clearedAt > -Infinity ? { clearedAgeMs: Math.round(now - clearedAt) } : {}),
       }));
@@ -207,7 +229,7 @@
   ): CrashVerdict | undefined {
     const suspect = this.suspects.get(key);
     if (!suspect || !this.isRefused(key, suspect)) return undefined;
-    const deaths = countSeparate(suspect);
+    const deaths = countSeparate(key, suspect);
     const lastDeathAt = lastDeathOf(suspect);
     const retryAfterMs = lastDeathAt + trialDelayMs(key, deaths - MAX_DEATHS) - now;
     const trialDue = retryAfterMs <= 0 && now - suspect.triedAt > TRIAL_MS;
@@ -224,7 +246,7 @@
     const requests = new Set(suspect.deaths.map(({ request }) => request));
     if (isSegmentKey(key) && requests.size < MIN_REQUESTS) return false;
     const maxDeaths = this.wasGood(key, suspect) ? MAX_DEATHS_KNOWN_GOOD : MAX_DEATHS;
-    return countSeparate(suspect) >= maxDeaths;
+    return countSeparate(key, suspect) >= maxDeaths;
   }
 
   private wasGood(key: string, suspect: Suspect): boolean {
@@ -239,9 +261,15 @@
       triedAt: -Infinity,
     };
     const added = deaths
-      .map(({ target, request, ageMs }) => ({ target, request, at: now - ageMs }))
+      .map(({ target, request, ageMs, ranMs = Infinity }) => ({
+        target,
+        request,
+        at: now - ageMs,
+        sentAt: now - ageMs - ranMs,
+      }))
       .filter((death) => death.at > suspect.clearedAt && !isKnown(death, suspect.deaths));
     suspect.deaths = withoutSurplus(
+      key,
       [...suspect.deaths, ...added].sort((a, b) => a.at - b.at || a.target - b.target),
     );
     if (suspect.deaths.length === 0) return;
@@ -301,23 +329,29 @@
   );
 }
 
-/** Number of deaths that did not happen at nearly the same time. */
-function countSeparate({ deaths }: Suspect): number {
-  return separateDeaths(deaths).length;
+/** Number of deaths that count. */
+function countSeparate(key: string, { deaths }: Suspect): number {
+  return separateDeaths(key, deaths).length;
 }
 
-/** Deaths that count, oldest first: each target died some time after the one counted before. */
-function separateDeaths(deaths: readonly Death[]): Death[] {
+/** Deaths that count, oldest first: each has another cause than the one counted before, or the same key. */
+function separateDeaths(key: string, deaths: readonly Death[]): Death[] {
   return deaths.reduce<Death[]>((counted, death) => {
     const last = counted.at(-1);
-    return last && death.at - last.at <= SAME_CAUSE_MS ? counted : [...counted, death];
+    return last && !isSeparate(key, death, last) ? counted : [...counted, death];
   }, []);
 }
 
+function isSeparate(key: string, death: Death, last: Death): boolean {
+  if (death.at - last.at > SAME_CAUSE_MS) return true;
+  // A retry of a whole request that was sent after the first target had died is no part of its death.
+  return !isSegmentKey(key) && death.sentAt >= last.at - ORDER_ACCURACY_MS;
+}
+
 /** Drops deaths that do not count first, so that more evidence never lowers the count below the limit. */
-function withoutSurplus(deaths: readonly Death[]): readonly Death[] {
+function withoutSurplus(key: string, deaths: readonly Death[]): readonly Death[] {
   if (deaths.length <= MAX_DEATHS_KEPT) return deaths;
-  const separate = separateDeaths(deaths);
+  const separate = separateDeaths(key, deaths);
   const others = deaths.filter((death) => !separate.includes(death));
   const dropped = new Set([...others, ...separate].slice(0, deaths.length - MAX_DEATHS_KEPT));
   return deaths.filter((death) => !dropped.has(death));
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -28,6 +28,13 @@
 /** The parts of a call that identify it when it comes again. */
 type TrackedCall = Pick<Call, 'head' | 'body'>;
 
+/** A request whose connection broke before its first byte; monotonic ms. */
+interface LostRequest {
+  readonly call: TrackedCall;
+  readonly sentAt: number;
+  readonly lostAt: number;
+}
+
 export interface CrashWatchDeps {
   readonly node: string;
   readonly timers: TimerService;
@@ -42,20 +49,25 @@
   private readonly suspects = new CrashSuspects();
 
   /** Requests without a first byte whose connections broke, by target, until the target is probed. */
-  private readonly unconfirmed = new Map<string, TrackedCall[]>();
+  private readonly unconfirmed = new Map<string, LostRequest[]>();
 
   private readonly digests = new WeakMap<TrackedCall, string>();
 
   constructor(private readonly deps: CrashWatchDeps) {}
 
-  /** Handles the loss of a connection on which a request had no first byte yet. */
-  onLost(target: TargetRecord, call: TrackedCall): void {
+  /**
+   * Handles the loss of a connection on which a request had no first byte yet.
+   *
+   * @param sentAt when the request was sent, monotonic ms
+   */
+  onLost(target: TargetRecord, call: TrackedCall, sentAt: number): void {
+    const lost = { call, sentAt, lostAt: this.deps.timers.now() };
     const waiting = this.unconfirmed.get(target.id);
     if (waiting) {
-      if (waiting.length < MAX_WITNESSES) waiting.push(call);
+      if (waiting.length < MAX_WITNESSES) waiting.push(lost);
       return;
     }
-    this.unconfirmed.set(target.id, [call]);
+    this.unconfirmed.set(target.id, [lost]);
     void this.confirm(target);
   }
 
@@ -96,19 +108,26 @@
   private async confirm(target: TargetRecord): Promise<void> {
     const { probe, timers, log, announce } = this.deps;
     const result = await probe(target.address);
-    const calls = this.unconfirmed.get(target.id) ?? [];
+    const requests = this.unconfirmed.get(target.id) ?? [];
     this.unconfirmed.delete(target.id);
     // A connection can also be lost on the way, or be reset by a target that goes on.
     if (result !== 'refused') return;
     const incarnation = `${target.id} ${target.bornAt}`;
     const now = timers.now();
-    const rows = calls.flatMap((call) =>
-      this.suspects.onDeath(incarnation, this.contentOf(call), this.allKeys(call), now),
-    );
+    const rows = requests.flatMap(({ call, sentAt, lostAt }) => {
+      const times = { ageMs: now - lostAt, ranMs: lostAt - sentAt };
+      return this.suspects.onDeath(
+        incarnation,
+        this.contentOf(call),
+        this.allKeys(call),
+        now,
+        times,
+      );
+    });
     const byKey = new Map(rows.map((row) => [row.key, row]));
     log.info('target died before it answered requests', {
       target: target.id,
-      ids: calls.map(({ head }) => head.id),
+      ids: requests.map(({ call }) => call.head.id),
       suspects: byKey.size,
     });
     announce([...byKey.values()]);
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -149,7 +149,7 @@
       crashes.onAnswered(call, seen.firstByteAt ?? timers.now());
     }
     if (end.kind === 'lost' && !aborted && seen.firstByteAt === undefined) {
-      crashes.onLost(record, call);
+      crashes.onLost(record, call, startedAt);
     }
     work.onEnd(head.id, timers.now());
     this.recordResult(entry, end, progress, startedAt);
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -122,7 +122,7 @@
     rosterMembers: [{ node: 'vm-4', ageMs: 3000 }],
     suspects: [
       { key: 'aa', deaths: [{ target: 1, request: 2, ageMs: 300 }], clearedAgeMs: 900 },
-      { key: 'bb', deaths: [] },
+      { key: 'bb', deaths: [{ target: 1, request: 2, ageMs: 300, ranMs: 20 }] },
     ],
     signals: SIGNALS,
   };
--- a/packages/gateway/src/peers/suspect-rows.ts
+++ b/packages/gateway/src/peers/suspect-rows.ts
@@ -6,16 +6,21 @@
 /** Limit of rows in one datagram. */
 const MAX_ROWS = 32;
 
-/** Key, deaths as target, request and age in ms, and the time since it was cleared, ms. */
+/**
+ * Key, deaths as target, request, age and time at the target, and the time since it was cleared; times
+ * in ms.
+ */
 export type SuspectWireRow = readonly [
   string,
-  readonly (readonly [number, number, number])[],
+  readonly (readonly [number, number, number, number?])[],
   number?,
 ];
 
 export function toSuspectWireRow({ key, deaths, clearedAgeMs }: SuspectRow): SuspectWireRow {
-  const rows = deaths.map(
-    ({ target, request, ageMs }) => [target, request, Math.round(ageMs)] as const,
+  const rows = deaths.map(({ target, request, ageMs, ranMs }) =>
+    ranMs === undefined
+      ? ([target, request, Math.round(ageMs)] as const)
+      : ([target, request, Math.round(ageMs), Math.round(ranMs)] as const),
   );
   return clearedAgeMs === undefined
     ? [key, rows]
@@ -25,7 +30,12 @@
 export function fromSuspectWireRow([key, rows, clearedAgeMs]: SuspectWireRow): SuspectRow {
   return {
     key,
-    deaths: rows.map(([target, request, ageMs]) => ({ target, request, ageMs })),
+    deaths: rows.map(([target, request, ageMs, ranMs]) => ({
+      target,
+      request,
+      ageMs,
+      ...(ranMs === undefined ? {} : { ranMs }),
+    })),
     ...(clearedAgeMs === undefined ? {} : { clearedAgeMs }),
   };
 }
