Log what a gateway believes of its retry budget

Cause: the users saw more repeats than allowed on their machines (BUDGET); no log line showed the share, window and number of gateways by which one gateway decides, so that restarted shares, a wrong number of gateways and requests lost with a process could not be told apart. Change: 'attempt' lines of retries and 'refuse' lines for a spent budget have budget_retries, budget_requests, budget_allowed, budget_slack and budget_gateways.

--- a/packages/core/src/retries/shared-retry-budget.ts
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -13,6 +13,20 @@
   readonly slack: number;
 }
 
+/** What a budget decides by, for logs. */
+export interface RetryBudgetState {
+  /** Requests of callers in the window. */
+  readonly requests: number;
+  /** Retries in the window. */
+  readonly retries: number;
+  /** Retries that the window allows, with the part of the slack. */
+  readonly allowed: number;
+  /** Retries of the slack that this gateway may take. */
+  readonly slackShare: number;
+  /** Gateways that share the slack; undefined while that is not known. */
+  readonly gateways: number | undefined;
+}
+
 /** Share of the limits that is used; the rest covers requests that are counted late. */
 const USED_SHARE = 0.8;
 /** Retries per window beyond the ratio while the number of gateways is unknown, as after a start. */
@@ -46,14 +60,25 @@
 
   /** Whether a retry is allowed now; takes none from the budget. */
   allows(now: number): boolean {
-    const { ratio, slack } = this.limits;
-    const usableSlack = slack * USED_SHARE;
-    const slackShare =
-      this.gateways === undefined
-        ? Math.min(UNKNOWN_SLACK_SHARE, usableSlack)
-        : usableSlack / this.gateways;
-    const allowed = this.requests.count(now) * ratio * USED_SHARE + slackShare;
-    return this.retries.count(now) + 1 <= allowed;
+    const { retries, allowed } = this.state(now);
+    return retries + 1 <= allowed;
+  }
+
+  /**
+   * What the next decision is based on.
+   *
+   * @example budget.state(timers.now()).allowed // 23.4
+   */
+  state(now: number): RetryBudgetState {
+    const requests = this.requests.count(now);
+    const slackShare = this.slackShare();
+    return {
+      requests,
+      retries: this.retries.count(now),
+      allowed: requests * this.limits.ratio * USED_SHARE + slackShare,
+      slackShare,
+      gateways: this.gateways,
+    };
   }
 
   /** Takes one retry; false when the budget is spent. */
@@ -62,4 +87,11 @@
     this.retries.add(now);
     return true;
   }
+
+  private slackShare(): number {
+    const usableSlack = this.limits.slack * USED_SHARE;
+    return this.gateways === undefined
+      ? Math.min(UNKNOWN_SLACK_SHARE, usableSlack)
+      : usableSlack / this.gateways;
+  }
 }
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -1,5 +1,5 @@
 /** Logs each step of a call with the inputs of the decision, and each attempt with its result. */
-import type { Candidate, CrashVerdict, RequestStep } from '@marjoramcart/core';
+import type { Candidate, CrashVerdict, RequestStep, RetryBudgetState } from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import type { AvailableDestinations, Router } from '../routing/router.js';
@@ -21,6 +21,7 @@
     progress: CallProgress,
     { candidates, opensInMs }: AvailableDestinations,
     verdict: CrashVerdict | undefined,
+    budget: RetryBudgetState | undefined,
   ): void {
     const { call, attempts } = progress;
     this.log.info(step.kind, {
@@ -31,6 +32,7 @@
       ...this.limitFields(step),
       opens_in_ms: opensInMs === undefined ? undefined : Math.round(opensInMs),
       ...verdictFields(verdict),
+      ...budgetFields(budget),
       attempts: attempts.length || undefined,
       candidates: candidates.length,
       age_ms: this.ageMs(progress),
@@ -125,6 +127,18 @@
     : {};
 }
 
+function budgetFields(budget: RetryBudgetState | undefined): Record<string, unknown> {
+  if (!budget) return {};
+  const { retries, requests, allowed, slackShare, gateways } = budget;
+  return {
+    budget_retries: retries,
+    budget_requests: requests,
+    budget_allowed: Number(allowed.toFixed(1)),
+    budget_slack: Number(slackShare.toFixed(1)),
+    budget_gateways: gateways,
+  };
+}
+
 function expectedTimes(candidate: Candidate): Record<string, number | undefined> {
   const { expectedFirstByteMs, expectedWaitMs, uncachedTokens, loadAgeMs } = candidate;
   return {
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -81,7 +81,10 @@
       ...(verdict ? { refusedForMs: verdict.retryAfterMs } : {}),
       takeRetry: () => this.budget(call.service).tryTake(now),
     });
-    this.decisions.onStep(step, progress, destinations, verdict);
+    const isRetry = step.kind === 'attempt' && step.retry;
+    const isOverBudget = step.kind === 'refuse' && step.reason === RefusalReason.RetryBudget;
+    const budget = isRetry || isOverBudget ? this.budget(call.service).state(now) : undefined;
+    this.decisions.onStep(step, progress, destinations, verdict, budget);
     return step;
   }
 
