Give restarted gateways no part of the retry slack for one window

What callers saw: services that rejected requests got more repeats than the budget allows while gateways restarted. Cause: a process that starts had its whole part of the slack at once, as its counts begin at zero, though the process before it on the VM may have used its part within the same window. Fix: no slack until one window has passed since the start, so that no window contains the slack of two processes of one VM. Test: 'the retries stay within the shared budget in any window while gateways restart' fails without the fix (256 retries from 7.9 s).

--- a/packages/core/src/retries/shared-retry-budget.test.ts
+++ b/packages/core/src/retries/shared-retry-budget.test.ts
@@ -21,6 +21,38 @@
   });
 });
 
+// Guards against restarted gateways that each take their part of the slack again within one window.
+test('the retries stay within the shared budget in any window while gateways restart', () => {
+  const count = 6;
+  const lifeMs = 2000;
+  const start = (now: number): SharedRetryBudget => {
+    const budget = new SharedRetryBudget(LIMITS, now);
+    budget.setGateways(count);
+    return budget;
+  };
+  const gateways = Array.from({ length: count }, () => start(-LIMITS.windowMs));
+  const events = Array.from({ length: 3600 }, (_, step) => step * 10).map((now, step) => {
+    // One gateway after the other is restarted; the first 15 s have used up the slack.
+    const restarted = Math.floor(now / (lifeMs / count)) % count;
+    if (now >= 15_000 && now % (lifeMs / count) < 10) gateways[restarted] = start(now);
+    const budget = gateways[step % count];
+    budget?.onRequest(now);
+    return { now, retried: budget?.tryTake(now) === true };
+  });
+  Array.from({ length: 260 }, (_, step) => step * 100).forEach((from) => {
+    const inWindow = events.filter(({ now }) => now >= from && now < from + LIMITS.windowMs);
+    const retries = inWindow.filter(({ retried }) => retried).length;
+    assert.ok(retries <= inWindow.length * LIMITS.ratio + LIMITS.slack, `${retries} from ${from}`);
+  });
+});
+
+test('a gateway that has run for a window gets its part of the slack', () => {
+  const budget = new SharedRetryBudget(LIMITS, 1000);
+  budget.setGateways(1);
+  assert.equal(budget.allows(LIMITS.windowMs), false);
+  assert.equal(budget.allows(1000 + LIMITS.windowMs), true);
+});
+
 test('a gateway that sees fewer gateways than before does not raise its share', () => {
   const budget = new SharedRetryBudget(LIMITS);
   budget.setGateways(54);
--- a/packages/core/src/retries/shared-retry-budget.ts
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -1,7 +1,8 @@
 /**
  * Limits the retries of a service over all gateways to a ratio of its requests plus a fixed slack in
  * a sliding window. Each gateway applies the ratio to the requests it receives and gets an equal part
- * of the slack, so the limit holds without coordination even when all gateways retry at once.
+ * of the slack, so the limit holds without coordination even when all gateways retry at once, and
+ * when they restart again and again.
  */
 import { SlidingWindowCounter } from './sliding-window-counter.js';
 
@@ -29,7 +30,7 @@
 
 /** Share of the limits that is used; the rest covers requests that are counted late. */
 const USED_SHARE = 0.8;
-/** Retries per window beyond the ratio while the number of gateways is unknown, as after a start. */
+/** Retries per window beyond the ratio while the number of gateways is unknown. */
 const UNKNOWN_SLACK_SHARE = 1;
 
 export class SharedRetryBudget {
@@ -40,7 +41,14 @@
   /** Undefined until the number of gateways is known. */
   private gateways: number | undefined;
 
-  constructor(private readonly limits: SharedBudgetLimits) {
+  /**
+   * @param startedAt start of the process, monotonic ms. It gets nothing of the slack until a window has
+   *   passed, since the process before it on this VM may have used its part shortly before.
+   */
+  constructor(
+    private readonly limits: SharedBudgetLimits,
+    private readonly startedAt = -Infinity,
+  ) {
     this.requests = new SlidingWindowCounter(limits.windowMs);
     this.retries = new SlidingWindowCounter(limits.windowMs);
   }
@@ -71,7 +79,7 @@
    */
   state(now: number): RetryBudgetState {
     const requests = this.requests.count(now);
-    const slackShare = this.slackShare();
+    const slackShare = this.slackShare(now);
     return {
       requests,
       retries: this.retries.count(now),
@@ -88,7 +96,8 @@
     return true;
   }
 
-  private slackShare(): number {
+  private slackShare(now: number): number {
+    if (now - this.startedAt < this.limits.windowMs) return 0;
     const usableSlack = this.limits.slack * USED_SHARE;
     return this.gateways === undefined
       ? Math.min(UNKNOWN_SLACK_SHARE, usableSlack)
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -38,7 +38,10 @@
 
   private readonly decisions: DecisionLog;
 
+  private readonly startedAt: number;
+
   constructor(private readonly deps: ExecutorDeps) {
+    this.startedAt = deps.timers.now();
     this.sender = new DestinationSender(deps, {
       allowsRetry: (service) => this.budget(service).allows(deps.timers.now()),
     });
@@ -166,7 +169,8 @@
 
   private budget(service: string): SharedRetryBudget {
     const { settings, gossip, timers } = this.deps;
-    const budget = this.budgets.get(service) ?? new SharedRetryBudget(settings.retryBudget);
+    const budget =
+      this.budgets.get(service) ?? new SharedRetryBudget(settings.retryBudget, this.startedAt);
     this.budgets.set(service, budget);
     const now = timers.now();
     if (gossip.roster.isComplete(now)) {
