Keep reading a refused body when the client closes after the response

What callers saw: a client that sends a large body with 'Connection: close' and is refused before the body was read got a broken connection (EPIPE) in place of the refusal. Cause: the HTTP server destroys the socket after the response to such a client, while bytes still arrive, so that the system resets it. That undid lingeringClose, which reads and discards the rest. Fix: the socket of a refused request is closed by lingeringClose only. Test: 'a client that closes its connection after the response can send its body to the end' fails without the fix.

--- a/packages/runtime/src/http/lingering-close.ts
+++ b/packages/runtime/src/http/lingering-close.ts
@@ -35,6 +35,8 @@
   );
   socket.once('close', stopTimer);
   socket.end();
+  // The HTTP server calls this after a response to a client that asked to close the connection.
+  Object.assign(socket, { destroySoon: () => undefined });
   if (!mayRead) return;
   let discarded = 0;
   req.on('data', (chunk: Buffer) => {
