Limit the memory for request bodies and refuse the rest at once

What callers saw: on a machine of 350 MB, many large requests at once would end the gateway and with it all its requests. Cause: nothing limited the bodies that a gateway holds together; the limit of the configuration is for one body. Evidence: one gateway, POST requests of 4 MB at once: peak of 346 MB with 60 and 936 MB with 200 (59 MB at rest). Test: 'bodies beyond the memory for them are refused at once with a time to return' and 'bodies without an announced length are limited as well' fail on the parent commit (none refused).

--- a/packages/core/src/codes/result-codes.ts
+++ b/packages/core/src/codes/result-codes.ts
@@ -139,6 +139,14 @@
     'A newer configuration is in force elsewhere, and this gateway does not have it yet.',
     OTHER_ENTRY,
   ),
+  BodyMemoryFull: row(
+    3110,
+    'body_memory_full',
+    503,
+    NotRun,
+    'The gateway holds so many request bodies that it has no memory for this one.',
+    RETRY_LATER,
+  ),
   NoReadyTarget: row(4102, 'no_ready_target', 503, NotRun, 'No target is ready.', RETRY_LATER),
   TargetUnreachable: row(
     4103,
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -11,10 +11,12 @@
   type RouteUsage,
 } from '@marjoramcart/core';
 import {
+  BodyMemory,
   HttpListener,
   lingeringClose,
   readRequestBody,
   RefusedConnections,
+  type BodyAllocation,
   type Logger,
   type Task,
   type TimerService,
@@ -42,6 +44,12 @@
  * which a request is already in transit.
  */
 const IDLE_SLACK_MS = 1000;
+/** Result codes of bodies that are not read to their end. */
+const BODY_REFUSALS = {
+  'too-large': ResultCodes.BodyTooLarge,
+  'too-slow': ResultCodes.SenderTooSlow,
+  'no-memory': ResultCodes.BodyMemoryFull,
+} as const;
 /** Refusals of one gateway while another one can serve the caller. */
 const OTHER_GATEWAY_CODES: ReadonlySet<ResultCode> = new Set([
   ResultCodes.EntryNotReady,
@@ -51,6 +59,8 @@
 const OTHER_GATEWAY_RETRY_AFTER_MS = 150;
 /** Upper bound of the random share that is added to a longer delay, so that retries are spread. */
 const RETRY_AFTER_SPREAD = 0.3;
+/** Retry delay while bodies of other requests take up the memory. */
+const BODY_MEMORY_RETRY_AFTER_MS = 500;
 /** Limits until the first configuration is in force. */
 const DEFAULT_LIMITS = {
   maxHeaderBytes: 16 * 1024,
@@ -63,6 +73,8 @@
   /** `ip:port` each. */
   readonly callersAddress: string;
   readonly forwardAddress: string;
+  /** Limit of the request bodies that are held at the same time, bytes. */
+  readonly maxBodyMemoryBytes: number;
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
@@ -89,11 +101,14 @@
 
   private inFlight = 0;
 
+  private readonly bodyMemory: BodyMemory;
+
   /** Longest idle timeout of any configuration so far; open connections may still rely on it. */
   private idleTimeoutMs = 0;
 
   constructor(private readonly deps: CallerTaskDeps) {
     this.refusedConnections = new RefusedConnections(deps.timers);
+    this.bodyMemory = new BodyMemory(deps.maxBodyMemoryBytes);
     const { log } = deps;
     const common = {
       maxHeaderBytes: MAX_HEADER_BYTES,
@@ -162,9 +177,11 @@
     forwarded: boolean,
   ): Promise<void> {
     this.inFlight += 1;
+    const allocation = this.bodyMemory.allocate();
     try {
-      await this.handle(req, res, forwarded);
+      await this.handle(req, res, forwarded, allocation);
     } finally {
+      allocation.release();
       this.inFlight -= 1;
     }
   }
@@ -173,6 +190,7 @@
     req: IncomingMessage,
     res: ServerResponse,
     forwarded: boolean,
+    allocation: BodyAllocation,
   ): Promise<void> {
     const { state, protocol, executor, timers } = this.deps;
     const arrivedAt = timers.now();
@@ -197,12 +215,10 @@
       this.refuse(req, response, ResultCodes.EntryDraining, head.id, undefined, head.host);
       return;
     }
-    const body = await readRequestBody(req, limits.maxBodyBytes, timers);
+    const body = await readRequestBody(req, limits.maxBodyBytes, timers, allocation);
     if (body.kind === 'aborted') return;
     if (body.kind !== 'complete') {
-      const tooLarge = body.kind === 'too-large';
-      const code = tooLarge ? ResultCodes.BodyTooLarge : ResultCodes.SenderTooSlow;
-      this.refuse(req, response, code, head.id);
+      this.refuse(req, response, BODY_REFUSALS[body.kind], head.id);
       return;
     }
     const forwardedBy = forwarded
@@ -274,6 +290,7 @@
       newest_config: state.newestConfigVersion,
       config_behind_ms: Math.round(state.configBehindMs),
       source_age_ms: Math.round(state.sourceAgeMs),
+      body_bytes: this.bodyMemory.heldBytes || undefined,
     });
     metrics.onRefusal(code.name);
     sendResult(response, code, this.retryAfterMs(code, host));
@@ -281,8 +298,11 @@
   }
 
   private retryAfterMs(code: ResultCode, host: string | undefined): number | undefined {
-    if (!OTHER_GATEWAY_CODES.has(code)) return undefined;
     const { directory, random } = this.deps;
+    if (code === ResultCodes.BodyMemoryFull) {
+      return BODY_MEMORY_RETRY_AFTER_MS * (1 + random.next() * RETRY_AFTER_SPREAD);
+    }
+    if (!OTHER_GATEWAY_CODES.has(code)) return undefined;
     const acceptsInMs = host === undefined ? 0 : directory.acceptsInMs(host);
     if (acceptsInMs === 0) return OTHER_GATEWAY_RETRY_AFTER_MS;
     return acceptsInMs * (1 + random.next() * RETRY_AFTER_SPREAD);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,6 +150,7 @@
     this.callers = new CallerTask({
       callersAddress: settings.listen.callers,
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
+      maxBodyMemoryBytes: settings.maxBodyMemoryBytes,
       state: this.state,
       configCatchUp: new ConfigCatchUp({
         state: this.state,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -34,6 +34,8 @@
   readonly coldRateLimit: { readonly factor: number; readonly slack: number };
   /** Time between SIGTERM and the end of the process, ms. */
   readonly graceMs: number;
+  /** Limit of the request bodies that are held at the same time, bytes. */
+  readonly maxBodyMemoryBytes: number;
   /** Longest lifetime of a directory response, s. */
   readonly maxDirectoryTtlS: number;
   readonly tuning: GatewayTuning;
--- a/packages/runtime/src/http/read-request-body.ts
+++ b/packages/runtime/src/http/read-request-body.ts
@@ -1,6 +1,7 @@
 /** Reads a request body with limits for its size, total time and minimum rate. */
 import type { IncomingMessage } from 'node:http';
 import type { TimerService } from '../timers/timer-service.js';
+import type { BodyAllocation } from './body-memory.js';
 
 export const RequestBodyTiming = {
   TimeoutMs: 15_000,
@@ -14,22 +15,28 @@
   | { readonly kind: 'complete'; readonly body: Buffer }
   | { readonly kind: 'too-large' }
   | { readonly kind: 'too-slow' }
+  /** The memory for bodies is used up; nothing was read if the request announced its length. */
+  | { readonly kind: 'no-memory' }
   | { readonly kind: 'aborted' };
 
 /**
  * Reads a body to its end. With any result but `complete` the rest stays unread and the caller of
  * this function must close the connection.
  *
+ * @param allocation memory for the body, which the caller of this function releases; absent if it is
+ *   not limited
  * @example const result = await readRequestBody(req, 4_194_304, timers)
  */
 export function readRequestBody(
   req: IncomingMessage,
   maxBytes: number,
   timers: TimerService,
+  allocation?: BodyAllocation,
 ): Promise<RequestBodyResult> {
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-    return Promise.resolve({ kind: 'too-large' });
-  }
+  const announcedBytes = Number(req.headers['content-length'] ?? 0);
+  if (announcedBytes > maxBytes) return Promise.resolve({ kind: 'too-large' });
+  if (allocation?.grow(announcedBytes) === false) return Promise.resolve({ kind: 'no-memory' });
+  const isAnnounced = req.headers['content-length'] !== undefined;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     const startedAt = timers.now();
@@ -55,7 +62,9 @@
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) finish({ kind: 'too-large' });
-      else chunks.push(chunk);
+      else if (!isAnnounced && allocation?.grow(chunk.length) === false) {
+        finish({ kind: 'no-memory' });
+      } else chunks.push(chunk);
     });
     req.on('end', () => finish({ kind: 'complete', body: Buffer.concat(chunks) }));
     req.on('error', () => finish({ kind: 'aborted' }));
--- a/tests/stand-ins/src/users-platform/client-request.ts
+++ b/tests/stand-ins/src/users-platform/client-request.ts
@@ -17,6 +17,8 @@
   readonly method?: string;
   readonly body?: string;
   readonly headers?: Record<string, string>;
+  /** Sends the body in chunks, without its length. */
+  readonly chunked?: boolean;
   readonly host?: string;
   /** Reuses connections. Without an agent, each request opens a new connection. */
   readonly agent?: Agent;
@@ -53,7 +55,9 @@
           host: req.host ?? HOST,
           'request-id': req.id ?? `id-${lastId}`,
           'deadline-ms': String(req.deadlineMs ?? DEFAULT_DEADLINE_MS),
-          ...(body === '' ? {} : { 'content-length': Buffer.byteLength(body) }),
+          ...(body === '' || req.chunked === true
+            ? {}
+            : { 'content-length': Buffer.byteLength(body) }),
           ...req.headers,
         },
       },
@@ -73,6 +77,7 @@
     );
     clientReq.on('error', reject);
     if (req.abortAfterMs !== undefined) setTimeout(() => clientReq.destroy(), req.abortAfterMs);
-    clientReq.end(body);
+    if (req.chunked === true) clientReq.write(body, () => clientReq.end());
+    else clientReq.end(body);
   });
 }
--- a/tests/stand-ins/src/users-platform/example-config.ts
+++ b/tests/stand-ins/src/users-platform/example-config.ts
@@ -53,6 +53,7 @@
   /** `ip:port` of the store. */
   readonly storeAddress: string;
   readonly seedIp: string;
+  readonly memoryMb?: number;
 }
 
 /** Offsets of a gateway's ports from its base port. */
@@ -60,7 +61,7 @@
 
 /** Renders a gateway's settings file (TOML) as the users' platform writes it. */
 export function renderSettings(location: GatewayLocation): string {
-  const { node, ip, zone, basePort, storeAddress, seedIp } = location;
+  const { node, ip, zone, basePort, storeAddress, seedIp, memoryMb = 350 } = location;
   const address = (offset: number): string => `"${ip}:${basePort + offset}"`;
   return `
 node = "${node}"
@@ -79,6 +80,8 @@
 ready = ${address(PortOffset.Ready)}
 directory = ${address(PortOffset.Directory)}
 control = ${address(PortOffset.Control)}
+[limits]
+memoryMb = ${memoryMb}
 [bounds]
 graceS = 8
 retryBudgetRatio = 0.2
--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -36,8 +36,14 @@
 
   private readonly gateways = new Map<string, RunningGateway>();
 
-  /** @param basePort first of ten free ports; fleets that run at the same time need different ones */
-  constructor(private readonly basePort: number) {}
+  /**
+   * @param basePort first of ten free ports; fleets that run at the same time need different ones
+   * @param memoryMb memory of a gateway by its settings
+   */
+  constructor(
+    private readonly basePort: number,
+    private readonly memoryMb?: number,
+  ) {}
 
   start(): Promise<void> {
     this.store.put('op/config', exampleConfig(3));
@@ -173,8 +179,16 @@
   }
 
   private settings(node: string, ip: string, zone: Zone, storeAddress: string): PlatformSettings {
-    const { basePort } = this;
-    const location = { node, ip, zone, basePort, storeAddress, seedIp: '127.0.0.1' };
+    const { basePort, memoryMb } = this;
+    const location = {
+      node,
+      ip,
+      zone,
+      basePort,
+      storeAddress,
+      seedIp: '127.0.0.1',
+      ...(memoryMb === undefined ? {} : { memoryMb }),
+    };
     const result = checkPlatformSettings(renderSettings(location), gatewayTuningSchema.parse({}));
     if (result.kind === 'invalid') throw new Error(result.errors.join('\n'));
     return result.value;
