Receive SIGHUP before the modules of the gateway are loaded

What callers saw: a gateway that got the news of changed settings within 0.2 s after its start ended, and had to start once more. Cause: the handler was installed after the bundle had been loaded and the settings read; until then the default action of SIGHUP ends the process. Fix: a small first module receives the signal and loads the rest; the settings are reloaded once the gateway is there.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,5 +1,5 @@
 /**
- * Compiles the gateway and bundles it into one file under target/, which starts faster than many
+ * Compiles the gateway and bundles it into a few files under target/, which start faster than many
  * separate modules.
  */
 import { spawnSync } from 'node:child_process';
@@ -41,9 +41,13 @@
 
 await build({
   absWorkingDir: root,
-  entryPoints: ['platform/dist/main.js'],
-  outfile: 'target/marjoramcart-gateway.mjs',
+  entryPoints: { 'marjoramcart-gateway': 'platform/dist/start.js' },
+  outdir: 'target',
+  outExtension: { '.js': '.mjs' },
+  chunkNames: 'gateway-[hash]',
   bundle: true,
+  // What `start.js` imports dynamically becomes a file of its own.
+  splitting: true,
   minify: true,
   platform: 'node',
   target: 'node20',
--- a/tests/stand-ins/src/soak/soak-fleet.ts
+++ b/tests/stand-ins/src/soak/soak-fleet.ts
@@ -21,7 +21,7 @@
 import { StoreStandIn } from '../users-platform/store.js';
 import { TargetStandIn } from '../users-platform/target.js';
 
-const GATEWAY_MAIN = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
+const GATEWAY_MAIN = fileURLToPath(new URL('../../../../platform/dist/start.js', import.meta.url));
 const START_TIMEOUT_MS = 20_000;
 /** Offset of each gateway's port for metrics and status. */
 const METRICS_PORT_OFFSET = 9;
