End requests whose response switches protocols

What callers saw: no answer at all to a request to which a faulty target answered 101; and the gateway kept counting it as in flight. Cause: for such a response Node.js emits 'upgrade', and without a handler only 'close', also after an abort. The HTTP client settled on 'response' and 'error' only. All its users are affected: targets, forwards, reports. Fix: 'upgrade' closes the connection and fails the request; so does a 'close' without a response. Test: 'a request fails when its response switches protocols' has no result after 1 s without the fix.

--- a/packages/runtime/src/http/http-client.test.ts
+++ b/packages/runtime/src/http/http-client.test.ts
@@ -96,3 +96,13 @@
   assert.equal(sent.kind, 'vetoed');
   assert.equal(Buffer.concat(received).length, 0);
 });
+
+// Guards against requests that are never answered because a target switches protocols.
+test('a request fails when its response switches protocols', async () => {
+  const head = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n';
+  const result = readResultOf((socket) => socket.write(head));
+  const late = new Promise((resolve) => {
+    setTimeout(resolve, 1000, 'no result').unref();
+  });
+  assert.equal(await Promise.race([result, late]), 'failed');
+});
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -150,6 +150,12 @@
         if (isCloseDelimited(res)) detectReset(res);
         resolve({ kind: 'answer', req, res });
       });
+      // A switch of protocols was not asked for. Without this handler, only `close` would be emitted.
+      req.on('upgrade', (_res, used) => {
+        used.destroy();
+        resolve(failure(true, req.reusedSocket, 'the response switches protocols'));
+      });
+      req.on('close', () => resolve(failure(sent, req.reusedSocket, 'closed without a response')));
       req.end(out.body);
     });
   }
