Leave a restarted gateway one retry of the slack

Change: one retry for each service, as before for a gateway that does not know the others. Restarts within a window add one each, which the unused fifth of the budget covers for ten restarts of seven gateways.

--- a/packages/core/src/retries/shared-retry-budget.ts
+++ b/packages/core/src/retries/shared-retry-budget.ts
@@ -30,8 +30,8 @@
 
 /** Share of the limits that is used; the rest covers requests that are counted late. */
 const USED_SHARE = 0.8;
-/** Retries per window beyond the ratio while the number of gateways is unknown. */
-const UNKNOWN_SLACK_SHARE = 1;
+/** Retries beyond the ratio in the first window of a process, and while the number of gateways is unknown. */
+const SMALLEST_SLACK_SHARE = 1;
 
 export class SharedRetryBudget {
   private readonly requests: SlidingWindowCounter;
@@ -42,8 +42,8 @@
   private gateways: number | undefined;
 
   /**
-   * @param startedAt start of the process, monotonic ms. It gets nothing of the slack until a window has
-   *   passed, since the process before it on this VM may have used its part shortly before.
+   * @param startedAt start of the process, monotonic ms. It gets one retry of the slack until a window
+   *   has passed, since the process before it on this VM may have used its part shortly before.
    */
   constructor(
     private readonly limits: SharedBudgetLimits,
@@ -97,10 +97,9 @@
   }
 
   private slackShare(now: number): number {
-    if (now - this.startedAt < this.limits.windowMs) return 0;
     const usableSlack = this.limits.slack * USED_SHARE;
-    return this.gateways === undefined
-      ? Math.min(UNKNOWN_SLACK_SHARE, usableSlack)
-      : usableSlack / this.gateways;
+    const isNew = now - this.startedAt < this.limits.windowMs;
+    const share = usableSlack / (this.gateways ?? 1);
+    return isNew || this.gateways === undefined ? Math.min(SMALLEST_SLACK_SHARE, share) : share;
   }
 }
