Lose datagrams that are sent after the port was closed

What callers saw: nothing; a gateway that shut down while it asked whether a target had died ended with an error (ERR_SOCKET_DGRAM_NOT_RUNNING, unhandled), before its other tasks were stopped. Cause: work that goes on during a shutdown announces its result through a closed socket, which throws. Since plain requests are tracked, too, it can happen with any request. Evidence: changed-homes.test.js failed with this error. Fix: the port drops datagrams once it is closed, as its interface allows. Test: 'a datagram that is sent after the port was closed is lost without an error' fails on the parent commit.

--- a/packages/gateway/src/peers/datagram-port.ts
+++ b/packages/gateway/src/peers/datagram-port.ts
@@ -9,7 +9,7 @@
    * @throws Error when the address is in use
    */
   open(onDatagram: (datagram: Buffer, ip: string) => void): Promise<void>;
-  /** Sends a datagram; it may be lost without an error. */
+  /** Sends a datagram; it may be lost without an error, and is after `close`. */
   send(datagram: Buffer, ip: string): void;
   close(): Promise<void>;
 }
@@ -18,6 +18,8 @@
 export class UdpPort implements DatagramPort {
   private readonly socket = dgram.createSocket('udp4');
 
+  private closed = false;
+
   /** @example new UdpPort('10.0.0.7', 7380, (err) => log.warn('socket error', { err })) */
   constructor(
     private readonly ip: string,
@@ -38,12 +40,15 @@
   }
 
   send(datagram: Buffer, ip: string): void {
+    // Work that goes on while the process ends may still have news.
+    if (this.closed) return;
     this.socket.send(datagram, this.port, ip, (err) => {
       if (err) this.onError(err);
     });
   }
 
   close(): Promise<void> {
+    this.closed = true;
     return new Promise((resolve) => {
       this.socket.close(() => resolve());
     });
