Give each test file with a fleet ports of its own

Cause: limited-target, last-gateway and crashing-request, leaving-target and changed-homes, and configuration-in-force and endless-response shared ports, so that files that run at the same time met each other's gateways. Both tests of last-gateway failed when all of these files ran at once, and passed by themselves. Change: four files got other ports. No check is changed.

--- a/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
+++ b/tests/stand-ins/src/users-platform/configuration-in-force.test.ts
@@ -12,7 +12,7 @@
 const GATEWAYS = 4;
 const NODES = Array.from({ length: GATEWAYS }, (_, index) => `vm-${index + 1}`);
 
-let basePort = 24_900;
+let basePort = 27_000;
 let fleet: TestFleet;
 
 beforeEach(async () => {
--- a/tests/stand-ins/src/users-platform/crashing-request.test.ts
+++ b/tests/stand-ins/src/users-platform/crashing-request.test.ts
@@ -16,7 +16,7 @@
 
 let fleet: TestFleet;
 let targets: TargetStandIn[];
-let basePort = 25_400;
+let basePort = 27_600;
 
 beforeEach(async () => {
   fleet = new TestFleet(basePort);
--- a/tests/stand-ins/src/users-platform/leaving-target.test.ts
+++ b/tests/stand-ins/src/users-platform/leaving-target.test.ts
@@ -11,7 +11,7 @@
 const TELL_MS = 500;
 const ZONE = 'north-a';
 
-let basePort = 25_200;
+let basePort = 27_200;
 let fleet: TestFleet;
 let leaver: TargetStandIn;
 let other: TargetStandIn;
--- a/tests/stand-ins/src/users-platform/limited-target.test.ts
+++ b/tests/stand-ins/src/users-platform/limited-target.test.ts
@@ -17,7 +17,7 @@
 const REFUSAL_MS = 500;
 const ROSTER_TIMEOUT_MS = 12_000;
 
-let basePort = 25_400;
+let basePort = 27_400;
 let fleet: TestFleet;
 let limited: TargetStandIn;
 let other: TargetStandIn;
