Keep keys instead of bodies of lost requests until a death is confirmed

Cause: up to 32 requests of each target that broke its connections were held with their bodies while the target was probed (0.5 s at most), beside the limit of body memory.

--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -334,7 +334,7 @@
   return separateDeaths(key, deaths).length;
 }
 
-/** Deaths that count, oldest first: each has another cause than the one counted before, or the same key. */
+/** Deaths that count, oldest first; of those with one cause, as far as that is known, only the first. */
 function separateDeaths(key: string, deaths: readonly Death[]): Death[] {
   return deaths.reduce<Death[]>((counted, death) => {
     const last = counted.at(-1);
@@ -344,7 +344,7 @@
 
 function isSeparate(key: string, death: Death, last: Death): boolean {
   if (death.at - last.at > SAME_CAUSE_MS) return true;
-  // A retry of a whole request that was sent after the first target had died is no part of its death.
+  // A request that was sent after the target before had died is not lost for the same cause.
   return !isSegmentKey(key) && death.sentAt >= last.at - ORDER_ACCURACY_MS;
 }
 
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -28,9 +28,11 @@
 /** The parts of a call that identify it when it comes again. */
 type TrackedCall = Pick<Call, 'head' | 'body'>;
 
-/** A request whose connection broke before its first byte; monotonic ms. */
+/** A request whose connection broke before its first byte, without its body; monotonic ms. */
 interface LostRequest {
-  readonly call: TrackedCall;
+  readonly id: string;
+  readonly content: string;
+  readonly keys: readonly string[];
   readonly sentAt: number;
   readonly lostAt: number;
 }
@@ -61,7 +63,13 @@
    * @param sentAt when the request was sent, monotonic ms
    */
   onLost(target: TargetRecord, call: TrackedCall, sentAt: number): void {
-    const lost = { call, sentAt, lostAt: this.deps.timers.now() };
+    const lost = {
+      id: call.head.id,
+      content: this.contentOf(call),
+      keys: this.allKeys(call),
+      sentAt,
+      lostAt: this.deps.timers.now(),
+    };
     const waiting = this.unconfirmed.get(target.id);
     if (waiting) {
       if (waiting.length < MAX_WITNESSES) waiting.push(lost);
@@ -114,20 +122,14 @@
     if (result !== 'refused') return;
     const incarnation = `${target.id} ${target.bornAt}`;
     const now = timers.now();
-    const rows = requests.flatMap(({ call, sentAt, lostAt }) => {
+    const rows = requests.flatMap(({ content, keys, sentAt, lostAt }) => {
       const times = { ageMs: now - lostAt, ranMs: lostAt - sentAt };
-      return this.suspects.onDeath(
-        incarnation,
-        this.contentOf(call),
-        this.allKeys(call),
-        now,
-        times,
-      );
+      return this.suspects.onDeath(incarnation, content, keys, now, times);
     });
     const byKey = new Map(rows.map((row) => [row.key, row]));
     log.info('target died before it answered requests', {
       target: target.id,
-      ids: requests.map(({ call }) => call.head.id),
+      ids: requests.map(({ id }) => id),
       suspects: byKey.size,
     });
     announce([...byKey.values()]);
