Log which start of a target an attempt and an entry refer to

The logs of a flooded target could not tell which start of it a gateway knew of and since when. 'target listed' has the start time now and the one before, and an attempt to a target whose service has a cold rate has the start time too. No change of behaviour.

--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -70,6 +70,7 @@
     return {
       cold_ms: Math.round(assumed.coldForMs),
       cold_reason: assumed.reason,
+      born: assumed.bornAt || undefined,
       record_age_ms: Math.round(assumed.recordAgeMs),
       cold_allowance: assumed.allowance,
       cold_gateways: assumed.allowance === undefined ? undefined : assumed.gateways,
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -58,6 +58,8 @@
   readonly coldForMs: number;
   /** Latest reason for which it was assumed to be cold. */
   readonly reason: ColdReason | undefined;
+  /** Start time of the target by its record, Unix ms; 0 if unknown. */
+  readonly bornAt: number;
   /** Age of the target's record, ms. */
   readonly recordAgeMs: number;
   /** Requests that this gateway may send per rate window; undefined for a warm target. */
@@ -290,6 +292,7 @@
     return {
       coldForMs,
       reason: entry.coldReason,
+      bornAt: entry.record.bornAt,
       recordAgeMs: now - entry.recordReceivedAt,
       allowance: coldForMs > 0 ? this.coldAllowanceOf(entry, rate) : undefined,
       gateways: this.gossip.roster.size,
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -479,6 +479,8 @@
       this.log.info('target listed', {
         target: record.id,
         service: record.service,
+        born: record.bornAt || undefined,
+        born_before: known?.record.bornAt,
         from,
         cold_ms: record.coldForMs || undefined,
       });
