Assume a restart when another gateway can't reach a target

Callers saw: a target that restarts under its id crashed again under the full rate, and their requests with it (FAILBACK).

Cause: only the gateway whose connection failed assumed that the target may have restarted and be cold. It told the others of the region, which avoided the target for a second and then sent to it at the full rate, before its entry in the source told of the restart.

Change: the word of another gateway counts like a failed connection of one's own. The stand-in for targets can start again under its id.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -21,7 +21,7 @@
 import type { Router } from '../routing/router.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
-import type { TargetEntry } from '../state/target-entry.js';
+import { ColdReason, type TargetEntry } from '../state/target-entry.js';
 import { isSuccess, isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
 import { attemptsLeft, type CallProgress } from './call-progress.js';
@@ -286,7 +286,7 @@
         target: record.id,
         from: settings.node,
       });
-      state.suspectRestart(record.id);
+      state.suspectRestart(record.id, ColdReason.Unreachable);
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,7 @@
 import { GracefulShutdown } from './shutdown/graceful-shutdown.js';
 import { GatewayState } from './state/gateway-state.js';
 import { StateMetrics } from './state/state-metrics.js';
+import { ColdReason } from './state/target-entry.js';
 
 /** Three round trips between distant regions; a slower destination is tried again later. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -254,6 +255,7 @@
       })
       .with({ kind: 'unreachable' }, ({ target, from }) => {
         workOf(target)?.onUnreachable(now);
+        this.state.suspectRestart(target, ColdReason.Told);
         this.deps.log.info('target is unreachable from another gateway', { target, from });
       })
       .with({ kind: 'signals' }, ({ rows, from }) => this.state.onPeerSignals(rows, from))
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -269,11 +269,11 @@
   }
 
   /** Assumes that an unreachable target has restarted and is cold. */
-  suspectRestart(id: string): void {
+  suspectRestart(id: string, reason: ColdReason): void {
     const entry = this.targets.get(id);
     const warmupMs = entry ? (this.service(entry.record.service)?.warmupMs ?? 0) : 0;
     if (!entry || warmupMs === 0) return;
-    this.assumeCold(entry, warmupMs + COLD_AFTER_UNREACHABLE_MS, ColdReason.Unreachable);
+    this.assumeCold(entry, warmupMs + COLD_AFTER_UNREACHABLE_MS, reason);
   }
 
   /**
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -7,6 +7,8 @@
   Listed: 'listed',
   /** It was unreachable, and may have restarted. */
   Unreachable: 'unreachable',
+  /** Another gateway found it unreachable. */
+  Told: 'told',
   /** The evacuation of its failure domain ended. */
   Restored: 'restored',
 } as const;
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -66,6 +66,12 @@
   /** Requests in flight, as sent in its load reports. */
   active = 0;
 
+  /** Start time that its reports tell, Unix ms. */
+  born = 1;
+
+  /** Time between two events of a stream, ms. */
+  eventIntervalMs = EVENT_INTERVAL_MS;
+
   /** Whether the target crashes before it answers a request; it is back after some time. */
   crashesOn: (run: TargetRun) => boolean = () => false;
 
@@ -98,6 +104,16 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends and starts again under the same id, after some time without a process; ms. */
+  async restart(downMs: number): Promise<void> {
+    this.stopListening();
+    await new Promise((resolve) => {
+      setTimeout(resolve, downMs);
+    });
+    this.born = Date.now();
+    await this.listen();
+  }
+
   private crash(): void {
     this.stopListening();
     setTimeout(() => {
@@ -116,7 +132,7 @@
       state: 'ready',
       coldRemainingMs: 0,
       sequence: 1,
-      born: 1,
+      born: this.born,
       ...changes,
     };
   }
@@ -125,7 +141,8 @@
     if (this.leaving) res.setHeader('server-leaving', '1');
     if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
     if (req.url === '/api/report') {
-      const body = JSON.stringify({ queued: 0, inFlight: this.active, kvUsed: this.active * 1000 });
+      const { active, born } = this;
+      const body = JSON.stringify({ queued: 0, inFlight: active, kvUsed: active * 1000, born });
       send(res, 200, {}, body);
       return;
     }
@@ -243,7 +260,7 @@
       return;
     }
     res.write(`id: ${id}\ndata: event ${id}\n\n`);
-    setTimeout(() => this.sendEvent(id + 1, res), EVENT_INTERVAL_MS);
+    setTimeout(() => this.sendEvent(id + 1, res), this.eventIntervalMs);
   }
 }
 
