Ask targets whose connections break whether they have restarted

Cause: a restart was known by the target's entry in the source only, 0.3 to 1.0 s after it accepted connections again. What a gateway saw itself did not count: streams that break, a refused probe, and the start time that targets tell in their load reports.

Change: a connection that breaks during a request, and one that can't be opened, put the target's start in doubt; in doubt it is cold. A gateway with such a sign asks the target for a report at once and then every 250 ms. The report has the start time: the same one ends the doubt, another one replaces the entry as a restart does, and the region is told. Entries and words about earlier starts are ignored. A request that was chosen for a target before the sign is not written after it. Targets without reports are in doubt only when they accept no connection, as before.

--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -39,6 +39,8 @@
   readonly requests: number;
   /** KV memory that can't be evicted, tokens; absent if not reported. */
   readonly memoryTokens?: number;
+  /** Start time of the target, Unix ms; absent if not reported. */
+  readonly bornAt?: number;
 }
 
 interface TimestampedWork extends PeerWork {
@@ -186,6 +188,11 @@
 
   onByte(now: number): void {
     this.lastByteAt = now;
+    this.onReachable();
+  }
+
+  /** Handles a sign that the target accepts connections. */
+  onReachable(): void {
     this.backoffMs = 0;
     this.avoidUntil = 0;
   }
--- a/packages/gateway/src/exchange/attempt-end.ts
+++ b/packages/gateway/src/exchange/attempt-end.ts
@@ -24,7 +24,12 @@
   /** The receiver reports that it did not run the request. */
   | { readonly kind: 'not-run'; readonly misdirected: boolean; readonly retryAfterMs?: number }
   /** The request was sent, and no valid response came; it may have run. */
-  | { readonly kind: 'lost'; readonly message: string };
+  | {
+      readonly kind: 'lost';
+      readonly message: string;
+      /** The connection broke, which may mean that the receiver has ended. */
+      readonly connectionLost?: true;
+    };
 
 const SUCCESS_FROM = 200;
 const SUCCESS_TO = 300;
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -73,7 +73,9 @@
         : { kind: 'not-sent', message: 'the target may no longer be used', withdrawn: true };
     }
     if (sent.kind === 'failed') {
-      return { kind: sent.sent ? 'lost' : 'not-sent', message: sent.message };
+      return sent.sent
+        ? { kind: 'lost', message: sent.message, connectionLost: true }
+        : { kind: 'not-sent', message: sent.message };
     }
     const { res } = sent;
     const refused = options.toPeer ? readPeerRefusal(res) : undefined;
@@ -107,7 +109,8 @@
     options: AttemptOptions,
   ): Promise<AttemptEnd> {
     const body = await readResponseBody(res);
-    if (body.kind !== 'complete') return { kind: 'lost', message: body.message };
+    if (body.kind !== 'complete')
+      return { kind: 'lost', message: body.message, connectionLost: true };
     options.onBytes();
     const headers = this.protocol.responseHeaders(res.rawHeaders);
     return { kind: 'answered', status, headers, body: body.body, runs: runCountOf(res) };
@@ -148,10 +151,10 @@
         if (res.complete && frames.complete) finish({ kind: 'streamed' });
         else finish({ kind: 'lost', message: 'the stream ended before it was complete' });
       });
-      res.on('error', (err) => finish({ kind: 'lost', message: err.message }));
-      res.on('close', () =>
-        finish({ kind: 'lost', message: 'connection closed during the stream' }),
-      );
+      const onConnectionLost = (message: string): void =>
+        finish({ kind: 'lost', message, connectionLost: true });
+      res.on('error', (err) => onConnectionLost(err.message));
+      res.on('close', () => onConnectionLost('connection closed during the stream'));
     });
   }
 }
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -18,10 +18,11 @@
   RequestProtocol,
   TargetSignals,
 } from '../ports/request-protocol.js';
+import type { RestartCheck } from '../reports/restart-check.js';
 import type { Router } from '../routing/router.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
-import { ColdReason, type TargetEntry } from '../state/target-entry.js';
+import type { TargetEntry } from '../state/target-entry.js';
 import { isSuccess, isTargetFailure, type AttemptEnd } from './attempt-end.js';
 import type { AttemptRunner } from './attempt-runner.js';
 import { attemptsLeft, type CallProgress } from './call-progress.js';
@@ -45,6 +46,7 @@
   readonly protocol: RequestProtocol;
   readonly gossip: Pick<GossipTask, 'table' | 'roster' | 'announceTarget'>;
   readonly crashes: CrashWatch;
+  readonly restarts: Pick<RestartCheck, 'onConnectionLost' | 'onUnreachable'>;
   readonly timers: TimerService;
 }
 
@@ -129,6 +131,7 @@
       toPeer: false,
       mayWrite: () =>
         state.target(id) === entry &&
+        !entry.isDoubtedSince(startedAt, timers.now()) &&
         state.mayUse(entry) &&
         router.mayRunIn(progress.call, settings.region),
       isAlive: () => work.isAlive(timers.now()),
@@ -152,7 +155,7 @@
       crashes.onLost(record, call, startedAt);
     }
     work.onEnd(head.id, timers.now());
-    this.recordResult(entry, end, progress, startedAt);
+    this.recordResult(entry, end, progress, startedAt, aborted);
     if (end.kind === 'streamed' && seen.firstByteAt !== undefined) {
       router.speeds.onStreamDuration(progress.call.service, timers.now() - seen.firstByteAt);
     }
@@ -264,10 +267,11 @@
     end: AttemptEnd,
     { call, response }: CallProgress,
     startedAt: number,
+    aborted: boolean,
   ): void {
     // When the caller disconnected, the result does not depend on the target.
     if (response.disconnected) return;
-    const { state, timers, router, gossip, settings } = this.deps;
+    const { state, timers, router, restarts } = this.deps;
     const { work, record } = entry;
     const now = timers.now();
     if (end.kind !== 'not-run') {
@@ -279,15 +283,8 @@
       router.speeds.onPlainDuration(call.service, now - startedAt);
     }
     if (end.kind === 'not-run' && end.misdirected) state.onMisdirected(record.id);
-    if (end.kind === 'not-sent' && !end.withdrawn) {
-      work.onUnreachable(now);
-      gossip.announceTarget({
-        kind: 'unreachable',
-        target: record.id,
-        from: settings.node,
-      });
-      state.suspectRestart(record.id, ColdReason.Unreachable);
-    }
+    if (end.kind === 'not-sent' && !end.withdrawn) restarts.onUnreachable(entry);
+    if (end.kind === 'lost' && end.connectionLost && !aborted) restarts.onConnectionLost(entry);
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,9 @@
   ReportProtocol,
   RequestProtocol,
 } from './ports/request-protocol.js';
+import { ReportPoller } from './reports/report-poller.js';
 import { ReportTask } from './reports/report-task.js';
+import { RestartCheck } from './reports/restart-check.js';
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
 import { GracefulShutdown } from './shutdown/graceful-shutdown.js';
@@ -135,6 +137,8 @@
     this.router = new Router(settings, this.state, this.gossip, timers, random);
     const metrics = new GatewayMetrics(deps.metrics, timers);
     const httpClient = new HttpClient({}, CONNECT_TIMEOUT_MS);
+    const reportPoller = this.createReportPoller(httpClient);
+    const restarts = this.createRestartCheck(reportPoller);
     const executor = new RequestExecutor({
       settings,
       state: this.state,
@@ -143,6 +147,7 @@
       protocol,
       gossip: this.gossip,
       crashes: this.crashes,
+      restarts,
       timers,
       random,
       metrics,
@@ -173,7 +178,8 @@
       this.gossip,
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshot(), log.child('rpc')),
       this.createDirectoryTask(),
-      this.createReportTask(httpClient),
+      this.createReportTask(reportPoller),
+      restarts,
     ];
     this.admin = this.createAdminTask();
   }
@@ -258,6 +264,7 @@
         this.state.suspectRestart(target, ColdReason.Told);
         this.deps.log.info('target is unreachable from another gateway', { target, from });
       })
+      .with({ kind: 'start' }, ({ target, from }) => this.state.onPeerStart(target, from))
       .with({ kind: 'signals' }, ({ rows, from }) => this.state.onPeerSignals(rows, from))
       .with({ kind: 'reports' }, ({ rows }) => {
         rows.forEach(({ target, report }) => workOf(target)?.updateLoadReport(report, now));
@@ -350,14 +357,38 @@
     });
   }
 
-  private createReportTask(httpClient: HttpClient): ReportTask {
+  private createReportPoller(httpClient: HttpClient): ReportPoller {
     const { settings, reportProtocol, timers } = this.deps;
-    return new ReportTask({
-      node: settings.node,
+    return new ReportPoller({
       state: this.state,
       httpClient,
       protocol: reportProtocol,
       timers,
+      announceStart: (target) =>
+        this.gossip.announceTarget({ kind: 'start', target, from: settings.node }),
+    });
+  }
+
+  private createRestartCheck(poller: ReportPoller): RestartCheck {
+    const { settings, timers } = this.deps;
+    return new RestartCheck({
+      state: this.state,
+      poller,
+      timers,
+      announceUnreachable: (target) =>
+        this.gossip.announceTarget({ kind: 'unreachable', target, from: settings.node }),
+      announceStart: (target) =>
+        this.gossip.announceTarget({ kind: 'start', target, from: settings.node }),
+    });
+  }
+
+  private createReportTask(poller: ReportPoller): ReportTask {
+    const { settings, timers } = this.deps;
+    return new ReportTask({
+      node: settings.node,
+      state: this.state,
+      poller,
+      timers,
       gateways: () => this.regionGateways(),
       announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
     });
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -1,5 +1,5 @@
 /** Updates about targets that a gateway sends to its region at once, without waiting for gossip. */
-import type { PeerPrompt } from '@marjoramcart/core';
+import type { PeerPrompt, TargetIncarnation } from '@marjoramcart/core';
 import { match } from 'ts-pattern';
 import type { TargetReportRow } from '../reports/report-task.js';
 import { encodeNotification, type Notification } from './notification.js';
@@ -14,12 +14,16 @@
 } from './signal-rows.js';
 
 const METHOD = 'target.news';
+/** Its own method, as gateways of earlier releases take unknown content of the other for `unreachable`. */
+const START_METHOD = 'target.start';
 
 export type TargetUpdate =
   /** A prompt with a long prefill was sent to the target. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** A gateway can't reach the target. */
   | { readonly kind: 'unreachable'; readonly target: string; readonly from: string }
+  /** The target told when it started. */
+  | { readonly kind: 'start'; readonly target: TargetIncarnation; readonly from: string }
   /** Targets said something about themselves. */
   | { readonly kind: 'signals'; readonly rows: SignalRows; readonly from: string }
   /** Load reports of targets. */
@@ -39,8 +43,22 @@
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
+interface StartParams {
+  readonly n: string;
+  readonly t: string;
+  /** `ip:port`. */
+  readonly a: string;
+  /** Start time, Unix ms. */
+  readonly b: number;
+}
+
 /** Encodes an update into a datagram. */
 export function encodeTargetUpdate(update: TargetUpdate): Buffer {
+  if (update.kind === 'start') {
+    const { id, address, bornAt } = update.target;
+    const params: StartParams = { n: update.from, t: id, a: address, b: bornAt };
+    return encodeNotification(START_METHOD, params);
+  }
   return encodeNotification(METHOD, paramsOf(update));
 }
 
@@ -51,6 +69,7 @@
  * @throws TypeError when its parameters are malformed
  */
 export function decodeTargetUpdate({ method, params }: Notification): TargetUpdate | undefined {
+  if (method === START_METHOD) return startOf(params as StartParams);
   if (method !== METHOD) return undefined;
   const { t: target = '', n: from = '', p, r, l, q } = params as UpdateParams;
   if (l && q) {
@@ -64,6 +83,10 @@
   return { kind: 'prompt', target, prompt: { id, workMs, priority, segments } };
 }
 
+function startOf({ n, t, a, b }: StartParams): TargetUpdate {
+  return { kind: 'start', target: { id: t, address: a, bornAt: b }, from: n };
+}
+
 function toPromptRow({
   id,
   workMs,
@@ -78,7 +101,7 @@
   ];
 }
 
-function paramsOf(update: TargetUpdate): UpdateParams {
+function paramsOf(update: Exclude<TargetUpdate, { kind: 'start' }>): UpdateParams {
   return match(update)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toPromptRow(prompt) }))
     .with({ kind: 'unreachable' }, ({ target, from }) => ({ t: target, n: from }))
--- /dev/null
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -0,0 +1,73 @@
+/** Polls a target for its load report, and applies what the target tells about itself in it. */
+import type { LoadReport, TargetIncarnation } from '@marjoramcart/core';
+import { readResponseBody, type HttpClient, type TimerService } from '@marjoramcart/runtime';
+import type { ReportProtocol } from '../ports/request-protocol.js';
+import type { GatewayState } from '../state/gateway-state.js';
+import type { TargetEntry } from '../state/target-entry.js';
+
+/** A target that has not responded by then sends no report. */
+const REPORT_TIMEOUT_MS = 400;
+
+export type PolledReport =
+  | { readonly kind: 'report'; readonly report: LoadReport }
+  /** The target accepted no connection. */
+  | { readonly kind: 'unreachable' }
+  /** No valid report came in time. That is not logged: the attempts at the target show the cause. */
+  | { readonly kind: 'none' };
+
+export interface PollOptions {
+  /** Opens a new connection, which reaches the process that listens now. */
+  readonly newConnection?: boolean;
+}
+
+export interface ReportPollerDeps {
+  readonly state: GatewayState;
+  readonly httpClient: HttpClient;
+  readonly protocol: ReportProtocol;
+  readonly timers: TimerService;
+  /** Tells the other gateways of the region when a target started. */
+  readonly announceStart: (target: TargetIncarnation) => void;
+}
+
+export class ReportPoller {
+  constructor(private readonly deps: ReportPollerDeps) {}
+
+  /**
+   * Polls a target once.
+   *
+   * @example await poller.poll(entry) // { kind: 'report', report: { requests: 4 } }
+   */
+  async poll(
+    entry: TargetEntry,
+    { newConnection = false }: PollOptions = {},
+  ): Promise<PolledReport> {
+    const { httpClient, protocol, timers, state, announceStart } = this.deps;
+    const { record, work } = entry;
+    const askedAt = timers.now();
+    const abort = new AbortController();
+    const stop = timers.after(REPORT_TIMEOUT_MS, () => abort.abort());
+    const sent = await httpClient.send(
+      {
+        address: record.address,
+        method: 'GET',
+        path: protocol.path,
+        headers: {},
+        body: Buffer.alloc(0),
+        newConnection,
+      },
+      () => true,
+      abort.signal,
+    );
+    const body = sent.kind === 'answer' ? await readResponseBody(sent.res) : undefined;
+    stop();
+    if (sent.kind !== 'answer')
+      return { kind: sent.kind === 'failed' && !sent.sent ? 'unreachable' : 'none' };
+    const report = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
+    const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
+    state.onTargetSignals(target, protocol.readTargetSignals(sent.res));
+    if (!report) return { kind: 'none' };
+    work.updateLoadReport(report, timers.now());
+    if (report.bornAt !== undefined && state.onStart(target, askedAt)) announceStart(target);
+    return { kind: 'report', report };
+  }
+}
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -221,7 +221,7 @@
     const now = this.timers.now();
     const { id } = entry.record;
     if (head.prompt) this.promptSizes.onSend(service, head.prompt);
-    if (entry.coldUntil > now) this.coldLimiter.onSend(id, now);
+    if (entry.coldForMs(now) > 0) this.coldLimiter.onSend(id, now);
     if (this.state.rateLimitOf(entry) !== undefined) this.limitLimiter.onSend(id, now);
   }
 
@@ -261,7 +261,7 @@
   private sumServiceWork(service: string, now: number): RegionWork {
     const usable = this.state
       .usableTargets(service)
-      .filter((entry) => entry.coldUntil <= now && !isAvoided(entry, now));
+      .filter((entry) => entry.coldForMs(now) === 0 && !isAvoided(entry, now));
     const sum = (value: (entry: TargetEntry) => number): number =>
       usable.reduce((total, entry) => total + value(entry), 0);
     return {
@@ -288,10 +288,10 @@
     const rate = this.coldRequestsPerS(entry);
     if (!entry || rate === 0) return undefined;
     const now = this.timers.now();
-    const coldForMs = Math.max(0, entry.coldUntil - now);
+    const coldForMs = entry.coldForMs(now);
     return {
       coldForMs,
-      reason: entry.coldReason,
+      reason: entry.coldReasonAt(now),
       bornAt: entry.record.bornAt,
       recordAgeMs: now - entry.recordReceivedAt,
       allowance: coldForMs > 0 ? this.coldAllowanceOf(entry, rate) : undefined,
@@ -314,7 +314,7 @@
 
   private isOpen(entry: TargetEntry, now: number): boolean {
     if (isAvoided(entry, now)) return false;
-    if (entry.coldUntil <= now) return true;
+    if (entry.coldForMs(now) === 0) return true;
     const rate = this.coldRequestsPerS(entry);
     if (rate === 0) return true;
     return this.coldLimiter.maySend(entry.record.id, this.coldAllowanceOf(entry, rate), now);
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -26,8 +26,8 @@
 const OUTAGE_MS = 2500;
 /** Targets whose entries expired while the source was unreachable register again within this time. */
 const RELIST_MS = 2500;
-/** Time beyond the warm-up for which an unreachable target is assumed to be cold after a restart. */
-const COLD_AFTER_UNREACHABLE_MS = 1500;
+/** Time beyond the warm-up for which a target that may have restarted is assumed to be cold. */
+const COLD_AFTER_SIGN_MS = 1500;
 /** After an evacuation, targets are assumed to be cold until their entries are updated. */
 const COLD_AFTER_EVACUATION_MS = 2500;
 const DEFAULT_CACHE_TOKENS = 400_000;
@@ -268,12 +268,64 @@
     });
   }
 
-  /** Assumes that an unreachable target has restarted and is cold. */
+  /** Assumes that a target may have restarted and be cold, until it tells its start time. */
   suspectRestart(id: string, reason: ColdReason): void {
     const entry = this.targets.get(id);
-    const warmupMs = entry ? (this.service(entry.record.service)?.warmupMs ?? 0) : 0;
+    const warmupMs = entry ? this.warmupMsOf(entry.record) : 0;
     if (!entry || warmupMs === 0) return;
-    this.assumeCold(entry, warmupMs + COLD_AFTER_UNREACHABLE_MS, reason);
+    const now = this.timers.now();
+    if (entry.suspectRestart(now + warmupMs + COLD_AFTER_SIGN_MS, reason, now))
+      this.logCold(entry, now);
+  }
+
+  /**
+   * Handles the start time that a target told in a report.
+   *
+   * @param askedAt when it was asked, monotonic ms
+   * @returns whether the start is new to this gateway
+   */
+  onStart({ id, address, bornAt }: TargetIncarnation, askedAt: number): boolean {
+    const entry = this.targets.get(id);
+    const known = entry?.record;
+    if (!entry || known?.address !== address) return false;
+    // Without a start time in its entry, it is not known whether this is another start.
+    if (known.bornAt === 0 || bornAt === 0 || entry.isEarlierStart(bornAt)) return false;
+    if (known.bornAt !== bornAt) {
+      this.onRestart(entry, bornAt, 'target');
+      return true;
+    }
+    if (entry.confirmStart(askedAt, this.timers.now())) {
+      this.log.info('target has not restarted', { target: id, born: bornAt });
+    }
+    return false;
+  }
+
+  /**
+   * Handles the start time that a target told another gateway. A doubt of this gateway stands until it
+   * has asked the target itself, as the word may be older than it seems.
+   */
+  onPeerStart({ id, address, bornAt }: TargetIncarnation, node: string): void {
+    const entry = this.targets.get(id);
+    if (!entry || entry.record.address !== address || entry.isEarlierStart(bornAt)) return;
+    if (bornAt > entry.record.bornAt) this.onRestart(entry, bornAt, node);
+    else if (bornAt === entry.record.bornAt && entry.isDoubtTold)
+      entry.confirmStart(this.timers.now(), this.timers.now());
+  }
+
+  /** Targets of the local region that may have restarted, by what this gateway saw itself. */
+  doubtedTargets(): TargetEntry[] {
+    const now = this.timers.now();
+    return this.localTargets().filter((entry) => entry.isDoubted(now) && !entry.isDoubtTold);
+  }
+
+  private onRestart(entry: TargetEntry, bornAt: number, from: string): void {
+    const { record } = entry;
+    const coldForMs = this.warmupMsOf(record);
+    this.replaceTarget({ ...record, bornAt, coldForMs }, entry, from);
+  }
+
+  private warmupMsOf({ service }: TargetRecord): number {
+    return this.service(service)?.warmupMs ?? 0;
   }
 
   /**
@@ -472,18 +524,12 @@
   private applyTarget(record: TargetRecord, from: string): void {
     const now = this.timers.now();
     const known = this.targets.get(record.id);
+    if (known?.record.address === record.address && known.isEarlierStart(record.bornAt)) {
+      known.keep(now);
+      return;
+    }
     if (!known || hasRestarted(known.record, record)) {
-      const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
-      const work = new TargetWork(cacheTokens ?? DEFAULT_CACHE_TOKENS);
-      this.targets.set(record.id, new TargetEntry(record, work, now));
-      this.log.info('target listed', {
-        target: record.id,
-        service: record.service,
-        born: record.bornAt || undefined,
-        born_before: known?.record.bornAt,
-        from,
-        cold_ms: record.coldForMs || undefined,
-      });
+      this.replaceTarget(record, known, from);
       return;
     }
     if (known.record.draining !== record.draining) {
@@ -496,16 +542,32 @@
     if (known.update(record, now)) this.logCold(known, now);
   }
 
+  private replaceTarget(record: TargetRecord, known: TargetEntry | undefined, from: string): void {
+    const now = this.timers.now();
+    const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
+    const work = new TargetWork(cacheTokens ?? DEFAULT_CACHE_TOKENS);
+    this.targets.set(record.id, new TargetEntry(record, work, now, known?.starts()));
+    this.usableByService.clear();
+    this.log.info('target listed', {
+      target: record.id,
+      service: record.service,
+      born: record.bornAt || undefined,
+      born_before: known?.record.bornAt,
+      from,
+      cold_ms: record.coldForMs || undefined,
+    });
+  }
+
   private assumeCold(entry: TargetEntry, forMs: number, reason: ColdReason): void {
     const now = this.timers.now();
     if (entry.extendCold(now + forMs, reason, now)) this.logCold(entry, now);
   }
 
-  private logCold({ record, coldReason, coldUntil }: TargetEntry, now: number): void {
+  private logCold(entry: TargetEntry, now: number): void {
     this.log.info('target assumed cold', {
-      target: record.id,
-      reason: coldReason,
-      cold_ms: Math.round(coldUntil - now),
+      target: entry.id,
+      reason: entry.coldReasonAt(now),
+      cold_ms: Math.round(entry.coldForMs(now)),
     });
   }
 
@@ -516,6 +578,8 @@
   }
 }
 
-function hasRestarted(a: TargetRecord, b: TargetRecord): boolean {
-  return a.bornAt !== b.bornAt || a.address !== b.address;
+/** Whether the later record is about another start; one without a start time is not. */
+function hasRestarted(before: TargetRecord, later: TargetRecord): boolean {
+  if (before.address !== later.address) return true;
+  return later.bornAt !== 0 && before.bornAt !== later.bornAt;
 }
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -7,13 +7,29 @@
   Listed: 'listed',
   /** It was unreachable, and may have restarted. */
   Unreachable: 'unreachable',
+  /** A connection broke during a request, and it may have restarted. */
+  ConnectionLost: 'connection-lost',
   /** Another gateway found it unreachable. */
   Told: 'told',
+  /** It told its start time in a report, which was another one. */
+  Restarted: 'restarted',
   /** The evacuation of its failure domain ended. */
   Restored: 'restored',
 } as const;
 export type ColdReason = (typeof ColdReason)[keyof typeof ColdReason];
 
+/** Starts before the present one that are remembered, so that old words about them are ignored. */
+const MAX_EARLIER_STARTS = 4;
+
+/** A sign that a target may have restarted since it last told its start time; monotonic ms. */
+interface RestartDoubt {
+  /** When the latest sign was seen. */
+  readonly since: number;
+  /** When it counts as not restarted, if it has not told its start time by then. */
+  readonly until: number;
+  readonly reason: ColdReason;
+}
+
 export class TargetEntry {
   /** Time until which the target is assumed to be cold, monotonic ms. */
   coldUntil: number;
@@ -30,10 +46,14 @@
   /** Whether another target responded at the address. */
   misdirected = false;
 
+  private doubt: RestartDoubt | undefined;
+
+  /** @param earlierStarts start times of the id before this one, Unix ms */
   constructor(
     public record: TargetRecord,
     readonly work: TargetWork,
     now: number,
+    private readonly earlierStarts: readonly number[] = [],
   ) {
     this.coldUntil = now + record.coldForMs;
     this.coldReason = record.coldForMs > 0 ? ColdReason.Listed : undefined;
@@ -44,6 +64,75 @@
     return this.record.id;
   }
 
+  /** How much longer the target is assumed to be cold, ms; 0 if it is assumed to be warm. */
+  coldForMs(now: number): number {
+    return Math.max(0, this.coldUntil - now, this.isDoubted(now) ? this.doubtedUntil - now : 0);
+  }
+
+  /** Why the target is assumed to be cold. */
+  coldReasonAt(now: number): ColdReason | undefined {
+    return this.doubt && this.isDoubted(now) ? this.doubt.reason : this.coldReason;
+  }
+
+  /** Whether the target may have restarted without a word of it since. */
+  isDoubted(now: number): boolean {
+    return now < this.doubtedUntil;
+  }
+
+  /** Whether the only sign of a restart is the word of another gateway. */
+  get isDoubtTold(): boolean {
+    return this.doubt?.reason === ColdReason.Told;
+  }
+
+  /** Whether a sign of a restart was seen after a time, monotonic ms. */
+  isDoubtedSince(at: number, now: number): boolean {
+    return this.doubt !== undefined && this.isDoubted(now) && this.doubt.since > at;
+  }
+
+  /**
+   * Assumes that the target may have restarted, until it tells its start time.
+   *
+   * @returns whether this was not assumed before
+   */
+  suspectRestart(until: number, reason: ColdReason, now: number): boolean {
+    const isNew = !this.isDoubted(now);
+    // The word of another gateway does not replace what this one saw itself.
+    const keepsReason = !isNew && reason === ColdReason.Told;
+    this.doubt = {
+      since: now,
+      until,
+      reason: keepsReason ? (this.doubt?.reason ?? reason) : reason,
+    };
+    return isNew;
+  }
+
+  /**
+   * Handles the word that the target has not restarted.
+   *
+   * @param askedAt when the target was asked, monotonic ms; a later sign stands
+   * @returns whether it was in doubt
+   */
+  confirmStart(askedAt: number, now: number): boolean {
+    if (!this.doubt || this.doubt.since > askedAt) return false;
+    const wasDoubted = this.isDoubted(now);
+    this.doubt = undefined;
+    return wasDoubted;
+  }
+
+  /** Whether a start time is that of an earlier start of the target. */
+  isEarlierStart(bornAt: number): boolean {
+    return this.earlierStarts.includes(bornAt);
+  }
+
+  /** Start times up to the present one, for the entry of the next start. */
+  starts(): number[] {
+    return [...this.earlierStarts, this.record.bornAt].slice(-MAX_EARLIER_STARTS);
+  }
+
+  private get doubtedUntil(): number {
+    return this.doubt?.until ?? -Infinity;
+  }
+
   /**
    * Assumes that the target is cold at least until a time.
    *
@@ -63,13 +152,19 @@
    * @returns whether the target becomes cold by it
    */
   update(record: TargetRecord, now: number): boolean {
-    this.record = record;
-    this.recordReceivedAt = now;
-    this.dropAt = undefined;
+    // An entry without a start time says nothing about it.
+    this.record = record.bornAt === 0 ? { ...record, bornAt: this.record.bornAt } : record;
+    this.keep(now);
     if (record.coldForMs <= 0) return false;
     return this.extendCold(now + record.coldForMs, ColdReason.Listed, now);
   }
 
+  /** Keeps the target, which is still listed. */
+  keep(now: number): void {
+    this.recordReceivedAt = now;
+    this.dropAt = undefined;
+  }
+
   /** Sets the time at which a target that is no longer listed is dropped. */
   scheduleDrop(at: number): void {
     this.dropAt = at;
