Pass on how long a target may still be cold to gateways that fetch the state

Cause: a gateway that fetches the state from another one got the records as they were read from the source. A target that was assumed to be cold, as it may have restarted, was warm for a gateway that started in the meantime. A record also kept the remaining cold time of its writing, however long ago that was.

Change: the state for other gateways has the time that is left now. The test fails on the parent (20 requests in one second, 6 are allowed) and passes now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,7 +176,7 @@
     this.tasks = [
       this.callers,
       this.gossip,
-      new FleetRpcTask(settings.listen.peers, () => this.state.snapshot(), log.child('rpc')),
+      new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
       restarts,
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -189,6 +189,21 @@
     return [...this.targets.values()].filter(({ record }) => record.region === this.region);
   }
 
+  /** State for a gateway that fetches it; a target that may be cold is cold there too. */
+  snapshotForPeer(): FleetState | undefined {
+    const state = this.snapshot();
+    const now = this.timers.now();
+    return (
+      state && {
+        ...state,
+        targets: state.targets.map((record) => ({
+          ...record,
+          coldForMs: Math.round(this.targets.get(record.id)?.coldForMs(now) ?? record.coldForMs),
+        })),
+      }
+    );
+  }
+
   /** State that another gateway can apply; undefined before the first configuration. */
   snapshot(): FleetState | undefined {
     if (!this.currentConfig) return undefined;
--- a/tests/stand-ins/src/users-platform/restarted-target.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-target.test.ts
@@ -131,3 +131,15 @@
   await sendInTurn('vm-1', STREAM, 2 * MAX_COLD_REQUESTS_PER_S);
   assert.ok(peakPerS(engine, startedAt) > MAX_COLD_REQUESTS_PER_S);
 });
+
+// Guards against a gateway that fetches the state after a restart and takes the target for warm.
+test('a gateway that starts after a target may have restarted does not flood it', async () => {
+  const isBack = plain.restart(DOWN_MS);
+  await fleet.send('vm-1', { path: READ }).catch(() => undefined);
+  await isBack;
+  await fleet.kill('vm-2');
+  fleet.store.failureStatus = 503;
+  await fleet.addGateway(2, ZONE);
+  await fleet.until(() => fleet.isReady('vm-2'));
+  await assertNotFlooded(plain, READ);
+});
