Let each gateway find out whether a target that is told unreachable has restarted

Callers would have seen: targets kept out by the whole region, or at their cold rate, for as long as one gateway can't reach them.

Cause: the word of a gateway that can't reach a target counted for all others until the warm-up was over, and was repeated every 1.5 s, although the path of that gateway alone may be cut. A report that did not come in time, also since this process was slow, counted as a refused connection.

Change: a gateway that is told asks the target once itself; an answer with the same start ends doubt and avoidance there. Only a refused connection counts as a sign. Questions come once a second after the first four, so that a target that is down costs 66 questions a minute at most.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,7 +45,6 @@
 import { GracefulShutdown } from './shutdown/graceful-shutdown.js';
 import { GatewayState } from './state/gateway-state.js';
 import { StateMetrics } from './state/state-metrics.js';
-import { ColdReason } from './state/target-entry.js';
 
 /** Three round trips between distant regions; a slower destination is tried again later. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -77,6 +76,8 @@
 
   private readonly crashes: CrashWatch;
 
+  private readonly restarts: RestartCheck;
+
   private readonly fetcher: StateFetcher;
 
   private readonly watch: WatchTask;
@@ -138,7 +139,7 @@
     const metrics = new GatewayMetrics(deps.metrics, timers);
     const httpClient = new HttpClient({}, CONNECT_TIMEOUT_MS);
     const reportPoller = this.createReportPoller(httpClient);
-    const restarts = this.createRestartCheck(reportPoller);
+    this.restarts = this.createRestartCheck(reportPoller);
     const executor = new RequestExecutor({
       settings,
       state: this.state,
@@ -147,7 +148,7 @@
       protocol,
       gossip: this.gossip,
       crashes: this.crashes,
-      restarts,
+      restarts: this.restarts,
       timers,
       random,
       metrics,
@@ -179,7 +180,7 @@
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
-      restarts,
+      this.restarts,
     ];
     this.admin = this.createAdminTask();
   }
@@ -260,8 +261,8 @@
         workOf(target)?.addPeerPrompt(prompt, now);
       })
       .with({ kind: 'unreachable' }, ({ target, from }) => {
-        workOf(target)?.onUnreachable(now);
-        this.state.suspectRestart(target, ColdReason.Told);
+        const entry = this.state.target(target);
+        if (entry) this.restarts.onTold(entry);
         this.deps.log.info('target is unreachable from another gateway', { target, from });
       })
       .with({ kind: 'start' }, ({ target, from }) => this.state.onPeerStart(target, from))
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -10,8 +10,8 @@
 
 export type PolledReport =
   | { readonly kind: 'report'; readonly report: LoadReport }
-  /** The target accepted no connection. */
-  | { readonly kind: 'unreachable' }
+  /** The target refused the connection. */
+  | { readonly kind: 'refused' }
   /** No valid report came in time. That is not logged: the attempts at the target show the cause. */
   | { readonly kind: 'none' };
 
@@ -60,8 +60,10 @@
     );
     const body = sent.kind === 'answer' ? await readResponseBody(sent.res) : undefined;
     stop();
-    if (sent.kind !== 'answer')
-      return { kind: sent.kind === 'failed' && !sent.sent ? 'unreachable' : 'none' };
+    if (sent.kind !== 'answer') {
+      const isRefused = sent.kind === 'failed' && !sent.sent && !abort.signal.aborted;
+      return { kind: isRefused ? 'refused' : 'none' };
+    }
     const report = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
     state.onTargetSignals(target, protocol.readTargetSignals(sent.res));
--- a/packages/gateway/src/reports/restart-check.ts
+++ b/packages/gateway/src/reports/restart-check.ts
@@ -9,12 +9,15 @@
 import type { ReportPoller } from './report-poller.js';
 
 const CHECK_INTERVAL_MS = 250;
-/** Other gateways are told again that a target is unreachable after this time. */
+/** A target that does not tell its start time is asked less often after the first questions. */
+const MAX_FAST_QUESTIONS = 4;
+const SLOW_INTERVAL_MS = 1000;
+/** The gateways of the region are told again that a target is unreachable after this time. */
 const TELL_AGAIN_MS = 1500;
 
 export interface RestartCheckDeps {
   readonly state: GatewayState;
-  readonly poller: ReportPoller;
+  readonly poller: Pick<ReportPoller, 'poll'>;
   readonly timers: TimerService;
   /** Tells the other gateways of the region that a target is unreachable. */
   readonly announceUnreachable: (target: string) => void;
@@ -22,21 +25,30 @@
   readonly announceStart: (target: TargetIncarnation) => void;
 }
 
+/** Questions to a target in doubt; monotonic ms. */
+interface Questions {
+  readonly entry: TargetEntry;
+  count: number;
+  asking: boolean;
+  askedAt: number;
+  /** When the region was last told that the target is unreachable, by this or another gateway. */
+  toldAt: number;
+  /** Whether this gateway told it. */
+  told: boolean;
+}
+
 export class RestartCheck implements Task {
   readonly name = 'restarts';
 
-  /** Targets that are being asked. */
-  private readonly asked = new Set<TargetEntry>();
-
-  /** When other gateways were told that a target is unreachable, monotonic ms. */
-  private readonly toldAt = new Map<string, number>();
+  /** By target; dropped when its start is no longer in doubt. */
+  private readonly questions = new Map<string, Questions>();
 
   private unsubscribe = (): void => undefined;
 
   constructor(private readonly deps: RestartCheckDeps) {}
 
   start(): Promise<void> {
-    this.unsubscribe = this.deps.timers.every(CHECK_INTERVAL_MS, () => this.checkDoubted());
+    this.unsubscribe = this.deps.timers.every(CHECK_INTERVAL_MS, () => this.askAgain());
     return Promise.resolve();
   }
 
@@ -48,9 +60,9 @@
   /** Handles a connection to a target that broke during a request. */
   onConnectionLost(entry: TargetEntry): void {
     // Without reports, a broken connection can't be told from a restart.
-    if (!this.sendsReports(entry)) return;
+    if (!this.canBeAsked(entry)) return;
     this.deps.state.suspectRestart(entry.id, ColdReason.ConnectionLost);
-    void this.check(entry);
+    void this.ask(entry);
   }
 
   /** Handles a target that accepted no connection for a request. */
@@ -59,51 +71,80 @@
     const now = timers.now();
     state.suspectRestart(entry.id, ColdReason.Unreachable);
     entry.work.onUnreachable(now);
-    this.toldAt.set(entry.id, now);
+    Object.assign(this.questionsTo(entry), { toldAt: now, told: true });
     announceUnreachable(entry.id);
   }
 
-  private checkDoubted(): void {
+  /** Handles a target that another gateway can't reach. This one may be able to, and asks it once. */
+  onTold(entry: TargetEntry): void {
+    const { state, timers } = this.deps;
+    entry.work.onUnreachable(timers.now());
+    state.suspectRestart(entry.id, ColdReason.Told);
+    this.questionsTo(entry).toldAt = timers.now();
+    if (this.canBeAsked(entry)) void this.ask(entry);
+  }
+
+  private askAgain(): void {
     const { state, timers } = this.deps;
     const now = timers.now();
-    [...this.toldAt.keys()]
-      .filter((id) => !state.target(id)?.isDoubted(now))
-      .forEach((id) => this.toldAt.delete(id));
+    [...this.questions]
+      .filter(([id, { entry }]) => state.target(id) !== entry || !entry.isDoubted(now))
+      .forEach(([id]) => this.questions.delete(id));
     state
       .doubtedTargets()
-      .filter((entry) => this.sendsReports(entry))
+      .filter((entry) => this.canBeAsked(entry) && this.isDue(entry, now))
       .forEach((entry) => {
-        void this.check(entry);
+        void this.ask(entry);
       });
   }
 
-  private async check(entry: TargetEntry): Promise<void> {
-    if (this.asked.has(entry)) return;
-    this.asked.add(entry);
-    const { poller, state } = this.deps;
+  private isDue(entry: TargetEntry, now: number): boolean {
+    const { count, askedAt } = this.questionsTo(entry);
+    return count < MAX_FAST_QUESTIONS || now - askedAt >= SLOW_INTERVAL_MS;
+  }
+
+  private async ask(entry: TargetEntry): Promise<void> {
+    const { poller, state, timers } = this.deps;
+    const questions = this.questionsTo(entry);
+    if (questions.asking) return;
+    Object.assign(questions, { asking: true, askedAt: timers.now(), count: questions.count + 1 });
     const polled = await poller.poll(entry, { newConnection: true });
-    this.asked.delete(entry);
+    questions.asking = false;
     if (state.target(entry.id) !== entry) return;
-    if (polled.kind === 'unreachable') this.onStillUnreachable(entry);
-    if (polled.kind === 'report') this.onSameStart(entry);
+    if (polled.kind === 'refused' && !entry.isDoubtTold) this.onRefused(entry, questions);
+    if (polled.kind === 'report') this.onSameStart(entry, questions);
   }
 
-  private onStillUnreachable(entry: TargetEntry): void {
+  private onRefused(entry: TargetEntry, { toldAt }: Questions): void {
     const { state, timers } = this.deps;
-    const now = timers.now();
-    const isAvoided = entry.work.avoidedUntil > now;
-    const wasTold = now - (this.toldAt.get(entry.id) ?? -Infinity) < TELL_AGAIN_MS;
-    if (!isAvoided || !wasTold) this.onUnreachable(entry);
+    if (timers.now() - toldAt >= TELL_AGAIN_MS) this.onUnreachable(entry);
     else state.suspectRestart(entry.id, ColdReason.Unreachable);
   }
 
-  private onSameStart({ record, work }: TargetEntry): void {
+  private onSameStart({ record, work }: TargetEntry, questions: Questions): void {
     work.onReachable();
-    // Other gateways only know that it was unreachable.
-    if (this.toldAt.delete(record.id)) this.deps.announceStart(record);
+    if (questions.told) this.deps.announceStart(record);
+    Object.assign(questions, { told: false, toldAt: -Infinity });
+  }
+
+  private questionsTo(entry: TargetEntry): Questions {
+    const known = this.questions.get(entry.id);
+    if (known?.entry === entry) return known;
+    const questions = {
+      entry,
+      count: 0,
+      asking: false,
+      askedAt: -Infinity,
+      toldAt: -Infinity,
+      told: false,
+    };
+    this.questions.set(entry.id, questions);
+    return questions;
   }
 
-  private sendsReports({ record }: TargetEntry): boolean {
-    return this.deps.state.service(record.service)?.engine !== undefined;
+  /** Whether the target tells its start time, and is cold after a restart. */
+  private canBeAsked({ record }: TargetEntry): boolean {
+    const service = this.deps.state.service(record.service);
+    return service?.engine !== undefined && service.warmupMs > 0;
   }
 }
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -11,8 +11,6 @@
   ConnectionLost: 'connection-lost',
   /** Another gateway found it unreachable. */
   Told: 'told',
-  /** It told its start time in a report, which was another one. */
-  Restarted: 'restarted',
   /** The evacuation of its failure domain ended. */
   Restored: 'restored',
 } as const;
@@ -124,9 +122,10 @@
     return this.earlierStarts.includes(bornAt);
   }
 
-  /** Start times up to the present one, for the entry of the next start. */
+  /** Known start times up to the present one, for the entry of the next start. */
   starts(): number[] {
-    return [...this.earlierStarts, this.record.bornAt].slice(-MAX_EARLIER_STARTS);
+    const known = [...this.earlierStarts, this.record.bornAt].filter((bornAt) => bornAt > 0);
+    return known.slice(-MAX_EARLIER_STARTS);
   }
 
   private get doubtedUntil(): number {
