Ask engines that are listed when a gateway starts for their start time

Cause: a gateway that starts takes the entries that it gets first for true, from the source or from another gateway. An entry tells of a restart up to a second late; another region does not hear of restarts at all.

Change: the engines of the region that are listed first are in doubt, and are asked at once. A target that neither accepts nor refuses a connection stays in doubt. The new test fails without the doubt.

--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -12,6 +12,8 @@
   | { readonly kind: 'report'; readonly report: LoadReport }
   /** The target refused the connection. */
   | { readonly kind: 'refused' }
+  /** The connection was neither accepted nor refused in time. */
+  | { readonly kind: 'silent' }
   /** No valid report came in time. That is not logged: the attempts at the target show the cause. */
   | { readonly kind: 'none' };
 
@@ -61,8 +63,8 @@
     const body = sent.kind === 'answer' ? await readResponseBody(sent.res) : undefined;
     stop();
     if (sent.kind !== 'answer') {
-      const isRefused = sent.kind === 'failed' && !sent.sent && !abort.signal.aborted;
-      return { kind: isRefused ? 'refused' : 'none' };
+      if (sent.kind !== 'failed' || sent.sent) return { kind: 'none' };
+      return { kind: abort.signal.aborted ? 'silent' : 'refused' };
     }
     const report = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
--- a/packages/gateway/src/reports/restart-check.ts
+++ b/packages/gateway/src/reports/restart-check.ts
@@ -8,7 +8,8 @@
 import { ColdReason, type TargetEntry } from '../state/target-entry.js';
 import type { ReportPoller } from './report-poller.js';
 
-const CHECK_INTERVAL_MS = 250;
+const CHECK_INTERVAL_MS = 100;
+const FAST_INTERVAL_MS = 250;
 /** A target that does not tell its start time is asked less often after the first questions. */
 const MAX_FAST_QUESTIONS = 4;
 const SLOW_INTERVAL_MS = 1000;
@@ -100,7 +101,8 @@
 
   private isDue(entry: TargetEntry, now: number): boolean {
     const { count, askedAt } = this.questionsTo(entry);
-    return count < MAX_FAST_QUESTIONS || now - askedAt >= SLOW_INTERVAL_MS;
+    const intervalMs = count < MAX_FAST_QUESTIONS ? FAST_INTERVAL_MS : SLOW_INTERVAL_MS;
+    return now - askedAt >= intervalMs;
   }
 
   private async ask(entry: TargetEntry): Promise<void> {
@@ -112,6 +114,9 @@
     questions.asking = false;
     if (state.target(entry.id) !== entry) return;
     if (polled.kind === 'refused' && !entry.isDoubtTold) this.onRefused(entry, questions);
+    // A target that is silent may restart before it accepts connections again.
+    if (polled.kind === 'silent' && !entry.isDoubtTold)
+      state.suspectRestart(entry.id, ColdReason.Unreachable);
     if (polled.kind === 'report') this.onSameStart(entry, questions);
   }
 
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -52,6 +52,9 @@
 
   private readonly targets = new Map<string, TargetEntry>();
 
+  /** Whether any targets were listed since the start. */
+  private hasListedTargets = false;
+
   private readonly leavingTargets = new LeavingTargets();
 
   private readonly limits = new TargetLimits();
@@ -521,6 +524,11 @@
     const listed = new Set(records.map(({ id }) => id));
     records.forEach((record) => this.applyTarget(record, from));
     const now = this.timers.now();
+    if (!this.hasListedTargets) {
+      // Entries tell of a restart late, and this gateway has seen nothing of one.
+      this.localTargets().forEach(({ id }) => this.suspectRestart(id, ColdReason.Unconfirmed));
+      this.hasListedTargets = records.length > 0;
+    }
     const justRegained = now - this.sourceRegainedAt < RELIST_MS;
     [...this.targets.values()]
       .filter(({ record, dropAt }) => !listed.has(record.id) && dropAt === undefined)
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -11,6 +11,8 @@
   ConnectionLost: 'connection-lost',
   /** Another gateway found it unreachable. */
   Told: 'told',
+  /** It was listed when this gateway started, possibly by an entry from before a restart. */
+  Unconfirmed: 'unconfirmed',
   /** The evacuation of its failure domain ended. */
   Restored: 'restored',
 } as const;
--- a/tests/stand-ins/src/users-platform/restarted-target.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-target.test.ts
@@ -132,6 +132,20 @@
   assert.ok(peakPerS(engine, startedAt) > MAX_COLD_REQUESTS_PER_S);
 });
 
+// Guards against a target that restarts while all gateways of its region restart, too.
+test('a gateway that starts after a restart and fetches the state from another region does not flood the target', async () => {
+  await fleet.addGateway(3, 'west-a');
+  await fleet.until(() => fleet.gateway('vm-3').state.target(engine.id) !== undefined);
+  await Promise.all(NODES.map((node) => fleet.kill(node)));
+  fleet.store.failureStatus = 503;
+  await engine.restart(0);
+  await fleet.addGateway(1, ZONE);
+  await fleet.until(() => fleet.isReady('vm-1'));
+  await burst('vm-1', STREAM);
+  const peak = peakPerS(engine, engine.born);
+  assert.ok(peak <= MAX_COLD_REQUESTS_PER_S, `${peak} requests in one second`);
+});
+
 // Guards against a gateway that fetches the state after a restart and takes the target for warm.
 test('a gateway that starts after a target may have restarted does not flood it', async () => {
   const isBack = plain.restart(DOWN_MS);
