Count requests before the first sign of a restart against the cold rate

Callers saw: a restarted target crashed again although all gateways kept to its cold rate once they knew of the restart (FAILBACK).

Cause: a request counted for the cold rate only if its target was assumed to be cold when it was sent. Requests that reach a target between its restart and the first sign of it came on top of the whole cold rate.

Change: requests to targets of services with a cold rate always count.

--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -221,7 +221,8 @@
     const now = this.timers.now();
     const { id } = entry.record;
     if (head.prompt) this.promptSizes.onSend(service, head.prompt);
-    if (entry.coldForMs(now) > 0) this.coldLimiter.onSend(id, now);
+    // Those sent before a target is known to be cold may still reach it within the same window.
+    if (this.coldRequestsPerS(entry) > 0) this.coldLimiter.onSend(id, now);
     if (this.state.rateLimitOf(entry) !== undefined) this.limitLimiter.onSend(id, now);
   }
 
--- a/tests/stand-ins/src/users-platform/restarted-target.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-target.test.ts
@@ -78,7 +78,10 @@
 async function assertNotFlooded(target: TargetStandIn, path: string): Promise<void> {
   const since = target.born;
   await Promise.all(NODES.map((node) => burst(node, path)));
+  await pause(AVOIDED_MS);
+  await Promise.all(NODES.map((node) => burst(node, path)));
   const peak = peakPerS(target, since);
+  assert.ok(peak > 0, 'no requests');
   assert.ok(peak <= MAX_COLD_REQUESTS_PER_S, `${peak} requests in one second`);
 }
 
@@ -107,6 +110,19 @@
   await assertNotFlooded(engine, STREAM);
 });
 
+// Guards against requests before the first sign of a restart that come on top of the cold rate.
+test('requests that reach a restarted engine before its restart is known count for its cold rate', async () => {
+  await pause(SECOND_MS);
+  engine.born = Date.now();
+  await sendInTurn('vm-1', STREAM, MAX_COLD_REQUESTS_PER_S / 2);
+  fleet.store.put(
+    `servers/${engine.id}`,
+    engine.entry(MODEL_SERVICE, ZONE, { coldRemainingMs: 60_000 }),
+  );
+  await pause(TELL_MS);
+  await assertNotFlooded(engine, STREAM);
+});
+
 // Guards against a restart that is undone by an entry that was written before it.
 test('an entry from before a restart does not make the target warm again', async () => {
   await restartDuringStream();
