Bound how long a wrong word about the start of a target is believed

Cause: an entry with a start time that had been replaced was ignored as long as the target was listed, also when the word that replaced it was wrong; draining was ignored with it. The cold time of a start that a target told was part of its record, so each change of the state began it anew. A target that another process answered for came back into use.

Change: earlier starts are ignored for 5 s, which an entry from before a restart needs to be replaced; after that the entry holds, and the target is asked. The cold time counts once, from the word. The word of another gateway does not move a doubt of one's own. Load reports that gateways pass on have the start time, so that a lost word is made up for. Aborted attempts are no sign. A gateway that fetches the state gets doubts only about targets that it can't ask.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -139,6 +139,7 @@
       onSignals: (signals) => state.onTargetSignals(record, signals, head.id),
       onBytes: () => {
         onBytes();
+        entry.onContact(timers.now());
         if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
         else work.onByte(timers.now());
         seen.firstByteAt ??= timers.now();
@@ -283,8 +284,9 @@
       router.speeds.onPlainDuration(call.service, now - startedAt);
     }
     if (end.kind === 'not-run' && end.misdirected) state.onMisdirected(record.id);
+    if (aborted) return;
     if (end.kind === 'not-sent' && !end.withdrawn) restarts.onUnreachable(entry);
-    if (end.kind === 'lost' && end.connectionLost && !aborted) restarts.onConnectionLost(entry);
+    if (end.kind === 'lost' && end.connectionLost) restarts.onConnectionLost(entry);
   }
 }
 
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -37,12 +37,14 @@
   readonly l?: readonly LeavingWireRow[];
   /** Rate limits of targets. */
   readonly q?: readonly LimitWireRow[];
-  /** Reports: target, requests, KV memory in tokens. */
-  readonly r?: readonly (readonly [string, number, number?])[];
+  /** Reports: target, requests, KV memory in tokens, start time. */
+  readonly r?: readonly ReportWireRow[];
   /** Id, prefill time in ms, priority, prompt segments that stay in the cache. */
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
+type ReportWireRow = readonly [string, number, (number | null)?, number?];
+
 interface StartParams {
   readonly n: string;
   readonly t: string;
@@ -111,22 +113,24 @@
       q: rows.limits.map(toLimitWireRow),
     }))
     .with({ kind: 'reports' }, ({ rows }) => ({
-      r: rows.map(({ target, report: { requests, memoryTokens } }) =>
-        memoryTokens === undefined
-          ? ([target, requests] as const)
-          : ([target, requests, memoryTokens] as const),
-      ),
+      r: rows.map(toReportRow),
     }))
     .exhaustive();
 }
 
-function fromReportRow([target, requests, memoryTokens]: readonly [
-  string,
-  number,
-  number?,
-]): TargetReportRow {
+function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
+  const { requests, memoryTokens, bornAt } = report;
+  if (bornAt !== undefined) return [target, requests, memoryTokens ?? null, bornAt];
+  return memoryTokens === undefined ? [target, requests] : [target, requests, memoryTokens];
+}
+
+function fromReportRow([target, requests, memoryTokens, bornAt]: ReportWireRow): TargetReportRow {
   return {
     target,
-    report: { requests, ...(memoryTokens === undefined ? {} : { memoryTokens }) },
+    report: {
+      requests,
+      ...(typeof memoryTokens === 'number' ? { memoryTokens } : {}),
+      ...(bornAt === undefined ? {} : { bornAt }),
+    },
   };
 }
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -192,7 +192,10 @@
     return [...this.targets.values()].filter(({ record }) => record.region === this.region);
   }
 
-  /** State for a gateway that fetches it; a target that may be cold is cold there too. */
+  /**
+   * State for a gateway that fetches it, with the time for which targets are cold from now on. A
+   * doubt counts as such only where that gateway can't ask the target itself.
+   */
   snapshotForPeer(): FleetState | undefined {
     const state = this.snapshot();
     const now = this.timers.now();
@@ -201,7 +204,7 @@
         ...state,
         targets: state.targets.map((record) => ({
           ...record,
-          coldForMs: Math.round(this.targets.get(record.id)?.coldForMs(now) ?? record.coldForMs),
+          coldForMs: Math.round(this.remainingColdMs(record, now)),
         })),
       }
     );
@@ -303,16 +306,17 @@
    * @returns whether the start is new to this gateway
    */
   onStart({ id, address, bornAt }: TargetIncarnation, askedAt: number): boolean {
+    const now = this.timers.now();
     const entry = this.targets.get(id);
     const known = entry?.record;
-    if (!entry || known?.address !== address) return false;
+    if (!entry || entry.misdirected || known?.address !== address) return false;
     // Without a start time in its entry, it is not known whether this is another start.
-    if (known.bornAt === 0 || bornAt === 0 || entry.isEarlierStart(bornAt)) return false;
+    if (known.bornAt === 0 || bornAt === 0 || entry.isEarlierStart(bornAt, now)) return false;
     if (known.bornAt !== bornAt) {
       this.onRestart(entry, bornAt, 'target');
       return true;
     }
-    if (entry.confirmStart(askedAt, this.timers.now())) {
+    if (entry.confirmStart(askedAt, now)) {
       this.log.info('target has not restarted', { target: id, born: bornAt });
     }
     return false;
@@ -323,23 +327,42 @@
    * has asked the target itself, as the word may be older than it seems.
    */
   onPeerStart({ id, address, bornAt }: TargetIncarnation, node: string): void {
+    const now = this.timers.now();
     const entry = this.targets.get(id);
-    if (!entry || entry.record.address !== address || entry.isEarlierStart(bornAt)) return;
-    if (bornAt > entry.record.bornAt) this.onRestart(entry, bornAt, node);
-    else if (bornAt === entry.record.bornAt && entry.isDoubtTold)
-      entry.confirmStart(this.timers.now(), this.timers.now());
+    if (!entry || entry.misdirected || entry.record.address !== address) return;
+    const { bornAt: known } = entry.record;
+    if (known === 0 || entry.isEarlierStart(bornAt, now)) return;
+    if (bornAt > known) this.onRestart(entry, bornAt, node);
+    else if (bornAt === known && entry.isDoubtTold) entry.confirmStart(now, now);
   }
 
   /** Targets of the local region that may have restarted, by what this gateway saw itself. */
   doubtedTargets(): TargetEntry[] {
     const now = this.timers.now();
-    return this.localTargets().filter((entry) => entry.isDoubted(now) && !entry.isDoubtTold);
+    return this.localTargets().filter(
+      (entry) => entry.isDoubted(now) && !entry.isDoubtTold && !entry.misdirected,
+    );
+  }
+
+  private remainingColdMs({ id, service }: TargetRecord, now: number): number {
+    const entry = this.targets.get(id);
+    if (!entry) return 0;
+    const tellsStart = this.service(service)?.engine !== undefined;
+    return tellsStart ? Math.max(0, entry.coldUntil - now) : entry.coldForMs(now);
+  }
+
+  /** Targets of the local region at an address. */
+  targetsAt(address: string): TargetEntry[] {
+    return this.localTargets().filter(({ record }) => record.address === address);
   }
 
   private onRestart(entry: TargetEntry, bornAt: number, from: string): void {
-    const { record } = entry;
-    const coldForMs = this.warmupMsOf(record);
-    this.replaceTarget({ ...record, bornAt, coldForMs }, entry, from);
+    const { record, dropAt } = entry;
+    const warmupMs = this.warmupMsOf(record);
+    const next = this.replaceTarget({ ...record, bornAt, coldForMs: warmupMs }, entry, from);
+    // The time counts from now, not from each time that this record is applied.
+    next.record = { ...next.record, coldForMs: 0 };
+    if (dropAt !== undefined) next.scheduleDrop(dropAt);
   }
 
   private warmupMsOf({ service }: TargetRecord): number {
@@ -547,12 +570,13 @@
   private applyTarget(record: TargetRecord, from: string): void {
     const now = this.timers.now();
     const known = this.targets.get(record.id);
-    if (known?.record.address === record.address && known.isEarlierStart(record.bornAt)) {
+    if (known?.record.address === record.address && known.isEarlierStart(record.bornAt, now)) {
       known.keep(now);
       return;
     }
     if (!known || hasRestarted(known.record, record)) {
       this.replaceTarget(record, known, from);
+      if (known?.hadStart(record.bornAt)) this.suspectRestart(record.id, ColdReason.Unconfirmed);
       return;
     }
     if (known.record.draining !== record.draining) {
@@ -565,11 +589,16 @@
     if (known.update(record, now)) this.logCold(known, now);
   }
 
-  private replaceTarget(record: TargetRecord, known: TargetEntry | undefined, from: string): void {
+  private replaceTarget(
+    record: TargetRecord,
+    known: TargetEntry | undefined,
+    from: string,
+  ): TargetEntry {
     const now = this.timers.now();
     const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
     const work = new TargetWork(cacheTokens ?? DEFAULT_CACHE_TOKENS);
-    this.targets.set(record.id, new TargetEntry(record, work, now, known?.starts()));
+    const entry = new TargetEntry(record, work, now, known?.starts());
+    this.targets.set(record.id, entry);
     this.usableByService.clear();
     this.log.info('target listed', {
       target: record.id,
@@ -579,6 +608,7 @@
       from,
       cold_ms: record.coldForMs || undefined,
     });
+    return entry;
   }
 
   private assumeCold(entry: TargetEntry, forMs: number, reason: ColdReason): void {
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -21,9 +21,12 @@
 /** Starts before the present one that are remembered, so that old words about them are ignored. */
 const MAX_EARLIER_STARTS = 4;
 
+/** For this long entries may still tell of an earlier start; later ones are taken for true. */
+const EARLIER_START_MS = 5000;
+
 /** A sign that a target may have restarted since it last told its start time; monotonic ms. */
 interface RestartDoubt {
-  /** When the latest sign was seen. */
+  /** When this gateway saw the latest sign, or was told of the first one. */
   readonly since: number;
   /** When it counts as not restarted, if it has not told its start time by then. */
   readonly until: number;
@@ -37,6 +40,9 @@
   /** Latest reason for which the target was assumed to be cold. */
   coldReason: ColdReason | undefined;
 
+  /** When this gateway last received anything from the target, monotonic ms. */
+  private contactAt: number;
+
   /** When the record was last received, monotonic ms. */
   recordReceivedAt: number;
 
@@ -48,6 +54,8 @@
 
   private doubt: RestartDoubt | undefined;
 
+  private readonly createdAt: number;
+
   /** @param earlierStarts start times of the id before this one, Unix ms */
   constructor(
     public record: TargetRecord,
@@ -58,6 +66,18 @@
     this.coldUntil = now + record.coldForMs;
     this.coldReason = record.coldForMs > 0 ? ColdReason.Listed : undefined;
     this.recordReceivedAt = now;
+    this.createdAt = now;
+    this.contactAt = now;
+  }
+
+  /** Notes that the target sent something. */
+  onContact(now: number): void {
+    this.contactAt = now;
+  }
+
+  /** Time since the target sent anything to this gateway, ms. */
+  silentForMs(now: number): number {
+    return now - this.contactAt;
   }
 
   get id(): string {
@@ -95,15 +115,11 @@
    * @returns whether this was not assumed before
    */
   suspectRestart(until: number, reason: ColdReason, now: number): boolean {
-    const isNew = !this.isDoubted(now);
+    const before = this.isDoubted(now) ? this.doubt : undefined;
     // The word of another gateway does not replace what this one saw itself.
-    const keepsReason = !isNew && reason === ColdReason.Told;
-    this.doubt = {
-      since: now,
-      until,
-      reason: keepsReason ? (this.doubt?.reason ?? reason) : reason,
-    };
-    return isNew;
+    this.doubt =
+      before && reason === ColdReason.Told ? { ...before, until } : { since: now, until, reason };
+    return before === undefined;
   }
 
   /**
@@ -119,8 +135,13 @@
     return wasDoubted;
   }
 
-  /** Whether a start time is that of an earlier start of the target. */
-  isEarlierStart(bornAt: number): boolean {
+  /** Whether a start time is that of an earlier start, of which an old word may still come. */
+  isEarlierStart(bornAt: number, now: number): boolean {
+    return now - this.createdAt < EARLIER_START_MS && this.hadStart(bornAt);
+  }
+
+  /** Whether a start time is that of any known start before the present one. */
+  hadStart(bornAt: number): boolean {
     return this.earlierStarts.includes(bornAt);
   }
 
@@ -153,10 +174,12 @@
    * @returns whether the target becomes cold by it
    */
   update(record: TargetRecord, now: number): boolean {
+    // Other changes of the state bring the same record again.
+    const isSame = record === this.record;
     // An entry without a start time says nothing about it.
     this.record = record.bornAt === 0 ? { ...record, bornAt: this.record.bornAt } : record;
     this.keep(now);
-    if (record.coldForMs <= 0) return false;
+    if (isSame || record.coldForMs <= 0) return false;
     return this.extendCold(now + record.coldForMs, ColdReason.Listed, now);
   }
 
