Notice a restart of an engine while no request is there

Callers saw: engines that restart between two requests were flooded by the next ones (FAILBACK).

Cause: only a request in flight or a failed connection told of a restart. The close of a connection without a request was not looked at, gateways of small regions had none after 4 s, and polls of load reports that failed were dropped.

Change: the HTTP client tells when the other side closes an idle connection, which puts the engine in doubt. One gateway of a small region asks an engine that has sent nothing for 2 s, over a kept connection; in larger regions the polls of load reports do that. A poll that is refused counts as a sign. Only a confirmed start is told to other gateways.

Test: 'an engine that restarts while it is idle ...' fails without the watch.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,10 @@
   GatewayPhase,
   RouteUsage,
   hashOf,
+  rendezvousOrder,
   seededRandom,
+  SMALL_REGION_MAX_GATEWAYS,
+  type LoadReport,
   type PeerWork,
   type RandomSource,
   type TargetWork,
@@ -137,7 +140,9 @@
     this.crashes = this.createCrashWatch();
     this.router = new Router(settings, this.state, this.gossip, timers, random);
     const metrics = new GatewayMetrics(deps.metrics, timers);
-    const httpClient = new HttpClient({}, CONNECT_TIMEOUT_MS);
+    const httpClient = new HttpClient({}, CONNECT_TIMEOUT_MS, (address) =>
+      this.restarts.onIdleClosed(address),
+    );
     const reportPoller = this.createReportPoller(httpClient);
     this.restarts = this.createRestartCheck(reportPoller);
     const executor = new RequestExecutor({
@@ -268,11 +273,20 @@
       .with({ kind: 'start' }, ({ target, from }) => this.state.onPeerStart(target, from))
       .with({ kind: 'signals' }, ({ rows, from }) => this.state.onPeerSignals(rows, from))
       .with({ kind: 'reports' }, ({ rows }) => {
-        rows.forEach(({ target, report }) => workOf(target)?.updateLoadReport(report, now));
+        rows.forEach(({ target, report }) => this.applyPeerReport(target, report));
       })
       .exhaustive();
   }
 
+  private applyPeerReport(id: string, report: LoadReport): void {
+    const entry = this.state.target(id);
+    if (!entry) return;
+    const { address } = entry.record;
+    const { bornAt } = report;
+    if (bornAt !== undefined) this.state.onPeerStart({ id, address, bornAt }, 'report');
+    this.state.target(id)?.work.updateLoadReport(report, this.deps.timers.now());
+  }
+
   private createShutdown(): GracefulShutdown {
     const { settings, timers, log } = this.deps;
     return new GracefulShutdown({
@@ -332,6 +346,13 @@
     return [this.deps.settings.node, ...this.gossip.regionPeers().map(({ node }) => node)];
   }
 
+  /** In larger regions the polls of load reports keep connections open. */
+  private watchesTarget(target: string): boolean {
+    const gateways = this.regionGateways();
+    if (gateways.length > SMALL_REGION_MAX_GATEWAYS) return false;
+    return rendezvousOrder(target, gateways)[0] === this.deps.settings.node;
+  }
+
   private createWatchTask(): WatchTask {
     const { settings, source, timers, log } = this.deps;
     return new WatchTask({
@@ -376,6 +397,7 @@
       state: this.state,
       poller,
       timers,
+      watches: (target) => this.watchesTarget(target),
       announceUnreachable: (target) =>
         this.gossip.announceTarget({ kind: 'unreachable', target, from: settings.node }),
       announceStart: (target) =>
@@ -389,6 +411,7 @@
       node: settings.node,
       state: this.state,
       poller,
+      restarts: this.restarts,
       timers,
       gateways: () => this.regionGateways(),
       announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -69,6 +69,7 @@
     const report = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
     state.onTargetSignals(target, protocol.readTargetSignals(sent.res));
+    entry.onContact(timers.now());
     if (!report) return { kind: 'none' };
     work.updateLoadReport(report, timers.now());
     if (report.bornAt !== undefined && state.onStart(target, askedAt)) announceStart(target);
--- a/packages/gateway/src/reports/report-task.ts
+++ b/packages/gateway/src/reports/report-task.ts
@@ -3,6 +3,7 @@
 import type { Task, TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { ReportPoller } from './report-poller.js';
+import type { RestartCheck } from './restart-check.js';
 
 /** Interval of polling a target; its report is already on the order of 100 ms old when it is sent. */
 const REPORT_INTERVAL_MS = 500;
@@ -16,6 +17,7 @@
   readonly node: string;
   readonly state: GatewayState;
   readonly poller: ReportPoller;
+  readonly restarts: Pick<RestartCheck, 'onPolled'>;
   readonly timers: TimerService;
   /** Names of the live gateways of the region, this one included. */
   readonly gateways: () => readonly string[];
@@ -44,14 +46,18 @@
   }
 
   private async pollAssigned(): Promise<void> {
-    const { state, node, gateways, announce, timers, poller } = this.deps;
+    const { state, node, gateways, announce, timers, poller, restarts } = this.deps;
     const engines = state.usableEngines();
     const ids = engines.map(({ record }) => record.id);
     const assigned = new Set(this.assignment.targetsOf(node, gateways(), ids));
     const rows = await Promise.all(
       engines
         .filter(({ record, work }) => assigned.has(record.id) && work.avoidedUntil <= timers.now())
-        .map(async (entry) => ({ target: entry.id, polled: await poller.poll(entry) })),
+        .map(async (entry) => {
+          const polled = await poller.poll(entry);
+          restarts.onPolled(entry, polled);
+          return { target: entry.id, polled };
+        }),
     );
     // A target that sends no valid report in time is left out of this round.
     const known = rows.flatMap(({ target, polled }): TargetReportRow[] =>
--- a/packages/gateway/src/reports/restart-check.test.ts
+++ b/packages/gateway/src/reports/restart-check.test.ts
@@ -85,6 +85,7 @@
     state,
     poller: { poll },
     timers,
+    watches: () => true,
     announceUnreachable: () => told.push('unreachable'),
     announceStart: ({ bornAt }) => told.push(`start ${bornAt}`),
   });
--- a/packages/gateway/src/reports/restart-check.ts
+++ b/packages/gateway/src/reports/restart-check.ts
@@ -6,13 +6,15 @@
 import type { Task, TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
 import { ColdReason, type TargetEntry } from '../state/target-entry.js';
-import type { ReportPoller } from './report-poller.js';
+import type { PolledReport, ReportPoller } from './report-poller.js';
 
 const CHECK_INTERVAL_MS = 100;
 const FAST_INTERVAL_MS = 250;
 /** A target that does not tell its start time is asked less often after the first questions. */
 const MAX_FAST_QUESTIONS = 4;
 const SLOW_INTERVAL_MS = 1000;
+/** A watched target is asked after this time without a sign of it, which keeps a connection open. */
+const SILENCE_MS = 2000;
 /** The gateways of the region are told again that a target is unreachable after this time. */
 const TELL_AGAIN_MS = 1500;
 
@@ -20,6 +22,8 @@
   readonly state: GatewayState;
   readonly poller: Pick<ReportPoller, 'poll'>;
   readonly timers: TimerService;
+  /** Whether this gateway watches the connections to a target, also while it has no requests there. */
+  readonly watches: (target: string) => boolean;
   /** Tells the other gateways of the region that a target is unreachable. */
   readonly announceUnreachable: (target: string) => void;
   /** Tells them when a target started. */
@@ -66,6 +70,16 @@
     void this.ask(entry);
   }
 
+  /** Handles the close of a connection without a request, by the target. */
+  onIdleClosed(address: string): void {
+    this.deps.state.targetsAt(address).forEach((entry) => this.onConnectionLost(entry));
+  }
+
+  /** Handles the response to a poll of a target's load. */
+  onPolled(entry: TargetEntry, polled: PolledReport): void {
+    if (this.canBeAsked(entry)) this.apply(entry, polled);
+  }
+
   /** Handles a target that accepted no connection for a request. */
   onUnreachable(entry: TargetEntry): void {
     const { state, timers, announceUnreachable } = this.deps;
@@ -97,6 +111,20 @@
       .forEach((entry) => {
         void this.ask(entry);
       });
+    this.askSilent(now);
+  }
+
+  /** Asks watched targets over kept connections, whose close tells of a restart at once. */
+  private askSilent(now: number): void {
+    const { state, watches, poller } = this.deps;
+    state
+      .usableEngines()
+      .filter((entry) => entry.silentForMs(now) >= SILENCE_MS && !entry.isDoubted(now))
+      .filter((entry) => this.canBeAsked(entry) && watches(entry.id))
+      .forEach((entry) => {
+        entry.onContact(now);
+        void poller.poll(entry).then((polled) => this.apply(entry, polled));
+      });
   }
 
   private isDue(entry: TargetEntry, now: number): boolean {
@@ -106,27 +134,37 @@
   }
 
   private async ask(entry: TargetEntry): Promise<void> {
-    const { poller, state, timers } = this.deps;
+    const { poller, timers } = this.deps;
     const questions = this.questionsTo(entry);
     if (questions.asking) return;
     Object.assign(questions, { asking: true, askedAt: timers.now(), count: questions.count + 1 });
-    const polled = await poller.poll(entry, { newConnection: true });
-    questions.asking = false;
+    const polled = await poller.poll(entry, { newConnection: true }).finally(() => {
+      questions.asking = false;
+    });
+    this.apply(entry, polled);
+  }
+
+  private apply(entry: TargetEntry, polled: PolledReport): void {
+    const { state } = this.deps;
     if (state.target(entry.id) !== entry) return;
-    if (polled.kind === 'refused' && !entry.isDoubtTold) this.onRefused(entry, questions);
+    if (polled.kind === 'report' && polled.report.bornAt === entry.record.bornAt)
+      this.onSameStart(entry);
+    if (entry.isDoubtTold) return;
+    if (polled.kind === 'refused') this.onRefused(entry);
     // A target that is silent may restart before it accepts connections again.
-    if (polled.kind === 'silent' && !entry.isDoubtTold)
-      state.suspectRestart(entry.id, ColdReason.Unreachable);
-    if (polled.kind === 'report') this.onSameStart(entry, questions);
+    if (polled.kind === 'silent') state.suspectRestart(entry.id, ColdReason.Unreachable);
   }
 
-  private onRefused(entry: TargetEntry, { toldAt }: Questions): void {
+  private onRefused(entry: TargetEntry): void {
     const { state, timers } = this.deps;
+    const { toldAt } = this.questionsTo(entry);
     if (timers.now() - toldAt >= TELL_AGAIN_MS) this.onUnreachable(entry);
     else state.suspectRestart(entry.id, ColdReason.Unreachable);
   }
 
-  private onSameStart({ record, work }: TargetEntry, questions: Questions): void {
+  private onSameStart({ record, work }: TargetEntry): void {
+    const questions = this.questions.get(record.id);
+    if (!questions) return;
     work.onReachable();
     if (questions.told) this.deps.announceStart(record);
     Object.assign(questions, { told: false, toldAt: -Infinity });
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -59,15 +59,37 @@
     scheduling: 'lifo',
   });
 
+  /** Open connections without a request. */
+  private readonly idle = new Set<net.Socket>();
+
+  private readonly watched = new WeakSet<net.Socket>();
+
   /**
    * @param dialMap addresses to connect to in place of a process's own address
    * @param connectTimeoutMs limit for establishing a new connection
+   * @param onIdleClosed called with `ip:port` when the other side closes a connection without a request
    */
   constructor(
     private readonly dialMap: Readonly<Record<string, string>>,
     private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
+    private readonly onIdleClosed: (address: string) => void = () => undefined,
   ) {
-    this.agent.on('free', (socket: net.Socket) => socket.setTimeout(IDLE_CONNECTION_MS));
+    this.agent.on('free', (socket: net.Socket) => {
+      socket.setTimeout(IDLE_CONNECTION_MS);
+      this.watchIdle(socket);
+    });
+  }
+
+  private watchIdle(socket: net.Socket): void {
+    if (socket.destroyed || !socket.writable) return;
+    this.idle.add(socket);
+    if (this.watched.has(socket)) return;
+    this.watched.add(socket);
+    const address = `${socket.remoteAddress}:${socket.remotePort}`;
+    socket.on('timeout', () => this.idle.delete(socket));
+    socket.once('close', () => {
+      if (this.idle.delete(socket)) this.onIdleClosed(address);
+    });
   }
 
   /** Address to connect to for the own address of a daemon or target. */
@@ -96,6 +118,7 @@
   }
 
   close(): void {
+    this.idle.clear();
     this.agent.destroy();
   }
 
@@ -121,6 +144,7 @@
       });
       req.on('socket', (used) => {
         used.setNoDelay(true);
+        this.idle.delete(used);
         if (!used.connecting) {
           sent = true;
           return;
--- a/tests/stand-ins/src/users-platform/restarted-target.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-target.test.ts
@@ -11,6 +11,8 @@
 /** Time for a message between two gateways, and for a question to the target. */
 const TELL_MS = 150;
 const DOWN_MS = 200;
+/** Connections that are not in use are closed in this time. */
+const IDLE_MS = 5000;
 /** An unreachable target is avoided for this time at first. */
 const AVOIDED_MS = 1200;
 const ZONE = 'north-a';
@@ -110,6 +112,14 @@
   await assertNotFlooded(engine, STREAM);
 });
 
+// Guards against a restart that no request and no failed connection tells of.
+test('an engine that restarts while it is idle is not flooded', async () => {
+  await burst('vm-1', STREAM);
+  await pause(IDLE_MS);
+  await engine.restart(DOWN_MS);
+  await assertNotFlooded(engine, STREAM);
+});
+
 // Guards against requests before the first sign of a restart that come on top of the cold rate.
 test('requests that reach a restarted engine before its restart is known count for its cold rate', async () => {
   await pause(SECOND_MS);
