Do not lead callers out of their homes because other regions use other routes

Callers would see: once no gateway of their region accepts requests, the directory names gateways of another region that can't run any of their requests (HOME).

Cause: tolerates a region that handles most of the recent requests on a host's restricted routes, as the gateway that answers counted them. It counts those of its own callers only. Where each region uses a route of its own, the gateways elsewhere have not seen a single request of the callers that ask. Change: gateways tell those of other regions how often their callers use the routes of a host (at most 2 hosts in a message of the gossip, chosen at random, each with at most 8 routes in use). For callers of another region both counts have to tolerate a region: that of the gateway that answers and the last one from theirs. Without one from theirs none is named. Gateways of the release before tell nothing and ignore the new field. The directory's test 'callers of a region without gateways are led to the homes of the routes that they use' took the requests of another region for the callers' own, which is the fault; it has both counts now, and demands no gateway with either alone.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,6 +1,7 @@
 export * from './fleet-config.js';
 export * from './leaving-targets.js';
 export * from './route-table.js';
+export * from './region-usage.js';
 export * from './route-usage.js';
 export * from './rate-shares.js';
 export * from './shared-rate.js';
--- a/packages/core/src/fleet/route-usage.ts
+++ b/packages/core/src/fleet/route-usage.ts
@@ -3,6 +3,12 @@
 
 type RouteKey = Pick<Route, 'host' | 'prefix'>;
 
+/** Recent requests on the routes of a host, as one gateway counted them. */
+export interface HostUsageRow {
+  readonly host: string;
+  readonly counts: readonly (readonly [prefix: string, count: number])[];
+}
+
 /** When a host reaches this count, the counts of its routes are halved, so that older requests count less. */
 const MAX_REQUESTS_PER_HOST = 1000;
 /** Limit of the hosts that are counted; the first one counted makes room for a new one. */
@@ -30,6 +36,17 @@
     return this.hosts.get(host)?.counts.get(prefix) ?? 0;
   }
 
+  /**
+   * Counts of hosts with at least `minRequests`, as they are told to other gateways.
+   *
+   * @example usage.rows(40) // [{ host: 'api.example', counts: [['/answers/', 120]] }]
+   */
+  rows(minRequests: number): HostUsageRow[] {
+    return [...this.hosts]
+      .filter(([, { total }]) => total >= minRequests)
+      .map(([host, { counts }]) => ({ host, counts: [...counts] }));
+  }
+
   private makeRoom(): HostUsage {
     const [first] = this.hosts.keys();
     if (first !== undefined && this.hosts.size >= MAX_HOSTS) this.hosts.delete(first);
--- a/packages/core/src/residency/tolerated-regions.ts
+++ b/packages/core/src/residency/tolerated-regions.ts
@@ -7,7 +7,7 @@
 import { ANY_REGION, NO_REGION, allowsRegion, type RegionScope } from './region-scope.js';
 
 /** With fewer requests, it is not known which routes callers use. */
-const MIN_REQUESTS = 40;
+export const MIN_REQUESTS = 40;
 
 /**
  * Returns the regions in which all but a small share of the restricted requests may be handled.
--- a/packages/gateway/src/directory/gateway-directory.test.ts
+++ b/packages/gateway/src/directory/gateway-directory.test.ts
@@ -3,6 +3,7 @@
 import {
   GatewayPhase,
   GatewayTable,
+  RegionUsage,
   RouteKind,
   RouteTable,
   RouteUsage,
@@ -51,6 +52,7 @@
   timers: ManualTimerService,
   routes: readonly Route[],
   usage = new RouteUsage(),
+  regionUsage = new RegionUsage(),
 ): GatewayDirectory {
   return new GatewayDirectory({
     node: 'vm-0',
@@ -61,6 +63,7 @@
     table,
     routes: () => new RouteTable(routes),
     usage,
+    regionUsage,
     maxMisdirectedShare: 0.05,
     graceMs: GRACE_MS,
     timers,
@@ -96,11 +99,18 @@
   table.mergeRecord(record('vm-1', 'west', GatewayPhase.Ready), timers.now());
   const [used, unused] = [route('/used/', ['west', 'south']), route('/unused/', ['south'])];
   const usage = new RouteUsage();
-  const directory = directoryOf(table, timers, [used, unused], usage);
+  const regionUsage = new RegionUsage();
+  const tell = (prefix: string): void =>
+    regionUsage.merge('east', [{ host: HOST, counts: [[prefix, 100]] }]);
+  const directory = directoryOf(table, timers, [used, unused], usage, regionUsage);
   const listed = (): string[] =>
     directory.choose({ host: HOST, region: 'east' }).gateways.map(({ node }) => node);
   assert.deepEqual(listed(), []);
   Array.from({ length: 100 }).forEach(() => usage.onRequest(used));
+  assert.deepEqual(listed(), []);
+  tell('/unused/');
+  assert.deepEqual(listed(), []);
+  tell('/used/');
   assert.deepEqual(listed(), ['vm-1']);
   Array.from({ length: 10 }).forEach(() => usage.onRequest(unused));
   assert.deepEqual(listed(), []);
--- a/packages/gateway/src/directory/gateway-directory.ts
+++ b/packages/gateway/src/directory/gateway-directory.ts
@@ -2,11 +2,15 @@
 import {
   DirectoryGroup,
   chooseGateways,
+  intersectScopes,
   toleratedRegions,
   type DirectoryChoice,
   type GatewayPhase,
   type GatewayTable,
   type ListedGateway,
+  type RegionScope,
+  type RegionUsage,
+  type Route,
   type RouteTable,
   type RouteUsage,
 } from '@marjoramcart/core';
@@ -36,7 +40,10 @@
   readonly table: GatewayTable;
   /** Routes of the configuration in force. */
   readonly routes: () => RouteTable;
+  /** Requests of this gateway's callers. */
   readonly usage: RouteUsage;
+  /** Requests of the callers of other regions. */
+  readonly regionUsage: RegionUsage;
   /** Largest share of the requests on restricted routes that may be sent where they can't be handled. */
   readonly maxMisdirectedShare: number;
   /** Longest time from the stop signal to the end of a process, ms. */
@@ -93,16 +100,22 @@
     host: string,
     region: string,
   ): DirectoryChoice {
-    const { usage, maxMisdirectedShare } = this.deps;
     const routes = this.deps.routes();
     return chooseGateways(gateways, region, {
       allowed: routes.residencyOf(host).regions,
-      tolerated: () =>
-        toleratedRegions(
-          routes.routesOf(host),
-          (route) => usage.countOf(route),
-          maxMisdirectedShare,
-        ),
+      tolerated: () => this.toleratedRegions(routes.routesOf(host), region),
     });
   }
+
+  /**
+   * Regions that handle most requests of this gateway's callers and, as these may use other routes, of
+   * the callers of the given region.
+   */
+  private toleratedRegions(routes: readonly Route[], region: string): RegionScope {
+    const { usage, regionUsage, maxMisdirectedShare } = this.deps;
+    const own = toleratedRegions(routes, (route) => usage.countOf(route), maxMisdirectedShare);
+    if (region === this.deps.region) return own;
+    const countOf = (route: Route): number => regionUsage.countOf(region, route);
+    return intersectScopes([own, toleratedRegions(routes, countOf, maxMisdirectedShare)]);
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,9 +1,13 @@
 /** Creates the tasks of a gateway, which runs as one process on each VM, and drains them on stop. */
 import {
   GatewayPhase,
+  MIN_REQUESTS,
+  RegionUsage,
   RouteUsage,
   hashOf,
+  sampleItems,
   seededRandom,
+  type HostUsageRow,
   type PeerWork,
   type RandomSource,
   type TargetWork,
@@ -51,6 +55,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 const HOUSEKEEPING_INTERVAL_MS = 250;
 const MS_PER_S = 1000;
+/** A host with more routes in use is not told to other regions, which then name none of theirs for it. */
+const MAX_TOLD_ROUTES = 8;
 const NO_WORK: PeerWork = { requests: 0, memoryTokens: 0 };
 
 export interface GatewayDeps {
@@ -91,6 +97,8 @@
 
   private readonly usage = new RouteUsage();
 
+  private readonly regionUsage = new RegionUsage();
+
   private readonly shutdown: GracefulShutdown;
 
   constructor(private readonly deps: GatewayDeps) {
@@ -117,6 +125,7 @@
         onFleetUpdate: (update) => this.watch.onFleetUpdate(update),
         onSuspects: (rows) => this.crashes.merge(rows),
         onSignals: (rows, node) => this.state.onPeerSignals(rows, node),
+        onUsage: (region, rows) => this.regionUsage.merge(region, rows),
         onRecord: (record) => {
           this.state.onPeerVersions(record);
           this.fetcher.check();
@@ -242,9 +251,22 @@
       targetWork: () => this.router.localTargetWork(),
       suspects: this.crashes.rows(),
       signals: ({ max, maxKnownMs }) => this.state.signalRows(max, maxKnownMs),
+      usage: (max) => this.usageRows(max),
     };
   }
 
+  /** Use of hosts whose routes are restricted to different regions, chosen at random. */
+  private usageRows(max: number): readonly HostUsageRow[] {
+    const rows = this.usage
+      .rows(MIN_REQUESTS)
+      .filter(
+        ({ host, counts }) =>
+          counts.length <= MAX_TOLD_ROUTES &&
+          this.state.routes.residencyOf(host).restrictedRoutes > 1,
+      );
+    return sampleItems(rows, max, this.random);
+  }
+
   private recordPeerTargetWork(node: string, work: Readonly<Record<string, PeerWork>>): void {
     const now = this.deps.timers.now();
     this.state
@@ -303,6 +325,7 @@
       table: this.gossip.table,
       routes: () => this.state.routes,
       usage: this.usage,
+      regionUsage: this.regionUsage,
       maxMisdirectedShare: settings.tuning.directory_misdirected_share,
       graceMs: settings.graceMs,
       timers,
--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -136,6 +136,7 @@
         },
         suspects: [],
         signals: () => NO_SIGNALS,
+        usage: () => [],
       }),
       {
         onTargetWork: () => {
@@ -145,6 +146,7 @@
         onFleetUpdate: () => undefined,
         onSuspects: () => undefined,
         onSignals: () => undefined,
+        onUsage: () => undefined,
         onRecord: () => undefined,
       },
       this.network.port(ipOf(index)),
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -3,6 +3,7 @@
   GatewayPhase,
   type GatewayBeat,
   type GatewayRecord,
+  type HostUsageRow,
   type PeerWork,
   type RegionSummary,
   type RelayedRecord,
@@ -60,6 +61,8 @@
   readonly suspects: readonly SuspectRow[];
   /** What targets of the sender's region said about themselves; only sent within the region. */
   readonly signals: SignalRows;
+  /** Requests of the sender's callers by route; only sent to other regions. */
+  readonly usage: readonly HostUsageRow[];
   /** Sender's clock, ms. */
   readonly sentAt: number;
   /** `sentAt` of the receiver's last message, and the time since it was received, ms. */
@@ -112,6 +115,8 @@
   readonly l?: readonly LeavingWireRow[];
   /** Rate limits of targets. */
   readonly q?: readonly LimitWireRow[];
+  /** Requests by route: a host, and prefixes with counts. */
+  readonly c?: readonly (readonly [string, HostUsageRow['counts']])[];
 }
 
 /** Position of the load in a record. */
@@ -141,6 +146,9 @@
     ...(message.suspects.length > 0 ? { s: message.suspects.map(toSuspectWireRow) } : {}),
     ...(signals.leaving.length > 0 ? { l: signals.leaving.map(toLeavingWireRow) } : {}),
     ...(signals.limits.length > 0 ? { q: signals.limits.map(toLimitWireRow) } : {}),
+    ...(message.usage.length > 0
+      ? { c: message.usage.map(({ host, counts }) => [host, counts] as const) }
+      : {}),
   };
   return encodeNotification(METHOD, params);
 }
@@ -168,6 +176,7 @@
     s = [],
     l = [],
     q = [],
+    c = [],
   } = params as MessageParams;
   return {
     from: fromRow(f),
@@ -184,6 +193,7 @@
     rosterMembers: m.map(([node, ageS]) => ({ node, ageMs: ageS * MS_PER_S })),
     suspects: s.map(fromSuspectWireRow),
     signals: { leaving: l.map(fromLeavingWireRow), limits: q.map(fromLimitWireRow) },
+    usage: c.map(([host, counts]) => ({ host, counts })),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -19,6 +19,7 @@
   BeatResult,
   type GatewayBeat,
   type GatewayRecord,
+  type HostUsageRow,
   type KnownGateway,
   type PeerWork,
   type RandomSource,
@@ -116,6 +117,8 @@
 const SUMMARY_SHARE = 0.5;
 /** Limit of gateways of other regions that get an immediate message, chosen at random. */
 const MAX_REMOTE_RECIPIENTS = 64;
+/** Hosts in a message to another region whose use is told. */
+const MAX_USAGE_ROWS = 2;
 /** A prompt with less prefill time than this per gateway of the region is not announced. */
 const MIN_ANNOUNCED_PREFILL_MS = 15;
 const RTT_WEIGHT = 0.2;
@@ -131,6 +134,8 @@
   readonly suspects: readonly SuspectRow[];
   /** What targets of the region said about themselves. */
   readonly signals: (limits: SignalLimits) => SignalRows;
+  /** Requests of this gateway's callers by route, of at most `max` hosts. */
+  readonly usage: (max: number) => readonly HostUsageRow[];
 }
 
 interface PeerLists {
@@ -150,6 +155,8 @@
   onSuspects(rows: readonly SuspectRow[]): void;
   /** A gateway of the local region sent what targets said about themselves. */
   onSignals(rows: SignalRows, node: string): void;
+  /** A gateway of another region sent which routes its callers use. */
+  onUsage(region: string, rows: readonly HostUsageRow[]): void;
   /** The record of a gateway changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -365,7 +372,14 @@
     const now = this.timers.now();
     this.heartbeat += 1;
     const { node, region, failureDomain } = this.settings;
-    const { targetWork, suspects, signals: signalRows, regionWork, ...state } = this.localState();
+    const {
+      targetWork,
+      suspects,
+      signals: signalRows,
+      regionWork,
+      usage,
+      ...state
+    } = this.localState();
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const toRegion = to?.region === region;
     const datagram = encodeGossip({
@@ -391,6 +405,7 @@
       rosterMembers: toRegion && roster ? this.roster.members(now) : [],
       suspects,
       signals: toRegion ? signalRows(signals) : NO_SIGNALS,
+      usage: to && !toRegion && beats > 0 ? usage(MAX_USAGE_ROWS) : [],
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -502,6 +517,7 @@
       this.listener.onTargetWork(from.node, message.targetWork);
     }
     if (inRegion) this.listener.onSignals(message.signals, from.node);
+    else this.listener.onUsage(from.region, message.usage);
     const rostersDiffer = inRegion && this.mergeRoster(message, now);
     this.sendRecords(message.wanted, from, now);
     const wanted = this.selectWanted(unknown, now);
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -125,6 +125,7 @@
       { key: 'bb', deaths: [{ target: 1, request: 2, ageMs: 300, ranMs: 20 }] },
     ],
     signals: SIGNALS,
+    usage: [{ host: 'api.example', counts: [['/answers/', 120]] }],
   };
   assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
 });
--- a/tests/stand-ins/src/users-platform/home-regions.test.ts
+++ b/tests/stand-ins/src/users-platform/home-regions.test.ts
@@ -6,10 +6,14 @@
 const BASE_PORT = 25_300;
 /** Address of the only gateway in the north. */
 const NORTH = `127.0.0.1:${BASE_PORT}`;
+/** Address of the only gateway in the west. */
+const WEST = `127.0.0.2:${BASE_PORT}`;
 const CONFIG_VERSION = 4;
 /** After its stop signal, a gateway still serves requests of 3 s. */
 const LEAVING_MS = 1000;
 const POLL_MS = 50;
+/** Enough to know which routes callers use. */
+const REQUESTS = 100;
 /** Time after which a gateway that has left is no longer listed by the others. */
 const LOST_AFTER_MS = 4000;
 
@@ -63,10 +67,23 @@
   return results;
 }
 
+async function putHomes(...homes: string[][]): Promise<void> {
+  fleet.store.put('op/config', configWithHomes(...homes));
+  const isInForce = (node: string): boolean =>
+    fleet.gateway(node).state.config?.version === CONFIG_VERSION;
+  await fleet.until(() => ['vm-1', 'vm-2'].every(isInForce));
+}
+
+/** Sends requests on one of the routes to a gateway. */
+async function useRoute(node: string, index: number): Promise<void> {
+  const path = `/bound-${index}/x`;
+  await fleet.until(async () => (await fleet.send(node, { path })).status === 200);
+  await Promise.all(Array.from({ length: REQUESTS }, () => fleet.send(node, { path })));
+}
+
 /** Responses to callers in the north while the only gateway there leaves, and after it has left. */
 async function responsesWhileNorthLeaves(...homes: string[][]): Promise<string[][]> {
-  fleet.store.put('op/config', configWithHomes(...homes));
-  await fleet.until(() => fleet.gateway('vm-2').state.config?.version === CONFIG_VERSION);
+  await putHomes(...homes);
   return collectUntil(fleet.shutDown('vm-1'), () => fleet.directory('vm-2', 'north'));
 }
 
@@ -85,6 +102,23 @@
   assert.deepEqual(responses.at(-1), []);
 });
 
+// Guards against callers that are led out of their home regions because those of another region use
+// other routes of their host.
+test('the routes that callers of another region use do not lead callers out of their home regions', async () => {
+  await putHomes(['west'], ['north']);
+  await Promise.all([useRoute('vm-2', 0), useRoute('vm-1', 1)]);
+  const responses = await responsesWhileNorthLeaves(['west'], ['north']);
+  assert.deepEqual([...new Set(responses.flat())], [NORTH]);
+});
+
+// Guards against callers without a gateway because of a route that none of them uses.
+test('callers whose region has no gateway are led to the other home of the route that they use', async () => {
+  await putHomes(['west', 'north'], ['north']);
+  await Promise.all([useRoute('vm-2', 0), useRoute('vm-1', 0)]);
+  const responses = await responsesWhileNorthLeaves(['west', 'north'], ['north']);
+  assert.deepEqual(responses.at(-1), [WEST]);
+});
+
 // Guards against refused requests while the gateways of their home region leave but still serve them.
 test('a request is forwarded to its home region while the only gateway there leaves', async () => {
   fleet.store.put('op/config', configWithHomes(['north']));
