Order the states of the platform by the era of its store and the revision

Cause: revisions were compared as if they rose for ever.

Change: states have an era, from the header Store-Era, and a revision, and are ordered by both: lists, watches and pages of a list, updates and records between gateways, fetched states, and the age of a known newer revision. The guard against older lists holds within an era. Gateways of the previous release tell no era; theirs counts as the receiver's own. The configuration in force stays the highest version. Evacuations that the copy lacks stay until they are listed again, for 6 s at most; leaving marks stay; targets that the copy lacks stay for 2.5 s; targets that were gone are kept out until their entries have expired.

Fixtures of two tests name the era; nothing in them is weaker.

--- a/packages/core/src/fleet/target-record.ts
+++ b/packages/core/src/fleet/target-record.ts
@@ -1,5 +1,6 @@
 /** Targets and configuration as listed by the platform. */
 import type { FleetConfig } from './fleet-config.js';
+import type { StateRevision } from './state-revision.js';
 
 /** A target as listed by the platform. */
 export interface TargetRecord {
@@ -20,8 +21,7 @@
 }
 
 /** State of the fleet at one revision of the platform. */
-export interface FleetState {
-  readonly revision: number;
+export interface FleetState extends StateRevision {
   readonly config: FleetConfig;
   readonly targets: readonly TargetRecord[];
   /** Evacuated failure domains, whose targets receive no requests. */
--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -30,8 +30,10 @@
   readonly ip: string;
   /** Version of the configuration in force; 0 without one. */
   readonly configVersion: number;
-  /** Latest known revision of the platform's state. */
+  /** Latest known revision of the platform's state, within its era. */
   readonly revision: number;
+  /** Era of the platform's store; gateways of the previous release don't tell it. */
+  readonly era?: number;
 }
 
 /** A sign of life that gateways relay to each other. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -238,6 +238,7 @@
       phase: this.phase(),
       configVersion: this.state.config?.version ?? 0,
       revision: this.state.revision,
+      era: this.state.era,
       regionWork: this.router.regionWork(),
       targetWork: () => this.router.localTargetWork(),
       suspects: this.crashes.rows(),
@@ -408,6 +409,7 @@
       status: () => ({
         phase: this.phase(),
         config: this.state.config?.version ?? 0,
+        era: this.state.era,
         revision: this.state.revision,
         source_age_ms: Math.round(this.state.sourceAgeMs),
         newest_config: this.state.newestConfigVersion,
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -1,7 +1,13 @@
 /** JSON-RPC with which a gateway that can't reach the source fetches the state from another one. */
 import http from 'node:http';
 import { JSONRPCClient, JSONRPCServer } from 'json-rpc-2.0';
-import type { FleetConfig, FleetState, ServiceSpec, TargetRecord } from '@marjoramcart/core';
+import type {
+  FleetConfig,
+  FleetState,
+  ServiceSpec,
+  StateRevision,
+  TargetRecord,
+} from '@marjoramcart/core';
 import { HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
 
 const PATH = '/rpc';
@@ -13,6 +19,8 @@
 
 interface FleetStateJson {
   readonly revision: number;
+  /** Not told by gateways of the previous release. */
+  readonly era?: number;
   readonly config: Omit<FleetConfig, 'services'> & { readonly services: readonly ServiceSpec[] };
   readonly targets: readonly TargetRecord[];
   readonly evacuated: readonly string[];
@@ -63,15 +71,19 @@
  * Fetches the fleet state of another gateway.
  *
  * @param address `ip:port` of the other gateway's RPC listener
+ * @param era era of the source that is assumed if the other gateway doesn't tell it
  * @throws Error when the gateway does not respond in time or responds with an error
- * @example const state = await fetchFleetState('10.0.0.7:7300')
+ * @example const state = await fetchFleetState('10.0.0.7:7300', state.era)
  */
-export async function fetchFleetState(address: string): Promise<FleetState | undefined> {
+export async function fetchFleetState(
+  address: string,
+  era: number,
+): Promise<FleetState | undefined> {
   const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
     client.receive(JSON.parse(await post(address, JSON.stringify(payload))) as never);
   });
   const json = (await client.request(FETCH_METHOD, {})) as FleetStateJson | null;
-  return json ? fromJson(json) : undefined;
+  return json ? fromJson({ era, ...json }) : undefined;
 }
 
 function post(address: string, text: string): Promise<string> {
@@ -102,12 +114,19 @@
   });
 }
 
-function toJson({ revision, config, targets, evacuated }: FleetState): FleetStateJson {
+function toJson({ era, revision, config, targets, evacuated }: FleetState): FleetStateJson {
   const services = [...config.services.values()];
-  return { revision, config: { ...config, services }, targets, evacuated: [...evacuated] };
+  return { era, revision, config: { ...config, services }, targets, evacuated: [...evacuated] };
 }
 
-function fromJson({ revision, config, targets, evacuated }: FleetStateJson): FleetState {
+function fromJson(json: FleetStateJson & StateRevision): FleetState {
+  const { era, revision, config, targets, evacuated } = json;
   const services = new Map(config.services.map((service) => [service.name, service]));
-  return { revision, config: { ...config, services }, targets, evacuated: new Set(evacuated) };
+  return {
+    era,
+    revision,
+    config: { ...config, services },
+    targets,
+    evacuated: new Set(evacuated),
+  };
 }
--- a/packages/gateway/src/peers/fleet-update.ts
+++ b/packages/gateway/src/peers/fleet-update.ts
@@ -12,6 +12,8 @@
   /** Revision before the changes; undefined when they do not fit and the state must be fetched. */
   readonly since: number | undefined;
   readonly revision: number;
+  /** Era of the source; gateways of the previous release don't tell it. */
+  readonly era?: number;
   readonly configVersion: number;
   /** Time since the last response of the source, ms. */
   readonly sourceAgeMs: number;
@@ -42,6 +44,7 @@
   readonly t: readonly TargetRow[];
   readonly g: readonly string[];
   readonly e: readonly string[];
+  readonly era?: number;
 }
 
 /**
@@ -57,7 +60,8 @@
   const listed = new Set(after.targets.map(({ id }) => id));
   const targets = after.targets.filter((record) => known.get(record.id) !== record);
   const gone = before.targets.map(({ id }) => id).filter((id) => !listed.has(id));
-  const fits = targets.length + gone.length <= MAX_TARGETS;
+  // A gateway may have read more of the earlier era than this one, which is gone now.
+  const fits = before.era === after.era && targets.length + gone.length <= MAX_TARGETS;
   return fits
     ? { since: before.revision, targets, gone }
     : { since: undefined, targets: [], gone: [] };
@@ -74,6 +78,7 @@
     t: update.targets.map(toRow),
     g: update.gone,
     e: update.evacuated,
+    ...(update.era === undefined ? {} : { era: update.era }),
   };
   return encodeNotification(METHOD, params);
 }
@@ -86,7 +91,7 @@
  */
 export function decodeFleetUpdate({ method, params }: Notification): FleetUpdate | undefined {
   if (method !== METHOD) return undefined;
-  const { n, s, r, c, a, t, g, e } = params as UpdateParams;
+  const { n, s, r, c, a, t, g, e, era } = params as UpdateParams;
   return {
     node: n,
     since: s ?? undefined,
@@ -96,6 +101,7 @@
     targets: t.map(fromRow),
     gone: g,
     evacuated: e,
+    ...(era === undefined ? {} : { era }),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -129,6 +129,7 @@
         phase: GatewayPhase.Ready,
         configVersion: 3,
         revision: 100,
+        era: 1,
         regionWork: { 'marjoram-llm': { ...work, ...memory }, 'crew-app': { ...work, ...memory } },
         targetWork: () => {
           this.targetWorkReads += 1;
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -66,9 +66,10 @@
   readonly echo?: { readonly sentAt: number; readonly heldMs: number };
 }
 
-type RecordRow = readonly [...OwnRow, ageMs?: number];
+/** The previous release reads no era. */
+type RecordRow = readonly [...OwnRow, ageMs?: number, era?: number | null];
 
-/** A record; the age of a record of another gateway follows it in `RecordRow`, ms. */
+/** A record; in `RecordRow`, its age follows, ms, which is 0 in the sender's own record, and the era. */
 type OwnRow = readonly [
   node: string,
   bootAt: number,
@@ -117,6 +118,7 @@
 /** Position of the load in a record. */
 const WORK_INDEX = 9;
 const AGE_INDEX = 10;
+const ERA_INDEX = 11;
 /** Assumed age of a record that was sent without one, by a gateway of the previous release. */
 const UNKNOWN_AGE_MS = 1500;
 const MS_PER_S = 1000;
@@ -125,8 +127,8 @@
 export function encodeGossip(message: GossipMessage): Buffer {
   const { signals } = message;
   const params: MessageParams = {
-    f: toRow(message.from, toWorkRows(message.work)),
-    o: message.others.map(({ record, ageMs }) => [...toRow(record, {}), Math.ceil(ageMs)]),
+    f: toRow(message.from, toWorkRows(message.work), 0),
+    o: message.others.map(({ record, ageMs }) => toRow(record, {}, Math.ceil(ageMs))),
     ...(message.beats.length > 0 ? { h: packBeats(message.beats) } : {}),
     ...(message.pull === undefined ? {} : { p: message.pull }),
     ...(message.wanted.length > 0 ? { u: packProcessIds(message.wanted) } : {}),
@@ -191,7 +193,7 @@
   return [node, Math.round(ageMs / MS_PER_S)];
 }
 
-function toRow(record: GatewayRecord, work: WorkRows): OwnRow {
+function toRow(record: GatewayRecord, work: WorkRows, ageMs: number): RecordRow {
   return [
     record.node,
     record.bootAt,
@@ -203,6 +205,8 @@
     record.configVersion,
     record.revision,
     work,
+    ageMs,
+    record.era ?? null,
   ];
 }
 
@@ -241,6 +245,7 @@
 
 function fromRow(row: RecordRow): GatewayRecord {
   const [node, bootAt, heartbeat, phase, region, failureDomain, ip, configVersion, revision] = row;
+  const era = row[ERA_INDEX] ?? undefined;
   return {
     node,
     bootAt,
@@ -251,6 +256,7 @@
     ip,
     configVersion,
     revision,
+    ...(era === undefined ? {} : { era }),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -126,6 +126,7 @@
   readonly phase: GatewayPhase;
   readonly configVersion: number;
   readonly revision: number;
+  readonly era: number;
   readonly regionWork: RegionSummary['work'];
   readonly targetWork: () => Readonly<Record<string, PeerWork>>;
   readonly suspects: readonly SuspectRow[];
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -38,10 +38,10 @@
   ],
 };
 
-function stateWith(revision: number, targets: readonly TargetRecord[]): FleetState {
+function stateWith(revision: number, targets: readonly TargetRecord[], era = 1): FleetState {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 };
   const config = { version: 3, routes: [], services: new Map(), limits };
-  return { revision, config, targets, evacuated: new Set() };
+  return { era, revision, config, targets, evacuated: new Set() };
 }
 
 test('a target update loses no field when it is encoded and decoded', () => {
@@ -73,6 +73,7 @@
     node: 'vm-1',
     ...changes,
     revision: 12,
+    era: 1,
     configVersion: 3,
     sourceAgeMs: 40,
     evacuated: ['north-a'],
@@ -82,6 +83,26 @@
   assert.equal(changesBetween(before, stateWith(13, many)).since, undefined);
 });
 
+// Guards against changes since a revision of the earlier era that a gateway applies to another state.
+test('a fleet update contains no changes between two eras of the source', () => {
+  const before = stateWith(26, [RECORD]);
+  assert.deepEqual(changesBetween(before, stateWith(20, [RECORD], 2)).since, undefined);
+});
+
+test('messages of the previous release, which tell no era, are decoded without one', () => {
+  const update = { n: 'vm-1', s: 10, r: 12, c: 3, a: 40, t: [], g: [], e: [] };
+  const decoded = decodeFleetUpdate({ method: 'fleet.news', params: update });
+  assert.equal(decoded?.era, undefined);
+  const row = ['vm-1', 1, 7, 1, 'north', 'north-a', '10.0.0.1', 3, 12, {}];
+  const gossip = { f: row, o: [[...row, 1200]], w: {}, t: 5000 };
+  const message = decodeGossip({ method: 'gateway.gossip', params: gossip });
+  assert.equal(message?.from.era, undefined);
+  assert.deepEqual(
+    message?.others.map(({ record, ageMs }) => [record.era, ageMs]),
+    [[undefined, 1200]],
+  );
+});
+
 test('a datagram of an unknown method or without valid JSON is not taken for an update', () => {
   const other = decodeNotification(Buffer.from('{"method":"x","params":{}}'));
   assert.equal(decodeTargetUpdate(other), undefined);
@@ -101,6 +122,7 @@
     ip: '10.0.0.1',
     configVersion: 3,
     revision: 12,
+    era: 1,
   };
   const message: GossipMessage = {
     from,
--- a/packages/gateway/src/peers/state-fetcher.ts
+++ b/packages/gateway/src/peers/state-fetcher.ts
@@ -1,5 +1,10 @@
 /** Fetches the fleet state from other gateways when this gateway does not get it from the source. */
-import type { GatewayRecord, GatewayTable, RandomSource } from '@marjoramcart/core';
+import {
+  isOlderRevision,
+  type GatewayRecord,
+  type GatewayTable,
+  type RandomSource,
+} from '@marjoramcart/core';
 import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
@@ -65,8 +70,10 @@
     const version = state.config?.version ?? 0;
     const newer = table
       .alive(now)
-      .filter(({ configVersion, revision }) =>
-        state.configBehindMs > 0 ? configVersion > version : revision > state.revision,
+      .filter(({ configVersion, revision, era = state.era }) =>
+        state.configBehindMs > 0
+          ? configVersion > version
+          : isOlderRevision(state, { era, revision }),
       );
     const rest = newer.filter(
       ({ node }) => now - (this.askedAt.get(node) ?? -Infinity) >= RETRY_SAME_MS,
@@ -101,11 +108,12 @@
       revision_behind_ms: Math.round(state.revisionBehindMs),
     };
     try {
-      const fetched = await fetchFleetState(`${ip}:${settings.peerRpcPort}`);
+      const fetched = await fetchFleetState(`${ip}:${settings.peerRpcPort}`, state.era);
       if (!fetched) return;
       log.info('state fetched from another gateway', {
         node,
         version: fetched.config.version,
+        era: fetched.era,
         revision: fetched.revision,
         source_age_ms: Math.round(state.sourceAgeMs),
         ...behind,
--- a/packages/gateway/src/peers/watch-task.ts
+++ b/packages/gateway/src/peers/watch-task.ts
@@ -2,7 +2,12 @@
  * Task that decides whether this gateway watches the source, and sends changes to the other gateways
  * of the region, so that only some of them load the source.
  */
-import { WatcherAssignment, type FleetConfig, type FleetState } from '@marjoramcart/core';
+import {
+  WatcherAssignment,
+  isOlderRevision,
+  type FleetConfig,
+  type FleetState,
+} from '@marjoramcart/core';
 import type { Logger, Task, TimerService } from '@marjoramcart/runtime';
 import type { FleetListener, FleetSource } from '../ports/fleet-source.js';
 import type { GatewayState } from '../state/gateway-state.js';
@@ -100,11 +105,14 @@
     state.onPeerContact(update.sourceAgeMs);
     const hasNewerConfig = update.configVersion > (state.config?.version ?? 0);
     if (hasNewerConfig && !this.watching) source.refreshConfig();
-    if (update.revision < state.revision) return;
+    const era = update.era ?? state.era;
+    const reached = { era, revision: update.revision };
+    if (isOlderRevision(reached, state)) return;
     const before = state.snapshot();
-    const canApplyChanges = update.since !== undefined && update.since <= state.revision;
+    const canApplyChanges =
+      era === state.era && update.since !== undefined && update.since <= state.revision;
     if (before && canApplyChanges) state.applyFromPeer(withChanges(before, update), update.node);
-    else if (update.revision > state.revision && !this.watching) fetcher.fetchFrom(update.node);
+    else if (isOlderRevision(state, reached) && !this.watching) fetcher.fetchFrom(update.node);
   }
 
   private checkAssignment(): void {
@@ -118,6 +126,7 @@
     log.info(watching ? 'started watching the source' : 'stopped watching the source', {
       gateways: gateways().length,
       source_age_ms: Math.round(state.sourceAgeMs),
+      era: state.era,
       revision: state.revision,
     });
   }
@@ -134,6 +143,7 @@
       node,
       ...changesBetween(before, current),
       revision: current.revision,
+      era: current.era,
       configVersion: current.config.version,
       sourceAgeMs: contactAgeMs,
       evacuated: [...current.evacuated],
@@ -144,6 +154,7 @@
 function withChanges(state: FleetState, update: FleetUpdate): FleetState {
   const changed = new Set([...update.gone, ...update.targets.map(({ id }) => id)]);
   return {
+    era: state.era,
     revision: update.revision,
     config: state.config,
     targets: [...state.targets.filter(({ id }) => !changed.has(id)), ...update.targets],
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -1,16 +1,20 @@
 /** Local view of the fleet: configuration, targets and evacuated failure domains. */
 import {
+  EvacuatedDomains,
+  GoneTargets,
   LeavingTargets,
   LimitNews,
   RouteTable,
   TargetLimits,
   TargetWork,
   VersionLag,
+  isOlderRevision,
   type FleetConfig,
   type FleetState,
   type RateLimitSignal,
   type Route,
   type ServiceSpec,
+  type StateRevision,
   type TargetIncarnation,
   type TargetRecord,
 } from '@marjoramcart/core';
@@ -26,6 +30,8 @@
 const OUTAGE_MS = 2500;
 /** Targets whose entries expired while the source was unreachable register again within this time. */
 const RELIST_MS = 2500;
+/** Entries of targets that were gone, which an older copy of the source lists, expire within this time. */
+const EXPIRY_MS = 6000;
 /** Time beyond the warm-up for which a target that may have restarted is assumed to be cold. */
 const COLD_AFTER_SIGN_MS = 1500;
 /** After an evacuation, targets are assumed to be cold until their entries are updated. */
@@ -39,6 +45,8 @@
   readonly node: string;
   readonly configVersion: number;
   readonly revision: number;
+  /** Not told by gateways of the previous release. */
+  readonly era?: number;
 }
 
 export class GatewayState implements FleetListener {
@@ -46,14 +54,19 @@
 
   private routeTable = new RouteTable([]);
 
-  private currentRevision = 0;
+  private current: StateRevision = { era: 0, revision: 0 };
 
-  private evacuatedDomains: ReadonlySet<string> = new Set();
+  /** When the source came back from an older copy, monotonic ms. */
+  private eraStartedAt = -Infinity;
+
+  private readonly evacuatedDomains = new EvacuatedDomains();
 
   private readonly targets = new Map<string, TargetEntry>();
 
   private readonly leavingTargets = new LeavingTargets();
 
+  private readonly goneTargets = new GoneTargets();
+
   private readonly limits = new TargetLimits();
 
   /** Targets whose invalid limits were logged. */
@@ -70,7 +83,7 @@
 
   private readonly configLag = new VersionLag();
 
-  private readonly revisionLag = new VersionLag();
+  private readonly revisionLag = new VersionLag<StateRevision>(isOlderRevision);
 
   /** Called once after the next configuration is in force. */
   private readonly configListeners = new Set<() => void>();
@@ -100,12 +113,18 @@
     return this.routeTable.match(head.host, head.path) ?? route;
   }
 
+  /** Revision of the state within its era. */
   get revision(): number {
-    return this.currentRevision;
+    return this.current.revision;
+  }
+
+  /** Era of the source; rises each time it comes back from an older copy. */
+  get era(): number {
+    return this.current.era;
   }
 
   get evacuated(): ReadonlySet<string> {
-    return this.evacuatedDomains;
+    return this.evacuatedDomains.inForce;
   }
 
   /** Time since the last response of the source to this gateway or to one that told this one, ms. */
@@ -125,7 +144,7 @@
 
   /** Version of the newest configuration that this gateway has heard of. */
   get newestConfigVersion(): number {
-    return Math.max(0, this.configLag.newestVersion);
+    return Math.max(0, this.configLag.newestVersion ?? 0);
   }
 
   /** Priority of the least urgent route of a service; 0 is the most urgent. */
@@ -175,11 +194,12 @@
   }
 
   /** Whether a target may get requests, as far as its entry and its responses tell. */
-  mayUse({ record, misdirected }: TargetEntry): boolean {
+  mayUse({ record, misdirected, keptOutUntil }: TargetEntry): boolean {
     return (
       !record.draining &&
       !misdirected &&
-      !this.evacuatedDomains.has(record.failureDomain) &&
+      !this.evacuated.has(record.failureDomain) &&
+      keptOutUntil <= this.timers.now() &&
       !this.leavingTargets.isLeaving(record)
     );
   }
@@ -208,12 +228,12 @@
   snapshot(): FleetState | undefined {
     if (!this.currentConfig) return undefined;
     return {
-      revision: this.currentRevision,
+      ...this.current,
       config: this.currentConfig,
       targets: [...this.targets.values()]
         .filter(({ dropAt }) => dropAt === undefined)
         .map(({ record }) => record),
-      evacuated: this.evacuatedDomains,
+      evacuated: this.evacuatedDomains.listed,
     };
   }
 
@@ -233,8 +253,8 @@
   }
 
   /** Notes which versions another gateway has in force. */
-  onPeerVersions({ node, configVersion, revision }: PeerVersions): void {
-    this.revisionLag.onHeard(revision, this.timers.now());
+  onPeerVersions({ node, configVersion, revision, era = this.era }: PeerVersions): void {
+    this.revisionLag.onHeard({ era, revision }, this.timers.now());
     this.onPeerConfig(node, configVersion);
   }
 
@@ -279,7 +299,7 @@
     this.log.warn('configuration source lost', {
       reason,
       version: this.currentConfig?.version ?? 0,
-      revision: this.currentRevision,
+      ...this.current,
     });
   }
 
@@ -461,26 +481,55 @@
     this.log.info('target replaced at its address', { target: id, address: entry.record.address });
   }
 
-  /** Drops the targets that are no longer listed and whose retention time has passed. */
+  /** Drops the targets and evacuations that are no longer listed and whose retention time has passed. */
   dropExpired(): void {
     const now = this.timers.now();
     this.leavingTargets.expire(now);
+    this.goneTargets.expire(now);
+    this.changeEvacuated(() => this.evacuatedDomains.expire(now), 'not written again');
+    this.admitKeptOut(now);
     this.limits.expire(now).forEach(({ id }) => this.logLimit(id, { reason: 'not confirmed' }));
     [...this.targets.values()]
       .filter(({ dropAt }) => dropAt !== undefined && now >= dropAt)
-      .forEach(({ record }) => this.drop(record, 'entry gone'));
+      .forEach((entry) => this.drop(entry, 'entry gone'));
   }
 
   private apply(state: FleetState, from: string): void {
     this.applyConfig(state.config, from);
-    if (state.revision < this.currentRevision) return;
-    this.currentRevision = state.revision;
-    this.revisionLag.onReached(state.revision, this.timers.now());
-    this.applyEvacuated(state.evacuated, from);
+    if (isOlderRevision(state, this.current)) return;
+    if (state.era > this.era) this.onNewEra(state, from);
+    const { era, revision } = state;
+    const now = this.timers.now();
+    this.current = { era, revision };
+    this.revisionLag.onReached(this.current, now);
+    this.changeEvacuated(() => this.evacuatedDomains.list(state.evacuated, now), from);
     this.applyTargets(state.targets, from);
     this.usableByService.clear();
   }
 
+  /**
+   * Prepares for a state that lacks what was written last before the source went back. It is written
+   * again soon; until then, what was in force stays so.
+   */
+  private onNewEra({ era, revision }: StateRevision, from: string): void {
+    const isFirst = this.revision === 0;
+    if (isFirst) return;
+    const now = this.timers.now();
+    this.eraStartedAt = now;
+    this.evacuatedDomains.keep(now);
+    [...this.targets.values()]
+      .filter(({ record }) => record.draining)
+      .forEach(({ record }) => this.leavingTargets.onLeaving(record, now));
+    this.log.warn('source came back from an older copy', {
+      era,
+      era_before: this.era,
+      revision,
+      before: this.revision,
+      from,
+      evacuated: this.evacuated.size || undefined,
+    });
+  }
+
   /** Applies a configuration if its version is newer. */
   private applyConfig(config: FleetConfig, from: string): void {
     const before = this.currentConfig?.version ?? 0;
@@ -495,19 +544,22 @@
     this.log.info('configuration in force', {
       version: config.version,
       before,
+      era: this.era,
       from,
       routes: config.routes.length,
       behind_ms: behindMs === undefined ? undefined : Math.round(behindMs),
     });
   }
 
-  private applyEvacuated(evacuated: ReadonlySet<string>, from: string): void {
-    const before = this.evacuatedDomains;
-    this.evacuatedDomains = evacuated;
+  private changeEvacuated(change: () => void, from: string): void {
+    const before = this.evacuated;
+    change();
+    const { evacuated } = this;
     [...evacuated]
       .filter((domain) => !before.has(domain))
       .forEach((domain) => this.log.info('failure domain evacuated', { domain, from }));
     const restored = [...before].filter((domain) => !evacuated.has(domain));
+    if (restored.length > 0) this.usableByService.clear();
     restored.forEach((domain) => this.log.info('failure domain restored', { domain, from }));
     [...this.targets.values()]
       .filter(({ record }) => restored.includes(record.failureDomain))
@@ -525,7 +577,9 @@
     [...this.targets.values()]
       .filter(({ record, dropAt }) => !listed.has(record.id) && dropAt === undefined)
       .forEach((entry) => {
-        const keptMs = justRegained ? RELIST_MS : 0;
+        // An older copy of the source lacks what registered last.
+        const isMissing = entry.listedEra < this.era;
+        const keptMs = justRegained || isMissing ? RELIST_MS : 0;
         entry.scheduleDrop(now + keptMs);
         this.log.info('target no longer listed', {
           target: entry.record.id,
@@ -540,7 +594,7 @@
     const now = this.timers.now();
     const known = this.targets.get(record.id);
     if (known?.record.address === record.address && known.isEarlierStart(record.bornAt)) {
-      known.keep(now);
+      known.keep(now, this.era);
       return;
     }
     if (!known || hasRestarted(known.record, record)) {
@@ -554,14 +608,16 @@
         from,
       });
     }
-    if (known.update(record, now)) this.logCold(known, now);
+    if (known.update(record, now, this.era)) this.logCold(known, now);
   }
 
   private replaceTarget(record: TargetRecord, known: TargetEntry | undefined, from: string): void {
     const now = this.timers.now();
     const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
     const work = new TargetWork(cacheTokens ?? DEFAULT_CACHE_TOKENS);
-    this.targets.set(record.id, new TargetEntry(record, work, now, known?.starts()));
+    const entry = new TargetEntry(record, work, now, this.era, known?.starts());
+    this.targets.set(record.id, entry);
+    if (!known) this.keepOutIfGone(entry);
     this.usableByService.clear();
     this.log.info('target listed', {
       target: record.id,
@@ -573,6 +629,24 @@
     });
   }
 
+  /** A target that was gone before the source went back is listed until its entry expires there. */
+  private keepOutIfGone(entry: TargetEntry): void {
+    const until = this.eraStartedAt + EXPIRY_MS;
+    const now = this.timers.now();
+    if (now >= until || !this.goneTargets.has(entry.record)) return;
+    entry.keepOut(until);
+    this.log.info('target that was gone is listed again', {
+      target: entry.id,
+      kept_out_ms: Math.round(until - now),
+    });
+  }
+
+  private admitKeptOut(now: number): void {
+    const admitted = [...this.targets.values()].filter((entry) => entry.admit(now));
+    if (admitted.length > 0) this.usableByService.clear();
+    admitted.forEach(({ id }) => this.log.info('target is no longer kept out', { target: id }));
+  }
+
   private assumeCold(entry: TargetEntry, forMs: number, reason: ColdReason): void {
     const now = this.timers.now();
     if (entry.extendCold(now + forMs, reason, now)) this.logCold(entry, now);
@@ -586,7 +660,11 @@
     });
   }
 
-  private drop(record: TargetRecord, reason: string): void {
+  private drop(entry: TargetEntry, reason: string): void {
+    const { record } = entry;
+    const now = this.timers.now();
+    if (record.draining) this.leavingTargets.onLeaving(record, now);
+    this.goneTargets.add(record, entry.starts(), now);
     this.targets.delete(record.id);
     this.usableByService.clear();
     this.log.info('target dropped', { target: record.id, reason });
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -46,13 +46,20 @@
   /** Whether another target responded at the address. */
   misdirected = false;
 
+  /** Time until which a target that was gone already receives no requests, monotonic ms. */
+  keptOutUntil = -Infinity;
+
   private doubt: RestartDoubt | undefined;
 
-  /** @param earlierStarts start times of the id before this one, Unix ms */
+  /**
+   * @param listedEra era of the source that last listed the target
+   * @param earlierStarts start times of the id before this one, Unix ms
+   */
   constructor(
     public record: TargetRecord,
     readonly work: TargetWork,
     now: number,
+    public listedEra: number,
     private readonly earlierStarts: readonly number[] = [],
   ) {
     this.coldUntil = now + record.coldForMs;
@@ -151,17 +158,18 @@
    *
    * @returns whether the target becomes cold by it
    */
-  update(record: TargetRecord, now: number): boolean {
+  update(record: TargetRecord, now: number, era: number): boolean {
     // An entry without a start time says nothing about it.
     this.record = record.bornAt === 0 ? { ...record, bornAt: this.record.bornAt } : record;
-    this.keep(now);
+    this.keep(now, era);
     if (record.coldForMs <= 0) return false;
     return this.extendCold(now + record.coldForMs, ColdReason.Listed, now);
   }
 
   /** Keeps the target, which is still listed. */
-  keep(now: number): void {
+  keep(now: number, era: number): void {
     this.recordReceivedAt = now;
+    this.listedEra = era;
     this.dropAt = undefined;
   }
 
@@ -170,6 +178,22 @@
     this.dropAt = at;
   }
 
+  /** Lets the target receive no requests until a time, monotonic ms. */
+  keepOut(until: number): void {
+    this.keptOutUntil = until;
+  }
+
+  /**
+   * Ends `keepOut` when its time has come.
+   *
+   * @returns whether the target was kept out until now
+   */
+  admit(now: number): boolean {
+    if (this.keptOutUntil === -Infinity || now < this.keptOutUntil) return false;
+    this.keptOutUntil = -Infinity;
+    return true;
+  }
+
   markMisdirected(): void {
     this.misdirected = true;
   }
--- a/tests/stand-ins/src/users-platform/store.ts
+++ b/tests/stand-ins/src/users-platform/store.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the key-value store of the users' platform: paged ranges, watches by revision,
- * compaction, and failures on demand.
+ * compaction, older copies from which it comes back, and failures on demand.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { sendJson } from '../common/http-server.js';
@@ -11,6 +11,14 @@
   readonly revision: number;
 }
 
+/** What the store held at an earlier time. */
+interface Copy {
+  readonly items: ReadonlyMap<string, Change>;
+  readonly history: readonly Change[];
+  readonly revision: number;
+  readonly compactedAt: number;
+}
+
 const PAGE_SIZE = 3;
 const POLL_MS = 5;
 const STATUS_REFUSED = 503;
@@ -49,12 +57,19 @@
 
   private compactedAt = 0;
 
+  private era = 1;
+
+  private copy: Copy | undefined;
+
   /** If set, HTTP status of all responses; 0 keeps connections open without a response. */
   failureStatus: number | undefined;
 
   /** Requests received so far. */
   calls = 0;
 
+  /** If set, called once after the first page of a list that has more pages. */
+  onFirstPage: (() => void) | undefined;
+
   /** Listens on one more address; gateways with different addresses can be treated differently. */
   async listen(address: string): Promise<void> {
     const [host, port] = address.split(':');
@@ -98,6 +113,32 @@
     this.history = [];
   }
 
+  /** Keeps a copy of the present entries, history and revision for `goBack`. */
+  keepCopy(): void {
+    this.copy = {
+      items: new Map(this.items),
+      history: [...this.history],
+      revision: this.revision,
+      compactedAt: this.compactedAt,
+    };
+  }
+
+  /**
+   * Comes back from the copy: what was written since is gone, its revisions are given out again, and
+   * the era rises. Watches from a revision that the copy doesn't have get 410.
+   *
+   * @throws Error without a copy
+   */
+  goBack(): void {
+    if (!this.copy) throw new Error('there is no copy');
+    this.items.clear();
+    this.copy.items.forEach((item, key) => this.items.set(key, item));
+    this.history = [...this.copy.history];
+    this.revision = this.copy.revision;
+    this.compactedAt = this.copy.compactedAt;
+    this.era += 1;
+  }
+
   private change(key: string, value: string | undefined): void {
     this.revision += 1;
     const change = { key, value, revision: this.revision };
@@ -108,6 +149,7 @@
 
   private handle(req: IncomingMessage, res: ServerResponse, address: string): void {
     this.calls += 1;
+    res.setHeader('store-era', this.era);
     const mode = this.modeOf(address);
     if (this.failureStatus === 0 || mode === StoreMode.Silent) return;
     const { pathname, searchParams } = new URL(req.url ?? '', 'http://store');
@@ -136,7 +178,12 @@
       .map((key) => items.get(key))
       .filter((item) => item !== undefined);
     const asOf = stale ? this.frozenRevision : this.revision;
-    this.respond(res, address, page, { items: page, hasMore: keys.length > PAGE_SIZE, asOf });
+    const hasMore = keys.length > PAGE_SIZE;
+    this.respond(res, address, page, { items: page, hasMore, asOf });
+    if (!hasMore || after !== '') return;
+    const { onFirstPage } = this;
+    this.onFirstPage = undefined;
+    onFirstPage?.();
   }
 
   private watch(
@@ -147,7 +194,8 @@
     address: string,
   ): void {
     if (this.modeOf(address) === StoreMode.Silent) return;
-    if (after < this.compactedAt) {
+    res.setHeader('store-era', this.era);
+    if (after < this.compactedAt || after > this.revision) {
       res.writeHead(STATUS_COMPACTED).end();
       return;
     }
