Keep targets out only if they were gone before the store went back

Cause: a target that registers again later than 2.5 s after the store went back was taken for one that the copy brings back, and got no requests for up to 6 s more. Each target that had been draining was also kept as leaving for 10 minutes, also without a start time, by which it can't be told from one that comes back under its id.

Change: only targets that were dropped before the store went back are kept out; a target without a start time is kept out for 6 s instead of marked.

--- a/packages/core/src/fleet/gone-targets.ts
+++ b/packages/core/src/fleet/gone-targets.ts
@@ -34,10 +34,10 @@
     if (this.known.size > MAX_TARGETS && oldest !== undefined) this.known.delete(oldest);
   }
 
-  /** Whether this start of the target was dropped before. */
-  has({ id, address, bornAt }: TargetIncarnation): boolean {
+  /** Whether this start of the target was dropped before a time. */
+  wasGone({ id, address, bornAt }: TargetIncarnation, before: number): boolean {
     const gone = this.known.get(id);
-    return gone?.address === address && gone.starts.includes(bornAt);
+    return gone?.address === address && gone.at < before && gone.starts.includes(bornAt);
   }
 
   /** Forgets targets that were dropped long ago. */
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -519,7 +519,11 @@
     this.evacuatedDomains.keep(now);
     [...this.targets.values()]
       .filter(({ record }) => record.draining)
-      .forEach(({ record }) => this.leavingTargets.onLeaving(record, now));
+      .forEach((entry) => {
+        // Without a start time, a target that comes back under its id later can't be told from this one.
+        if (entry.record.bornAt === 0) entry.keepOut(now + EXPIRY_MS);
+        else this.leavingTargets.onLeaving(entry.record, now);
+      });
     this.log.warn('source came back from an older copy', {
       era,
       era_before: this.era,
@@ -633,7 +637,7 @@
   private keepOutIfGone(entry: TargetEntry): void {
     const until = this.eraStartedAt + EXPIRY_MS;
     const now = this.timers.now();
-    if (now >= until || !this.goneTargets.has(entry.record)) return;
+    if (now >= until || !this.goneTargets.wasGone(entry.record, this.eraStartedAt)) return;
     entry.keepOut(until);
     this.log.info('target that was gone is listed again', {
       target: entry.id,
@@ -663,7 +667,6 @@
   private drop(entry: TargetEntry, reason: string): void {
     const { record } = entry;
     const now = this.timers.now();
-    if (record.draining) this.leavingTargets.onLeaving(record, now);
     this.goneTargets.add(record, entry.starts(), now);
     this.targets.delete(record.id);
     this.usableByService.clear();
