--- a/tests/stand-ins/src/users-platform/restored-store.test.ts
+++ b/tests/stand-ins/src/users-platform/restored-store.test.ts
@@ -178,3 +178,21 @@
   await firstPages;
   await untilAll((node) => versionAt(node) === 27 && !knows(node, 'i-0'), 2 * APPLY_MS);
 });
+
+// Guards against a state of the earlier era that counts as newer, as its revision is higher.
+test('a late list of the earlier era does not undo what was read since the store went back', async () => {
+  const { store } = fleet;
+  const removed = await fleet.addTarget(2, PLAIN_SERVICE, ZONE);
+  store.keepCopy();
+  await loseVersions();
+  store.freezeLists();
+  store.goBack();
+  store.delete(`servers/${removed.id}`);
+  await untilAll((node) => !knows(node, removed.id));
+  NODES.forEach((node) => fleet.setStoreMode(node, StoreMode.StaleLists));
+  store.put('op/config', exampleConfig(20));
+  store.compact();
+  assert.deepEqual(await nodesWithout((node) => !knows(node, removed.id)), []);
+  NODES.forEach((node) => fleet.setStoreMode(node, StoreMode.Serves));
+  await untilAll((node) => versionAt(node) === 20 && !knows(node, removed.id));
+});
--- a/tests/stand-ins/src/users-platform/store.ts
+++ b/tests/stand-ins/src/users-platform/store.ts
@@ -49,6 +49,8 @@
 
   private frozenRevision = 0;
 
+  private frozenEra = 0;
+
   private readonly items = new Map<string, Change>();
 
   private history: Change[] = [];
@@ -92,10 +94,11 @@
     this.modes.set(address, mode);
   }
 
-  /** Keeps the present entries and revision for lists in the mode `StaleLists`. */
+  /** Keeps the present entries, era and revision for lists in the mode `StaleLists`. */
   freezeLists(): void {
     this.frozenItems = new Map(this.items);
     this.frozenRevision = this.revision;
+    this.frozenEra = this.era;
   }
 
   put(key: string, value: unknown): void {
@@ -177,6 +180,7 @@
       .slice(0, PAGE_SIZE)
       .map((key) => items.get(key))
       .filter((item) => item !== undefined);
+    if (stale) res.setHeader('store-era', this.frozenEra);
     const asOf = stale ? this.frozenRevision : this.revision;
     const hasMore = keys.length > PAGE_SIZE;
     this.respond(res, address, page, { items: page, hasMore, asOf });
