Ignore entries of earlier starts that an older copy lists

Found by reading. Cause: an older copy lists a target with the start time from before a restart. A gateway that has seen both starts ignores it; one that learned of the target after its restart took the earlier start for the present one, and the target for warm.

Test: 'the entry of an earlier start in the copy ...' fails on the parent (one of three gateways has the earlier start) and passes now, as the other six of the file do.

--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -597,7 +597,7 @@
   private applyTarget(record: TargetRecord, from: string): void {
     const now = this.timers.now();
     const known = this.targets.get(record.id);
-    if (known?.record.address === record.address && known.isEarlierStart(record.bornAt)) {
+    if (known?.record.address === record.address && this.isOfEarlierStart(record, known)) {
       known.keep(now, this.era);
       return;
     }
@@ -615,6 +615,13 @@
     if (known.update(record, now, this.era)) this.logCold(known, now);
   }
 
+  /** A copy has entries from before restarts that this gateway may not have seen. */
+  private isOfEarlierStart({ bornAt }: TargetRecord, known: TargetEntry): boolean {
+    const mayBeOfCopy = this.timers.now() < this.eraStartedAt + EXPIRY_MS;
+    const isEarlier = bornAt !== 0 && bornAt < known.record.bornAt;
+    return known.isEarlierStart(bornAt) || (mayBeOfCopy && isEarlier);
+  }
+
   private replaceTarget(record: TargetRecord, known: TargetEntry | undefined, from: string): void {
     const now = this.timers.now();
     const cacheTokens = this.service(record.service)?.engine?.kvCapacityTokens;
--- a/tests/stand-ins/src/users-platform/restored-store.test.ts
+++ b/tests/stand-ins/src/users-platform/restored-store.test.ts
@@ -196,3 +196,29 @@
   NODES.forEach((node) => fleet.setStoreMode(node, StoreMode.Serves));
   await untilAll((node) => versionAt(node) === 20 && !knows(node, removed.id));
 });
+
+// Guards against a target that restarted and counts as warm, as the copy has the entry of its earlier start.
+test('the entry of an earlier start in the copy does not replace the present one', async () => {
+  const { store } = fleet;
+  const target = await fleet.addTarget(2, PLAIN_SERVICE, ZONE);
+  const key = `servers/${target.id}`;
+  const entry = target.entry(PLAIN_SERVICE, ZONE);
+  const bornAt = (node: string): number | undefined =>
+    fleet.gateway(node).state.target(target.id)?.record.bornAt;
+  store.put(key, { ...entry, born: 1_700_000_000_000 });
+  await untilAll((node) => bornAt(node) === 1_700_000_000_000);
+  store.keepCopy();
+  store.put(key, { ...entry, born: 1_700_000_009_000 });
+  await untilAll((node) => bornAt(node) === 1_700_000_009_000);
+  // A gateway that starts now has not seen the earlier start.
+  await fleet.kill('vm-3');
+  await fleet.addGateway(3, ZONE);
+  await fleet.until(() => bornAt('vm-3') === 1_700_000_009_000);
+  store.goBack();
+  const added = await fleet.addTarget(5, PLAIN_SERVICE, ZONE);
+  await untilAll((node) => knows(node, added.id));
+  assert.deepEqual(
+    NODES.filter((node) => bornAt(node) !== 1_700_000_009_000),
+    [],
+  );
+});
