--- a/packages/gateway/src/reports/restart-check.test.ts
+++ b/packages/gateway/src/reports/restart-check.test.ts
@@ -68,7 +68,7 @@
     new StateMetrics(new Metrics(), () => state),
     () => undefined,
   );
-  state.onState({ revision: 1, config: CONFIG, targets: [TARGET], evacuated: new Set() });
+  state.onState({ era: 0, revision: 1, config: CONFIG, targets: [TARGET], evacuated: new Set() });
   const told: string[] = [];
   const target: Pick<Fixture, 'answer' | 'polls'> = { answer: 'none', polls: 0 };
   const poll = async ({ record }: TargetEntry): Promise<PolledReport> => {
@@ -166,7 +166,7 @@
   state.onStart({ ...TARGET, bornAt: 6 }, timers.now());
   state.onPeerStart(TARGET, 'vm-2');
   state.onStart(TARGET, timers.now());
-  state.onState({ revision: 2, config: CONFIG, targets: [TARGET], evacuated: new Set() });
+  state.onState({ era: 0, revision: 2, config: CONFIG, targets: [TARGET], evacuated: new Set() });
   assert.equal(state.target(TARGET.id)?.record.bornAt, 6);
   // The clock of the target may have gone back.
   state.onStart({ ...TARGET, bornAt: 4 }, timers.now());
