Log the age of a request's connection and the poll that an attempt follows

Nothing changes for callers.

Cause: the logs could not tell whether a request that is sent on after its caller has left waited for its connection to be accepted, or in the gateway, nor whether its close was read in the poll after the one with the request (GONE).

Change: conn_age_ms of each step; poll, the number of the poll of the sockets that an entry follows, of each step and each end of an attempt.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -194,6 +194,8 @@
   ): Promise<void> {
     const { state, protocol, executor, timers } = this.deps;
     const arrivedAt = timers.now();
+    const listener = forwarded ? this.forwardListener : this.callerListener;
+    const connectionAgeMs = listener.connectionAgeMs(req.socket);
     const response = new CallerResponse(res, forwarded);
     const { config } = state;
     if (!config) {
@@ -252,6 +254,7 @@
       arrivedAt,
       forwardedBy,
       attempts,
+      connectionAgeMs,
     );
     await executor.run(call, response);
   }
@@ -351,6 +354,7 @@
   arrivedAt: number,
   forwardedBy: string | undefined,
   attempts: number | undefined,
+  connectionAgeMs: number,
 ): Call {
   const waitMs = longestWaitMs(head, route);
   return {
@@ -359,6 +363,7 @@
     service,
     body,
     forwardedBy,
+    connectionAgeMs,
     configVersion: config.version,
     facts: {
       kind: route.kind,
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -8,6 +8,11 @@
 import type { CallProgress } from './call-progress.js';
 
 export class DecisionLog {
+  /** Polls of the sockets after which something was logged. */
+  private polls = 0;
+
+  private awaitsPoll = false;
+
   constructor(
     private readonly log: Logger,
     private readonly state: GatewayState,
@@ -36,6 +41,8 @@
       attempts: attempts.length || undefined,
       candidates: candidates.length,
       age_ms: this.ageMs(progress),
+      conn_age_ms: Math.round(call.connectionAgeMs),
+      poll: this.pollNumber(),
       from: call.forwardedBy,
       config: call.configVersion,
       revision: this.state.revision,
@@ -59,6 +66,7 @@
       last_event: progress.lastEventId,
       cause: 'message' in end ? end.message : undefined,
       caller_gone: progress.response.disconnected || undefined,
+      poll: this.pollNumber(),
       age_ms: this.ageMs(progress),
     });
   }
@@ -89,6 +97,19 @@
     };
   }
 
+  /** Number of the latest poll of the sockets; entries with one number follow the same poll. */
+  private pollNumber(): number {
+    if (!this.awaitsPoll) {
+      this.awaitsPoll = true;
+      this.polls += 1;
+      // Immediates run after the events of a poll, before the next one.
+      setImmediate(() => {
+        this.awaitsPoll = false;
+      });
+    }
+    return this.polls;
+  }
+
   private ageMs({ call }: CallProgress): number {
     return Math.round(this.timers.now() - call.facts.arrivedAt);
   }
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -36,6 +36,9 @@
 
   private closing = false;
 
+  /** Monotonic time in ms at which each connection was accepted. */
+  private readonly acceptedAt = new WeakMap<net.Socket, number>();
+
   /** Monotonic time in ms at which each connection without a request in flight became idle. */
   private readonly idleSince = new Map<net.Socket, number>();
 
@@ -121,8 +124,20 @@
     this.server.closeAllConnections();
   }
 
+  /**
+   * Time since a connection was accepted, ms. It may have waited for that since it was established.
+   *
+   * @example listener.connectionAgeMs(req.socket) // 0.3
+   */
+  connectionAgeMs(socket: net.Socket): number {
+    const now = performance.now();
+    return now - (this.acceptedAt.get(socket) ?? now);
+  }
+
   private trackIdle(socket: net.Socket): void {
-    this.idleSince.set(socket, performance.now());
+    const now = performance.now();
+    this.acceptedAt.set(socket, now);
+    this.idleSince.set(socket, now);
     socket.once('close', () => this.idleSince.delete(socket));
   }
 
