--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -17,6 +17,7 @@
   readRequestBody,
   RefusedConnections,
   type BodyAllocation,
+  TurnQueue,
   type Logger,
   type Task,
   type TimerService,
@@ -103,6 +104,8 @@
 
   private readonly bodyMemory: BodyMemory;
 
+  private readonly turns = new TurnQueue();
+
   /** Longest idle timeout of any configuration so far; open connections may still rely on it. */
   private idleTimeoutMs = 0;
 
@@ -194,6 +197,8 @@
   ): Promise<void> {
     const { state, protocol, executor, timers } = this.deps;
     const arrivedAt = timers.now();
+    const listener = forwarded ? this.forwardListener : this.callerListener;
+    const connectionAgeMs = listener.connectionAgeMs(req.socket);
     const response = new CallerResponse(res, forwarded);
     const { config } = state;
     if (!config) {
@@ -221,6 +226,12 @@
       this.refuse(req, response, BODY_REFUSALS[body.kind], head.id);
       return;
     }
+    await this.turns.next();
+    if (response.disconnected) {
+      const ageMs = Math.round(timers.now() - arrivedAt);
+      this.deps.log.info('caller left before its turn', { id: head.id, age_ms: ageMs });
+      return;
+    }
     const forwardedBy = forwarded
       ? String(req.headers[FORWARDED_BY_HEADER] ?? 'unknown')
       : undefined;
@@ -252,6 +263,7 @@
       arrivedAt,
       forwardedBy,
       attempts,
+      connectionAgeMs,
     );
     await executor.run(call, response);
   }
@@ -351,6 +363,7 @@
   arrivedAt: number,
   forwardedBy: string | undefined,
   attempts: number | undefined,
+  connectionAgeMs: number,
 ): Call {
   const waitMs = longestWaitMs(head, route);
   return {
@@ -359,6 +372,7 @@
     service,
     body,
     forwardedBy,
+    connectionAgeMs,
     configVersion: config.version,
     facts: {
       kind: route.kind,
