Do not ask reused sockets for their peer, which hides a reset

Cause: a reset that arrives with the last bytes of a response without a length is told from an ordinary end by the socket, which has no remote address then. The watch of idle connections read that address, and Node.js remembers it from then on, so that the reset of a connection that had been idle once looked like an end.

Change: the address comes from the agent. The test fails on the parent ('complete') and passes now.

--- a/packages/runtime/src/http/http-client.test.ts
+++ b/packages/runtime/src/http/http-client.test.ts
@@ -106,3 +106,46 @@
   });
   assert.equal(await Promise.race([result, late]), 'failed');
 });
+
+// Guards against a truncated response that looks complete on a connection that was in use before.
+test('a response on a reused connection is truncated when its last bytes and the reset arrive together', async (t) => {
+  let requests = 0;
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      if (requests === 1) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+      else socket.write(`${HEAD}part`, () => socket.resetAndDestroy());
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpClient({});
+  t.after(() => {
+    client.close();
+    server.close();
+  });
+  const request = async (): Promise<string> => {
+    const sent = await client.send(
+      {
+        address: `127.0.0.1:${port}`,
+        method: 'GET',
+        path: '/',
+        headers: {},
+        body: Buffer.alloc(0),
+        newConnection: false,
+      },
+      () => true,
+      new AbortController().signal,
+    );
+    return sent.kind === 'answer' ? (await readResponseBody(sent.res)).kind : sent.kind;
+  };
+  assert.equal(await request(), 'complete');
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  assert.notEqual(await request(), 'complete');
+  assert.equal(requests, 2);
+});
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -74,18 +74,18 @@
     private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
     private readonly onIdleClosed: (address: string) => void = () => undefined,
   ) {
-    this.agent.on('free', (socket: net.Socket) => {
+    this.agent.on('free', (socket: net.Socket, { host, port }: http.RequestOptions) => {
       socket.setTimeout(IDLE_CONNECTION_MS);
-      this.watchIdle(socket);
+      // Asking the socket for its peer would make Node.js remember it, which hides a reset later.
+      this.watchIdle(socket, `${host}:${port}`);
     });
   }
 
-  private watchIdle(socket: net.Socket): void {
+  private watchIdle(socket: net.Socket, address: string): void {
     if (socket.destroyed || !socket.writable) return;
     this.idle.add(socket);
     if (this.watched.has(socket)) return;
     this.watched.add(socket);
-    const address = `${socket.remoteAddress}:${socket.remotePort}`;
     socket.on('timeout', () => this.idle.delete(socket));
     socket.once('close', () => {
       if (this.idle.delete(socket)) this.onIdleClosed(address);
