--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -41,6 +41,39 @@
   readonly resumable: boolean;
   /** Regions in which the requests may run. */
   readonly regions: RegionScope;
+  /** Whether requests need no API key where the configuration has customers. */
+  readonly isPublic?: boolean;
+}
+
+/** What the limit of a customer counts. */
+export const LimitUnit = {
+  Requests: 'requests',
+  /** Prompt tokens and the limit of output tokens of a request. */
+  Tokens: 'tokens',
+} as const;
+export type LimitUnit = (typeof LimitUnit)[keyof typeof LimitUnit];
+
+/** Limit of a customer over all gateways together. */
+export interface CustomerLimit {
+  readonly unit: LimitUnit;
+  /** Units per second. */
+  readonly perS: number;
+  /** Units that may be used at once after a time without requests. */
+  readonly burst: number;
+  /** Units of a request without a prompt, where tokens are counted. */
+  readonly plainTokens: number;
+}
+
+export interface FleetCustomer {
+  readonly name: string;
+  /** SHA-256 digests of the customer's API keys, hexadecimal. */
+  readonly keyDigests: readonly string[];
+  /** Replaces the priority of the routes; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Absent if the customer may use any amount. */
+  readonly limit?: CustomerLimit;
+  /** Regions in which its requests may run, in addition to those of the route. */
+  readonly regions: RegionScope;
 }
 
 /** Properties of the inference engine of a service. */
@@ -73,4 +106,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceSpec>;
   readonly limits: ClientLimits;
+  /** Customers by name; absent if the deployment has none. */
+  readonly customers?: ReadonlyMap<string, FleetCustomer>;
 }
--- a/packages/gateway/src/exchange/call.ts
+++ b/packages/gateway/src/exchange/call.ts
@@ -1,11 +1,13 @@
 /** A request that the gateway is handling. */
-import type { RequestFacts, Route } from '@marjoramcart/core';
+import type { FleetCustomer, RequestFacts, Route } from '@marjoramcart/core';
 import type { CallHead } from '../ports/request-protocol.js';
 
 export interface Call {
   readonly head: CallHead;
   readonly route: Route;
   readonly service: string;
+  /** Customer whose request it is; absent where the deployment has no customers. */
+  readonly customer?: FleetCustomer;
   readonly body: Buffer;
   readonly facts: RequestFacts;
   /** Name of the gateway that forwarded the request; undefined when a caller sent it. */
