--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -50,6 +50,10 @@
   readonly prefillMs: number;
   /** Id of a target with more cached tokens, from which the destination fetches the KV cache. */
   readonly fetchFrom?: string;
+  /** Mean time between two events of the streams there, ms; absent if not known. */
+  readonly paceMs?: number;
+  /** Whether the streams there are too slow for this request. */
+  readonly tooSlow?: boolean;
   /** Age of the latest load report for the destination, ms; absent if there is none. */
   readonly loadAgeMs?: number;
   /** Sort key of the candidates: the expected time plus the cost to other requests, ms. */
@@ -75,6 +79,8 @@
    * again, ms.
    */
   readonly refusedForMs?: number;
+  /** Whether late requests may be served after all others; true if absent. */
+  readonly mayDefer?: boolean;
   /** Takes one retry from the budget; false when it is spent. Called at most once. */
   readonly takeRetry: () => boolean;
 }
@@ -131,6 +137,8 @@
 const EXTRA_RETRY_DELAY_MS = 500;
 /** Largest retry delay as a share of the time left; callers honour up to a third of that time. */
 const MAX_RETRY_AFTER_SHARE = 0.2;
+/** Time after which streams that are too slow are expected to be faster again. */
+const SLOW_STREAMS_WAIT_MS = 500;
 /** Unavailable destinations are checked again after this time. */
 const RECHECK_MS = 75;
 /** A request with less time left than this is not sent. */
@@ -160,9 +168,14 @@
   if (!best) return stepWithoutCandidate(facts, view);
   // A partly served request is not refused for overload, since the work done for it would be lost.
   const partlyServed = started || view.headSent || facts.resumed === true;
-  const immediate = partlyServed || isInTime(facts, best, now);
-  const chosen = immediate ? best : earliestDeferred(facts, untried, now);
-  if (!chosen) return refuseOverload(facts, best, now);
+  const fastEnough = partlyServed ? untried : untried.filter(({ tooSlow }) => tooSlow !== true);
+  const [bestPaced] = fastEnough;
+  if (!bestPaced) return refuseOverload(facts, best, now, SLOW_STREAMS_WAIT_MS);
+  const immediate = partlyServed || isInTime(facts, bestPaced, now);
+  const deferred = (): Candidate | undefined =>
+    view.mayDefer === false ? undefined : earliestDeferred(facts, fastEnough, now);
+  const chosen = immediate ? bestPaced : deferred();
+  if (!chosen) return refuseOverload(facts, bestPaced, now);
   // An attempt that was never sent to a target did not load one, so it needs no retry budget.
   const retry = attempts.some(mayHaveArrived);
   if (retry && !view.takeRetry()) return finalStep(view, RefusalReason.RetryBudget);
@@ -242,8 +255,14 @@
 }
 
 /** Refuses a request whose first byte would be late, early enough for the caller to retry. */
-function refuseOverload(facts: RequestFacts, best: Candidate, now: number): RequestStep {
-  const excessWaitMs = best.expectedWaitMs - facts.latencyTargetMs * IN_TIME_WAIT_SHARE;
+function refuseOverload(
+  facts: RequestFacts,
+  best: Candidate,
+  now: number,
+  minExcessMs = -Infinity,
+): RequestStep {
+  const waitExcessMs = best.expectedWaitMs - facts.latencyTargetMs * IN_TIME_WAIT_SHARE;
+  const excessWaitMs = Math.max(waitExcessMs, minExcessMs);
   return {
     kind: 'refuse',
     reason: RefusalReason.Overload,
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -28,6 +28,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly latencyTargetMs: number;
+  /** Share of the requests that wait at engines which this one does not overtake; 1 if absent. */
+  readonly shareAhead?: number;
 }
 
 /** Length of the prompt's prefix that a target has cached. */
@@ -117,7 +119,12 @@
       work.memoryCapacityTokens,
       speed.slotMs,
     );
-  const expectedWaitMs = slotAndMemoryWaitMs + work.prefillQueue.waitMs(priority, now);
+  // This gateway knows the prompts that it sent itself; reports count those of the others.
+  const othersBacklogMs = work.waitingOfOthers(now) * (speed.promptMs ?? 0);
+  const expectedWaitMs =
+    slotAndMemoryWaitMs +
+    Math.max(work.prefillQueue.waitMs(priority, now), othersBacklogMs * (req.shareAhead ?? 1));
+  const paceMs = work.paceMs(now);
   const serviceMs = (speed.baseMs + prefillMs) * work.latencyFactor;
   const uncachedTokens = Math.max(0, prompt.promptTokens - cachedTokens - fetchedTokens);
   const expectedFirstByteMs = expectedWaitMs + serviceMs;
@@ -125,10 +132,12 @@
     destination: { kind: 'target', id: target.id },
     expectedFirstByteMs,
     expectedWaitMs,
-    deferredFirstByteMs: slotAndMemoryWaitMs + work.prefillQueue.backlogMs(now) + serviceMs,
+    deferredFirstByteMs:
+      slotAndMemoryWaitMs + Math.max(work.prefillQueue.backlogMs(now), othersBacklogMs) + serviceMs,
     uncachedTokens,
     prefillMs,
     ...(source ? { fetchFrom: source.target.id } : {}),
+    ...(paceMs === undefined ? {} : { paceMs }),
     ...loadAge(work.reportAgeMs(now)),
     costMs:
       expectedFirstByteMs +
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -24,6 +24,8 @@
   /** Used and total KV memory, tokens; 0 for plain services. */
   readonly memoryTokens: number;
   readonly memoryCapacityTokens: number;
+  /** Mean time between two events of the streams there, ms; the previous release does not tell it. */
+  readonly paceMs?: number;
 }
 
 /** A remote region that could run the request. */
@@ -110,6 +112,7 @@
     ...(prompt ? { deferredFirstByteMs: expectedFirstByteMs } : {}),
     uncachedTokens,
     prefillMs,
+    ...(work.paceMs === undefined ? {} : { paceMs: work.paceMs }),
     loadAgeMs: workAgeMs,
     costMs:
       expectedFirstByteMs +
--- a/packages/core/src/routing/service-speed.ts
+++ b/packages/core/src/routing/service-speed.ts
@@ -10,6 +10,8 @@
   readonly baseMs: number;
   /** Time for which a request occupies its slot, ms. */
   readonly slotMs: number;
+  /** Mean prefill time of the service's prompts, ms; absent for plain services. */
+  readonly promptMs?: number;
   /** Share of the requests that fail at a healthy target. */
   readonly baselineFailureRate: number;
 }
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -37,6 +37,10 @@
 export interface LoadReport {
   /** Running and queued requests of all gateways. */
   readonly requests: number;
+  /** Those of them that wait; absent if not reported. */
+  readonly waiting?: number;
+  /** Mean time between two events of the target's streams, ms; absent if not known. */
+  readonly paceMs?: number;
   /** KV memory that can't be evicted, tokens; absent if not reported. */
   readonly memoryTokens?: number;
   /** Start time of the target, Unix ms; absent if not reported. */
@@ -45,6 +49,13 @@
 
 interface TimestampedWork extends PeerWork {
   readonly at: number;
+  /** Waiting requests. */
+  readonly waiting?: number;
+}
+
+interface TimestampedPace {
+  readonly paceMs: number;
+  readonly at: number;
 }
 
 /** Counts received from other gateways expire after this time. */
@@ -84,6 +95,8 @@
   /** Requests of other gateways, derived from the last report of the target. */
   private reported: TimestampedWork | undefined;
 
+  private pace: TimestampedPace | undefined;
+
   /** Smoothed ratio of the measured to the expected time to the first byte. */
   private latencyRatio = 1;
 
@@ -117,6 +130,19 @@
     return this.inFlight.size + this.workOfOthers(now).requests;
   }
 
+  /** Waiting requests of other gateways by a recent report of the target; 0 without one. */
+  waitingOfOthers(now: number): number {
+    const { reported } = this;
+    if (!reported || now - reported.at >= REPORT_LIFETIME_MS) return 0;
+    return reported.waiting ?? 0;
+  }
+
+  /** Mean time between two events of the target's streams, ms; undefined without a recent report. */
+  paceMs(now: number): number | undefined {
+    const { pace } = this;
+    return pace && now - pace.at < REPORT_LIFETIME_MS ? pace.paceMs : undefined;
+  }
+
   /** Age of the target's last report, ms. */
   reportAgeMs(now: number): number | undefined {
     return this.reported && now - this.reported.at;
@@ -222,10 +248,14 @@
   }
 
   /** Handles a load report; requests that this process did not send are those of other gateways. */
-  updateLoadReport({ requests, memoryTokens }: LoadReport, now: number): void {
+  updateLoadReport({ requests, memoryTokens, waiting, paceMs }: LoadReport, now: number): void {
     const known = this.workOfOthers(now);
+    if (paceMs !== undefined) this.pace = { paceMs, at: now };
     this.reported = {
       requests: Math.max(0, requests - this.inFlight.size),
+      ...(waiting === undefined
+        ? {}
+        : { waiting: Math.max(0, waiting - this.awaitingFirstByte.size) }),
       memoryTokens:
         memoryTokens === undefined
           ? known.memoryTokens
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -179,11 +179,12 @@
 }
 
 function expectedTimes(candidate: Candidate): Record<string, number | undefined> {
-  const { expectedFirstByteMs, expectedWaitMs, uncachedTokens, loadAgeMs } = candidate;
+  const { expectedFirstByteMs, expectedWaitMs, uncachedTokens, loadAgeMs, paceMs } = candidate;
   return {
     expected_ms: Math.round(expectedFirstByteMs),
     wait_ms: Math.round(expectedWaitMs),
     tokens: uncachedTokens,
+    pace_ms: paceMs === undefined ? undefined : Math.round(paceMs),
     load_age_ms: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
   };
 }
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -103,10 +103,14 @@
       seen.firstByteMs ??= timers.now() - startedAt;
     };
     const priority = priorityOf(step, progress);
+    const { service } = progress.call;
     const end =
       candidate.destination.kind === 'target'
         ? await this.sendToTarget(candidate.destination.id, candidate, priority, progress, onBytes)
         : await this.sendToPeer(candidate.destination, candidate, priority, progress, onBytes);
+    if (step.deferred) {
+      this.deps.router.deferrals.onOutcome(service, seen.firstByteMs !== undefined, timers.now());
+    }
     return { end, firstByteMs: seen.firstByteMs };
   }
 
@@ -130,6 +134,7 @@
     crashes.onSend(call);
     const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
     work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
+    if (head.prompt) router.speeds.onPrompt(call.service, prefillMs);
     if (head.prompt) {
       const segments = head.prompt.segments.slice(0, -1);
       const prompt = { id: head.id, workMs: prefillMs * work.latencyFactor, priority, segments };
@@ -175,8 +180,13 @@
       onBytes: () => {
         onBytes();
         entry.onContact(timers.now());
-        if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
-        else work.onByte(timers.now());
+        if (seen.firstByteAt === undefined) {
+          work.onFirstByte(head.id, timers.now());
+          const waitedMs = timers.now() - startedAt - prefillMs;
+          if (head.prompt) {
+            router.mixOf(call.service).onWaited(priority, waitedMs, timers.now());
+          }
+        } else work.onByte(timers.now());
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
@@ -191,8 +201,15 @@
       crashes.onLost(record, call, startedAt);
     }
     work.onEnd(head.id, timers.now());
+    if (seen.firstByteAt === undefined && head.prompt) {
+      router.mixOf(call.service).onWaited(priority, timers.now() - startedAt, timers.now());
+    }
     if (end.kind === 'not-run' && !end.misdirected) router.rejections.onRejected(record);
     this.recordResult(entry, end, progress, startedAt, aborted);
+    if (end.kind === 'streamed' && head.prompt && head.resumeAfter === undefined) {
+      const { expectedOutputTokens } = head.prompt;
+      router.lengths.onComplete(call.service, progress.lastEventId ?? 0, expectedOutputTokens);
+    }
     if (end.kind === 'streamed' && seen.firstByteAt !== undefined) {
       router.speeds.onStreamDuration(progress.call.service, timers.now() - seen.firstByteAt);
     }
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -58,6 +58,8 @@
   async run(call: Call, response: CallerResponse): Promise<void> {
     const { timers, metrics, responseMemory } = this.deps;
     if (call.forwardedBy === undefined) this.budget(call.service).onRequest(timers.now());
+    const { prompt } = call.head;
+    if (prompt) this.deps.router.lengths.onRequest(call.route.name, prompt.expectedOutputTokens);
     const memory = responseMemory.allocate();
     void response.closed.then(() => memory.release());
     const recordResult = metrics.startRequest(call.route.name, call.facts.arrivedAt);
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -96,8 +96,11 @@
 
 type WorkRows = Readonly<Record<string, WorkRow>>;
 
-/** Targets, slots, requests, backlog in ms, KV memory in use and its capacity in tokens. */
-type WorkRow = readonly [number, number, number, number, number, number];
+/**
+ * Targets, slots, requests, backlog in ms, KV memory in use and its capacity in tokens, and the time
+ * between events of streams in ms, which the previous release ignores.
+ */
+type WorkRow = readonly [number, number, number, number, number, number, number?];
 
 type SummaryRow = readonly [string, number, WorkRows];
 
@@ -251,19 +254,21 @@
     Math.round(row.backlogMs),
     row.memoryTokens,
     row.memoryCapacityTokens,
+    ...(row.paceMs === undefined ? ([] as const) : ([Math.round(row.paceMs)] as const)),
   ]);
 }
 
 function fromWorkRows(rows: WorkRows): Record<string, RegionWork> {
   return mapValues(
     rows,
-    ([targets, slots, requests, backlogMs, memoryTokens, memoryCapacityTokens]) => ({
+    ([targets, slots, requests, backlogMs, memoryTokens, memoryCapacityTokens, paceMs]) => ({
       targets,
       slots,
       requests,
       backlogMs,
       memoryTokens,
       memoryCapacityTokens,
+      ...(paceMs === undefined ? {} : { paceMs }),
     }),
   );
 }
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -52,7 +52,15 @@
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
-type ReportWireRow = readonly [string, number, (number | null)?, number?];
+/** Waiting requests and the time between events of streams follow, which the previous release ignores. */
+type ReportWireRow = readonly [
+  target: string,
+  requests: number,
+  memoryTokens?: number | null,
+  bornAt?: number | null,
+  waiting?: number | null,
+  paceMs?: number | null,
+];
 
 interface RejectedParams {
   readonly n: string;
@@ -148,18 +156,25 @@
 }
 
 function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
-  const { requests, memoryTokens, bornAt } = report;
-  if (bornAt !== undefined) return [target, requests, memoryTokens ?? null, bornAt];
+  const { requests, memoryTokens, bornAt, waiting, paceMs } = report;
+  const pace = paceMs === undefined ? null : Math.round(paceMs);
+  // The previous release takes a start time of null for one at the epoch, so it must not get null.
+  if (bornAt !== undefined) {
+    return [target, requests, memoryTokens ?? null, bornAt, waiting ?? null, pace];
+  }
   return memoryTokens === undefined ? [target, requests] : [target, requests, memoryTokens];
 }
 
-function fromReportRow([target, requests, memoryTokens, bornAt]: ReportWireRow): TargetReportRow {
+function fromReportRow(row: ReportWireRow): TargetReportRow {
+  const [target, requests, memoryTokens, bornAt, waiting, paceMs] = row;
   return {
     target,
     report: {
       requests,
       ...(typeof memoryTokens === 'number' ? { memoryTokens } : {}),
-      ...(bornAt === undefined ? {} : { bornAt }),
+      ...(typeof bornAt === 'number' ? { bornAt } : {}),
+      ...(typeof waiting === 'number' ? { waiting } : {}),
+      ...(typeof paceMs === 'number' ? { paceMs } : {}),
     },
   };
 }
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,6 @@
 /** Interfaces to the protocols of callers, gateways and targets, which a platform adapter implements. */
 import type { IncomingMessage } from 'node:http';
-import type { LoadReport, Prompt, RateLimitSignal, TargetRecord } from '@marjoramcart/core';
+import type { LoadReport, Prompt, RateLimitSignal, RunEvents, TargetRecord } from '@marjoramcart/core';
 
 /** Flat list of header names and values, as Node.js reads and writes them. */
 export type HeaderList = string[];
@@ -96,7 +96,7 @@
   readonly path: string;
   /** Undefined when the body is not a valid report. */
   decode(body: Buffer): LoadReport | undefined;
-  /** Ids of the requests in a report whose runs have made events. */
-  decodeRuns(body: Buffer): readonly string[];
+  /** Runs in a report that have generated events; empty if the report lists none. */
+  decodeRuns(body: Buffer): readonly RunEvents[];
   readTargetSignals(res: IncomingMessage): TargetSignals;
 }
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -70,7 +70,10 @@
       if (sent.kind !== 'failed' || sent.sent) return { kind: 'none' };
       return { kind: abort.signal.aborted ? 'silent' : 'refused' };
     }
-    const report = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
+    const decoded = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
+    const runs = body?.kind === 'complete' ? protocol.decodeRuns(body.body) : [];
+    const paceMs = entry.progress.onRuns(runs, timers.now());
+    const report = decoded && { ...decoded, ...(paceMs === undefined ? {} : { paceMs }) };
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
     const signals = protocol.readTargetSignals(sent.res);
     state.onTargetSignals(target, signals);
@@ -80,8 +83,11 @@
     work.updateLoadReport(report, timers.now());
     if (report.bornAt !== undefined && state.onStart(target, askedAt)) announceStart(target);
     // A report of another start may have runs of another version.
-    if (body?.kind === 'complete' && streams.isLearning && report.bornAt === record.bornAt) {
-      streams.onRuns(entry, protocol.decodeRuns(body.body));
+    if (streams.isLearning && report.bornAt === record.bornAt) {
+      streams.onRuns(
+        entry,
+        runs.map(({ id }) => id),
+      );
     }
     return { kind: 'report', report };
   }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,6 +1,10 @@
 /** Ranks the destinations that may take a call now, best first. */
 import {
   allowsVersion,
+  DeferralOutcomes,
+  hashOf,
+  isTooSlow,
+  maxPaceMs,
   latenessCostMs,
   rankTargets,
   sampleTargets,
@@ -12,7 +16,9 @@
   RateShares,
   requestsWithinLimit,
   SharedRateLimiter,
+  StreamLengths,
   usableShare,
+  WaitingMix,
   type Candidate,
   type PeerWork,
   type Destination,
@@ -38,6 +44,8 @@
 import { ServiceSpeeds } from './service-speeds.js';
 
 const MS_PER_S = 1000;
+/** Range of `hashOf`. */
+const HASHES = 2 ** 32;
 /** Allowance for gateways of the region that this gateway does not know yet. */
 const SPARE_GATEWAYS = 1;
 /** Window of the rate of a cold target; longer than one second, since delays can bunch requests together. */
@@ -55,6 +63,8 @@
   readonly unavailable: readonly Destination[];
   /** Time until the rate of a limited target allows the next request, ms; absent without such a target. */
   readonly opensInMs?: number;
+  /** Whether late requests may be served after all others. */
+  readonly mayDefer?: boolean;
 }
 
 /** What a gateway assumes about a target whose service limits requests to cold targets. */
@@ -87,6 +97,13 @@
 export class Router {
   readonly speeds: ServiceSpeeds;
 
+  /** Lengths of streams by route. */
+  readonly lengths = new StreamLengths();
+
+  readonly deferrals = new DeferralOutcomes();
+
+  private readonly waitingMix = new Map<string, WaitingMix>();
+
   private readonly coldLimiter: SharedRateLimiter;
 
   private readonly limitLimiter: SharedRateLimiter;
@@ -175,24 +192,29 @@
       ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
       priority: call.route.priority,
       latencyTargetMs: call.facts.latencyTargetMs,
+      ...(call.head.prompt
+        ? { shareAhead: this.mixOf(call.service).shareAhead(call.route.priority, now) }
+        : {}),
     };
     if (this.reach.isCutOff) {
       const local = this.candidatesViaPeers(call, req, usable, options, now);
       const speed = this.speedOf(call.service);
-      return { candidates: rankWithRemoteRegions(local, options, req, speed), unavailable: [] };
+      const viaPeers = rankWithRemoteRegions(local, options, req, speed);
+      return { candidates: this.withPace(call, viaPeers, now), unavailable: [] };
     }
     const first = openTargets(share);
     const firstRanked = this.rankLocal(call, req, first, options, now);
     const all = isLate(firstRanked[0], req) ? openTargets(lateShare) : first;
     const local =
       all.length > first.length ? this.rankLocal(call, req, all, options, now) : firstRanked;
-    const candidates = rankWithRemoteRegions(
+    const ranked = rankWithRemoteRegions(
       local,
       options,
       req,
       this.speedOf(call.service),
       this.regionWork()[call.service],
     );
+    const candidates = this.withPace(call, ranked, now);
     const open = new Set(all);
     const unavailable = usable
       .filter((entry) => !open.has(entry))
@@ -202,7 +224,38 @@
         .map((entry) => this.limitOpensInMs(entry, lateShare, now))
         .filter((ms) => ms > 0 && ms < Infinity),
     );
-    return { candidates, unavailable, ...(opensInMs < Infinity ? { opensInMs } : {}) };
+    return {
+      candidates,
+      unavailable,
+      mayDefer: this.deferrals.mayDefer(call.service, now),
+      ...(opensInMs < Infinity ? { opensInMs } : {}),
+    };
+  }
+
+  /** Marks the candidates whose streams are too slow for a call that begins a stream. */
+  private withPace(call: Call, candidates: readonly Candidate[], now: number): Candidate[] {
+    const { head, route, facts, service } = call;
+    const events = head.prompt && this.lengths.longEvents(route.name, service);
+    if (events === undefined) return [...candidates];
+    const limitMs = maxPaceMs({
+      gapTargetMs: route.gapTargetMs,
+      streamMs: facts.deadlineAt - now - facts.latencyTargetMs,
+      events,
+    });
+    // The steps of a call have to agree, and the gateways that handle it too.
+    const sample = hashOf(head.id) / HASHES;
+    return candidates.map((candidate) =>
+      candidate.paceMs !== undefined && isTooSlow(candidate.paceMs, limitMs, sample)
+        ? { ...candidate, tooSlow: true }
+        : candidate,
+    );
+  }
+
+  /** How the waiting requests of a service divide by priority. */
+  mixOf(service: string): WaitingMix {
+    const known = this.waitingMix.get(service) ?? new WaitingMix();
+    this.waitingMix.set(service, known);
+    return known;
   }
 
   /** Local targets that other gateways of the region reach; none for a call that one of them forwarded. */
@@ -312,9 +365,15 @@
       targets: Math.ceil(sum((entry) => this.usableSlots(entry) / entry.record.slots)),
       slots: Math.round(sum((entry) => this.usableSlots(entry))),
       requests: sum(({ work }) => work.requests(now)),
-      backlogMs: sum(({ work }) => work.prefillQueue.backlogMs(now)),
+      backlogMs: sum(({ work }) =>
+        Math.max(
+          work.prefillQueue.backlogMs(now),
+          work.waitingOfOthers(now) * (this.speedOf(service).promptMs ?? 0),
+        ),
+      ),
       memoryTokens: sum(({ work }) => work.memoryTokens(now)),
       memoryCapacityTokens: sum(({ work }) => work.memoryCapacityTokens),
+      ...meanPace(usable, now),
     };
   }
 
@@ -435,3 +494,10 @@
 function isLate(best: Candidate | undefined, req: RankedRequest): boolean {
   return best !== undefined && latenessCostMs(best.expectedFirstByteMs, req) > 0;
 }
+
+/** Mean pace of the streams of targets whose pace is known. */
+function meanPace(targets: readonly TargetEntry[], now: number): Pick<RegionWork, 'paceMs'> {
+  const paces = targets.map(({ work }) => work.paceMs(now)).filter((ms) => ms !== undefined);
+  if (paces.length === 0) return {};
+  return { paceMs: paces.reduce((sum, ms) => sum + ms, 0) / paces.length };
+}
--- a/packages/gateway/src/routing/service-speeds.ts
+++ b/packages/gateway/src/routing/service-speeds.ts
@@ -11,6 +11,8 @@
 
   private readonly streamMs = new Map<string, number>();
 
+  private readonly promptMs = new Map<string, number>();
+
   private readonly failureRates = new Map<string, number>();
 
   constructor(private readonly tuning: GatewayTuning) {}
@@ -24,10 +26,17 @@
       attentionMsPerMillionPairs: engine.attention_ms_per_million,
       baseMs: isEngine ? engine.first_token_ms : plainMs,
       slotMs: isEngine ? (this.streamMs.get(service) ?? engine.stream_ms) : plainMs,
+      ...(isEngine ? { promptMs: this.promptMs.get(service) ?? 0 } : {}),
       baselineFailureRate: this.failureRates.get(service) ?? 0,
     };
   }
 
+  /** Records the expected prefill time of a prompt that is sent to an engine. */
+  onPrompt(service: string, prefillMs: number): void {
+    const before = this.promptMs.get(service) ?? prefillMs;
+    this.promptMs.set(service, before + (prefillMs - before) * TIME_WEIGHT);
+  }
+
   /** Records the time from the start of an attempt at a plain service to its response. */
   onPlainDuration(service: string, ms: number): void {
     const before = this.plainMs.get(service) ?? this.tuning.plain.request_ms;
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -1,5 +1,5 @@
 /** A target in the local view of a gateway, with its load and assumed state. */
-import type { TargetRecord, TargetWork } from '@marjoramcart/core';
+import { RunProgress, type TargetRecord, type TargetWork } from '@marjoramcart/core';
 
 /** Why a target is assumed to be cold. */
 export const ColdReason = {
@@ -34,6 +34,9 @@
 }
 
 export class TargetEntry {
+  /** Pace of the target's streams, from the reports that this gateway polls. */
+  readonly progress = new RunProgress();
+
   /** Time until which the target is assumed to be cold, monotonic ms. */
   coldUntil: number;
 
