--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -4,8 +4,8 @@
 import { match } from 'ts-pattern';
 import type { AvailableDestinations, Router } from '../routing/router.js';
 import type { GatewayState } from '../state/gateway-state.js';
-import type { AttemptEnd } from './attempt-end.js';
 import type { CallProgress } from './call-progress.js';
+import type { SentAttempt } from './destination-sender.js';
 
 export class DecisionLog {
   /** Polls of the sockets after which something was logged. */
@@ -52,12 +52,10 @@
     });
   }
 
-  /** @param firstByteMs time from the start of the attempt; undefined when no byte was received */
   onAttemptEnd(
-    end: AttemptEnd,
+    { end, firstByteMs, longestGapMs }: SentAttempt,
     progress: CallProgress,
     { destination }: Candidate,
-    firstByteMs: number | undefined,
   ): void {
     this.log.info('attempt ended', {
       id: progress.call.head.id,
@@ -66,6 +64,7 @@
       status: 'status' in end ? end.status : undefined,
       complete: 'complete' in end ? end.complete : undefined,
       first_byte_ms: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
+      longest_gap_ms: longestGapMs > 0 ? Math.round(longestGapMs) : undefined,
       last_event: progress.lastEventId,
       version: progress.scope.kind === 'only' ? progress.scope.version : undefined,
       cause: 'message' in end ? end.message : undefined,
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -71,6 +71,8 @@
 export interface SentAttempt {
   readonly end: AttemptEnd;
   readonly firstByteMs: number | undefined;
+  /** Longest time between two received parts of the response, ms. */
+  readonly longestGapMs: number;
 }
 
 /** Address and headers of one attempt, and the callbacks for its response. */
@@ -98,9 +100,15 @@
     const { timers } = this.deps;
     const { candidate } = step;
     const startedAt = timers.now();
-    const seen: { firstByteMs?: number } = {};
+    const seen: { firstByteMs?: number; lastAt: number; longestGapMs: number } = {
+      lastAt: startedAt,
+      longestGapMs: 0,
+    };
     const onBytes = (): void => {
-      seen.firstByteMs ??= timers.now() - startedAt;
+      const now = timers.now();
+      if (seen.firstByteMs === undefined) seen.firstByteMs = now - startedAt;
+      else seen.longestGapMs = Math.max(seen.longestGapMs, now - seen.lastAt);
+      seen.lastAt = now;
     };
     const priority = priorityOf(step, progress);
     const { service } = progress.call;
@@ -111,7 +119,7 @@
     if (step.deferred) {
       this.deps.router.deferrals.onOutcome(service, seen.firstByteMs !== undefined, timers.now());
     }
-    return { end, firstByteMs: seen.firstByteMs };
+    return { end, firstByteMs: seen.firstByteMs, longestGapMs: seen.longestGapMs };
   }
 
   private async sendToTarget(
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -145,8 +145,9 @@
     const runsBefore = runsSoFar(progress);
     this.deps.metrics.onAttempt(destination.kind, retry, this.isCold(destination));
     response.setRuns(runsBefore + 1);
-    const { end, firstByteMs } = await this.sender.send(step, progress);
-    this.decisions.onAttemptEnd(end, progress, candidate, firstByteMs);
+    const sent = await this.sender.send(step, progress);
+    const { end } = sent;
+    this.decisions.onAttemptEnd(sent, progress, candidate);
     if (end.kind === 'streamed') {
       response.end();
       return ResultCodes.Ok.name;
