Refuse streams while those that run are too slow to end in time

Engines that always had prompts to prefill generated so slowly that streams ended at their deadlines.

--- a/packages/core/src/exchange/next-request-step.test.ts
+++ b/packages/core/src/exchange/next-request-step.test.ts
@@ -287,3 +287,23 @@
   const last = nextRequestStep(FACTS, view({ attempts: [...attempts, rejected], takeRetry }));
   assert.ok(last.kind === 'refuse' && last.reason === 'retry-budget');
 });
+
+// Guards against starting streams that reach their deadlines before their ends.
+test('a stream goes to a target that is fast enough, and is refused at once without one', () => {
+  const slow = { ...candidate('a'), tooSlow: true };
+  const sent = nextRequestStep(STREAM, view({ candidates: [slow, candidate('b', 30)] }));
+  assert.equal(sent.kind === 'attempt' && sent.candidate.expectedWaitMs, 30);
+  const refused = nextRequestStep(STREAM, view({ candidates: [slow] }));
+  assert.equal(refused.kind === 'refuse' && refused.reason, 'overload');
+  const resumed = nextRequestStep({ ...STREAM, resumed: true }, view({ candidates: [slow] }));
+  assert.equal(resumed.kind, 'attempt');
+});
+
+// Guards against holding late requests that get no response while an overload lasts.
+test('a late request is refused when deferred requests get no responses', () => {
+  const late = { ...candidate('a', 900), deferredFirstByteMs: 1000 };
+  const deferred = nextRequestStep(STREAM, view({ candidates: [late] }));
+  assert.equal(deferred.kind === 'attempt' && deferred.deferred, true);
+  const refused = nextRequestStep(STREAM, view({ candidates: [late], mayDefer: false }));
+  assert.equal(refused.kind, 'refuse');
+});
--- a/packages/core/src/routing/stream-pace.ts
+++ b/packages/core/src/routing/stream-pace.ts
@@ -71,10 +71,7 @@
     }
     const step = before * QUANTILE_STEP;
     const isLonger = expectedOutputTokens > before;
-    this.longTokens.set(
-      route,
-      before + step * (isLonger ? LONG_QUANTILE : LONG_QUANTILE - 1),
-    );
+    this.longTokens.set(route, before + step * (isLonger ? LONG_QUANTILE : LONG_QUANTILE - 1));
   }
 
   /** Notes a complete stream. */
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,12 @@
 /** Interfaces to the protocols of callers, gateways and targets, which a platform adapter implements. */
 import type { IncomingMessage } from 'node:http';
-import type { LoadReport, Prompt, RateLimitSignal, RunEvents, TargetRecord } from '@marjoramcart/core';
+import type {
+  LoadReport,
+  Prompt,
+  RateLimitSignal,
+  RunEvents,
+  TargetRecord,
+} from '@marjoramcart/core';
 
 /** Flat list of header names and values, as Node.js reads and writes them. */
 export type HeaderList = string[];
