--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -71,6 +71,8 @@
 export interface SentAttempt {
   readonly end: AttemptEnd;
   readonly firstByteMs: number | undefined;
+  /** Longest time between two received parts of the response, ms. */
+  readonly longestGapMs: number;
 }
 
 /** Address and headers of one attempt, and the callbacks for its response. */
@@ -98,16 +100,26 @@
     const { timers } = this.deps;
     const { candidate } = step;
     const startedAt = timers.now();
-    const seen: { firstByteMs?: number } = {};
+    const seen: { firstByteMs?: number; lastAt: number; longestGapMs: number } = {
+      lastAt: startedAt,
+      longestGapMs: 0,
+    };
     const onBytes = (): void => {
-      seen.firstByteMs ??= timers.now() - startedAt;
+      const now = timers.now();
+      if (seen.firstByteMs === undefined) seen.firstByteMs = now - startedAt;
+      else seen.longestGapMs = Math.max(seen.longestGapMs, now - seen.lastAt);
+      seen.lastAt = now;
     };
     const priority = priorityOf(step, progress);
+    const { service } = progress.call;
     const end =
       candidate.destination.kind === 'target'
         ? await this.sendToTarget(candidate.destination.id, candidate, priority, progress, onBytes)
         : await this.sendToPeer(candidate.destination, candidate, priority, progress, onBytes);
-    return { end, firstByteMs: seen.firstByteMs };
+    if (step.deferred) {
+      this.deps.router.deferrals.onOutcome(service, seen.firstByteMs !== undefined, timers.now());
+    }
+    return { end, firstByteMs: seen.firstByteMs, longestGapMs: seen.longestGapMs };
   }
 
   private async sendToTarget(
@@ -130,6 +142,7 @@
     crashes.onSend(call);
     const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
     work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
+    if (head.prompt) router.speeds.onPrompt(call.service, prefillMs);
     if (head.prompt) {
       const segments = head.prompt.segments.slice(0, -1);
       const prompt = { id: head.id, workMs: prefillMs * work.latencyFactor, priority, segments };
@@ -175,8 +188,13 @@
       onBytes: () => {
         onBytes();
         entry.onContact(timers.now());
-        if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
-        else work.onByte(timers.now());
+        if (seen.firstByteAt === undefined) {
+          work.onFirstByte(head.id, timers.now());
+          const waitedMs = timers.now() - startedAt - prefillMs;
+          if (head.prompt) {
+            router.mixOf(call.service).onWaited(priority, waitedMs, timers.now());
+          }
+        } else work.onByte(timers.now());
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
@@ -191,8 +209,15 @@
       crashes.onLost(record, call, startedAt);
     }
     work.onEnd(head.id, timers.now());
+    if (seen.firstByteAt === undefined && head.prompt) {
+      router.mixOf(call.service).onWaited(priority, timers.now() - startedAt, timers.now());
+    }
     if (end.kind === 'not-run' && !end.misdirected) router.rejections.onRejected(record);
     this.recordResult(entry, end, progress, startedAt, aborted);
+    if (end.kind === 'streamed' && head.prompt && head.resumeAfter === undefined) {
+      const { expectedOutputTokens } = head.prompt;
+      router.lengths.onComplete(call.service, progress.lastEventId ?? 0, expectedOutputTokens);
+    }
     if (end.kind === 'streamed' && seen.firstByteAt !== undefined) {
       router.speeds.onStreamDuration(progress.call.service, timers.now() - seen.firstByteAt);
     }
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -58,6 +58,8 @@
   async run(call: Call, response: CallerResponse): Promise<void> {
     const { timers, metrics, responseMemory } = this.deps;
     if (call.forwardedBy === undefined) this.budget(call.service).onRequest(timers.now());
+    const { prompt } = call.head;
+    if (prompt) this.deps.router.lengths.onRequest(call.route.name, prompt.expectedOutputTokens);
     const memory = responseMemory.allocate();
     void response.closed.then(() => memory.release());
     const recordResult = metrics.startRequest(call.route.name, call.facts.arrivedAt);
@@ -143,8 +145,9 @@
     const runsBefore = runsSoFar(progress);
     this.deps.metrics.onAttempt(destination.kind, retry, this.isCold(destination));
     response.setRuns(runsBefore + 1);
-    const { end, firstByteMs } = await this.sender.send(step, progress);
-    this.decisions.onAttemptEnd(end, progress, candidate, firstByteMs);
+    const sent = await this.sender.send(step, progress);
+    const { end } = sent;
+    this.decisions.onAttemptEnd(sent, progress, candidate);
     if (end.kind === 'streamed') {
       response.end();
       return ResultCodes.Ok.name;
