Add the lookup and the authentication of customers

The configuration names the customers of a deployment; nothing read their keys. The priority and the home regions of the customer bind.

--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -108,4 +108,6 @@
   readonly limits: ClientLimits;
   /** Customers by name; absent if the deployment has none. */
   readonly customers?: ReadonlyMap<string, FleetCustomer>;
+  /** Set when a gateway of the previous release passed it on, which does not know of customers. */
+  readonly lacksCustomers?: true;
 }
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,4 +1,6 @@
+export * from './authentication.js';
 export * from './contact-clock.js';
+export * from './customer-directory.js';
 export * from './era-trust.js';
 export * from './evacuated-domains.js';
 export * from './fleet-config.js';
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -2,10 +2,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import {
+  AuthFailure,
+  authenticate,
   pickWeightedService,
   ResultCodes,
   RouteKind,
+  type AuthVerdict,
   type FleetConfig,
+  type FleetCustomer,
   type RandomSource,
   type ResultCode,
   type Route,
@@ -28,14 +32,16 @@
   ATTEMPTS_HEADER,
   CallerResponse,
   CONFIG_HEADER,
+  CUSTOMER_HEADER,
   VERSION_HEADER,
-  decodeVersion,
+  decodeText,
 } from '../exchange/caller-response.js';
 import type { GatewayDirectory } from '../directory/gateway-directory.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
-import type { CallHead, RequestProtocol } from '../ports/request-protocol.js';
+import type { CallHead, CallHeadResult, RequestProtocol } from '../ports/request-protocol.js';
+import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { ConfigCatchUp } from './config-catch-up.js';
 
@@ -58,6 +64,15 @@
   'too-slow': ResultCodes.SenderTooSlow,
   'no-memory': ResultCodes.BodyMemoryFull,
 } as const;
+/** Result codes of requests that are not accepted from any customer. */
+const AUTH_REFUSALS: Readonly<Record<AuthFailure, ResultCode>> = {
+  [AuthFailure.Missing]: ResultCodes.MissingApiKey,
+  [AuthFailure.Malformed]: ResultCodes.MissingApiKey,
+  [AuthFailure.Repeated]: ResultCodes.MissingApiKey,
+  [AuthFailure.Unknown]: ResultCodes.UnknownApiKey,
+  [AuthFailure.Shared]: ResultCodes.UnknownApiKey,
+  [AuthFailure.Outdated]: ResultCodes.ConfigurationBehind,
+};
 /** Refusals of one gateway while another one can serve the caller. */
 const OTHER_GATEWAY_CODES: ReadonlySet<ResultCode> = new Set([
   ResultCodes.EntryNotReady,
@@ -77,6 +92,39 @@
   idleTimeoutMs: 15_000,
 } as const;
 
+/** What another gateway tells about a request that it forwards. */
+interface Forward {
+  /** Name of the gateway. */
+  readonly by: string;
+  /** Version of the configuration by which it was routed. */
+  readonly configVersion: number;
+  /** How many targets may run it. */
+  readonly attempts: number;
+  readonly requiredVersion?: string;
+  readonly customer?: string;
+}
+
+interface Refusal {
+  readonly kind: 'refused';
+  readonly code: ResultCode;
+  readonly detail: string;
+}
+
+/** Whether a request is accepted, and from whom. */
+type CustomerAdmission = { readonly kind: 'admitted'; readonly customer?: FleetCustomer } | Refusal;
+
+/** A request whose route and customer were looked for by a configuration. */
+interface Admitted {
+  readonly kind: 'admitted';
+  readonly head: CallHead;
+  readonly config: FleetConfig;
+  /** Undefined if the configuration has no route for it; the customer was not looked for then. */
+  readonly route: Route | undefined;
+  readonly customer?: FleetCustomer;
+}
+
+type Admission = Admitted | (Refusal & { readonly head: CallHead });
+
 export interface CallerTaskDeps {
   /** `ip:port` each. */
   readonly callersAddress: string;
@@ -89,6 +137,7 @@
   readonly usage: Pick<RouteUsage, 'onRequest'>;
   readonly protocol: RequestProtocol;
   readonly executor: RequestExecutor;
+  readonly revocation: Pick<GatewaySettings['customers'], 'revokeMs' | 'revokeFailClosed'>;
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly metrics: GatewayMetrics;
@@ -214,7 +263,7 @@
     forwarded: boolean,
     allocation: BodyAllocation,
   ): Promise<void> {
-    const { state, protocol, executor, timers } = this.deps;
+    const { state, executor, timers } = this.deps;
     const arrivedAt = timers.now();
     const listener = forwarded ? this.forwardListener : this.callerListener;
     const connectionAgeMs = listener.connectionAgeMs(req.socket);
@@ -228,24 +277,35 @@
       this.refuse(req, response, ResultCodes.HeadersTooLarge);
       return;
     }
-    const decoded = protocol.readHead(req);
+    const decoded = this.readHead(req);
     if (decoded.kind === 'invalid') {
       this.refuse(req, response, ResultCodes.InvalidRequest, undefined, decoded.message);
       return;
     }
-    const { head } = decoded;
-    if (!forwarded && !this.endsInTime(head, arrivedAt)) {
-      this.refuse(req, response, ResultCodes.EntryDraining, head.id, undefined, head.host);
+    if (!forwarded && !this.endsInTime(decoded.head, arrivedAt)) {
+      const { id, host } = decoded.head;
+      this.refuse(req, response, ResultCodes.EntryDraining, id, undefined, host);
       return;
     }
     const streamBefore = this.streams.get(req.socket);
-    if (state.routes.match(head.host, head.path)?.kind === RouteKind.Stream) {
+    if (state.routes.match(decoded.head.host, decoded.head.path)?.kind === RouteKind.Stream) {
       this.streams.set(req.socket, response.closed);
     }
+    const forward = forwarded ? readForward(req) : undefined;
+    if (forward && !(await this.deps.configCatchUp.reach(forward.configVersion, forward.by))) {
+      this.refuse(req, response, ResultCodes.ConfigurationBehind, decoded.head.id);
+      return;
+    }
+    const early = await this.admit(req, { head: decoded.head, config }, forward);
+    if (early.kind === 'refused') {
+      this.refuse(req, response, early.code, early.head.id, early.detail);
+      return;
+    }
+    if (response.disconnected) return;
     const body = await readRequestBody(req, limits.maxBodyBytes, timers, allocation);
     if (body.kind === 'aborted') return;
     if (body.kind !== 'complete') {
-      this.refuse(req, response, BODY_REFUSALS[body.kind], head.id);
+      this.refuse(req, response, BODY_REFUSALS[body.kind], early.head.id);
       return;
     }
     // A stream that is interrupted ends its connection, and with it the responses behind it.
@@ -253,25 +313,21 @@
     await this.turns.next();
     if (response.disconnected) {
       const ageMs = Math.round(timers.now() - arrivedAt);
-      this.deps.log.info('caller left before its turn', { id: head.id, age_ms: ageMs });
+      this.deps.log.info('caller left before its turn', { id: early.head.id, age_ms: ageMs });
       return;
     }
     // The shutdown may have proceeded while the body was received.
-    if (!forwarded && !this.endsInTime(head, arrivedAt)) {
-      this.refuse(req, response, ResultCodes.EntryDraining, head.id, undefined, head.host);
+    if (!forwarded && !this.endsInTime(early.head, arrivedAt)) {
+      const { id, host } = early.head;
+      this.refuse(req, response, ResultCodes.EntryDraining, id, undefined, host);
       return;
     }
-    const forwardedBy = forwarded
-      ? String(req.headers[FORWARDED_BY_HEADER] ?? 'unknown')
-      : undefined;
-    if (forwardedBy !== undefined) {
-      const version = Number(req.headers[CONFIG_HEADER]) || 0;
-      if (!(await this.deps.configCatchUp.reach(version, forwardedBy))) {
-        this.refuse(req, response, ResultCodes.ConfigurationBehind, head.id);
-        return;
-      }
+    const admitted = await this.admitAgain(req, early, forward);
+    if (admitted.kind === 'refused') {
+      this.refuse(req, response, admitted.code, admitted.head.id, admitted.detail);
+      return;
     }
-    const route = state.routes.match(head.host, head.path) ?? (await this.matchNewest(head));
+    const { head, route, customer } = admitted;
     const service = route && pickWeightedService(route, this.deps.random);
     if (!route || service === undefined) {
       const isBehind = state.configBehindMs > 0;
@@ -280,25 +336,111 @@
       return;
     }
     if (!forwarded && route.regions.kind === 'only') this.deps.usage.onRequest(route);
-    // The configuration may have changed while the body was received.
-    const currentConfig = state.config ?? config;
-    const attempts = forwarded ? Number(req.headers[ATTEMPTS_HEADER]) || 1 : undefined;
-    const requiredVersion = forwarded ? decodeVersion(req.headers[VERSION_HEADER]) : undefined;
     const call = makeCall(
       head,
       body.body,
       route,
       service,
-      currentConfig,
+      customer,
+      admitted.config,
       arrivedAt,
-      forwardedBy,
-      attempts,
+      forward,
       connectionAgeMs,
-      requiredVersion,
     );
     await executor.run(call, response);
   }
 
+  /** Decodes the head of a request, with its API key where the configuration in force has customers. */
+  private readHead(req: IncomingMessage): CallHeadResult {
+    return this.deps.protocol.readHead(req, this.deps.state.customers !== undefined);
+  }
+
+  /** Matches a request by the configuration in force and finds its customer; its body is not needed. */
+  private async admit(
+    req: IncomingMessage,
+    before: Pick<Admitted, 'head' | 'config'>,
+    forward: Forward | undefined,
+  ): Promise<Admission> {
+    const { state } = this.deps;
+    const { config = before.config } = state;
+    const decoded = config === before.config ? undefined : this.readHead(req);
+    const head = decoded?.kind === 'call' ? decoded.head : before.head;
+    const admitted: Admitted = {
+      kind: 'admitted',
+      head,
+      route: state.routes.match(head.host, head.path),
+      config,
+    };
+    // The route is looked for once more when the body is complete.
+    if (!admitted.route) return admitted;
+    const admission = await this.admitCustomer(head, admitted.route, forward);
+    // The configuration may have changed while the key waited for it.
+    if (admission.kind !== 'refused' && state.config !== config) {
+      return this.admit(req, admitted, forward);
+    }
+    return admission.kind === 'refused' ? { ...admission, head } : { ...admitted, ...admission };
+  }
+
+  /**
+   * Admits a request again whose body is complete, if its route was unknown before or the
+   * configuration has changed since.
+   */
+  private async admitAgain(
+    req: IncomingMessage,
+    early: Admitted,
+    forward: Forward | undefined,
+  ): Promise<Admission> {
+    const { state } = this.deps;
+    if (early.route && state.config === early.config) return early;
+    await this.waitForRoute(early.head);
+    return this.admit(req, early, forward);
+  }
+
+  /**
+   * Finds the customer of a request, before its body is read. It may be called again for the same
+   * request when the configuration has changed.
+   */
+  private async admitCustomer(
+    head: CallHead,
+    route: Route,
+    forward: Forward | undefined,
+  ): Promise<CustomerAdmission> {
+    const verdict = await this.authenticate(head, route, forward);
+    if (verdict.kind === 'accepted') return { ...verdict, kind: 'admitted' };
+    const failure = verdict.kind === 'refused' ? verdict.failure : AuthFailure.Outdated;
+    this.deps.metrics.onAuthFailure(failure);
+    return { kind: 'refused', code: AUTH_REFUSALS[failure], detail: `API key: ${failure}` };
+  }
+
+  /** Finds the customer of a request; an unknown key waits for a newer configuration if there is one. */
+  private async authenticate(
+    head: CallHead,
+    route: Route,
+    forward: Forward | undefined,
+    waited = false,
+  ): Promise<AuthVerdict> {
+    const { state, configCatchUp, revocation } = this.deps;
+    const { customers, sourceAgeMs, configBehindMs } = state;
+    const forwardedFor = forward?.customer;
+    if (!customers) {
+      return forwardedFor === undefined
+        ? { kind: 'accepted' }
+        : { kind: 'refused', failure: AuthFailure.Unknown };
+    }
+    const verdict = authenticate(
+      customers,
+      {
+        apiKey: head.apiKey ?? { kind: 'missing' },
+        isPublic: route.isPublic === true,
+        ...(forwardedFor === undefined ? {} : { forwardedFor }),
+      },
+      { ...revocation, sourceAgeMs, configBehindMs },
+    );
+    if (verdict.kind !== 'wait' || waited) return verdict;
+    await configCatchUp.reachNewest();
+    return this.authenticate(head, route, forward, true);
+  }
+
   /** Whether a request is answered before this gateway stops accepting requests. */
   private endsInTime(head: CallHead, arrivedAt: number): boolean {
     if (this.acceptUntil === Infinity) return true;
@@ -306,12 +448,11 @@
     return route !== undefined && arrivedAt + longestWaitMs(head, route) <= this.acceptUntil;
   }
 
-  /** Matches a request again after waiting for a newer configuration, which may have added its route. */
-  private async matchNewest({ host, path }: CallHead): Promise<Route | undefined> {
+  /** Waits for a newer configuration if there is one and the one in force has no route for a request. */
+  private async waitForRoute({ host, path }: CallHead): Promise<void> {
     const { state, configCatchUp } = this.deps;
-    if (state.configBehindMs === 0) return undefined;
+    if (state.configBehindMs === 0 || state.routes.match(host, path)) return;
     await configCatchUp.reachNewest();
-    return state.routes.match(host, path);
   }
 
   /** Sends a refusal for a request that is not run, and discards the rest of its body. */
@@ -387,32 +528,49 @@
   return Math.min(deadlineMs ?? timeoutMs, timeoutMs);
 }
 
+/** Reads what another gateway tells about a request that it forwards. */
+function readForward({ headers }: IncomingMessage): Forward {
+  const requiredVersion = decodeText(headers[VERSION_HEADER]);
+  const customer = headers[CUSTOMER_HEADER];
+  return {
+    by: String(headers[FORWARDED_BY_HEADER] ?? 'unknown'),
+    configVersion: Number(headers[CONFIG_HEADER]) || 0,
+    attempts: Number(headers[ATTEMPTS_HEADER]) || 1,
+    ...(requiredVersion === undefined ? {} : { requiredVersion }),
+    // A name that can't be decoded is that of no customer.
+    ...(customer === undefined ? {} : { customer: decodeText(customer) ?? '' }),
+  };
+}
+
 function makeCall(
   head: CallHead,
   body: Buffer,
   route: Route,
   service: string,
+  customer: FleetCustomer | undefined,
   config: FleetConfig,
   arrivedAt: number,
-  forwardedBy: string | undefined,
-  attempts: number | undefined,
+  forward: Forward | undefined,
   connectionAgeMs: number,
-  requiredVersion: string | undefined,
 ): Call {
   const waitMs = longestWaitMs(head, route);
+  const requiredVersion = forward?.requiredVersion;
+  const attempts = forward?.attempts ?? route.maxAttempts;
   return {
     head,
     route,
     service,
+    ...(customer ? { customer } : {}),
+    priority: customer?.priority ?? route.priority,
     body,
-    forwardedBy,
+    forwardedBy: forward?.by,
     connectionAgeMs,
     configVersion: config.version,
     ...(requiredVersion === undefined ? {} : { requiredVersion }),
     facts: {
       kind: route.kind,
       resumable: route.resumable,
-      maxAttempts: Math.min(attempts ?? route.maxAttempts, route.maxAttempts),
+      maxAttempts: Math.min(attempts, route.maxAttempts),
       deadlineAt: arrivedAt + waitMs,
       arrivedAt,
       latencyTargetMs: route.latencyTargetMs,
--- a/packages/gateway/src/exchange/call.ts
+++ b/packages/gateway/src/exchange/call.ts
@@ -8,6 +8,8 @@
   readonly service: string;
   /** Customer whose request it is; absent where the deployment has no customers. */
   readonly customer?: FleetCustomer;
+  /** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
+  readonly priority: number;
   readonly body: Buffer;
   readonly facts: RequestFacts;
   /** Name of the gateway that forwarded the request; undefined when a caller sent it. */
--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -25,6 +25,9 @@
  */
 export const VERSION_HEADER = 'marjoramcart-software-version';
 
+/** In a forwarded request: name of the customer whose request it is, percent-encoded. */
+export const CUSTOMER_HEADER = 'marjoramcart-customer';
+
 /** A caller that reads nothing of its response for this time is taken for lost. */
 const MAX_STALL_MS = 15_000;
 /** No content and not modified. */
@@ -150,7 +153,7 @@
     return [
       ATTEMPTS_HEADER,
       String(this.runs),
-      ...(version === undefined ? [] : [VERSION_HEADER, encodeVersion(version)]),
+      ...(version === undefined ? [] : [VERSION_HEADER, encodeText(version)]),
     ];
   }
 
@@ -162,13 +165,13 @@
   }
 }
 
-/** Encodes a version, which may be any text, for `VERSION_HEADER`. */
-export function encodeVersion(version: string): string {
-  return encodeURIComponent(version);
+/** Encodes any text, such as a version or a name, for a header. */
+export function encodeText(text: string): string {
+  return encodeURIComponent(text);
 }
 
 /** Undefined when the header is absent or not valid. */
-export function decodeVersion(value: string | string[] | undefined): string | undefined {
+export function decodeText(value: string | string[] | undefined): string | undefined {
   if (typeof value !== 'string') return undefined;
   try {
     return decodeURIComponent(value);
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -32,6 +32,7 @@
     this.log.info(step.kind, {
       id: call.head.id,
       route: call.route.name,
+      customer: call.customer?.name,
       version: progress.scope.kind === 'only' ? progress.scope.version : undefined,
       ...inputsOf(step, candidates[0]),
       ...this.coldFields(step),
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -34,9 +34,10 @@
 import {
   ATTEMPTS_HEADER,
   CONFIG_HEADER,
+  CUSTOMER_HEADER,
   VERSION_HEADER,
-  decodeVersion,
-  encodeVersion,
+  decodeText,
+  encodeText,
 } from './caller-response.js';
 import { StallDetector } from './stall-detector.js';
 
@@ -219,13 +220,14 @@
         String(attemptsLeft(progress)),
         CONFIG_HEADER,
         String(call.configVersion),
+        ...(call.customer ? [CUSTOMER_HEADER, encodeText(call.customer.name)] : []),
         ...(progress.scope.kind === 'only'
-          ? [VERSION_HEADER, encodeVersion(progress.scope.version)]
+          ? [VERSION_HEADER, encodeText(progress.scope.version)]
           : []),
       ],
       toPeer: true,
       mayWrite: () => router.mayRunIn(call, region),
-      streamSource: ({ headers }) => ({ version: decodeVersion(headers[VERSION_HEADER]) }),
+      streamSource: ({ headers }) => ({ version: decodeText(headers[VERSION_HEADER]) }),
       isAlive: () => false,
       onReport: () => undefined,
       onSignals: () => undefined,
@@ -294,11 +296,13 @@
     { fetchFrom }: Candidate,
   ): AttemptFields {
     const { state, timers } = this.deps;
+    const customer = call.customer?.name;
     const remainingMs = Math.max(1, Math.floor(call.facts.deadlineAt - timers.now()));
     const source = fetchFrom === undefined ? undefined : state.target(fetchFrom)?.record.address;
     return {
       remainingMs,
       priority,
+      ...(customer === undefined ? {} : { customer }),
       ...(lastEventId === undefined ? {} : { resumeAfter: lastEventId }),
       ...(source === undefined ? {} : { fetchFrom: source }),
     };
@@ -339,5 +343,5 @@
 
 function priorityOf({ retry, deferred }: AttemptStep, { call }: CallProgress): number {
   if (deferred) return DEFERRED_PRIORITY;
-  return retry ? RETRY_PRIORITY : call.route.priority;
+  return retry ? RETRY_PRIORITY : call.priority;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,6 +129,7 @@
       new StateMetrics(deps.metrics, () => this.state),
       (rows) => this.gossip.announceTarget({ kind: 'signals', rows, from: settings.node }),
       () => this.streams.check(),
+      settings.customers.required,
     );
     // Gateways that start in the same millisecond must not make the same choices.
     const random = seededRandom(hashOf(`${settings.node} ${timers.wall()}`));
@@ -225,6 +226,7 @@
       usage: this.usage,
       protocol,
       executor,
+      revocation: settings.customers,
       timers,
       random,
       metrics,
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of a gateway: results and latencies by route, attempts by kind of destination. */
+import type { AuthFailure } from '@marjoramcart/core';
 import type { Metrics, TimerService } from '@marjoramcart/runtime';
 
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 16];
@@ -9,6 +10,8 @@
 
   private readonly attempts;
 
+  private readonly authFailures;
+
   private readonly durations;
 
   constructor(
@@ -24,6 +27,11 @@
       'Attempts by kind of destination, and whether a target was assumed to be cold.',
       ['place', 'retry', 'cold'],
     );
+    this.authFailures = metrics.counter(
+      'authentication_failures_total',
+      'Requests that were not accepted from any customer, by reason.',
+      ['reason'],
+    );
     this.durations = metrics.histogram(
       'request_seconds',
       'Time from the arrival of a request to the end of its response.',
@@ -41,6 +49,10 @@
     this.results.inc({ route: '', result });
   }
 
+  onAuthFailure(reason: AuthFailure): void {
+    this.authFailures.inc({ reason });
+  }
+
   /** Starts to measure a request; the returned function records its result and its duration. */
   startRequest(route: string, arrivedAt: number): (result: string) => void {
     return (result) => {
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -4,6 +4,7 @@
 import {
   readEra,
   type FleetConfig,
+  type FleetCustomer,
   type FleetState,
   type ServiceSpec,
   type StateRevision,
@@ -18,11 +19,17 @@
 const REQUEST_TIMEOUT_MS = 2000;
 const MAX_STATE_BYTES = 8 * 1024 * 1024;
 
+interface FleetConfigJson extends Omit<FleetConfig, 'services' | 'customers' | 'lacksCustomers'> {
+  readonly services: readonly ServiceSpec[];
+  /** Null if the deployment has none; not told by gateways of the previous release. */
+  readonly customers?: readonly FleetCustomer[] | null;
+}
+
 interface FleetStateJson {
   readonly revision: number;
   /** Not told by gateways of the previous release. */
   readonly era?: number;
-  readonly config: Omit<FleetConfig, 'services'> & { readonly services: readonly ServiceSpec[] };
+  readonly config: FleetConfigJson;
   readonly targets: readonly TargetRecord[];
   readonly evacuated: readonly string[];
 }
@@ -117,18 +124,34 @@
 }
 
 function toJson({ era, revision, config, targets, evacuated }: FleetState): FleetStateJson {
-  const services = [...config.services.values()];
-  return { era, revision, config: { ...config, services }, targets, evacuated: [...evacuated] };
+  return { era, revision, config: configToJson(config), targets, evacuated: [...evacuated] };
 }
 
 function fromJson(json: FleetStateJson & StateRevision): FleetState {
   const { era, revision, config, targets, evacuated } = json;
-  const services = new Map(config.services.map((service) => [service.name, service]));
   return {
     era,
     revision,
-    config: { ...config, services },
+    config: configFromJson(config),
     targets,
     evacuated: new Set(evacuated),
   };
 }
+
+function configToJson(config: FleetConfig): FleetConfigJson {
+  const { customers, lacksCustomers, services, ...rest } = config;
+  return {
+    ...rest,
+    services: [...services.values()],
+    ...(lacksCustomers ? {} : { customers: customers ? [...customers.values()] : null }),
+  };
+}
+
+function configFromJson({ customers, services, ...rest }: FleetConfigJson): FleetConfig {
+  return {
+    ...rest,
+    services: new Map(services.map((service) => [service.name, service])),
+    ...(customers ? { customers: new Map(customers.map((entry) => [entry.name, entry])) } : {}),
+    ...(customers === undefined ? { lacksCustomers: true } : {}),
+  };
+}
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,6 @@
 /** Interfaces to the protocols of callers, gateways and targets, which a platform adapter implements. */
 import type { IncomingMessage } from 'node:http';
-import type { LoadReport, Prompt, RateLimitSignal, TargetRecord } from '@marjoramcart/core';
+import type { ApiKey, LoadReport, Prompt, RateLimitSignal, TargetRecord } from '@marjoramcart/core';
 
 /** Flat list of header names and values, as Node.js reads and writes them. */
 export type HeaderList = string[];
@@ -13,8 +13,10 @@
   readonly host: string;
   /** Path with the query. */
   readonly path: string;
-  /** Headers of the caller that may be forwarded. */
+  /** Headers of the caller that may be forwarded; without the API key if that was read. */
   readonly headers: HeaderList;
+  /** Present if the API key was read. */
+  readonly apiKey?: ApiKey;
   /** How long the caller waits, ms; absent when the request does not contain it. */
   readonly deadlineMs?: number;
   /** Present when the request generates tokens. */
@@ -34,6 +36,8 @@
   readonly remainingMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Name of the customer whose request it is. */
+  readonly customer?: string;
   /** Id of the event after which the stream resumes. */
   readonly resumeAfter?: number;
   /** `ip:port` of a target from which the receiver fetches its cached tokens of the prompt. */
@@ -65,7 +69,11 @@
 }
 
 export interface RequestProtocol {
-  readHead(req: IncomingMessage): CallHeadResult;
+  /**
+   * @param readsKey whether the deployment has customers: the API key is read, and neither the key nor
+   *   the name of a customer that the caller sent is forwarded
+   */
+  readHead(req: IncomingMessage, readsKey: boolean): CallHeadResult;
   /** Headers of the request to a target. */
   targetHeaders(call: CallHead, fields: AttemptFields, target: TargetRecord): HeaderList;
   /** Headers of the request to another gateway, which decodes them with `readHead`. */
--- a/packages/gateway/src/routing/remote-regions.ts
+++ b/packages/gateway/src/routing/remote-regions.ts
@@ -183,7 +183,10 @@
  * allow the region, since a gateway there may have either in force.
  */
 export function mayRunIn(call: Call, region: string, state: GatewayState): boolean {
-  return [call.route, state.routeInForce(call)].every(({ regions }) =>
+  const customers = [call.customer, state.customerInForce(call)].filter(
+    (customer) => customer !== undefined,
+  );
+  return [call.route, state.routeInForce(call), ...customers].every(({ regions }) =>
     allowsRegion(regions, region),
   );
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -173,7 +173,7 @@
       call.forwardedBy === undefined ? this.remoteRegions.options(call, scope, now) : [];
     const req: RankedRequest = {
       ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
-      priority: call.route.priority,
+      priority: call.priority,
       latencyTargetMs: call.facts.latencyTargetMs,
     };
     if (this.reach.isCutOff) {
@@ -218,7 +218,7 @@
     return best ? this.regionPeers.candidates(best) : [];
   }
 
-  /** Whether the homes of a call's route include a region, also by the configuration in force. */
+  /** Whether the homes of a call's route and customer include a region, also by the configuration in force. */
   mayRunIn(call: Call, region: string): boolean {
     return mayRunIn(call, region, this.state);
   }
@@ -365,7 +365,7 @@
   }
 
   private limitedShareRequest(
-    { head, service, route }: Call,
+    { head, service, priority }: Call,
     usable: readonly TargetEntry[],
     now: number,
   ): LimitedShareRequest {
@@ -374,7 +374,7 @@
         (entry) => this.state.rateLimitOf(entry) === undefined && !isAvoided(entry, now),
       ),
       isLarge: head.prompt === undefined || this.promptSizes.isLarge(service, head.prompt),
-      isLeastUrgent: route.priority >= this.state.leastUrgentPriority(service),
+      isLeastUrgent: priority >= this.state.leastUrgentPriority(service),
       isLate: false,
     };
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -38,6 +38,15 @@
   readonly maxBodyMemoryBytes: number;
   /** The same for the responses of targets; those beyond it are passed on as callers read them. */
   readonly maxResponseMemoryBytes: number;
+  /** How keys of customers are handled that a newer configuration may have added or removed. */
+  readonly customers: {
+    /** Whether a configuration is put in force only if it comes with the customers, if any. */
+    readonly required: boolean;
+    /** How long removed keys may be accepted without contact with the source, ms. */
+    readonly revokeMs: number;
+    /** Whether no key is accepted after that time. */
+    readonly revokeFailClosed: boolean;
+  };
   /** Longest lifetime of a directory response, s. */
   readonly maxDirectoryTtlS: number;
   readonly tuning: GatewayTuning;
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -12,9 +12,12 @@
   TargetWork,
   VersionHistory,
   VersionLag,
+  customerDirectoryOf,
   isOlderRevision,
+  type CustomerDirectory,
   type EarlierTargets,
   type FleetConfig,
+  type FleetCustomer,
   type FleetState,
   type PresentTargets,
   type RateLimitSignal,
@@ -100,6 +103,9 @@
 
   private revisionLag = new VersionLag<StateRevision>(isOlderRevision);
 
+  /** Latest version that was not put in force because its customers were not passed on. */
+  private refusedConfigVersion = 0;
+
   /** Called once after the next configuration is in force. */
   private readonly configListeners = new Set<() => void>();
 
@@ -112,6 +118,8 @@
     private readonly announceSignals: (rows: SignalRows) => void,
     /** Called when the list of targets was applied. */
     private readonly onTargets: () => void = () => undefined,
+    /** Whether a configuration is put in force only if it comes with the customers, if any. */
+    private readonly requiresCustomers = false,
   ) {
     this.contact = new ContactClock(timers.now(), OUTAGE_MS);
   }
@@ -130,6 +138,16 @@
     return this.routeTable.match(head.host, head.path) ?? route;
   }
 
+  /** Customers of the configuration in force; undefined if it has none. */
+  get customers(): CustomerDirectory | undefined {
+    return this.currentConfig && customerDirectoryOf(this.currentConfig);
+  }
+
+  /** Customer of a call by the configuration in force; its own if that has it no more. */
+  customerInForce({ customer }: Call): FleetCustomer | undefined {
+    return customer && (this.customers?.byName(customer.name) ?? customer);
+  }
+
   /** Revision of the state within its era. */
   get revision(): number {
     return this.current.revision;
@@ -164,14 +182,14 @@
     return Math.max(0, this.configLag.newestVersion ?? 0);
   }
 
-  /** Priority of the least urgent route of a service; 0 is the most urgent. */
+  /** Priority of the least urgent requests for a service; 0 is the most urgent. */
   leastUrgentPriority(service: string): number {
-    const routes = this.currentConfig?.routes ?? [];
-    return Math.max(
-      ...routes
-        .filter(({ services }) => services.some((share) => share.service === service))
-        .map(({ priority }) => priority),
+    const routes = (this.currentConfig?.routes ?? []).filter(({ services }) =>
+      services.some((share) => share.service === service),
     );
+    const { customers } = this;
+    if (customers) return customers.leastUrgentPriority(routes);
+    return Math.max(...routes.map(({ priority }) => priority));
   }
 
   /** Shortest timeout of a route, ms; Infinity without routes. */
@@ -660,7 +678,12 @@
   /** Applies a configuration if its version is newer. */
   private applyConfig(config: FleetConfig, from: string): void {
     const before = this.currentConfig?.version ?? 0;
-    if (config.version <= before) return;
+    if (config.version < before || (config.version === before && !this.bringsCustomers(config)))
+      return;
+    if (config.lacksCustomers && this.requiresCustomers) {
+      this.onConfigWithoutCustomers(config.version, from);
+      return;
+    }
     this.currentConfig = config;
     this.routeTable = new RouteTable(config.routes);
     const behindMs = this.configLag.onReached(config.version, this.timers.now());
@@ -674,10 +697,27 @@
       era: this.era,
       from,
       routes: config.routes.length,
+      customers: config.customers?.size,
       behind_ms: behindMs === undefined ? undefined : Math.round(behindMs),
     });
   }
 
+  /** Whether a configuration has the customers that the one in force, of the same version, lacks. */
+  private bringsCustomers({ lacksCustomers }: FleetConfig): boolean {
+    return this.currentConfig?.lacksCustomers === true && lacksCustomers !== true;
+  }
+
+  private onConfigWithoutCustomers(version: number, from: string): void {
+    // One line for each version; the gateway that has it may be asked again and again.
+    if (version <= this.refusedConfigVersion) return;
+    this.refusedConfigVersion = version;
+    this.log.warn('configuration was passed on without its customers and was not put in force', {
+      version,
+      from,
+      before: this.currentConfig?.version ?? 0,
+    });
+  }
+
   private changeEvacuated(change: () => void, from: string): void {
     const before = this.evacuated;
     change();
--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -121,6 +121,7 @@
       settings.gateway.regionOfDomain,
       timers,
       silentLogger(),
+      settings.gateway.customers.required,
     );
     const gateway = new Gateway({
       settings: settings.gateway,
