--- /dev/null
+++ b/packages/gateway/src/peers/fleet-rpc.test.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import { afterEach, test } from 'node:test';
+import { ANY_REGION, type FleetConfig, type FleetState } from '@marjoramcart/core';
+import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/runtime';
+import { GatewayState } from '../state/gateway-state.js';
+import { StateMetrics } from '../state/state-metrics.js';
+import { FleetRpcTask, fetchFleetState } from './fleet-rpc.js';
+
+const ADDRESS = '127.0.3.1:21540';
+const ERA = 1;
+/** State as the previous release (4793590) sends it. */
+const PREVIOUS_RELEASE = JSON.stringify({
+  era: ERA,
+  revision: 40,
+  config: {
+    version: 7,
+    routes: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 },
+    services: [{ name: 'plain', warmupMs: 0, coldRequestsPerS: 0 }],
+  },
+  targets: [],
+  evacuated: [],
+});
+const CUSTOMERS = new Map([['acme', { name: 'acme', keyDigests: ['d-1'], regions: ANY_REGION }]]);
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+/** A gateway that answers each fetch with a recorded state. */
+async function answerWith(recorded: string): Promise<void> {
+  const server: Server = createServer((req, res) => {
+    req.setEncoding('utf8').on('data', (text: string) => {
+      const { id } = JSON.parse(text) as { id: number };
+      res.end(`{"jsonrpc":"2.0","id":${id},"result":${recorded}}`);
+    });
+  });
+  const [host, port] = ADDRESS.split(':');
+  await new Promise<void>((resolve) => {
+    server.listen(Number(port), host, resolve);
+  });
+  closers.push(() => server.close());
+}
+
+/** A gateway of this release that has a state in force. */
+async function serve(state: FleetState): Promise<void> {
+  const task = new FleetRpcTask(ADDRESS, () => state, silentLogger());
+  await task.start();
+  closers.push(() => task.stop());
+}
+
+async function fetched(): Promise<FleetState> {
+  const state = await fetchFleetState(ADDRESS, ERA);
+  assert.ok(state);
+  return state;
+}
+
+function gatewayState(requiresCustomers: boolean): GatewayState {
+  const state: GatewayState = new GatewayState(
+    'north',
+    new ManualTimerService(),
+    silentLogger(),
+    new StateMetrics(new Metrics(), () => state),
+    () => undefined,
+    () => undefined,
+    requiresCustomers,
+  );
+  return state;
+}
+
+function versionAfter(state: GatewayState, from: FleetState): number | undefined {
+  state.applyFromPeer(from, 'vm-2');
+  return state.config?.version;
+}
+
+async function fromPreviousRelease(): Promise<FleetState> {
+  await answerWith(PREVIOUS_RELEASE);
+  return fetched();
+}
+
+// Guards against requests without keys that are served because a gateway of the previous release passed
+// on a configuration without its customers.
+test('a configuration of the previous release is not put in force where customers are required', async () => {
+  const previous = await fromPreviousRelease();
+  assert.equal(versionAfter(gatewayState(true), previous), undefined);
+  assert.equal(versionAfter(gatewayState(false), previous), 7);
+});
+
+// Guards against a deployment whose customers are only known once the next version is written.
+test('the same version with customers replaces one that was passed on without them', async () => {
+  const previous = await fromPreviousRelease();
+  const state = gatewayState(false);
+  state.applyFromPeer(previous, 'vm-2');
+  const { lacksCustomers, ...config } = previous.config;
+  assert.equal(lacksCustomers, true);
+  const complete: FleetConfig = { ...config, customers: CUSTOMERS };
+  state.onConfig(complete);
+  assert.equal(state.config, complete);
+  state.onConfig({ ...complete });
+  assert.equal(state.config, complete);
+  state.applyFromPeer(previous, 'vm-2');
+  assert.equal(state.config, complete);
+});
+
+// Guards against customers that are lost between two gateways, and against a deployment without customers
+// that no gateway can fetch the configuration of.
+test('a gateway of this release passes on the customers, or that there are none', async () => {
+  const previous = await fromPreviousRelease();
+  await Promise.all(closers.splice(0).map((close) => close()));
+  const { lacksCustomers, ...config } = previous.config;
+  await serve({ ...previous, config: { ...config, customers: CUSTOMERS } });
+  const withCustomers = await fetched();
+  assert.deepEqual(withCustomers.config.customers, CUSTOMERS);
+  assert.equal(versionAfter(gatewayState(true), withCustomers), 7);
+  await Promise.all(closers.splice(0).map((close) => close()));
+  await serve({ ...previous, config });
+  assert.equal(versionAfter(gatewayState(true), await fetched()), 7);
+  await Promise.all(closers.splice(0).map((close) => close()));
+  // What a gateway of the previous release left out is still missing one gateway later.
+  await serve(previous);
+  assert.equal((await fetched()).config.lacksCustomers, lacksCustomers);
+});
