--- a/tests/stand-ins/src/users-platform/client-request.ts
+++ b/tests/stand-ins/src/users-platform/client-request.ts
@@ -16,7 +16,8 @@
   readonly id?: string;
   readonly method?: string;
   readonly body?: string;
-  readonly headers?: Record<string, string>;
+  /** A header with several values is sent several times. */
+  readonly headers?: Record<string, string | string[]>;
   /** Sends the body in chunks, without its length. */
   readonly chunked?: boolean;
   readonly host?: string;
--- a/tests/stand-ins/src/users-platform/example-config.ts
+++ b/tests/stand-ins/src/users-platform/example-config.ts
@@ -54,6 +54,14 @@
   readonly storeAddress: string;
   readonly seedIp: string;
   readonly memoryMb?: number;
+  readonly customers?: CustomerSettings;
+}
+
+/** Settings about customers; without them, those of a deployment that has none. */
+export interface CustomerSettings {
+  readonly contracts: readonly string[];
+  readonly revokeMs: number;
+  readonly revokeFailClosed: boolean;
 }
 
 /** Offsets of a gateway's ports from its base port. */
@@ -62,6 +70,7 @@
 /** Renders a gateway's settings file (TOML) as the users' platform writes it. */
 export function renderSettings(location: GatewayLocation): string {
   const { node, ip, zone, basePort, storeAddress, seedIp, memoryMb = 350 } = location;
+  const { contracts = [], revokeMs, revokeFailClosed = false } = location.customers ?? {};
   const address = (offset: number): string => `"${ip}:${basePort + offset}"`;
   return `
 node = "${node}"
@@ -71,6 +80,7 @@
 internalPorts = [${basePort + PortOffset.Internal}, ${basePort + PortOffset.Internal + 4}]
 seeds = ["${seedIp}:${basePort + PortOffset.Control}"]
 aKeyOfALaterRelease = true
+contracts = ${JSON.stringify(contracts)}
 [zones]
 ${Object.entries(ZONES)
   .map(([name, region]) => `${name} = "${region}"`)
@@ -90,6 +100,8 @@
 coldOverage = 1.5
 coldSlack = 3
 ttl_max_s = 5
+revokeFailClosed = ${revokeFailClosed}
+${revokeMs === undefined ? '' : `revokeMs = ${revokeMs}`}
 [platform]
 address = "${storeAddress}"
 `;
--- a/tests/stand-ins/src/users-platform/test-fleet.ts
+++ b/tests/stand-ins/src/users-platform/test-fleet.ts
@@ -14,7 +14,14 @@
 } from '@marjoramcart/platform';
 import { Metrics, SystemTimerService, silentLogger } from '@marjoramcart/runtime';
 import { sendRequest, type ClientResponse, type ClientRequest } from './client-request.js';
-import { HOST, MODEL_SERVICE, exampleConfig, renderSettings, type Zone } from './example-config.js';
+import {
+  HOST,
+  MODEL_SERVICE,
+  exampleConfig,
+  renderSettings,
+  type CustomerSettings,
+  type Zone,
+} from './example-config.js';
 import { StoreStandIn, type StoreMode } from './store.js';
 import { TargetLink, type LinkCut } from './target-link.js';
 import { TargetStandIn } from './target.js';
@@ -46,10 +53,12 @@
   /**
    * @param basePort first of ten free ports; fleets that run at the same time need different ones
    * @param memoryMb memory of a gateway by its settings
+   * @param customers settings of a deployment with customers
    */
   constructor(
     private readonly basePort: number,
     private readonly memoryMb?: number,
+    private readonly customers?: CustomerSettings,
   ) {}
 
   start(): Promise<void> {
@@ -217,7 +226,7 @@
   }
 
   private settings(node: string, ip: string, zone: Zone, storeAddress: string): PlatformSettings {
-    const { basePort, memoryMb } = this;
+    const { basePort, memoryMb, customers } = this;
     const location = {
       node,
       ip,
@@ -226,6 +235,7 @@
       storeAddress,
       seedIp: '127.0.0.1',
       ...(memoryMb === undefined ? {} : { memoryMb }),
+      ...(customers ? { customers } : {}),
     };
     const result = checkPlatformSettings(renderSettings(location), gatewayTuningSchema.parse({}));
     if (result.kind === 'invalid') throw new Error(result.errors.join('\n'));
