--- a/packages/gateway/src/exchange/send-result.ts
+++ b/packages/gateway/src/exchange/send-result.ts
@@ -3,6 +3,7 @@
 import { CODE_HEADER, RUN_HEADER, type CallerResponse } from './caller-response.js';
 
 const MS_PER_S = 1000;
+const STATUS_UNAUTHORIZED = 401;
 
 /**
  * Sends a response with a result code.
@@ -19,6 +20,7 @@
   const body = JSON.stringify({ error: { code: number, name, run, message, next } });
   const retryAfter =
     retryAfterMs === undefined ? [] : ['Retry-After', (retryAfterMs / MS_PER_S).toFixed(3)];
+  const challenge = code.status === STATUS_UNAUTHORIZED ? ['WWW-Authenticate', 'Bearer'] : [];
   response.send(
     code.status,
     [
@@ -28,6 +30,7 @@
       String(number),
       RUN_HEADER,
       run,
+      ...challenge,
       ...retryAfter,
     ],
     Buffer.from(body),
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -19,6 +19,11 @@
 const REQUEST_TIMEOUT_MS = 2000;
 const MAX_STATE_BYTES = 8 * 1024 * 1024;
 
+interface FetchParams {
+  /** Whether the asker knows of customers; not told by gateways of the previous release. */
+  readonly customers?: boolean;
+}
+
 interface FleetConfigJson extends Omit<FleetConfig, 'services' | 'customers' | 'lacksCustomers'> {
   readonly services: readonly ServiceSpec[];
   /** Null if the deployment has none; not told by gateways of the previous release. */
@@ -43,9 +48,9 @@
   private readonly server = new JSONRPCServer();
 
   constructor(address: string, snapshot: () => FleetState | undefined, log: Logger) {
-    this.server.addMethod(FETCH_METHOD, () => {
+    this.server.addMethod(FETCH_METHOD, (params: FetchParams | undefined) => {
       const state = snapshot();
-      return state ? toJson(state) : null;
+      return state ? toJson(state, params?.customers === true) : null;
     });
     this.listener = new HttpListener({
       address,
@@ -91,7 +96,7 @@
   const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
     client.receive(JSON.parse(await post(address, JSON.stringify(payload))) as never);
   });
-  const json = (await client.request(FETCH_METHOD, {})) as FleetStateJson | null;
+  const json = (await client.request(FETCH_METHOD, { customers: true })) as FleetStateJson | null;
   return json ? fromJson({ ...json, era: readEra(json.era) ?? era }) : undefined;
 }
 
@@ -123,8 +128,15 @@
   });
 }
 
-function toJson({ era, revision, config, targets, evacuated }: FleetState): FleetStateJson {
-  return { era, revision, config: configToJson(config), targets, evacuated: [...evacuated] };
+function toJson(state: FleetState, withCustomers: boolean): FleetStateJson {
+  const { era, revision, config, targets, evacuated } = state;
+  return {
+    era,
+    revision,
+    config: configToJson(config, withCustomers),
+    targets,
+    evacuated: [...evacuated],
+  };
 }
 
 function fromJson(json: FleetStateJson & StateRevision): FleetState {
@@ -138,12 +150,15 @@
   };
 }
 
-function configToJson(config: FleetConfig): FleetConfigJson {
+/** Gateways of the previous release would not use the customers, which may be many. */
+function configToJson(config: FleetConfig, withCustomers: boolean): FleetConfigJson {
   const { customers, lacksCustomers, services, ...rest } = config;
   return {
     ...rest,
     services: [...services.values()],
-    ...(lacksCustomers ? {} : { customers: customers ? [...customers.values()] : null }),
+    ...(lacksCustomers || !withCustomers
+      ? {}
+      : { customers: customers ? [...customers.values()] : null }),
   };
 }
 
