--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -1,6 +1,7 @@
 /** Interfaces to the protocols of callers, gateways and targets, which a platform adapter implements. */
 import type { IncomingMessage } from 'node:http';
 import type {
+  ApiKey,
   LoadReport,
   Prompt,
   RateLimitSignal,
@@ -19,8 +20,10 @@
   readonly host: string;
   /** Path with the query. */
   readonly path: string;
-  /** Headers of the caller that may be forwarded. */
+  /** Headers of the caller that may be forwarded; without the API key if that was read. */
   readonly headers: HeaderList;
+  /** Present if the API key was read. */
+  readonly apiKey?: ApiKey;
   /** How long the caller waits, ms; absent when the request does not contain it. */
   readonly deadlineMs?: number;
   /** Present when the request generates tokens. */
@@ -40,6 +43,8 @@
   readonly remainingMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Name of the customer whose request it is. */
+  readonly customer?: string;
   /** Id of the event after which the stream resumes. */
   readonly resumeAfter?: number;
   /** `ip:port` of a target from which the receiver fetches its cached tokens of the prompt. */
@@ -71,7 +76,11 @@
 }
 
 export interface RequestProtocol {
-  readHead(req: IncomingMessage): CallHeadResult;
+  /**
+   * @param readsKey whether the deployment has customers: the API key is read, and neither the key nor
+   *   the name of a customer that the caller sent is forwarded
+   */
+  readHead(req: IncomingMessage, readsKey: boolean): CallHeadResult;
   /** Headers of the request to a target. */
   targetHeaders(call: CallHead, fields: AttemptFields, target: TargetRecord): HeaderList;
   /** Headers of the request to another gateway, which decodes them with `readHead`. */
