--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -56,6 +56,9 @@
 
 const VETOED: RequestVetoed = { kind: 'vetoed' };
 
+/** No content and not modified. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 export class HttpClient {
   private readonly agent = new PooledAgent({
     maxFreeSockets: MAX_FREE_CONNECTIONS,
@@ -168,7 +171,7 @@
       let response: IncomingMessage | undefined;
       req.on('error', (err) => {
         // Otherwise a response without a length would end as if it were complete.
-        response?.destroy(err);
+        if (response && !isWholeWithoutBody(response)) response.destroy(err);
         resolve(failure(sent, req.reusedSocket, err.message));
       });
       req.on('response', (res) => {
@@ -221,6 +224,14 @@
     : 'the response has an unknown transfer coding';
 }
 
+/**
+ * Whether a response that has no body by its status is complete. Later releases of Node.js 20 fail the
+ * request for bytes after its head, which belong to no response.
+ */
+function isWholeWithoutBody({ complete, statusCode = 0 }: IncomingMessage): boolean {
+  return complete && STATUSES_WITHOUT_BODY.has(statusCode);
+}
+
 /** Whether the response has no length and no chunks, so that it ends when the connection closes. */
 function isCloseDelimited({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
