--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -106,12 +106,16 @@
   isReadyCheck(req: IncomingMessage): boolean;
 }
 
+/** Load report of an engine with its runs. */
+export interface EngineReport extends LoadReport {
+  /** Runs that have generated events; empty if the report lists none. */
+  readonly runs: readonly RunEvents[];
+}
+
 /** Protocol for polling load reports of targets. */
 export interface ReportProtocol {
   readonly path: string;
   /** Undefined when the body is not a valid report. */
-  decode(body: Buffer): LoadReport | undefined;
-  /** Runs in a report that have generated events; empty if the report lists none. */
-  decodeRuns(body: Buffer): readonly RunEvents[];
+  decode(body: Buffer): EngineReport | undefined;
   readTargetSignals(res: IncomingMessage): TargetSignals;
 }
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -71,8 +71,7 @@
       return { kind: abort.signal.aborted ? 'silent' : 'refused' };
     }
     const decoded = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
-    const runs = body?.kind === 'complete' ? protocol.decodeRuns(body.body) : [];
-    const paceMs = entry.progress.onRuns(runs, timers.now());
+    const paceMs = decoded && entry.progress.onRuns(decoded.runs, timers.now());
     const report = decoded && { ...decoded, ...(paceMs === undefined ? {} : { paceMs }) };
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
     const signals = protocol.readTargetSignals(sent.res);
@@ -86,7 +85,7 @@
     if (streams.isLearning && report.bornAt === record.bornAt) {
       streams.onRuns(
         entry,
-        runs.map(({ id }) => id),
+        report.runs.map(({ id }) => id),
       );
     }
     return { kind: 'report', report };
