Admit each request once, and judge an unknown key again by all of the newer configuration

A key that had waited for a newer configuration was judged by the route of the one before, which may not have been public then. The customer of a request is looked for once before its body, in CallerTask.admitCustomer, where limits can be added.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -104,26 +104,29 @@
   readonly customer?: string;
 }
 
-interface Refusal {
-  readonly kind: 'refused';
-  readonly code: ResultCode;
-  readonly detail: string;
+/** Head of a request, and the configuration by which it was decoded. */
+interface DecodedHead {
+  readonly head: CallHead;
+  readonly config: FleetConfig;
 }
 
-/** Whether a request is accepted, and from whom. */
-type CustomerAdmission = { readonly kind: 'admitted'; readonly customer?: FleetCustomer } | Refusal;
-
 /** A request whose route and customer were looked for by a configuration. */
-interface Admitted {
+interface Admitted extends DecodedHead {
   readonly kind: 'admitted';
-  readonly head: CallHead;
-  readonly config: FleetConfig;
   /** Undefined if the configuration has no route for it; the customer was not looked for then. */
   readonly route: Route | undefined;
   readonly customer?: FleetCustomer;
 }
 
-type Admission = Admitted | (Refusal & { readonly head: CallHead });
+/** Whether a request is accepted, and from whom. */
+type Admission =
+  | Admitted
+  | {
+      readonly kind: 'refused';
+      readonly head: CallHead;
+      readonly code: ResultCode;
+      readonly detail: string;
+    };
 
 export interface CallerTaskDeps {
   /** `ip:port` each. */
@@ -296,7 +299,7 @@
       this.refuse(req, response, ResultCodes.ConfigurationBehind, decoded.head.id);
       return;
     }
-    const early = await this.admit(req, { head: decoded.head, config }, forward);
+    const early = await this.admitCustomer(req, { head: decoded.head, config }, forward);
     if (early.kind === 'refused') {
       this.refuse(req, response, early.code, early.head.id, early.detail);
       return;
@@ -355,30 +358,16 @@
     return this.deps.protocol.readHead(req, this.deps.state.customers !== undefined);
   }
 
-  /** Matches a request by the configuration in force and finds its customer; its body is not needed. */
-  private async admit(
+  /**
+   * Matches a request and finds its customer, before its body is read. Called once for each request; a
+   * request whose route is unknown is admitted by `admitAgain`.
+   */
+  private async admitCustomer(
     req: IncomingMessage,
-    before: Pick<Admitted, 'head' | 'config'>,
+    decoded: DecodedHead,
     forward: Forward | undefined,
   ): Promise<Admission> {
-    const { state } = this.deps;
-    const { config = before.config } = state;
-    const decoded = config === before.config ? undefined : this.readHead(req);
-    const head = decoded?.kind === 'call' ? decoded.head : before.head;
-    const admitted: Admitted = {
-      kind: 'admitted',
-      head,
-      route: state.routes.match(head.host, head.path),
-      config,
-    };
-    // The route is looked for once more when the body is complete.
-    if (!admitted.route) return admitted;
-    const admission = await this.admitCustomer(head, admitted.route, forward);
-    // The configuration may have changed while the key waited for it.
-    if (admission.kind !== 'refused' && state.config !== config) {
-      return this.admit(req, admitted, forward);
-    }
-    return admission.kind === 'refused' ? { ...admission, head } : { ...admitted, ...admission };
+    return this.identify(req, decoded, forward);
   }
 
   /**
@@ -393,33 +382,39 @@
     const { state } = this.deps;
     if (early.route && state.config === early.config) return early;
     await this.waitForRoute(early.head);
-    return this.admit(req, early, forward);
+    return this.identify(req, early, forward);
   }
 
   /**
-   * Finds the customer of a request, before its body is read. It may be called again for the same
-   * request when the configuration has changed.
+   * Finds the route and the customer of a request by the configuration in force; an unknown key waits
+   * for a newer one if there is one.
    */
-  private async admitCustomer(
-    head: CallHead,
-    route: Route,
+  private async identify(
+    req: IncomingMessage,
+    before: DecodedHead,
     forward: Forward | undefined,
-  ): Promise<CustomerAdmission> {
-    const verdict = await this.authenticate(head, route, forward);
-    if (verdict.kind === 'accepted') return { ...verdict, kind: 'admitted' };
+    waited = false,
+  ): Promise<Admission> {
+    const { state, configCatchUp, metrics } = this.deps;
+    const { config = before.config } = state;
+    const decoded = config === before.config ? undefined : this.readHead(req);
+    const head = decoded?.kind === 'call' ? decoded.head : before.head;
+    const route = state.routes.match(head.host, head.path);
+    const admitted: Admitted = { kind: 'admitted', head, route, config };
+    if (!route) return admitted;
+    const verdict = this.authenticate(head, route, forward);
+    if (verdict.kind === 'accepted') return { ...admitted, ...verdict, kind: 'admitted' };
+    if (verdict.kind === 'wait' && !waited) {
+      await configCatchUp.reachNewest();
+      return this.identify(req, admitted, forward, true);
+    }
     const failure = verdict.kind === 'refused' ? verdict.failure : AuthFailure.Outdated;
-    this.deps.metrics.onAuthFailure(failure);
-    return { kind: 'refused', code: AUTH_REFUSALS[failure], detail: `API key: ${failure}` };
+    metrics.onAuthFailure(failure);
+    return { kind: 'refused', head, code: AUTH_REFUSALS[failure], detail: `API key: ${failure}` };
   }
 
-  /** Finds the customer of a request; an unknown key waits for a newer configuration if there is one. */
-  private async authenticate(
-    head: CallHead,
-    route: Route,
-    forward: Forward | undefined,
-    waited = false,
-  ): Promise<AuthVerdict> {
-    const { state, configCatchUp, revocation } = this.deps;
+  private authenticate(head: CallHead, route: Route, forward: Forward | undefined): AuthVerdict {
+    const { state, revocation } = this.deps;
     const { customers, sourceAgeMs, configBehindMs } = state;
     const forwardedFor = forward?.customer;
     if (!customers) {
@@ -427,18 +422,12 @@
         ? { kind: 'accepted' }
         : { kind: 'refused', failure: AuthFailure.Unknown };
     }
-    const verdict = authenticate(
-      customers,
-      {
-        apiKey: head.apiKey ?? { kind: 'missing' },
-        isPublic: route.isPublic === true,
-        ...(forwardedFor === undefined ? {} : { forwardedFor }),
-      },
-      { ...revocation, sourceAgeMs, configBehindMs },
-    );
-    if (verdict.kind !== 'wait' || waited) return verdict;
-    await configCatchUp.reachNewest();
-    return this.authenticate(head, route, forward, true);
+    const credentials = {
+      apiKey: head.apiKey ?? { kind: 'missing' as const },
+      isPublic: route.isPublic === true,
+      ...(forwardedFor === undefined ? {} : { forwardedFor }),
+    };
+    return authenticate(customers, credentials, { ...revocation, sourceAgeMs, configBehindMs });
   }
 
   /** Whether a request is answered before this gateway stops accepting requests. */
--- a/tests/stand-ins/src/users-platform/customers.test.ts
+++ b/tests/stand-ins/src/users-platform/customers.test.ts
@@ -22,6 +22,8 @@
 /** 5 s until a configuration is in force and 5 s until a removed key is refused. */
 const REVOKED_WITHIN_MS = 10_000;
 const ANNOUNCED_BYTES = 60_000;
+/** Routes have 1. */
+const ACME_PRIORITY = 4;
 
 const fleet = new TestFleet(BASE_PORT);
 let north: TargetStandIn;
@@ -32,7 +34,7 @@
   const [, , read] = routes;
   const open = { ...read, name: 'open', prefix: '/open/', public: true };
   const tenants = [
-    { name: 'acme', apiKeys: acmeKeys },
+    { name: 'acme', apiKeys: acmeKeys, priority: ACME_PRIORITY },
     { name: WEST_NAME, apiKeys: [WEST_KEY], homeRegions: ['west'] },
     { name: 'north', apiKeys: [NORTH_KEY], homeRegions: ['north'] },
   ];
@@ -261,6 +263,35 @@
   agent.destroy();
 });
 
+// Guards against a removed key that outlives its removal in the head of a slow upload.
+test('a request whose key is removed while its body arrives is refused and not run', async () => {
+  fleet.store.put('op/config', configFor(8, [KEY, LATER_KEY]));
+  await untilInForce(8);
+  const [host, port] = CALLERS.split(':');
+  const headers = { host: HOST, 'request-id': 'slow', ...bearer(LATER_KEY) };
+  const req = http.request({ host, port, method: 'POST', path: '/read/x', headers });
+  const status = new Promise<number | undefined>((resolve, reject) => {
+    req.on('response', (res) => resolve(res.resume().statusCode));
+    req.on('error', reject);
+  });
+  req.write('first part');
+  await fleet.until(() => fleet.gateway('vm-1').requestsInFlight === 1);
+  fleet.store.put('op/config', configFor(9, [KEY]));
+  await untilInForce(9);
+  req.end('rest');
+  assert.equal(await status, 401);
+  assert.deepEqual(runsOf('slow'), []);
+});
+
+// Guards against requests that keep the priority of the route at the target.
+test('the priority of a customer replaces that of the route', async () => {
+  const prompt = { 'token-count': '10,10' };
+  await fleet.send('vm-1', { path: '/read/x', id: 'own', headers: { ...prompt, ...bearer(KEY) } });
+  await fleet.send('vm-1', { path: '/open/x', id: 'routes', headers: prompt });
+  const priorities = ['own', 'routes'].map((id) => runsOf(id)[0]?.headers['request-priority']);
+  assert.deepEqual(priorities, [String(ACME_PRIORITY), '1']);
+});
+
 // Guards against keys that a gateway accepts for ever that does not hear of their removal.
 test('a gateway that fails closed refuses requests that need a key while nobody reaches the source', async () => {
   const settings = { contracts: ['tenants'], revokeMs: 3000, revokeFailClosed: true };
