--- a/tests/stand-ins/src/users-platform/customers.test.ts
+++ b/tests/stand-ins/src/users-platform/customers.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
 import http, { Agent } from 'node:http';
 import { after, before, test } from 'node:test';
+import { ANY_REGION } from '@marjoramcart/core';
 import { sendRequest, type ClientResponse } from './client-request.js';
 import { HOST, PLAIN_SERVICE, PortOffset, exampleConfig } from './example-config.js';
 import { StoreMode } from './store.js';
@@ -292,6 +294,23 @@
   assert.deepEqual(priorities, [String(ACME_PRIORITY), '1']);
 });
 
+// Guards against a request that is refused although the configuration with its key arrives in time.
+test('a request with an unknown key waits for a newer configuration that is known', async () => {
+  const { state } = fleet.gateway('vm-2');
+  const { config } = state;
+  assert.ok(config?.customers);
+  const version = config.version + 1;
+  state.onPeerConfig('vm-1', version);
+  const sent = fleet.send('vm-2', { path: '/read/x', id: 'waits', headers: bearer('sk-new') });
+  await fleet.until(() => fleet.gateway('vm-2').requestsInFlight === 1);
+  const keyDigests = [createHash('sha256').update('sk-new').digest('hex')];
+  const later = { name: 'later', keyDigests, regions: ANY_REGION };
+  const customers = new Map([...config.customers, ['later', later]]);
+  state.onConfig({ ...config, version, customers });
+  assert.equal((await sent).status, 200);
+  assert.equal(customerSeen('waits'), 'later');
+});
+
 // Guards against keys that a gateway accepts for ever that does not hear of their removal.
 test('a gateway that fails closed refuses requests that need a key while nobody reaches the source', async () => {
   const settings = { contracts: ['tenants'], revokeMs: 3000, revokeFailClosed: true };
