--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './membership/index.js';
 export * from './messages/index.js';
 export * from './orders/index.js';
+export * from './quota/index.js';
 export * from './random-source.js';
 export * from './rendezvous.js';
 export * from './relay/index.js';
--- /dev/null
+++ b/packages/core/src/quota/cost-of.ts
@@ -0,0 +1,22 @@
+/** What a request costs of its customer's limit. */
+import { LimitUnit, type CustomerLimit } from '../fleet/fleet-config.js';
+import type { Prompt } from '../routing/prompt.js';
+
+/**
+ * Amount of a limit that a request uses, in the unit of the limit; 0 without a limit.
+ *
+ * @example costOf({ unit: 'requests', perS: 5, burst: 10, plainTokens: 0 }, undefined) // 1
+ */
+export function costOf(
+  limit: CustomerLimit | undefined,
+  prompt: Pick<Prompt, 'promptTokens' | 'maxOutputTokens'> | undefined,
+): number {
+  if (!isLimited(limit)) return 0;
+  if (limit.unit === LimitUnit.Requests) return 1;
+  return prompt ? prompt.promptTokens + prompt.maxOutputTokens : limit.plainTokens;
+}
+
+/** Whether there is a limit; a rate of 0 means that there is none. */
+export function isLimited(limit: CustomerLimit | undefined): limit is CustomerLimit {
+  return limit !== undefined && limit.perS > 0;
+}
