Keep no bucket while another gateway grants, and hold asks back by owner

Cause: a gateway that lost its rank kept its bucket if nobody asked it any more, and would have granted from a full one after its successor had died.

Asks and answers are in modules of their own. The simulated fleet also replaces gateways and counts asks.

--- a/packages/core/src/quota/quota-fleet.test-support.ts
+++ b/packages/core/src/quota/quota-fleet.test-support.ts
@@ -3,7 +3,8 @@
 import { seededRandom, type RandomSource } from '../random-source.js';
 import { FleetMembers, type MemberRecord } from './fleet-members.js';
 import type { QuotaMessage } from './quota-messages.js';
-import { QuotaNode, type TakeResult } from './quota-node.js';
+import type { TakeResult } from './quota-lessee.js';
+import { QuotaNode } from './quota-node.js';
 
 const STEP_MS = 10;
 const TICK_MS = 50;
@@ -36,7 +37,8 @@
 
   readonly outcomes: Outcome[] = [];
 
-  sent = 0;
+  /** Datagrams that were sent, and asks among them. */
+  sent = { all: 0, asks: 0 };
 
   readonly processes = new Map<string, Process>();
 
@@ -128,7 +130,8 @@
   }
 
   private send(from: string, to: string, message: QuotaMessage): void {
-    this.sent += 1;
+    this.sent.all += 1;
+    if (message.kind === 'ask') this.sent.asks += 1;
     const region = this.regionOf(to);
     if (this.cuts.has(`${from} ${region}`) || this.random.next() < this.loss) return;
     const at = this.now + (region === from ? STEP_MS : REMOTE_MS);
--- a/packages/core/src/quota/quota-owner.ts
+++ b/packages/core/src/quota/quota-owner.ts
@@ -212,10 +212,10 @@
     });
     return { amount: 0, shortMs: fullAt - now, waitMs: Math.max(fullAt, at) - now };
   }
-  const needed = first > 0 ? Math.min(need, Math.max(first, bucket.level)) : 0;
+  const needed = first > 0 ? Math.min(need, Math.max(first, Math.floor(bucket.level))) : 0;
   // The upper half of the bucket is lent ahead; requests that wait elsewhere find the rest.
   const spare = Math.max(0, bucket.level - needed - Math.max(reserved, burst / 2)) / 2;
-  const amount = needed + Math.min(Math.max(0, want - need), spare);
+  const amount = needed + Math.floor(Math.min(Math.max(0, want - need), spare));
   Object.assign(bucket, { level: bucket.level - amount });
   const lacking = need - needed;
   const shortMs = lacking > 0 ? Math.max(0, lacking - bucket.level) / perMs : 0;
--- a/packages/core/src/quota/quota.test.ts
+++ b/packages/core/src/quota/quota.test.ts
@@ -7,6 +7,7 @@
 import { costOf } from './cost-of.js';
 import { QuotaAccount } from './quota-account.js';
 import { HEADROOM_MS, QuotaOwner } from './quota-owner.js';
+import { QuotaPeers } from './quota-peers.js';
 import { QuotaFleet, type Outcome, type Request } from './quota-fleet.test-support.js';
 
 const LARGEST = 70_000;
@@ -129,7 +130,11 @@
   return fleet;
 }
 
-const FAULTS = ['none', 'cut', 'kill', 'restart', 'add', 'lower'] as const;
+const FAULTS = ['none', 'cut', 'kill', 'restart', 'add', 'replace', 'lower'] as const;
+
+function newcomers(gateways: number): string[] {
+  return Array.from({ length: 3 }, (_, index) => `vm-${gateways + index}`);
+}
 
 function applyFault(fleet: QuotaFleet, fault: (typeof FAULTS)[number], gateways: number): void {
   const nodes = [...fleet.processes.keys()];
@@ -138,8 +143,8 @@
   if (fault === 'cut') fleet.isolate('r1');
   if (fault === 'kill') victims.forEach((node) => fleet.kill(node));
   if (fault === 'restart') victims.forEach((node) => fleet.start(node));
-  if (fault === 'add') {
-    Array.from({ length: 3 }, (_, index) => fleet.start(`vm-${gateways + index}`));
+  if (fault === 'add' || fault === 'replace') {
+    newcomers(gateways).forEach((node) => fleet.start(node));
   }
   if (fault === 'lower') {
     const lower = { ...LIMIT, perS: LIMIT.perS / 8, burst: LIMIT.burst / 2 };
@@ -166,7 +171,10 @@
         fleet.run(4000, load);
         const faultAt = fleet.now;
         applyFault(fleet, fault, gateways);
-        fleet.run(9000, load);
+        fleet.run(4500, load);
+        // Their predecessors grant again and must not have kept full buckets.
+        if (fault === 'replace') newcomers(gateways).forEach((node) => fleet.kill(node));
+        fleet.run(4500, load);
         fleet.cuts.clear();
         fleet.run(4000, load);
         const isLowered = fault === 'lower';
@@ -198,18 +206,24 @@
     .reduce((sum, { cost }) => sum + cost, 0);
 }
 
-// Without limits, or with one of each gateway alone, the customer would get what it asks for.
-test('a customer that asks for four times its limit at 88 gateways gets its limit', () => {
-  const fleet = fleetOf(3, 88, 1);
+// Without limits, or with one of each gateway alone, the customers would get what they ask for.
+test('16 customers that ask for four times their limits at 88 gateways get their limits', (t) => {
+  const fleet = fleetOf(3, 88, 16);
   fleet.run(START_MS);
   const from = fleet.now;
-  fleet.sent = 0;
+  fleet.sent = { all: 0, asks: 0 };
   fleet.run(
     20_000,
     loadOf(fleet, 3, () => 4),
   );
-  const used = grantedSum(fleet.outcomes, from, fleet.now) / (20 * LIMIT.perS + LIMIT.burst);
-  assert.ok(used > 0.8 && used <= 1.05, `${used} of the limit was used`);
+  const allowed = 16 * (20 * LIMIT.perS + LIMIT.burst);
+  const used = grantedSum(fleet.outcomes, from, fleet.now) / allowed;
+  const [all = 0, asks = 0] = [fleet.sent.all, fleet.sent.asks].map((sum) => sum / 20 / 88);
+  t.diagnostic(
+    `${used.toFixed(2)} used; ${all.toFixed(1)} datagrams, ${asks.toFixed(1)} asks per s`,
+  );
+  assert.ok(used > 0.8 && used <= 1.05, `${used} of the limits was used`);
+  assert.ok(asks <= 16, `${asks} asks per s`);
 });
 
 // With shares that follow measured demand, the new region would be refused until they have moved.
@@ -352,6 +366,22 @@
   assert.equal(account.balance(1000), 0, 'leases expire 1 s after they were asked for');
 });
 
+// A second gateway that is asked only because messages were lost would grant the limit once more.
+test('a gateway counts as dead after five pings in 1 s without an answer or a heartbeat', () => {
+  const pingFor = (peers: QuotaPeers, durationMs: number): void =>
+    Array.from({ length: durationMs / 50 }, (_, index) => index * 50).forEach((now) => {
+      peers.probe('vm-1', now);
+      peers.due(now);
+    });
+  const peers = new QuotaPeers();
+  pingFor(peers, 900);
+  assert.equal(peers.isDead('vm-1', -Infinity, 950), false);
+  assert.equal(peers.isDead('vm-1', -Infinity, 1000), true);
+  assert.equal(peers.isDead('vm-1', 500, 1000), false, 'gossip has a newer heartbeat');
+  peers.onHeard('vm-1', 'r0', 1000);
+  assert.equal(peers.isDead('vm-1', -Infinity, 1050), false);
+});
+
 test('a request costs its tokens, the plain amount, or 1, and nothing without a limit', () => {
   const prompt = { promptTokens: 300, maxOutputTokens: 200 };
   assert.equal(costOf(LIMIT, prompt), 500);
