Enforce the limits of customers over all gateways

Cause: nothing limited what a customer uses at all gateways together.

Change: QuotaTask leases amounts with quota.ask, quota.grant, quota.ping and quota.pong on the gossip port; the caller task charges requests of callers before they run, answers 429 with the time at which credit is available, and puts back what was refused later without having run.

The 429 itself was not run through the listener: requests have a customer only with the part that authenticates them.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import {
+  costOf,
   pickWeightedService,
   ResultCodes,
   RouteKind,
@@ -36,6 +37,7 @@
 import { sendResult } from '../exchange/send-result.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
 import type { CallHead, RequestProtocol } from '../ports/request-protocol.js';
+import type { QuotaTask } from '../quota/quota-task.js';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { ConfigCatchUp } from './config-catch-up.js';
 
@@ -87,6 +89,8 @@
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
   readonly usage: Pick<RouteUsage, 'onRequest'>;
+  /** Limits of customers over all gateways. */
+  readonly quota: Pick<QuotaTask, 'take'>;
   readonly protocol: RequestProtocol;
   readonly executor: RequestExecutor;
   readonly timers: TimerService;
@@ -296,7 +300,31 @@
       connectionAgeMs,
       requiredVersion,
     );
-    await executor.run(call, response);
+    await this.runCharged(call, response, () => executor.run(call, response));
+  }
+
+  /** Runs a call within its customer's limit; what a forward costs was charged where it arrived. */
+  private async runCharged(
+    { customer, forwardedBy, head, route }: Call,
+    response: CallerResponse,
+    run: () => Promise<void>,
+  ): Promise<void> {
+    if (!customer || forwardedBy !== undefined) {
+      await run();
+      return;
+    }
+    const decision = await this.deps.quota.take({
+      customer: customer.name,
+      cost: costOf(customer.limit, head.prompt),
+      latencyTargetMs: route.latencyTargetMs,
+    });
+    if (decision.kind === 'refused') {
+      this.deps.metrics.onRefusal(ResultCodes.RateLimited.name);
+      sendResult(response, ResultCodes.RateLimited, decision.retryAfterMs);
+      return;
+    }
+    await run();
+    if (!response.mayHaveRun) decision.refund();
   }
 
   /** Whether a request is answered before this gateway stops accepting requests. */
--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -3,6 +3,7 @@
  * like a complete one.
  */
 import type { ServerResponse } from 'node:http';
+import { RunState } from '@marjoramcart/core';
 import type { HeaderList } from '../ports/request-protocol.js';
 
 /** Response header that says whether the request was run; a forwarding gateway reads it. */
@@ -38,6 +39,9 @@
 
   private runs = 0;
 
+  /** What the result code of a response that the gateway made itself says. */
+  private runState: RunState | undefined;
+
   private softwareVersion: string | undefined;
 
   private disconnectListener: (() => void) | undefined;
@@ -96,6 +100,16 @@
     this.runs = runs;
   }
 
+  /** Whether a target may have run the request so far. */
+  get mayHaveRun(): boolean {
+    return this.runState === undefined ? this.runs > 0 : this.runState !== RunState.NotRun;
+  }
+
+  /** Notes the run state of the result code that is sent. */
+  setRunState(runState: RunState): void {
+    this.runState = runState;
+  }
+
   /** Sets the version of the target that a stream comes from. */
   setSoftwareVersion(version: string | undefined): void {
     this.softwareVersion = version;
--- a/packages/gateway/src/exchange/send-result.ts
+++ b/packages/gateway/src/exchange/send-result.ts
@@ -19,6 +19,7 @@
   const body = JSON.stringify({ error: { code: number, name, run, message, next } });
   const retryAfter =
     retryAfterMs === undefined ? [] : ['Retry-After', (retryAfterMs / MS_PER_S).toFixed(3)];
+  response.setRunState(run);
   response.send(
     code.status,
     [
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import { StateFetcher } from './peers/state-fetcher.js';
 import { WatchTask } from './peers/watch-task.js';
 import type { TargetUpdate } from './peers/target-update.js';
+import { QuotaTask } from './quota/quota-task.js';
 import type { FleetSource } from './ports/fleet-source.js';
 import type {
   DirectoryProtocol,
@@ -106,6 +107,8 @@
 
   private readonly callers: CallerTask;
 
+  private readonly quota: QuotaTask;
+
   private readonly tasks: Task[];
 
   private readonly admin: AdminTask;
@@ -146,6 +149,7 @@
         onStreamUpdate: (update, ip) => this.streams.onUpdate(update, ip),
         onSuspects: (rows) => this.crashes.merge(rows),
         onSignals: (rows, node) => this.applyPeerSignals(rows, node),
+        onQuotaMessage: (message, ip) => this.quota.onMessage(message, ip),
         onUsage: (region, rows) => this.regionUsage.merge(region, rows),
         onRecord: (record) => {
           this.state.onPeerVersions(record);
@@ -211,6 +215,16 @@
       log: log.child('request'),
       responseMemory: new BodyMemory(settings.maxResponseMemoryBytes),
     });
+    this.quota = new QuotaTask({
+      settings,
+      table: this.gossip.table,
+      config: () => this.state.config,
+      send: (message, ip) => this.gossip.sendQuotaMessage(message, ip),
+      timers,
+      random,
+      metrics: deps.metrics,
+      log: log.child('quota'),
+    });
     this.callers = new CallerTask({
       callersAddress: settings.listen.callers,
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
@@ -223,6 +237,7 @@
       }),
       directory: this.directory,
       usage: this.usage,
+      quota: this.quota,
       protocol,
       executor,
       timers,
@@ -234,6 +249,7 @@
     this.tasks = [
       this.callers,
       this.gossip,
+      this.quota,
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -150,6 +150,7 @@
         onSuspects: () => undefined,
         onSignals: () => undefined,
         onUsage: () => undefined,
+        onQuotaMessage: () => undefined,
         onRecord: () => undefined,
       },
       this.network.port(ipOf(index)),
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -22,12 +22,14 @@
   type HostUsageRow,
   type KnownGateway,
   type PeerWork,
+  type QuotaMessage,
   type RandomSource,
   type RegionSummary,
   type RelayedRecord,
   type SuspectRow,
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
+import { decodeQuotaMessage, encodeQuotaMessage } from '../quota/quota-message.js';
 import type { GatewaySettings } from '../settings.js';
 import { UdpPort, type DatagramPort } from './datagram-port.js';
 import { decodeFleetUpdate, encodeFleetUpdate, type FleetUpdate } from './fleet-update.js';
@@ -163,6 +165,8 @@
   onUsage(region: string, rows: readonly HostUsageRow[]): void;
   /** A gateway sent or asked for the software versions of streams. */
   onStreamUpdate(update: StreamUpdate, ip: string): void;
+  /** A gateway sent a message about the limits of customers. */
+  onQuotaMessage(message: QuotaMessage, ip: string): void;
   /** The record of a gateway changed. */
   onRecord(record: GatewayRecord): void;
 }
@@ -291,6 +295,11 @@
     this.sendDatagram(encodeStreamUpdate(update), ip);
   }
 
+  /** Sends a message about the limits of customers to one gateway. */
+  sendQuotaMessage(message: QuotaMessage, ip: string): void {
+    this.sendDatagram(encodeQuotaMessage(message), ip);
+  }
+
   private sendToRegion(datagram: Buffer): void {
     this.regionPeers().forEach(({ ip }) => this.sendDatagram(datagram, ip));
   }
@@ -502,9 +511,11 @@
     if (streamUpdate) this.listener.onStreamUpdate(streamUpdate, address);
     const suspects = decodeSuspects(notification);
     if (suspects) this.listener.onSuspects(suspects);
+    const quota = decodeQuotaMessage(notification);
+    if (quota) this.listener.onQuotaMessage(quota, address);
     const message = decodeGossip(notification);
     if (message) this.handleGossip(message);
-    return [targetUpdate, fleetUpdate, streamUpdate, suspects, message].some(
+    return [targetUpdate, fleetUpdate, streamUpdate, suspects, quota, message].some(
       (decoded) => decoded !== undefined,
     );
   }
