--- a/packages/gateway/src/exchange/send-result.ts
+++ b/packages/gateway/src/exchange/send-result.ts
@@ -21,6 +21,7 @@
   const retryAfter =
     retryAfterMs === undefined ? [] : ['Retry-After', (retryAfterMs / MS_PER_S).toFixed(3)];
   const challenge = code.status === STATUS_UNAUTHORIZED ? ['WWW-Authenticate', 'Bearer'] : [];
+  response.setRunState(run);
   response.send(
     code.status,
     [
