Divide scarce capacity between customers in a pure module

Cause: a gateway refuses for overload without regard to customers, so one that sends many times its usual load takes capacity from all others.

Change: packages/core/src/sharing: units of work, decayed demand by service and customer with what other gateways told, weighted max-min level, and a gate that refuses a part of the requests of customers above their level while a service is short. Nothing uses it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,4 +14,5 @@
 export * from './residency/index.js';
 export * from './retries/index.js';
 export * from './routing/index.js';
+export * from './sharing/index.js';
 export * from './streams/index.js';
