Divide scarce capacity between customers at the gateways

Cause: nothing used the module of the core; refusals for overload hit all customers alike.

Change: a caller's own request of a customer passes the gate before its first attempt, and is refused with 503 and a retry time otherwise; gossip within the region tells the demand for services that are short in an optional field, at most one service a message, packed; metrics for the 20 largest customers and one line when a service becomes short and has enough again. Without customers in the configuration the part is inactive.

--- a/packages/gateway/src/exchange/call-progress.ts
+++ b/packages/gateway/src/exchange/call-progress.ts
@@ -6,6 +6,7 @@
   type VersionScope,
 } from '@marjoramcart/core';
 import type { BodyAllocation } from '@marjoramcart/runtime';
+import type { SharedRequest } from '../sharing/capacity-sharing.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { Call } from './call.js';
 import type { CallerResponse } from './caller-response.js';
@@ -14,6 +15,8 @@
   readonly call: Call;
   readonly response: CallerResponse;
   readonly attempts: AttemptRecord[];
+  /** Counts the request for its customer; absent where capacity is not divided. */
+  readonly shared?: SharedRequest;
   /** Memory for the responses of targets, which are held until the caller has received one. */
   readonly memory: BodyAllocation;
   /** Id of the last complete stream event that was sent to the caller, over all attempts. */
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -4,7 +4,9 @@
 import { match } from 'ts-pattern';
 import type { AvailableDestinations, Router } from '../routing/router.js';
 import type { GatewayState } from '../state/gateway-state.js';
+import type { SharingRefusal } from '../sharing/capacity-sharing.js';
 import type { AttemptEnd } from './attempt-end.js';
+import type { Call } from './call.js';
 import type { CallProgress } from './call-progress.js';
 
 export class DecisionLog {
@@ -52,6 +54,22 @@
     });
   }
 
+  /** Logs the refusal of a request whose customer is above its share of a service that is short. */
+  onSharingRefusal(call: Call, refusal: SharingRefusal): void {
+    this.log.info('refuse', {
+      id: call.head.id,
+      route: call.route.name,
+      reason: 'sharing',
+      customer: call.customer?.name,
+      come_back_ms: Math.round(refusal.retryAfterMs),
+      passed_share: Number(refusal.passedShare.toFixed(3)),
+      asked_per_s: Math.round(refusal.asked),
+      given_per_s: Math.round(refusal.given),
+      poll: this.pollNumber(),
+      config: call.configVersion,
+    });
+  }
+
   /** @param firstByteMs time from the start of the attempt; undefined when no byte was received */
   onAttemptEnd(
     end: AttemptEnd,
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -15,6 +15,7 @@
 import type { BodyMemory, Logger } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
+import type { CapacitySharing } from '../sharing/capacity-sharing.js';
 import { isSuccess, isTargetFailure, outcomeOf, type AttemptEnd } from './attempt-end.js';
 import type { Call } from './call.js';
 import { attemptsLeft, runsSoFar, type CallProgress } from './call-progress.js';
@@ -31,6 +32,7 @@
 
 export interface ExecutorDeps extends SenderDeps {
   readonly random: RandomSource;
+  readonly sharing: Pick<CapacitySharing, 'start'>;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
   /** Limits the responses of targets that are held at the same time. */
@@ -66,8 +68,17 @@
       recordResult(this.refuseUnknownVersion(response));
       return;
     }
+    const shared = this.deps.sharing.start(call);
+    if (shared?.refusal) {
+      this.decisions.onSharingRefusal(call, shared.refusal);
+      response.setRuns(0);
+      const { retryAfterMs } = shared.refusal;
+      recordResult(this.refuse(RefusalReason.Overload, retryAfterMs, response));
+      return;
+    }
     const result = await this.takeSteps({
       call,
+      ...(shared ? { shared } : {}),
       scope,
       confirmVersion: undefined,
       response,
@@ -120,6 +131,9 @@
       case 'refuse':
         // A gateway that forwarded the call may try another one without a retry if none got it.
         if (!progress.attempts.some(mayHaveArrived)) response.setRuns(0);
+        if (refusalCode(step.reason) === ResultCodes.DeadlineUnreachable) {
+          progress.shared?.onOverload();
+        }
         return this.refuse(step.reason, step.retryAfterMs, response);
       case 'pass-on':
         return passOn(progress);
@@ -141,6 +155,7 @@
     const { destination } = candidate;
     const { response, attempts } = progress;
     const runsBefore = runsSoFar(progress);
+    progress.shared?.onAttempt();
     this.deps.metrics.onAttempt(destination.kind, retry, this.isCold(destination));
     response.setRuns(runsBefore + 1);
     const { end, firstByteMs } = await this.sender.send(step, progress);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,6 +53,7 @@
 import { RejectionGuard } from './routing/rejection-guard.js';
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
+import { CapacitySharing } from './sharing/capacity-sharing.js';
 import { GracefulShutdown } from './shutdown/graceful-shutdown.js';
 import { GatewayState } from './state/gateway-state.js';
 import { StateMetrics } from './state/state-metrics.js';
@@ -92,6 +93,8 @@
 
   private readonly router: Router;
 
+  private readonly sharing: CapacitySharing;
+
   private readonly crashes: CrashWatch;
 
   private readonly restarts: RestartCheck;
@@ -147,6 +150,7 @@
         onSuspects: (rows) => this.crashes.merge(rows),
         onSignals: (rows, node) => this.applyPeerSignals(rows, node),
         onUsage: (region, rows) => this.regionUsage.merge(region, rows),
+        onDemands: (node, rows) => this.sharing.onRows(node, rows),
         onRecord: (record) => {
           this.state.onPeerVersions(record);
           this.fetcher.check();
@@ -189,6 +193,14 @@
       this.reach,
       this.rejections,
     );
+    this.sharing = new CapacitySharing({
+      config: () => this.state.config,
+      gateways: () => this.gossip.regionPeers().length + 1,
+      timers,
+      random,
+      metrics: deps.metrics,
+      log: log.child('sharing'),
+    });
     const metrics = new GatewayMetrics(deps.metrics, timers);
     const httpClient = new HttpClient(deps.dialMap ?? {}, CONNECT_TIMEOUT_MS, (address) =>
       this.restarts.onIdleClosed(address),
@@ -205,6 +217,7 @@
       crashes: this.crashes,
       restarts: this.restarts,
       streams: this.streams,
+      sharing: this.sharing,
       timers,
       random,
       metrics,
@@ -271,6 +284,7 @@
     timers.every(HOUSEKEEPING_INTERVAL_MS, () => {
       this.state.dropExpired();
       this.rejections.expire();
+      this.sharing.check();
       this.streams.check();
       this.fetcher.check();
       this.callers.applyLimits();
@@ -317,6 +331,7 @@
         rejectionLimits: this.rejections.rows(max),
       }),
       usage: (max) => this.usageRows(max),
+      demands: () => this.sharing.rows(),
     };
   }
 
--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -139,6 +139,7 @@
         suspects: [],
         signals: () => NO_SIGNALS,
         usage: () => [],
+        demands: () => [],
       }),
       {
         onTargetWork: () => {
@@ -150,6 +151,7 @@
         onSuspects: () => undefined,
         onSignals: () => undefined,
         onUsage: () => undefined,
+        onDemands: () => undefined,
         onRecord: () => undefined,
       },
       this.network.port(ipOf(index)),
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -13,6 +13,12 @@
   type RosterSummary,
   type SuspectRow,
 } from '@marjoramcart/core';
+import {
+  fromDemandWireRow,
+  toDemandWireRow,
+  type DemandRow,
+  type DemandWireRow,
+} from '../sharing/packed-demand.js';
 import { encodeNotification, type Notification } from './notification.js';
 import { packBeats, packProcessIds, unpackBeats, unpackProcessIds } from './packed-beats.js';
 import {
@@ -67,6 +73,8 @@
   readonly signals: SignalRows;
   /** Requests of the sender's callers by route; only sent to other regions. */
   readonly usage: readonly HostUsageRow[];
+  /** Demand of the sender's callers for services that are short; only sent within the region. */
+  readonly demands: readonly DemandRow[];
   /** Sender's clock, ms. */
   readonly sentAt: number;
   /** `sentAt` of the receiver's last message, and the time since it was received, ms. */
@@ -127,6 +135,8 @@
   readonly j?: readonly RejectionLimitWireRow[];
   /** Requests by route: a host, and prefixes with counts. */
   readonly c?: readonly (readonly [string, HostUsageRow['counts']])[];
+  /** Demand for services. */
+  readonly d?: readonly DemandWireRow[];
 }
 
 /** Position of the load in a record. */
@@ -164,6 +174,7 @@
     ...(message.usage.length > 0
       ? { c: message.usage.map(({ host, counts }) => [host, counts] as const) }
       : {}),
+    ...(message.demands.length > 0 ? { d: message.demands.map(toDemandWireRow) } : {}),
   };
   return encodeNotification(METHOD, params);
 }
@@ -193,6 +204,7 @@
     q = [],
     j = [],
     c = [],
+    d = [],
   } = params as MessageParams;
   return {
     from: fromRow(f),
@@ -214,6 +226,7 @@
       rejectionLimits: j.map(fromRejectionLimitWireRow),
     },
     usage: c.map(([host, counts]) => ({ host, counts })),
+    demands: d.map(fromDemandWireRow).filter((row) => row !== undefined),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -29,6 +29,7 @@
 } from '@marjoramcart/core';
 import type { Logger, Task, TimerService, Unsubscribe } from '@marjoramcart/runtime';
 import type { GatewaySettings } from '../settings.js';
+import type { DemandRow } from '../sharing/packed-demand.js';
 import { UdpPort, type DatagramPort } from './datagram-port.js';
 import { decodeFleetUpdate, encodeFleetUpdate, type FleetUpdate } from './fleet-update.js';
 import { decodeGossip, encodeGossip, type GossipMessage } from './gossip-message.js';
@@ -140,6 +141,8 @@
   readonly signals: (limits: SignalLimits) => SignalRows;
   /** Requests of this gateway's callers by route, of at most `max` hosts. */
   readonly usage: (max: number) => readonly HostUsageRow[];
+  /** Demand of this gateway's callers for a service that is short. */
+  readonly demands: () => readonly DemandRow[];
 }
 
 interface PeerLists {
@@ -161,6 +164,8 @@
   onSignals(rows: SignalRows, node: string): void;
   /** A gateway of another region sent which routes its callers use. */
   onUsage(region: string, rows: readonly HostUsageRow[]): void;
+  /** A gateway of the local region sent the demand of its callers. */
+  onDemands(node: string, rows: readonly DemandRow[]): void;
   /** A gateway sent or asked for the software versions of streams. */
   onStreamUpdate(update: StreamUpdate, ip: string): void;
   /** The record of a gateway changed. */
@@ -392,6 +397,7 @@
       signals: signalRows,
       regionWork,
       usage,
+      demands,
       ...state
     } = this.localState();
     const last = to ? this.lastFrom.get(to.node) : undefined;
@@ -420,6 +426,7 @@
       suspects,
       signals: toRegion ? signalRows(signals) : NO_SIGNALS,
       usage: to && !toRegion && beats > 0 ? usage(MAX_USAGE_ROWS) : [],
+      demands: toRegion && beats > 0 && records === 0 ? demands() : [],
       sentAt: Math.round(now),
       ...(last ? { echo: { sentAt: last.sentAt, heldMs: Math.round(now - last.at) } } : {}),
     });
@@ -534,8 +541,10 @@
     if (inRegion && this.isSmallRegion()) {
       this.listener.onTargetWork(from.node, message.targetWork);
     }
-    if (inRegion) this.listener.onSignals(message.signals, from.node);
-    else this.listener.onUsage(from.region, message.usage);
+    if (inRegion) {
+      this.listener.onSignals(message.signals, from.node);
+      this.listener.onDemands(from.node, message.demands);
+    } else this.listener.onUsage(from.region, message.usage);
     const rostersDiffer = inRegion && this.mergeRoster(message, now);
     this.sendRecords(message.wanted, from, now);
     const wanted = this.selectWanted(unknown, now);
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -222,8 +222,22 @@
     ],
     signals: SIGNALS,
     usage: [{ host: 'api.example', counts: [['/answers/', 120]] }],
+    demands: [],
   };
   assert.deepEqual(decodeGossip(decodeNotification(encodeGossip(message))), message);
+  const rest = { customers: 24_000, asked: 900_000, admitted: 0 };
+  const customers = [{ key: 0xff_ff_ff_fe, asked: 54_600, admitted: 0.5 }];
+  const demand = { refused: 12, overloaded: 0, customers, rest };
+  const told = { ...message, demands: [{ service: 'chat', demand }] };
+  const [row] = decodeGossip(decodeNotification(encodeGossip(told)))?.demands ?? [];
+  assert.equal(row?.service, 'chat');
+  assert.equal(row.demand.rest.customers, rest.customers);
+  assert.equal(row.demand.customers[0]?.key, customers[0]?.key);
+  // Rates are rounded to 0.03%.
+  const isClose = (actual = 0, expected = 0): boolean => Math.abs(actual / expected - 1) < 3e-4;
+  assert.ok(isClose(row.demand.customers[0]?.asked, customers[0]?.asked));
+  assert.ok(isClose(row.demand.rest.asked, rest.asked));
+  assert.ok(isClose(row.demand.refused, demand.refused));
 });
 
 test('beats and ids that are cut off are ignored', () => {
