--- a/packages/gateway/src/sharing/capacity-sharing.test.ts
+++ b/packages/gateway/src/sharing/capacity-sharing.test.ts
@@ -50,9 +50,10 @@
     customers: readonly string[] = ['hot', 'calm'],
     gateways = 2,
   ) {
+    const config = configWith(customers);
     const log: Logger = { ...silentLogger(), info: (message) => this.logged.push(message) };
     this.sharing = new CapacitySharing({
-      config: () => configWith(customers),
+      config: () => config,
       gateways: () => gateways,
       timers,
       random: seededRandom(3),
