--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -139,6 +139,7 @@
         suspects: [],
         signals: () => NO_SIGNALS,
         usage: () => [],
+        demands: () => [],
       }),
       {
         onTargetWork: () => {
@@ -151,6 +152,7 @@
         onSignals: () => undefined,
         onUsage: () => undefined,
         onQuotaMessage: () => undefined,
+        onDemands: () => undefined,
         onRecord: () => undefined,
       },
       this.network.port(ipOf(index)),
