Test gateways against crowds of unfinished request bodies

Cause: bodies in tiny chunks cost some hundred times their payload, which no limit counts. Test: a gateway in a process of its own, VM memory 210 MB, heap limit 64 MB. Checked: process alive, peak RSS, open descriptors, one ordinary request answered afterwards, one body of 4 MB in one-byte chunks served. Such tests (*.serial.test.ts) run after the others, one at a time.

Observed on the unchanged gateway (6 of 10 fail): - 12 clients with 60,000 bytes in one-byte chunks: SIGABRT, also piecewise - 40 clients with 240,000 bytes in 16-byte chunks: SIGABRT - 600 clients with 1000 one-byte chunks: SIGABRT - 200 clients with 256 KiB and a declared length: the ordinary request gets 503 - one body of 4 MB in one-byte chunks on an idle gateway: no response, the process ends The cases with 64 KiB chunks, with a declared length of 4 MB (whole, piecewise) and 1500 clients with 1000 bytes each pass.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -13,6 +13,8 @@
 const root = fileURLToPath(new URL('..', import.meta.url));
 const args = process.argv.slice(2);
 const UNIT_TEST_CONCURRENCY = 4;
+/** Files that load whole processes; they run after the others, one at a time. */
+const SERIAL_SUFFIX = '.serial.test.js';
 /** A test file that runs longer is stopped and fails; the slowest one takes about 15 s. */
 const UNIT_TEST_FILE_LIMIT_MS = 180_000;
 const FEATURES_LIMIT_MS = 25 * 60_000;
@@ -35,10 +37,21 @@
 async function runUnitTests() {
   const results = { passed: [], failed: [] };
   const files = unitTestFiles();
-  if (files.length === 0) return results;
+  const isSerial = (name) => name.endsWith(SERIAL_SUFFIX);
+  await runTestFiles(
+    files.filter((name) => !isSerial(name)),
+    UNIT_TEST_CONCURRENCY,
+    results,
+  );
+  await runTestFiles(files.filter(isSerial), 1, results);
+  return results;
+}
+
+async function runTestFiles(files, concurrency, results) {
+  if (files.length === 0) return;
   const stream = run({
     files,
-    concurrency: UNIT_TEST_CONCURRENCY,
+    concurrency,
     timeout: UNIT_TEST_FILE_LIMIT_MS,
   });
   const isTest = ({ details, name }) => details.type !== 'suite' && !name.endsWith('.test.js');
@@ -54,7 +67,6 @@
   await new Promise((resolve) => {
     reporter.on('end', resolve);
   });
-  return results;
 }
 
 function runFeatures() {
--- /dev/null
+++ b/tests/stand-ins/src/users-platform/unfinished-bodies.serial.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import { BodyCrowd, type BodyShape } from './body-crowd.js';
+import { sendRequest, type ClientResponse } from './client-request.js';
+import { HOST, PLAIN_SERVICE, exampleConfig } from './example-config.js';
+import { GatewayProcess } from './gateway-process.js';
+import { StoreStandIn } from './store.js';
+import { TargetStandIn } from './target.js';
+
+const BASE_PORT = 29_600;
+/** Memory of a small VM; the process must stay below it. */
+const MEMORY_MB = 210;
+/** Lower than on a small VM (160), so that a small crowd is enough. */
+const HEAP_MB = 64;
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Descriptors of a gateway besides the connections of its callers. */
+const OWN_DESCRIPTORS = 100;
+/** The crowd stalls for this time before the process is looked at. */
+const STALL_MS = 3000;
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 100;
+const DEADLINE_MS = 10_000;
+const KB_PER_MB = 1024;
+
+const wait = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+let cleanUps: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  await Promise.all(cleanUps.map((cleanUp) => cleanUp()));
+  cleanUps = [];
+});
+
+function sendShort(gateway: GatewayProcess): Promise<ClientResponse> {
+  const req = { path: '/read/1', body: 'short', deadlineMs: DEADLINE_MS };
+  return sendRequest(gateway.callersAddress, req);
+}
+
+async function untilServing(gateway: GatewayProcess, leftMs = READY_TIMEOUT_MS): Promise<void> {
+  const res = await sendShort(gateway).catch(() => undefined);
+  if (res?.status === 200) return;
+  assert.ok(leftMs > 0 && gateway.end === undefined, `not serving: ${gateway.log.slice(-2000)}`);
+  await wait(POLL_MS);
+  await untilServing(gateway, leftMs - POLL_MS);
+}
+
+async function startGateway(basePort: number): Promise<GatewayProcess> {
+  const gateway = new GatewayProcess({ basePort, memoryMb: MEMORY_MB, heapMb: HEAP_MB });
+  const store = new StoreStandIn();
+  const target = new TargetStandIn('i-1', `127.0.1.1:${basePort}`, false);
+  cleanUps.push(
+    () => gateway.stop(),
+    () => store.close(),
+    () => target.close(),
+  );
+  const route = { host: HOST, service: PLAIN_SERVICE, timeoutMs: 20_000, targetLatencyMs: 20_000 };
+  store.put(
+    'op/config',
+    exampleConfig(3, {
+      routes: [{ ...route, name: 'read', prefix: '/read/', kind: 'safe', maxAttempts: 1 }],
+      limits: {
+        maxHeaderBytes: 4096,
+        maxBodyBytes: MAX_BODY_BYTES,
+        headerTimeoutMs: 1000,
+        idleTimeoutMs: 5000,
+      },
+    }),
+  );
+  await target.listen();
+  store.put(`servers/${target.id}`, target.entry(PLAIN_SERVICE, 'north-a'));
+  await store.listen(gateway.storeAddress);
+  await gateway.start();
+  await untilServing(gateway);
+  return gateway;
+}
+
+const CROWDS: readonly { name: string; clients: number; shape: Omit<BodyShape, 'path'> }[] = [
+  { name: 'one-byte chunks', clients: 12, shape: { bytes: 60_000, chunkBytes: 1 } },
+  { name: '16-byte chunks', clients: 40, shape: { bytes: 240_000, chunkBytes: 16 } },
+  {
+    name: 'one-byte chunks that arrive in pieces',
+    clients: 12,
+    shape: { bytes: 60_000, chunkBytes: 1, pieceBytes: 1200 },
+  },
+  { name: '64 KiB chunks', clients: 40, shape: { bytes: MAX_BODY_BYTES, chunkBytes: 65_536 } },
+  { name: 'a declared length', clients: 40, shape: { bytes: MAX_BODY_BYTES - 8 } },
+  {
+    name: 'a declared length, piecewise',
+    clients: 40,
+    shape: { bytes: MAX_BODY_BYTES - 8, pieceBytes: 16_384 },
+  },
+  // Together they take up the memory for bodies exactly: a fifth of the memory of the VM.
+  { name: '256 KiB each', clients: 200, shape: { bytes: 256 * 1024 - 8 } },
+  { name: '1000 bytes each', clients: 1500, shape: { bytes: 1000 } },
+  { name: '1000 one-byte chunks', clients: 600, shape: { bytes: 1000, chunkBytes: 1 } },
+];
+
+// Guards against a gateway that is ended for its memory, or serves nobody, because of unfinished bodies.
+CROWDS.forEach(({ name, clients, shape }, index) => {
+  test(`${clients} unfinished bodies with ${name} leave a gateway alive and serving`, async () => {
+    const gateway = await startGateway(BASE_PORT + index * 10);
+    const crowd = new BodyCrowd(gateway.callersAddress);
+    cleanUps.push(() => crowd.close());
+    await crowd.send(clients, { path: '/read/1', ...shape });
+    await wait(STALL_MS);
+    assert.equal(gateway.end, undefined, 'the process ended');
+    assert.ok(gateway.openDescriptors() <= clients + OWN_DESCRIPTORS);
+    const res = await sendShort(gateway);
+    assert.equal(res.status, 200);
+    const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
+    assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+  });
+});
+
+test('a single body of 4 MB in one-byte chunks is served', async () => {
+  const gateway = await startGateway(BASE_PORT + CROWDS.length * 10);
+  const body = '1\r\nx\r\n'.repeat(MAX_BODY_BYTES);
+  const crowd = new BodyCrowd(gateway.callersAddress);
+  cleanUps.push(() => crowd.close());
+  const response = await crowd.exchange(
+    `POST /read/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: whole\r\nDeadline-Ms: 20000\r\n` +
+      `Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${body}0\r\n\r\n`,
+  );
+  assert.match(response, /^HTTP\/1\.1 200 /);
+  assert.equal(gateway.end, undefined, 'the process ended');
+  const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
+  assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+});
