Charge unfinished bodies at their real cost and reject those that stall

Cause: each piece that the parser delivers was kept as a buffer of its own, some hundred bytes of heap for a one-byte chunk, and BodyMemory counted payload. An open body was never rejected, so bodies that stalled kept short ones out.

Change: pieces are copied into blocks (1 to 64 KiB), and an open body is charged with its blocks and 8 KiB. When the memory or max_open_bodies (1024) does not suffice, the body that stalled longest is rejected, then the newest of more than 64 KiB; an eighth of the memory is for short bodies. What arrives after a rejection is dropped instead of queued. Bodies in tiny chunks are read one after the other, one read of the connection each. Messages of daemons and gateways have a shared limit as well. A listener has max_connections (8192) and closes the one that was idle longest; a connection has at most 256 requests that wait.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -17,6 +17,7 @@
   lingeringClose,
   readRequestBody,
   RefusedConnections,
+  RejectionCount,
   type BodyAllocation,
   TurnQueue,
   type Logger,
@@ -83,6 +84,10 @@
   readonly forwardAddress: string;
   /** Limit of the request bodies that are held at the same time, bytes. */
   readonly maxBodyMemoryBytes: number;
+  /** Limit of the request bodies that are being read. */
+  readonly maxOpenBodies: number;
+  /** Limit of the open connections of each listener. */
+  readonly maxConnections: number;
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
@@ -121,12 +126,27 @@
 
   constructor(private readonly deps: CallerTaskDeps) {
     this.refusedConnections = new RefusedConnections(deps.timers);
-    this.bodyMemory = new BodyMemory(deps.maxBodyMemoryBytes);
     const { log } = deps;
+    const rejections = new RejectionCount((count) =>
+      log.warn('unfinished bodies rejected, as bodies take up too much', { count }),
+    );
+    this.bodyMemory = new BodyMemory(deps.maxBodyMemoryBytes, {
+      maxOpen: deps.maxOpenBodies,
+      now: () => deps.timers.now(),
+      onReject: (reason) => {
+        deps.metrics.onBodyRejected(reason);
+        rejections.add();
+      },
+    });
     const common = {
       log,
       timers: deps.timers,
       maxHeaderBytes: MAX_HEADER_BYTES,
+      maxConnections: deps.maxConnections,
+      onConnectionsRejected: (count: number) => {
+        deps.metrics.onConnectionsRejected(count);
+        log.warn('connections closed because there are too many', { count });
+      },
       onError: (err: unknown) => log.error('request failed', { err }),
       onClientError: (err: NodeJS.ErrnoException, socket: Socket) =>
         this.onClientError(err, socket),
@@ -334,6 +354,7 @@
       config_behind_ms: Math.round(state.configBehindMs),
       source_age_ms: Math.round(state.sourceAgeMs),
       body_bytes: this.bodyMemory.heldBytes || undefined,
+      open_bodies: this.bodyMemory.openBodies || undefined,
     });
     metrics.onRefusal(code.name);
     response.onSent(() => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -215,6 +215,8 @@
       callersAddress: settings.listen.callers,
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
       maxBodyMemoryBytes: settings.maxBodyMemoryBytes,
+      maxOpenBodies: settings.tuning.max_open_bodies,
+      maxConnections: settings.tuning.max_connections,
       state: this.state,
       configCatchUp: new ConfigCatchUp({
         state: this.state,
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -11,6 +11,10 @@
 
   private readonly durations;
 
+  private readonly rejectedBodies;
+
+  private readonly rejectedConnections;
+
   constructor(
     metrics: Metrics,
     private readonly timers: TimerService,
@@ -24,6 +28,15 @@
       'Attempts by kind of destination, and whether a target was assumed to be cold.',
       ['place', 'retry', 'cold'],
     );
+    this.rejectedBodies = metrics.counter(
+      'bodies_rejected_total',
+      'Request bodies that were rejected while they were read, as bodies took up too much.',
+      ['reason'],
+    );
+    this.rejectedConnections = metrics.counter(
+      'connections_rejected_total',
+      'Connections of callers and gateways that were closed because there were too many.',
+    );
     this.durations = metrics.histogram(
       'request_seconds',
       'Time from the arrival of a request to the end of its response.',
@@ -41,6 +54,15 @@
     this.results.inc({ route: '', result });
   }
 
+  /** Counts a body that was rejected in favour of others. */
+  onBodyRejected(reason: string): void {
+    this.rejectedBodies.inc({ reason });
+  }
+
+  onConnectionsRejected(count: number): void {
+    this.rejectedConnections.inc(count);
+  }
+
   /** Starts to measure a request; the returned function records its result and its duration. */
   startRequest(route: string, arrivedAt: number): (result: string) => void {
     return (result) => {
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -9,12 +9,14 @@
   type StateRevision,
   type TargetRecord,
 } from '@marjoramcart/core';
-import { HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
+import { BodyMemory, HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
 
 const PATH = '/rpc';
 const FETCH_METHOD = 'fleet.fetch';
 const FETCH_TIMEOUT_MS = 2000;
 const MAX_REQUEST_BYTES = 16 * 1024;
+/** Limit of all requests that are read at the same time; each gateway has one at most. */
+const MAX_REQUESTS_BYTES = 8 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 2000;
 const MAX_STATE_BYTES = 8 * 1024 * 1024;
 
@@ -35,6 +37,8 @@
 
   private readonly server = new JSONRPCServer();
 
+  private readonly memory = new BodyMemory(MAX_REQUESTS_BYTES);
+
   constructor(address: string, snapshot: () => FleetState | undefined, log: Logger) {
     this.server.addMethod(FETCH_METHOD, () => {
       const state = snapshot();
@@ -58,7 +62,8 @@
   }
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const limits = { maxBytes: MAX_REQUEST_BYTES, timeoutMs: REQUEST_TIMEOUT_MS };
+    const { memory } = this;
+    const limits = { maxBytes: MAX_REQUEST_BYTES, timeoutMs: REQUEST_TIMEOUT_MS, memory };
     const body = await readBody(req, limits);
     if (req.method !== 'POST' || req.url !== PATH || body.kind !== 'complete') {
       res.writeHead(400, { connection: 'close' }).end();
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -37,6 +37,10 @@
    * regions in which they can't be handled, where they are refused.
    */
   directory_misdirected_share: z.number().min(0).max(1).default(0.05),
+  /** Limit of the request bodies that are read at the same time. */
+  max_open_bodies: z.number().int().positive().default(1024),
+  /** Limit of the open connections of callers, and of those of other gateways. */
+  max_connections: z.number().int().positive().default(8192),
 });
 
 export type GatewayTuning = z.output<typeof gatewayTuningSchema>;
--- /dev/null
+++ b/packages/runtime/src/http/body-pacer.ts
@@ -0,0 +1,93 @@
+/** Bounds the time that bodies in tiny chunks take up in one turn of the event loop. */
+import type { IncomingMessage } from 'node:http';
+import { continueReading, holdReading } from './hold-reading.js';
+
+export const PacerLimits = {
+  /** A body is paced once it has had more pieces than this with a mean size below `TinyBytes`. */
+  FreePieces: 512,
+  TinyBytes: 64,
+  /**
+   * Paced bodies that may be read at the same time. A read has up to 64 KiB, some 11,000 one-byte
+   * chunks.
+   */
+  MaxReading: 1,
+  /** A body that received nothing for this time lets the next one be read. */
+  MaxIdleMs: 10,
+} as const;
+
+/** Reads paced bodies one after the other, one read of the connection each. */
+export class BodyPacer {
+  private readonly waiting = new Set<IncomingMessage>();
+
+  /** Bodies that may be read, with the timers that end their turns. */
+  private readonly reading = new Map<IncomingMessage, NodeJS.Timeout>();
+
+  private scheduled = false;
+
+  /** Number of paced bodies. */
+  get size(): number {
+    return this.waiting.size + this.reading.size;
+  }
+
+  /**
+   * Called for each piece of a body.
+   *
+   * @param pieces number of pieces so far
+   * @param bytes size of all pieces so far
+   * @example pacer.onPiece(req, pieces, size)
+   */
+  onPiece(msg: IncomingMessage, pieces: number, bytes: number): void {
+    if (this.waiting.has(msg)) return;
+    const isReading = this.reading.has(msg);
+    if (!isReading && (pieces <= PacerLimits.FreePieces || bytes >= pieces * PacerLimits.TinyBytes))
+      return;
+    this.endTurn(msg);
+    this.waiting.add(msg);
+    holdReading(msg);
+    this.schedule();
+  }
+
+  /** Forgets a body that is not read any more. */
+  remove(msg: IncomingMessage): void {
+    this.waiting.delete(msg);
+    this.endTurn(msg);
+    if (this.waiting.size > 0) this.schedule();
+  }
+
+  private endTurn(msg: IncomingMessage): void {
+    clearTimeout(this.reading.get(msg));
+    this.reading.delete(msg);
+  }
+
+  /** Starts the next turns after the other events of this turn of the event loop. */
+  private schedule(): void {
+    if (this.scheduled) return;
+    this.scheduled = true;
+    setImmediate(() => {
+      this.scheduled = false;
+      this.startTurns();
+    });
+  }
+
+  private startTurns(): void {
+    const free = Math.max(0, PacerLimits.MaxReading - this.reading.size);
+    [...this.waiting].slice(0, free).forEach((msg) => {
+      this.waiting.delete(msg);
+      this.reading.set(
+        msg,
+        setTimeout(() => this.onIdle(msg), PacerLimits.MaxIdleMs),
+      );
+      continueReading(msg);
+    });
+  }
+
+  private onIdle(msg: IncomingMessage): void {
+    this.endTurn(msg);
+    this.waiting.add(msg);
+    holdReading(msg);
+    this.schedule();
+  }
+}
+
+/** Shared by all bodies of the process, as they share its event loop. */
+export const bodyPacer = new BodyPacer();
--- a/packages/runtime/src/http/lingering-close.ts
+++ b/packages/runtime/src/http/lingering-close.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { TimerService } from '../timers/timer-service.js';
+import { bodyPacer } from './body-pacer.js';
+import { continueReading, holdReading } from './hold-reading.js';
 import { Pipeline } from './pipeline.js';
 
 export const LingeringCloseLimits = {
@@ -39,14 +41,24 @@
   socket.end();
   // The HTTP server calls this after a response to a client that asked to close the connection.
   Object.assign(socket, { destroySoon: () => undefined });
-  if (!mayRead) return;
+  if (!mayRead) {
+    // What has arrived already is dropped, as queued tiny chunks would take up several MB.
+    req.resume();
+    holdReading(req);
+    return;
+  }
   let discarded = 0;
+  let pieces = 0;
+  socket.once('close', () => bodyPacer.remove(req));
   req.on('data', (chunk: Buffer) => {
     discarded += chunk.length;
+    pieces += 1;
+    bodyPacer.onPiece(req, pieces, discarded);
     if (discarded > LingeringCloseLimits.MaxBytes) close();
   });
   req.on('error', close);
   req.on('end', close);
+  continueReading(req);
   req.resume();
 }
 
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -7,6 +7,7 @@
 import { bindWithRetry } from './bind-with-retry.js';
 import { halfClose } from './lingering-close.js';
 import { closeAfter, isCloseAnnounced, Pipeline } from './pipeline.js';
+import { RejectionCount } from './rejection-count.js';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
@@ -21,6 +22,10 @@
   /** With these, the listener half-closes a connection after its last response and reads on for a while. */
   readonly timers?: Pick<TimerService, 'after'>;
   readonly maxHeaderBytes?: number;
+  /** At this number of open connections the one that was idle longest is closed, else the new one. */
+  readonly maxConnections?: number;
+  /** Called at most once a second with the number of connections that were closed for it. */
+  readonly onConnectionsRejected?: (count: number) => void;
   readonly headersTimeoutMs?: number;
   /**
    * Leaves `Expect: 100-continue` to the handler, which calls `res.writeContinue()` when it accepts
@@ -33,6 +38,13 @@
 
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 const DEFAULT_HEADERS_TIMEOUT_MS = 5000;
+/** More than a fleet's gateways and operators open to a listener that callers do not use. */
+const DEFAULT_MAX_CONNECTIONS = 2048;
+/**
+ * Requests of a connection that wait for their responses. Those beyond it are not handled, and the
+ * connection closes after the responses before them.
+ */
+const MAX_PIPELINED = 256;
 const IDLE_SWEEP_INTERVAL_MS = 100;
 /** Idle time before a closing listener closes a connection, as a request may be on its way. */
 const CLOSE_IDLE_AFTER_MS = 1000;
@@ -52,6 +64,13 @@
   /** Number of connections and requests so far. */
   private arrivals = 0;
 
+  private readonly connections = new Set<net.Socket>();
+
+  /** Connections that were closed because there were too many. */
+  private readonly rejections = new RejectionCount((count) =>
+    this.options.onConnectionsRejected?.(count),
+  );
+
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
 
@@ -186,10 +205,24 @@
 
   private trackIdle(socket: net.Socket): void {
     this.arrivals += 1;
+    if (this.connections.size >= (this.options.maxConnections ?? DEFAULT_MAX_CONNECTIONS)) {
+      this.rejections.add();
+      // Also a connection whose request has not arrived completely is idle.
+      const [longestIdle] = this.idleSince.keys();
+      const victim = longestIdle ?? socket;
+      victim.destroy();
+      this.connections.delete(victim);
+      this.idleSince.delete(victim);
+      if (victim === socket) return;
+    }
+    this.connections.add(socket);
     const now = performance.now();
     this.acceptedAt.set(socket, now);
     this.idleSince.set(socket, now);
-    socket.once('close', () => this.idleSince.delete(socket));
+    socket.once('close', () => {
+      this.idleSince.delete(socket);
+      this.connections.delete(socket);
+    });
   }
 
   private closeIdleConnections(): void {
@@ -222,6 +255,7 @@
     const pipeline = Pipeline.of(socket);
     this.arrivals += 1;
     if (this.stopped && pipeline.size > 0) pipeline.end(() => this.closeSoon(socket));
+    if (pipeline.size >= MAX_PIPELINED) pipeline.end(() => this.closeSoon(socket));
     if (!pipeline.add(res)) {
       req.resume();
       return;
--- a/packages/runtime/src/http/read-body.ts
+++ b/packages/runtime/src/http/read-body.ts
@@ -1,15 +1,21 @@
 /** Reads the body of an HTTP message with a size limit and a timeout. */
 import type { IncomingMessage } from 'node:http';
+import type { BodyMemory } from './body-memory.js';
+import { collectBody } from './collect-body.js';
 
 export interface BodyLimits {
   readonly maxBytes: number;
   readonly timeoutMs: number;
+  /** Limits all bodies that are read at the same time. */
+  readonly memory?: BodyMemory;
 }
 
 export type BodyResult =
   | { readonly kind: 'complete'; readonly data: Buffer }
   | { readonly kind: 'too-large' }
   | { readonly kind: 'too-slow' }
+  /** The memory for bodies is used up. */
+  | { readonly kind: 'no-memory' }
   | { readonly kind: 'aborted' };
 
 /**
@@ -19,26 +25,17 @@
  * @example const body = await readBody(req, { maxBytes: 4_194_304, timeoutMs: 15_000 })
  */
 export function readBody(msg: IncomingMessage, limits: BodyLimits): Promise<BodyResult> {
-  const announcedBytes = Number(msg.headers['content-length'] ?? 0);
-  if (announcedBytes > limits.maxBytes) return Promise.resolve({ kind: 'too-large' });
+  const { maxBytes, timeoutMs, memory } = limits;
+  const allocation = memory?.allocate();
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
     const timeout: { handle?: NodeJS.Timeout } = {};
-    const finish = (result: BodyResult): void => {
+    const collector = collectBody(msg, { maxBytes, allocation }, (result) => {
       clearTimeout(timeout.handle);
-      msg.removeAllListeners('data');
-      if (result.kind !== 'complete') msg.pause();
-      resolve(result);
-    };
-    timeout.handle = setTimeout(() => finish({ kind: 'too-slow' }), limits.timeoutMs);
-    msg.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limits.maxBytes) finish({ kind: 'too-large' });
-      else chunks.push(chunk);
+      // The message is handled in the same turn; only bodies that are being read are limited.
+      allocation?.release();
+      resolve(result.kind === 'complete' ? { kind: 'complete', data: result.body } : result);
     });
-    msg.on('end', () => finish({ kind: 'complete', data: Buffer.concat(chunks) }));
-    msg.on('error', () => finish({ kind: 'aborted' }));
-    msg.on('close', () => finish({ kind: 'aborted' }));
+    timeout.handle = setTimeout(() => collector.stop({ kind: 'too-slow' }), timeoutMs);
+    collector.start();
   });
 }
--- a/packages/runtime/src/http/read-request-body.ts
+++ b/packages/runtime/src/http/read-request-body.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { TimerService } from '../timers/timer-service.js';
 import type { BodyAllocation } from './body-memory.js';
+import { collectBody } from './collect-body.js';
 
 export const RequestBodyTiming = {
   TimeoutMs: 15_000,
@@ -20,8 +21,8 @@
   | { readonly kind: 'aborted' };
 
 /**
- * Reads a body to its end. With any result but `complete` the rest stays unread and the caller of
- * this function must close the connection.
+ * Reads a body to its end. With any result but `complete` the rest is not read, except for what has
+ * arrived already, which is discarded, and the caller of this function must close the connection.
  *
  * @param allocation memory for the body, which the caller of this function releases; absent if it is
  *   not limited
@@ -33,41 +34,21 @@
   timers: TimerService,
   allocation?: BodyAllocation,
 ): Promise<RequestBodyResult> {
-  const announcedBytes = Number(req.headers['content-length'] ?? 0);
-  if (announcedBytes > maxBytes) return Promise.resolve({ kind: 'too-large' });
-  if (allocation?.grow(announcedBytes) === false) return Promise.resolve({ kind: 'no-memory' });
-  const isAnnounced = req.headers['content-length'] !== undefined;
+  const startedAt = timers.now();
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    const startedAt = timers.now();
-    let size = 0;
-    let settled = false;
     let stopCheck = (): void => undefined;
-    const finish = (result: RequestBodyResult): void => {
-      if (settled) return;
-      settled = true;
+    const collector = collectBody(req, { maxBytes, allocation }, (result) => {
       stopCheck();
-      if (result.kind !== 'complete') {
-        req.removeAllListeners('data');
-        req.pause();
-      }
       resolve(result);
-    };
+    });
     stopCheck = timers.every(RequestBodyTiming.CheckIntervalMs, () => {
       const elapsedMs = timers.now() - startedAt;
       const minBytes =
         ((elapsedMs - RequestBodyTiming.RateGraceMs) / 1000) * RequestBodyTiming.MinBytesPerS;
-      if (elapsedMs >= RequestBodyTiming.TimeoutMs || size < minBytes) finish({ kind: 'too-slow' });
-    });
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) finish({ kind: 'too-large' });
-      else if (!isAnnounced && allocation?.grow(chunk.length) === false) {
-        finish({ kind: 'no-memory' });
-      } else chunks.push(chunk);
+      if (elapsedMs >= RequestBodyTiming.TimeoutMs || collector.size < minBytes) {
+        collector.stop({ kind: 'too-slow' });
+      }
     });
-    req.on('end', () => finish({ kind: 'complete', body: Buffer.concat(chunks) }));
-    req.on('error', () => finish({ kind: 'aborted' }));
-    req.on('close', () => finish({ kind: 'aborted' }));
+    collector.start();
   });
 }
--- a/packages/runtime/src/http/read-response-body.ts
+++ b/packages/runtime/src/http/read-response-body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a response that is not streamed. */
 import type { IncomingMessage } from 'node:http';
+import { BodyBlocks } from './body-blocks.js';
 
 /** Largest body of a response that is not streamed. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -26,25 +27,25 @@
   mayHold: (bytes: number) => boolean = () => true,
 ): Promise<ResponseBodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const blocks = new BodyBlocks();
     let size = 0;
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
-      chunks.push(chunk);
+      blocks.add(chunk);
       if (size > MAX_RESPONSE_BYTES) {
         resolve({ kind: 'too-large', message: 'the response body exceeds the size limit' });
         res.destroy();
       } else if (size > SMALL_RESPONSE_BYTES && !mayHold(chunk.length)) {
         res.off('data', onData);
         res.pause();
-        resolve({ kind: 'paused', body: Buffer.concat(chunks) });
+        resolve({ kind: 'paused', body: blocks.take() });
       }
     };
     res.on('data', onData);
     res.on('end', () =>
       resolve(
         res.complete
-          ? { kind: 'complete', body: Buffer.concat(chunks) }
+          ? { kind: 'complete', body: blocks.take() }
           : { kind: 'truncated', message: 'the response ended before its body was complete' },
       ),
     );
--- a/packages/runtime/src/rpc/rpc-server.ts
+++ b/packages/runtime/src/rpc/rpc-server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import type { RpcMethod, RpcMethods } from '@marjoramcart/core';
+import { BodyMemory } from '../http/body-memory.js';
 import { readBody } from '../http/read-body.js';
 import type { Logger } from '../logs/logger.js';
 import { decodeBody, encodeBody, headerBytes } from './compression.js';
@@ -11,6 +12,11 @@
 
 /** Largest message; an initial configuration with 25,000 customers takes about 5 MB. */
 export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+/**
+ * Limit of all messages that are read at the same time, which are not authenticated yet. Its share for
+ * long ones has room for two of the largest.
+ */
+const MAX_MESSAGES_BYTES = 40 * 1024 * 1024;
 const BODY_TIMEOUT_MS = 5000;
 /** Status line and empty line after the headers. */
 const STATUS_BYTES = 19;
@@ -22,6 +28,8 @@
 export class RpcServer {
   private readonly server = new JSONRPCServer();
 
+  private readonly memory = new BodyMemory(MAX_MESSAGES_BYTES);
+
   private refusedCount = 0;
 
   private bytes = { received: 0, sent: 0 };
@@ -60,7 +68,11 @@
 
   /** Handles an HTTP request to `/rpc`. */
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const body = await readBody(req, { maxBytes: MAX_MESSAGE_BYTES, timeoutMs: BODY_TIMEOUT_MS });
+    const body = await readBody(req, {
+      maxBytes: MAX_MESSAGE_BYTES,
+      timeoutMs: BODY_TIMEOUT_MS,
+      memory: this.memory,
+    });
     if (body.kind !== 'complete') {
       res.writeHead(400, { connection: 'close' }).end();
       return;
