Drop the body of a request that is refused behind one in flight

Cause: a request that is refused before its body is read kept its pieces queued until the responses before it were sent; 40 such clients with one-byte chunks ended the process (SIGABRT at a heap limit of 64 MB). A crowd of short bodies that had not stalled for 500 ms yet had an ordinary short request refused (503).

Change: a refusal drops what has arrived and reads no more until the response is sent. For a short body, the one whose last progress is oldest is rejected.

Result: both cases and those of max_connections are in unfinished-bodies.serial.test and pass.

--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -14,6 +14,7 @@
   type Task,
   type TimerService,
   RefusedConnections,
+  dropBody,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
@@ -155,6 +156,7 @@
   private reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
     const { code, detail, fields, close, mayDrainBody = false } = rejection;
     const bodyUnread = close === true && !req.complete;
+    if (bodyUnread) dropBody(req);
     const response = new CallerResponse(res, {
       commonHeaders: () => this.commonHeaders(),
       record: false,
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -23,6 +23,7 @@
   type Task,
   type TimerService,
   readRequestBody,
+  dropBody,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import { CallerResponse, type RecordedResponse } from '../relay/caller-response.js';
@@ -181,6 +182,7 @@
   ): void {
     // A connection reset would make the outcome of this refusal unknown to the sender.
     const onWritten = (): void => lingeringClose(req, this.options.timers, false);
+    dropBody(req);
     this.createResponse(res, false).fail(
       { code, run: this.mayHaveRun(keyText) ? RunState.Unknown : code.run, attempts: 0 },
       { close: true, ...(!req.complete && { onWritten }) },
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -13,6 +13,7 @@
 } from '@marjoramcart/core';
 import {
   BodyMemory,
+  dropBody,
   HttpListener,
   lingeringClose,
   readRequestBody,
@@ -357,6 +358,7 @@
       open_bodies: this.bodyMemory.openBodies || undefined,
     });
     metrics.onRefusal(code.name);
+    dropBody(req);
     response.onSent(() => {
       if (!req.complete) lingeringClose(req, timers, true);
     });
--- a/packages/runtime/src/http/body-memory.test.ts
+++ b/packages/runtime/src/http/body-memory.test.ts
@@ -73,6 +73,18 @@
   assert.deepEqual(reasons, ['newest', 'newest']);
 });
 
+// Guards against a crowd of short bodies that keeps out ordinary requests until it counts as stalled.
+test('the short body with the oldest progress is rejected for another short one', () => {
+  const { clock, reasons, memory } = setUp(1024 * KB, 2);
+  const first = open(memory, 10);
+  clock.now = 1;
+  const second = open(memory, 10);
+  clock.now = 2;
+  const third = open(memory, 10);
+  assert.deepEqual([first.rejected, second.rejected, third.accepted], [true, false, true]);
+  assert.deepEqual(reasons, ['oldest']);
+});
+
 // Guards against open bodies that are rejected in vain.
 test('no open body is rejected for one that complete bodies leave no room for', () => {
   const { clock, memory } = setUp(100 * KB);
--- a/packages/runtime/src/http/body-memory.ts
+++ b/packages/runtime/src/http/body-memory.ts
@@ -43,8 +43,11 @@
   readonly onReject?: (reason: BodyRejection) => void;
 }
 
-/** Why a body was rejected: it stalled, or it was the newest one that may be. */
-export const BodyRejection = { Stalled: 'stalled', Newest: 'newest' } as const;
+/**
+ * Why a body was rejected: it stalled, it was the newest long one, or its last progress was the oldest
+ * of all when a short one arrived.
+ */
+export const BodyRejection = { Stalled: 'stalled', Newest: 'newest', Oldest: 'oldest' } as const;
 export type BodyRejection = (typeof BodyRejection)[keyof typeof BodyRejection];
 
 interface OpenBody {
@@ -57,6 +60,11 @@
   readonly reject: () => void;
 }
 
+interface Victim {
+  readonly body: OpenBody;
+  readonly reason: BodyRejection;
+}
+
 export class BodyMemory {
   private held = 0;
 
@@ -172,20 +180,26 @@
     return true;
   }
 
-  /** The body that has stalled longest, else the newest long one; none if that is the given one. */
-  private victimFor(
-    body: OpenBody,
-    isLong: boolean,
-  ): { readonly body: OpenBody; readonly reason: BodyRejection } | undefined {
+  /**
+   * The body that has stalled longest, else the newest long one. For a short body, which usually
+   * arrives whole, also the short one whose last progress is the oldest. None if the given body is to
+   * be rejected itself.
+   */
+  private victimFor(body: OpenBody, isLong: boolean): Victim | undefined {
     const others = [...this.open].filter((other) => other !== body);
     const [first] = others;
-    const stalled = first && others.reduce((a, b) => (b.progressAt < a.progressAt ? b : a), first);
-    if (stalled && this.now() - stalled.progressAt >= BodyMemoryLimits.StallMs) {
-      return { body: stalled, reason: BodyRejection.Stalled };
+    if (!first) return undefined;
+    const oldest = others.reduce((a, b) => (b.progressAt < a.progressAt ? b : a), first);
+    if (this.now() - oldest.progressAt >= BodyMemoryLimits.StallMs) {
+      return { body: oldest, reason: BodyRejection.Stalled };
     }
     const longCost = BodyMemoryLimits.ShortBytes + BodyMemoryLimits.OverheadBytes;
-    const all = [...this.open];
-    const newest = all.findLast((other) => other.own > longCost || (isLong && other === body));
-    return newest && newest !== body ? { body: newest, reason: BodyRejection.Newest } : undefined;
+    const newest = [...this.open].findLast(
+      (other) => other.own > longCost || (isLong && other === body),
+    );
+    if (newest) {
+      return newest === body ? undefined : { body: newest, reason: BodyRejection.Newest };
+    }
+    return { body: oldest, reason: BodyRejection.Oldest };
   }
 }
--- a/packages/runtime/src/http/hold-reading.ts
+++ b/packages/runtime/src/http/hold-reading.ts
@@ -26,3 +26,15 @@
   Reflect.deleteProperty(msg, '_read');
   if (!msg.complete && !msg.destroyed) msg.socket.resume();
 }
+
+/**
+ * Drops what has arrived of the body of a refused request, and reads no more until `continueReading`.
+ * Its response may have to wait for earlier ones of its connection.
+ *
+ * @example dropBody(req)
+ */
+export function dropBody(req: IncomingMessage): void {
+  if (req.complete) return;
+  req.resume();
+  holdReading(req);
+}
--- a/packages/runtime/src/http/lingering-close.ts
+++ b/packages/runtime/src/http/lingering-close.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import type { TimerService } from '../timers/timer-service.js';
 import { bodyPacer } from './body-pacer.js';
-import { continueReading, holdReading } from './hold-reading.js';
+import { continueReading, dropBody } from './hold-reading.js';
 import { Pipeline } from './pipeline.js';
 
 export const LingeringCloseLimits = {
@@ -42,9 +42,7 @@
   // The HTTP server calls this after a response to a client that asked to close the connection.
   Object.assign(socket, { destroySoon: () => undefined });
   if (!mayRead) {
-    // What has arrived already is dropped, as queued tiny chunks would take up several MB.
-    req.resume();
-    holdReading(req);
+    dropBody(req);
     return;
   }
   let discarded = 0;
--- a/tests/stand-ins/src/users-platform/body-crowd.ts
+++ b/tests/stand-ins/src/users-platform/body-crowd.ts
@@ -46,6 +46,12 @@
   /** @param address `ip:port` of the gateway */
   constructor(private readonly address: string) {}
 
+  /** Connects clients that send the start of a request, and returns when each has or was disconnected. */
+  async sendStart(clients: number, start: string): Promise<void> {
+    const data = Buffer.from(start);
+    await Promise.all(Array.from({ length: clients }, () => this.sendData(data, data.length)));
+  }
+
   /** Connects the clients, and returns when each has sent its part or was disconnected. */
   async send(clients: number, shape: BodyShape): Promise<void> {
     await Promise.all(Array.from({ length: clients }, (_, n) => this.sendOne(shape, `crowd-${n}`)));
@@ -69,13 +75,17 @@
   }
 
   private async sendOne(shape: BodyShape, id: string): Promise<void> {
+    const data = renderRequest(shape, id);
+    await this.sendData(data, shape.pieceBytes ?? data.length);
+  }
+
+  private async sendData(data: Buffer, pieceBytes: number): Promise<void> {
     const socket = this.connect();
     socket.resume();
     const closed = new Promise<void>((resolve) => {
       socket.on('close', () => resolve());
     });
-    const data = renderRequest(shape, id);
-    await Promise.race([closed, sendPieces(socket, data, shape.pieceBytes ?? data.length)]);
+    await Promise.race([closed, sendPieces(socket, data, pieceBytes)]);
   }
 
   private connect(): net.Socket {
--- a/tests/stand-ins/src/users-platform/unfinished-bodies.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/unfinished-bodies.serial.test.ts
@@ -5,7 +5,7 @@
 import { HOST, PLAIN_SERVICE, exampleConfig } from './example-config.js';
 import { GatewayProcess } from './gateway-process.js';
 import { StoreStandIn } from './store.js';
-import { TargetStandIn } from './target.js';
+import { TargetMode, TargetStandIn } from './target.js';
 
 const BASE_PORT = 29_600;
 /** Memory of a small VM; the process must stay below it. */
@@ -21,6 +21,10 @@
 const POLL_MS = 100;
 const DEADLINE_MS = 10_000;
 const KB_PER_MB = 1024;
+/** Its target never answers. */
+const SILENT_SERVICE = 'silent';
+const QUEUED_CLIENTS = 40;
+const QUEUED_CHUNKS = 60_000;
 
 const wait = (ms: number): Promise<void> =>
   new Promise((resolve) => {
@@ -47,20 +51,27 @@
   await untilServing(gateway, leftMs - POLL_MS);
 }
 
-async function startGateway(basePort: number): Promise<GatewayProcess> {
-  const gateway = new GatewayProcess({ basePort, memoryMb: MEMORY_MB, heapMb: HEAP_MB });
+async function startGateway(basePort: number, tuning = ''): Promise<GatewayProcess> {
+  const gateway = new GatewayProcess({ basePort, memoryMb: MEMORY_MB, heapMb: HEAP_MB, tuning });
   const store = new StoreStandIn();
   const target = new TargetStandIn('i-1', `127.0.1.1:${basePort}`, false);
+  const silent = new TargetStandIn('i-2', `127.0.1.2:${basePort}`, false);
+  silent.mode = TargetMode.Silent;
   cleanUps.push(
     () => gateway.stop(),
     () => store.close(),
     () => target.close(),
+    () => silent.close(),
   );
   const route = { host: HOST, service: PLAIN_SERVICE, timeoutMs: 20_000, targetLatencyMs: 20_000 };
   store.put(
     'op/config',
     exampleConfig(3, {
-      routes: [{ ...route, name: 'read', prefix: '/read/', kind: 'safe', maxAttempts: 1 }],
+      routes: [
+        { ...route, name: 'read', prefix: '/read/', kind: 'safe', maxAttempts: 1 },
+        { ...route, name: 'held', prefix: '/held/', kind: 'unsafe', service: SILENT_SERVICE },
+      ],
+      services: [{ name: PLAIN_SERVICE }, { name: SILENT_SERVICE }],
       limits: {
         maxHeaderBytes: 4096,
         maxBodyBytes: MAX_BODY_BYTES,
@@ -69,7 +80,8 @@
       },
     }),
   );
-  await target.listen();
+  await Promise.all([target.listen(), silent.listen()]);
+  store.put(`servers/${silent.id}`, silent.entry(SILENT_SERVICE, 'north-a'));
   store.put(`servers/${target.id}`, target.entry(PLAIN_SERVICE, 'north-a'));
   await store.listen(gateway.storeAddress);
   await gateway.start();
@@ -129,3 +141,42 @@
   const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
   assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
 });
+
+const MAX_CONNECTIONS = 50;
+const MAX_OPEN_BODIES = 20;
+const LIMITED_CLIENTS = 200;
+/** Incomplete heads of requests, and complete heads whose bodies stall. */
+const LIMITED_CROWDS = ['unfinished headers', 'unfinished bodies'] as const;
+
+// Guards against clients that use up the descriptors of a gateway with connections that do nothing.
+LIMITED_CROWDS.forEach((name, index) => {
+  test(`${LIMITED_CLIENTS} clients with ${name} keep within the limit of connections`, async () => {
+    const tuning = `max_connections: ${MAX_CONNECTIONS}\nmax_open_bodies: ${MAX_OPEN_BODIES}\n`;
+    const gateway = await startGateway(BASE_PORT + (CROWDS.length + 1 + index) * 10, tuning);
+    const crowd = new BodyCrowd(gateway.callersAddress);
+    cleanUps.push(() => crowd.close());
+    const head = `POST /read/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: c\r\n`;
+    const start =
+      name === 'unfinished headers' ? `${head}X: y` : `${head}Content-Length: 9\r\n\r\nx`;
+    await crowd.sendStart(LIMITED_CLIENTS, start);
+    const res = await sendShort(gateway);
+    assert.equal(res.status, 200);
+    assert.equal(gateway.end, undefined, 'the process ended');
+    assert.ok(gateway.openDescriptors() <= MAX_CONNECTIONS + OWN_DESCRIPTORS);
+  });
+});
+
+// Guards against tiny chunks that are queued while the response to their request waits for its turn.
+test('requests that are refused behind one in flight hold no memory', async () => {
+  const gateway = await startGateway(BASE_PORT + (CROWDS.length + 3) * 10);
+  const crowd = new BodyCrowd(gateway.callersAddress);
+  cleanUps.push(() => crowd.close());
+  const first = `POST /held/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: a\r\nDeadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nx`;
+  const refused = `POST /read/2 HTTP/1.1\r\nHost: ${HOST}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+  await crowd.sendStart(QUEUED_CLIENTS, first + refused + '1\r\nx\r\n'.repeat(QUEUED_CHUNKS));
+  await wait(STALL_MS);
+  assert.equal(gateway.end, undefined, 'the process ended');
+  assert.equal((await sendShort(gateway)).status, 200);
+  const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
+  assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+});
