Pass tiny pieces of responses on in one write for each read

Cause: while a caller did not read its response, Node.js queued each piece of the target's last reads as a buffer of its own, and each event of a few bytes was a write of its own.

Change: pieces of one read are joined into one write; while the caller does not read, the connection of the target is not read, instead of its stream being paused. The bodies of responses are collected in blocks as well.

--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -19,6 +19,7 @@
 } from '@marjoramcart/runtime';
 import type { HeaderList, RequestProtocol, TargetSignals } from '../ports/request-protocol.js';
 import type { AttemptEnd } from './attempt-end.js';
+import { BatchedWriter } from './batched-writer.js';
 import type { Call } from './call.js';
 import type { CallProgress } from './call-progress.js';
 import { ATTEMPTS_HEADER, RUN_HEADER } from './caller-response.js';
@@ -148,12 +149,14 @@
       doneMarker: false,
       ...(progress.lastEventId === undefined ? {} : { after: progress.lastEventId }),
     });
+    const writer = new BatchedWriter(res, response);
     return new Promise((resolve) => {
       let settled = false;
       let delivered = false;
       const finish = (end: AttemptEnd): void => {
         if (settled) return;
         settled = true;
+        writer.flush();
         if (end.kind !== 'streamed') res.destroy();
         resolve(end);
       };
@@ -180,10 +183,7 @@
           if (!response.started)
             response.start(status, this.protocol.responseHeaders(res.rawHeaders));
           progress.lastEventId = frames.lastId;
-          if (!response.write(completeFrames)) {
-            res.pause();
-            response.onDrain(() => res.resume());
-          }
+          writer.write(completeFrames);
         }
         if (frames.error)
           finish({ kind: 'lost', message: `malformed stream: ${frames.error.kind}` });
@@ -210,12 +210,14 @@
   { progress, onBytes }: AttemptOptions,
 ): Promise<AttemptEnd> {
   const { response } = progress;
-  const end = (complete: boolean): AttemptEnd => ({ kind: 'relayed', status, complete });
+  const writer = new BatchedWriter(res, response);
+  const end = (complete: boolean): AttemptEnd => {
+    writer.flush();
+    return { kind: 'relayed', status, complete };
+  };
   const forward = (chunk: Buffer): void => {
     onBytes();
-    if (response.write(chunk)) return;
-    res.pause();
-    response.onDrain(() => res.resume());
+    writer.write(chunk);
   };
   let size = start.length;
   return new Promise((resolve) => {
