--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -12,7 +12,7 @@
   type OperationConfig,
   type ServiceConfig,
 } from '@marjoramcart/core';
-import { type TimerService, readRequestBody } from '@marjoramcart/runtime';
+import { type BodyMemory, type TimerService, readRequestBody } from '@marjoramcart/runtime';
 import { rejected, type Call, type Rejection } from '../request/call.js';
 import { engineBody, parseChat, routedChat } from '../request/chat-request.js';
 import type { EntryState } from '../state/entry-state.js';
@@ -39,6 +39,8 @@
 export interface ParserDeps {
   readonly state: EntryState;
   readonly timers: TimerService;
+  /** Limits the bodies that are read at the same time; absent if they are not limited. */
+  readonly bodies?: BodyMemory;
 }
 
 /** An authenticated request whose body has not been read yet. */
@@ -226,12 +228,15 @@
 }
 
 async function readBody(
-  { timers }: ParserDeps,
+  { timers, bodies }: ParserDeps,
   { req, onBodyWanted }: ParserInput,
   maxBytes: number,
 ): Promise<{ readonly kind: 'body'; readonly body: Buffer } | Rejection | { kind: 'aborted' }> {
   onBodyWanted();
-  const result = await readRequestBody(req, maxBytes, timers);
+  const allocation = bodies?.allocate();
+  const result = await readRequestBody(req, maxBytes, timers, allocation);
+  // The limit is for bodies that are being read; the queues of customers limit the others.
+  allocation?.release();
   switch (result.kind) {
     case 'complete':
       return { kind: 'body', body: result.body };
@@ -239,6 +244,8 @@
       return rejected(ResultCodes.BodyTooLarge, DRAIN_BODY);
     case 'too-slow':
       return rejected(ResultCodes.SenderTooSlow, { close: true });
+    case 'no-memory':
+      return rejected(ResultCodes.BodyMemoryFull, DRAIN_BODY);
     default:
       return { kind: 'aborted' };
   }
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -15,6 +15,7 @@
   type TimerService,
   RefusedConnections,
   dropBody,
+  type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
@@ -35,6 +36,8 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
+  /** Limits the bodies that are read at the same time. */
+  readonly bodies?: BodyMemory;
   readonly runner: CallRunner;
   readonly sync: SyncTask;
   readonly metrics: EntryMetrics;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -10,7 +10,9 @@
 } from '@marjoramcart/core';
 import {
   AdminTask,
+  BodyMemory,
   MessageAuthenticator,
+  RejectionCount,
   RpcClient,
   makeBootId,
   type EntrySettings,
@@ -46,6 +48,7 @@
 import { EntryState } from './state/entry-state.js';
 import { SyncTask } from './sync/sync-task.js';
 
+const BYTES_PER_MB = 1024 * 1024;
 const MAX_KEYS = 100_000;
 const MAX_KEY_BYTES = 32 * 1024 * 1024;
 /** Retries per request until the configuration with `retry_budget_percent` has arrived. */
@@ -187,10 +190,22 @@
         rpc_bytes: rpc.traffic,
       }),
   });
+  const rejections = new RejectionCount((count) =>
+    log.warn('unfinished bodies rejected, as bodies take up too much', { count }),
+  );
+  const bodies = new BodyMemory(settings.max_body_memory_mb * BYTES_PER_MB, {
+    maxOpen: settings.max_open_bodies,
+    now: () => timers.now(),
+    onReject: (reason) => {
+      entryMetrics.onBodyRejected(reason);
+      rejections.add();
+    },
+  });
   const peers = new PeerTask({
     address: settings.listen.peers,
     state,
     timers,
+    bodies,
     auth,
     runner,
     keys,
@@ -203,6 +218,7 @@
     keyMayHaveRun: (key) => keys.mayHaveRun(key, timers.wall()),
     state,
     timers,
+    bodies,
     runner,
     sync,
     metrics: entryMetrics,
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -24,6 +24,7 @@
   type TimerService,
   readRequestBody,
   dropBody,
+  type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import { CallerResponse, type RecordedResponse } from '../relay/caller-response.js';
@@ -47,6 +48,8 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
+  /** Limits the bodies that are read at the same time. */
+  readonly bodies?: BodyMemory;
   readonly auth: MessageAuthenticator;
   readonly runner: CallRunner;
   readonly keys: KeyTable<RecordedResponse>;
@@ -128,7 +131,13 @@
       this.refuse(req, res, accepted.code, envelope.key);
       return;
     }
-    const body = await readRequestBody(req, MAX_BODY_BYTES, timers);
+    const allocation = this.options.bodies?.allocate();
+    const body = await readRequestBody(req, MAX_BODY_BYTES, timers, allocation);
+    allocation?.release();
+    if (body.kind === 'no-memory') {
+      this.refuse(req, res, ResultCodes.BodyMemoryFull, envelope.key);
+      return;
+    }
     if (body.kind !== 'complete' || bodyHash(body.body) !== envelope.bodyHash) {
       this.refuse(req, res, ResultCodes.InvalidRequest, envelope.key);
       return;
--- a/packages/entry/src/metrics/entry-metrics.ts
+++ b/packages/entry/src/metrics/entry-metrics.ts
@@ -23,6 +23,8 @@
 
   private readonly results;
 
+  private readonly rejectedBodies;
+
   private readonly firstToken;
 
   private readonly betweenTokens;
@@ -35,6 +37,11 @@
     this.attempts = metrics.counter('attempts_total', 'Attempts to run requests.');
     this.forwards = metrics.counter('forwards_total', 'Attempts to forward requests.');
     this.results = metrics.counter('results_total', 'Responses by result code.', ['code', 'run']);
+    this.rejectedBodies = metrics.counter(
+      'bodies_rejected_total',
+      'Request bodies that were rejected while they were read, as bodies took up too much.',
+      ['reason'],
+    );
     this.firstToken = metrics.histogram(
       'first_token_seconds',
       'Time from arrival to the first token or the whole response.',
@@ -55,6 +62,11 @@
     );
   }
 
+  /** Counts a body that was rejected in favour of others. */
+  onBodyRejected(reason: string): void {
+    this.rejectedBodies.inc({ reason });
+  }
+
   onRequest(): void {
     this.requests.inc();
   }
--- a/packages/runtime/src/settings/daemon-settings.ts
+++ b/packages/runtime/src/settings/daemon-settings.ts
@@ -39,6 +39,10 @@
       fairness: z.string().default('default'),
     })
     .prefault({}),
+  /** Limit of the request bodies that are being read, together. */
+  max_body_memory_mb: z.number().positive().default(128),
+  /** Limit of the number of request bodies that are being read. */
+  max_open_bodies: z.number().int().positive().default(1024),
   /** Seed of the random number generator; the default is derived from the boot id. */
   seed: z.number().int().optional(),
 });
