Do not count the wait of a body in tiny chunks as slowness of its client

Cause: 4 MB in one-byte chunks take some 10 s of a core (2.4 s for 1 MB), so that the limit of 15 s for a body also ended one whose client kept up. Change: the time for which a paced body waits for its turns is not counted, up to 60 s in all.

--- a/packages/runtime/src/http/body-pacer.ts
+++ b/packages/runtime/src/http/body-pacer.ts
@@ -22,6 +22,9 @@
   /** Bodies that may be read, with the timers that end their turns. */
   private readonly reading = new Map<IncomingMessage, NodeJS.Timeout>();
 
+  /** Time for which each body waited for its turns so far, and since when it waits again, ms. */
+  private readonly waits = new WeakMap<IncomingMessage, { totalMs: number; since?: number }>();
+
   private scheduled = false;
 
   /** Number of paced bodies. */
@@ -41,10 +44,14 @@
     const isReading = this.reading.has(msg);
     if (!isReading && (pieces <= PacerLimits.FreePieces || bytes >= pieces * PacerLimits.TinyBytes))
       return;
-    this.endTurn(msg);
-    this.waiting.add(msg);
-    holdReading(msg);
-    this.schedule();
+    this.hold(msg);
+  }
+
+  /** Time for which a body was not read although its client may have sent more, ms. */
+  waitedMs(msg: IncomingMessage): number {
+    const wait = this.waits.get(msg);
+    if (!wait) return 0;
+    return wait.totalMs + (wait.since === undefined ? 0 : performance.now() - wait.since);
   }
 
   /** Forgets a body that is not read any more. */
@@ -73,17 +80,19 @@
     const free = Math.max(0, PacerLimits.MaxReading - this.reading.size);
     [...this.waiting].slice(0, free).forEach((msg) => {
       this.waiting.delete(msg);
+      this.waits.set(msg, { totalMs: this.waitedMs(msg) });
       this.reading.set(
         msg,
-        setTimeout(() => this.onIdle(msg), PacerLimits.MaxIdleMs),
+        setTimeout(() => this.hold(msg), PacerLimits.MaxIdleMs),
       );
       continueReading(msg);
     });
   }
 
-  private onIdle(msg: IncomingMessage): void {
+  private hold(msg: IncomingMessage): void {
     this.endTurn(msg);
     this.waiting.add(msg);
+    this.waits.set(msg, { totalMs: this.waitedMs(msg), since: performance.now() });
     holdReading(msg);
     this.schedule();
   }
--- a/packages/runtime/src/http/read-request-body.ts
+++ b/packages/runtime/src/http/read-request-body.ts
@@ -2,10 +2,16 @@
 import type { IncomingMessage } from 'node:http';
 import type { TimerService } from '../timers/timer-service.js';
 import type { BodyAllocation } from './body-memory.js';
+import { bodyPacer } from './body-pacer.js';
 import { collectBody } from './collect-body.js';
 
 export const RequestBodyTiming = {
   TimeoutMs: 15_000,
+  /**
+   * Limit of the time that includes waiting for turns of a body in tiny chunks. 4 MB in one-byte chunks
+   * take some 10 s of a core, and 40 s on a VM with a quarter of one.
+   */
+  MaxTotalMs: 60_000,
   MinBytesPerS: 1024,
   /** Time not counted in the minimum rate, so that a short stall at the start is allowed. */
   RateGraceMs: 2000,
@@ -42,10 +48,14 @@
       resolve(result);
     });
     stopCheck = timers.every(RequestBodyTiming.CheckIntervalMs, () => {
-      const elapsedMs = timers.now() - startedAt;
+      const totalMs = timers.now() - startedAt;
+      // A client is not slow while the gateway does not read what it sent.
+      const elapsedMs = totalMs - bodyPacer.waitedMs(req);
       const minBytes =
         ((elapsedMs - RequestBodyTiming.RateGraceMs) / 1000) * RequestBodyTiming.MinBytesPerS;
-      if (elapsedMs >= RequestBodyTiming.TimeoutMs || collector.size < minBytes) {
+      const isLate =
+        elapsedMs >= RequestBodyTiming.TimeoutMs || totalMs >= RequestBodyTiming.MaxTotalMs;
+      if (isLate || collector.size < minBytes) {
         collector.stop({ kind: 'too-slow' });
       }
     });
