--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -14,6 +14,8 @@
   type Task,
   type TimerService,
   RefusedConnections,
+  dropBody,
+  type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import type { EntryMetrics } from '../metrics/entry-metrics.js';
@@ -34,6 +36,8 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
+  /** Limits the bodies that are read at the same time. */
+  readonly bodies?: BodyMemory;
   readonly runner: CallRunner;
   readonly sync: SyncTask;
   readonly metrics: EntryMetrics;
@@ -155,6 +159,7 @@
   private reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
     const { code, detail, fields, close, mayDrainBody = false } = rejection;
     const bodyUnread = close === true && !req.complete;
+    if (bodyUnread) dropBody(req);
     const response = new CallerResponse(res, {
       commonHeaders: () => this.commonHeaders(),
       record: false,
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -23,6 +23,8 @@
   type Task,
   type TimerService,
   readRequestBody,
+  dropBody,
+  type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
 import { CallerResponse, type RecordedResponse } from '../relay/caller-response.js';
@@ -46,6 +48,8 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
+  /** Limits the bodies that are read at the same time. */
+  readonly bodies?: BodyMemory;
   readonly auth: MessageAuthenticator;
   readonly runner: CallRunner;
   readonly keys: KeyTable<RecordedResponse>;
@@ -127,7 +131,13 @@
       this.refuse(req, res, accepted.code, envelope.key);
       return;
     }
-    const body = await readRequestBody(req, MAX_BODY_BYTES, timers);
+    const allocation = this.options.bodies?.allocate();
+    const body = await readRequestBody(req, MAX_BODY_BYTES, timers, allocation);
+    allocation?.release();
+    if (body.kind === 'no-memory') {
+      this.refuse(req, res, ResultCodes.BodyMemoryFull, envelope.key);
+      return;
+    }
     if (body.kind !== 'complete' || bodyHash(body.body) !== envelope.bodyHash) {
       this.refuse(req, res, ResultCodes.InvalidRequest, envelope.key);
       return;
@@ -181,6 +191,7 @@
   ): void {
     // A connection reset would make the outcome of this refusal unknown to the sender.
     const onWritten = (): void => lingeringClose(req, this.options.timers, false);
+    dropBody(req);
     this.createResponse(res, false).fail(
       { code, run: this.mayHaveRun(keyText) ? RunState.Unknown : code.run, attempts: 0 },
       { close: true, ...(!req.complete && { onWritten }) },
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -12,7 +12,7 @@
   type StateRevision,
   type TargetRecord,
 } from '@marjoramcart/core';
-import { HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
+import { BodyMemory, HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
 
 const PATH = '/rpc';
 const GZIP = 'gzip';
@@ -22,6 +22,8 @@
 /** A state with 25,000 customers takes 2.4 s over a link of 7 Mbit/s. */
 const MAX_FETCH_MS = 8000;
 const MAX_REQUEST_BYTES = 16 * 1024;
+/** Limit of all requests that are read at the same time; each gateway has one at most. */
+const MAX_REQUESTS_BYTES = 8 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 2000;
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Limit after decompression; 25,000 customers with two keys each take 7 MB. */
@@ -60,6 +62,8 @@
 
   private readonly server = new JSONRPCServer();
 
+  private readonly memory = new BodyMemory(MAX_REQUESTS_BYTES);
+
   constructor(address: string, snapshot: () => FleetState | undefined, log: Logger) {
     this.server.addMethod(FETCH_METHOD, (params: FetchParams | undefined) => {
       const state = snapshot();
@@ -83,7 +87,8 @@
   }
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const limits = { maxBytes: MAX_REQUEST_BYTES, timeoutMs: REQUEST_TIMEOUT_MS };
+    const { memory } = this;
+    const limits = { maxBytes: MAX_REQUEST_BYTES, timeoutMs: REQUEST_TIMEOUT_MS, memory };
     const body = await readBody(req, limits);
     if (req.method !== 'POST' || req.url !== PATH || body.kind !== 'complete') {
       res.writeHead(400, { connection: 'close' }).end();
--- a/packages/runtime/src/http/read-request-body.ts
+++ b/packages/runtime/src/http/read-request-body.ts
@@ -2,9 +2,16 @@
 import type { IncomingMessage } from 'node:http';
 import type { TimerService } from '../timers/timer-service.js';
 import type { BodyAllocation } from './body-memory.js';
+import { bodyPacer } from './body-pacer.js';
+import { collectBody } from './collect-body.js';
 
 export const RequestBodyTiming = {
   TimeoutMs: 15_000,
+  /**
+   * Limit of the time that includes waiting for turns of a body in tiny chunks. 4 MB in one-byte chunks
+   * take some 10 s of a core, and 40 s on a VM with a quarter of one.
+   */
+  MaxTotalMs: 60_000,
   MinBytesPerS: 1024,
   /** Time not counted in the minimum rate, so that a short stall at the start is allowed. */
   RateGraceMs: 2000,
@@ -20,8 +27,8 @@
   | { readonly kind: 'aborted' };
 
 /**
- * Reads a body to its end. With any result but `complete` the rest stays unread and the caller of
- * this function must close the connection.
+ * Reads a body to its end. With any result but `complete` the rest is not read, except for what has
+ * arrived already, which is discarded, and the caller of this function must close the connection.
  *
  * @param allocation memory for the body, which the caller of this function releases; absent if it is
  *   not limited
@@ -33,41 +40,25 @@
   timers: TimerService,
   allocation?: BodyAllocation,
 ): Promise<RequestBodyResult> {
-  const announcedBytes = Number(req.headers['content-length'] ?? 0);
-  if (announcedBytes > maxBytes) return Promise.resolve({ kind: 'too-large' });
-  if (allocation?.grow(announcedBytes) === false) return Promise.resolve({ kind: 'no-memory' });
-  const isAnnounced = req.headers['content-length'] !== undefined;
+  const startedAt = timers.now();
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    const startedAt = timers.now();
-    let size = 0;
-    let settled = false;
     let stopCheck = (): void => undefined;
-    const finish = (result: RequestBodyResult): void => {
-      if (settled) return;
-      settled = true;
+    const collector = collectBody(req, { maxBytes, allocation }, (result) => {
       stopCheck();
-      if (result.kind !== 'complete') {
-        req.removeAllListeners('data');
-        req.pause();
-      }
       resolve(result);
-    };
+    });
     stopCheck = timers.every(RequestBodyTiming.CheckIntervalMs, () => {
-      const elapsedMs = timers.now() - startedAt;
+      const totalMs = timers.now() - startedAt;
+      // A client is not slow while the gateway does not read what it sent.
+      const elapsedMs = totalMs - bodyPacer.waitedMs(req);
       const minBytes =
         ((elapsedMs - RequestBodyTiming.RateGraceMs) / 1000) * RequestBodyTiming.MinBytesPerS;
-      if (elapsedMs >= RequestBodyTiming.TimeoutMs || size < minBytes) finish({ kind: 'too-slow' });
-    });
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) finish({ kind: 'too-large' });
-      else if (!isAnnounced && allocation?.grow(chunk.length) === false) {
-        finish({ kind: 'no-memory' });
-      } else chunks.push(chunk);
+      const isLate =
+        elapsedMs >= RequestBodyTiming.TimeoutMs || totalMs >= RequestBodyTiming.MaxTotalMs;
+      if (isLate || collector.size < minBytes) {
+        collector.stop({ kind: 'too-slow' });
+      }
     });
-    req.on('end', () => finish({ kind: 'complete', body: Buffer.concat(chunks) }));
-    req.on('error', () => finish({ kind: 'aborted' }));
-    req.on('close', () => finish({ kind: 'aborted' }));
+    collector.start();
   });
 }
