Test which responses say that a request did not run

Cause: the refund of a refused request depends on it.

Change: a test with a code that says not_run and one that says unknown.

--- a/packages/gateway/src/exchange/caller-response.test.ts
+++ b/packages/gateway/src/exchange/caller-response.test.ts
@@ -2,8 +2,10 @@
 import { once } from 'node:events';
 import net from 'node:net';
 import { test } from 'node:test';
+import { ResultCodes } from '@marjoramcart/core';
 import { HttpListener } from '@marjoramcart/runtime';
 import { CallerResponse } from './caller-response.js';
+import { sendResult } from './send-result.js';
 
 const STALL_MS = 100;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -43,3 +45,36 @@
   await once(socket, 'data');
   assert.match(received, /first[^]*second$/);
 });
+
+// A request that did not run would be charged, or one that may have run would cost nothing.
+test('what may have run is told by the number of targets, and by the result code that is sent', async (t) => {
+  const states: boolean[][] = [];
+  const codes = [ResultCodes.TargetTimeout, ResultCodes.RetriesSpent];
+  const listener = new HttpListener({
+    address: '127.0.0.1:0',
+    handler: (_req, res) => {
+      const response = new CallerResponse(res, false, STALL_MS);
+      const before = response.mayHaveRun;
+      response.setRuns(1);
+      const attempted = response.mayHaveRun;
+      sendResult(response, codes[states.length] ?? assert.fail());
+      states.push([before, attempted, response.mayHaveRun]);
+    },
+    onError: () => undefined,
+  });
+  await listener.listen();
+  const [host, port] = listener.address.split(':');
+  const socket = net.connect({ host: host ?? '', port: Number(port) });
+  t.after(() => {
+    socket.destroy();
+    listener.destroy();
+  });
+  socket.write(REQUEST);
+  await once(socket, 'data');
+  socket.write(REQUEST);
+  await once(socket, 'data');
+  assert.deepEqual(states, [
+    [false, true, true],
+    [false, true, false],
+  ]);
+});
