--- a/packages/gateway/src/quota/quota-task.ts
+++ b/packages/gateway/src/quota/quota-task.ts
@@ -18,10 +18,10 @@
 const TICK_MS = 50;
 const MEMBERS_INTERVAL_MS = 200;
 /** Longest time that a request waits for credit, also as a part of its latency target. */
-const MAX_WAIT_MS = 300;
-const WAIT_SHARE = 0.25;
-/** An answer from a distant region takes two transits of 80 ms; without this, none could be in time. */
-const MIN_WAIT_MS = 200;
+const MAX_WAIT_MS = 600;
+const WAIT_SHARE = 0.5;
+/** An answer from a distant region takes two transits of 80 ms, an interval of asks and, if lost, a resend. */
+const MIN_WAIT_MS = 500;
 /** Addresses of senders that gossip does not know yet. */
 const MAX_ADDRESSES = 256;
 
