--- a/packages/gateway/src/quota/quota-task.test.ts
+++ b/packages/gateway/src/quota/quota-task.test.ts
@@ -74,9 +74,10 @@
     this.timers.advance(4000);
   }
 
-  async take(index: number, customer: string): Promise<QuotaDecision> {
+  /** @param pauseMs time until the next request; longer than a request waits for credit by default */
+  async take(index: number, customer: string, pauseMs = 700): Promise<QuotaDecision> {
     const decision = this.tasks[index]?.take({ customer, cost: 1, latencyTargetMs: TARGET_MS });
-    this.timers.advance(400);
+    this.timers.advance(pauseMs);
     return decision ?? assert.fail();
   }
 
@@ -105,7 +106,7 @@
 test('two gateways share a limit, and refuse with the time at which credit is available', async () => {
   const pair = new Pair(['acme'], 1);
   const decisions = [
-    await pair.take(0, 'acme'),
+    await pair.take(0, 'acme', 100),
     await pair.take(1, 'acme'),
     await pair.take(1, 'acme'),
   ];
