Learn the speed of each target

Targets of a service differ in speed, and some slow down for seconds; the gateway had one smoothed ratio of first-byte times per target, which took queueing for slowness and followed changes over dozens of requests. TargetSpeed estimates the factor on times at a target from times to the first byte less the expected wait, gaps between events, the fourth figure of the load header, and what other gateways report, relative to the median of the service's targets. Ranking, slot waits and the region's capacity use it; equal targets share work by their load while none is full. Reports carry the factor as an optional last field.

--- a/packages/core/src/exchange/next-request-step.ts
+++ b/packages/core/src/exchange/next-request-step.ts
@@ -39,6 +39,10 @@
   readonly expectedFirstByteMs: number;
   /** The part of that time that is spent queued behind other work, ms. */
   readonly expectedWaitMs: number;
+  /** The rest of that time at a target of usual speed, ms; absent for a gateway. */
+  readonly serviceMs?: number;
+  /** Factor on times at the target that was assumed; absent for a gateway. */
+  readonly speedFactor?: number;
   /**
    * Expected time until the first byte if all queued requests are served first, ms. Absent where
    * requests are not ordered by priority.
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -7,6 +7,7 @@
 import { memoryWaitMs, unsharedTokens } from './kv-memory-usage.js';
 import { sharedPrefixTokens, type Prompt } from './prompt.js';
 import { estimatePrefillMs, type ServiceSpeed } from './service-speed.js';
+import { USUAL_BASELINE, type SpeedFactors } from './target-speed.js';
 import type { TargetWork } from './target-work.js';
 
 /** A target that accepts requests now. */
@@ -19,6 +20,8 @@
   readonly work: TargetWork;
   /** Whether the shared prefix of the prompt is expected in its cache, whichever gateway sent it. */
   readonly sharedPrefixCached: boolean;
+  /** Whether it is ranked as if it were of usual speed, to find out whether it has recovered. */
+  readonly trial?: boolean;
 }
 
 /** Properties of a request that the ranking depends on. */
@@ -53,6 +56,8 @@
 const FAILURE_COST_LATENCY_TARGETS = 3;
 /** Excess over the baseline failure rate that is ignored. */
 const FAILURE_TOLERANCE = 0.08;
+/** Cost of a request at a full target that need not wait, relative to its service time. */
+const BUSY_WEIGHT = 0.25;
 /** A target counts as full above this share of its slots. */
 const FULL_SHARE = 0.95;
 
@@ -103,6 +108,7 @@
   const { prompt, priority } = req;
   const { target, cachedTokens } = cachedPrefix;
   const { work, slots } = target;
+  const factors = assumedFactors(target, speed, now);
   const hasMore = longest && longest.cachedTokens >= cachedTokens + MIN_FETCHED_TOKENS;
   const source = hasMore ? longest : undefined;
   const fetchedTokens = source ? source.cachedTokens - cachedTokens : 0;
@@ -110,7 +116,7 @@
     estimatePrefillMs(prompt, cachedTokens + fetchedTokens, speed) +
     (source ? FETCH_START_MS + fetchedTokens * FETCH_MS_PER_TOKEN : 0);
   const slotAndMemoryWaitMs =
-    slotWaitMs(work.requests(now), slots, speed) * work.latencyFactor +
+    targetSlotWaitMs(work.requests(now), slots, factors, speed) +
     memoryWaitMs(
       work.memoryTokens(now),
       unsharedTokens(prompt),
@@ -118,13 +124,16 @@
       speed.slotMs,
     );
   const expectedWaitMs = slotAndMemoryWaitMs + work.prefillQueue.waitMs(priority, now);
-  const serviceMs = (speed.baseMs + prefillMs) * work.latencyFactor;
+  const usualServiceMs = speed.baseMs + prefillMs;
+  const serviceMs = usualServiceMs * factors.absolute;
   const uncachedTokens = Math.max(0, prompt.promptTokens - cachedTokens - fetchedTokens);
   const expectedFirstByteMs = expectedWaitMs + serviceMs;
   return {
     destination: { kind: 'target', id: target.id },
     expectedFirstByteMs,
     expectedWaitMs,
+    serviceMs: usualServiceMs,
+    speedFactor: factors.absolute,
     deferredFirstByteMs: slotAndMemoryWaitMs + work.prefillQueue.backlogMs(now) + serviceMs,
     uncachedTokens,
     prefillMs,
@@ -133,6 +142,7 @@
     costMs:
       expectedFirstByteMs +
       latenessCostMs(expectedFirstByteMs, req) +
+      busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now) +
       recomputeCostMs(prompt, uncachedTokens, speed) +
       (fetchedTokens / speed.prefillTokensPerMs) * RECOMPUTE_WEIGHT * FETCH_WEIGHT,
@@ -141,26 +151,40 @@
 
 function plainCandidate(
   req: RankedRequest,
-  { id, slots, work }: RankedTarget,
+  target: RankedTarget,
   speed: ServiceSpeed,
   now: number,
 ): Candidate {
-  const expectedWaitMs = slotWaitMs(work.requests(now), slots, speed) * work.latencyFactor;
-  const expectedFirstByteMs = expectedWaitMs + speed.baseMs * work.latencyFactor;
+  const { id, slots, work } = target;
+  const factors = assumedFactors(target, speed, now);
+  const expectedWaitMs = targetSlotWaitMs(work.requests(now), slots, factors, speed);
+  const expectedFirstByteMs = expectedWaitMs + speed.baseMs * factors.absolute;
   return {
     destination: { kind: 'target', id },
     expectedFirstByteMs,
     expectedWaitMs,
+    serviceMs: speed.baseMs,
+    speedFactor: factors.absolute,
     uncachedTokens: 0,
     prefillMs: 0,
     ...loadAge(work.reportAgeMs(now)),
     costMs:
       expectedFirstByteMs +
       latenessCostMs(expectedFirstByteMs, req) +
+      busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now),
   };
 }
 
+function assumedFactors(
+  { work, trial = false }: RankedTarget,
+  { baseline = USUAL_BASELINE }: ServiceSpeed,
+  now: number,
+): SpeedFactors {
+  const factors = work.speedFactors(baseline, now);
+  return trial ? { absolute: factors.absolute / factors.relative, relative: 1 } : factors;
+}
+
 function loadAge(loadAgeMs: number | undefined): Pick<Candidate, 'loadAgeMs'> {
   return loadAgeMs === undefined ? {} : { loadAgeMs };
 }
@@ -226,3 +250,37 @@
   const fullSlots = slots * FULL_SHARE;
   return requests < fullSlots ? 0 : ((requests - fullSlots + 1) / Math.max(1, slots)) * slotMs;
 }
+
+/**
+ * Requests that a target handles well at the same time: fewer than its slots if it is slower than the
+ * others, so that work is in proportion to speed. A faster one takes no more than its slots.
+ *
+ * @param relative factor on times relative to the median of the service
+ * @example usefulSlots(16, 2) // 8
+ */
+export function usefulSlots(slots: number, relative: number): number {
+  return Math.max(Math.min(slots, 1), slots / Math.max(1, relative));
+}
+
+/** Expected time until a target of this speed has a free slot, ms. */
+function targetSlotWaitMs(
+  requests: number,
+  slots: number,
+  { absolute, relative }: SpeedFactors,
+  speed: ServiceSpeed,
+): number {
+  // Fewer useful slots already stand for the longer time that each of them is occupied.
+  const rest = absolute / Math.max(1, relative);
+  return slotWaitMs(requests, usefulSlots(slots, relative), speed) * rest;
+}
+
+/** Cost of the requests that run at a target, so that equal targets get equal work while none is full, ms. */
+function busyCostMs(
+  { work, slots }: RankedTarget,
+  { relative }: SpeedFactors,
+  { baseMs }: ServiceSpeed,
+  now: number,
+): number {
+  const share = work.requests(now) / Math.max(1, usefulSlots(slots, relative));
+  return Math.min(1, share) * baseMs * BUSY_WEIGHT;
+}
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -14,6 +14,7 @@
 export * from './limited-share.js';
 export * from './prompt.js';
 export * from './region-choice.js';
+export * from './target-speed.js';
 export * from './target-work.js';
 export * from './shared-prefix-affinity.js';
 export * from './kv-memory-usage.js';
--- a/packages/core/src/routing/service-speed.ts
+++ b/packages/core/src/routing/service-speed.ts
@@ -1,5 +1,6 @@
 /** Measured speed of the targets of a service. */
 import type { Prompt } from './prompt.js';
+import type { SpeedBaseline } from './target-speed.js';
 
 export interface ServiceSpeed {
   /** Prefill throughput of a target alongside its other work, tokens per ms. */
@@ -12,6 +13,8 @@
   readonly slotMs: number;
   /** Share of the requests that fail at a healthy target. */
   readonly baselineFailureRate: number;
+  /** Median speed of the targets as this gateway sees them; absent if they are as estimated. */
+  readonly baseline?: SpeedBaseline;
 }
 
 const MILLION = 1e6;
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -3,6 +3,12 @@
 import { PrefillQueue, type QueuedPrompt } from './prefill-queue.js';
 import { PromptCache } from './prompt-cache.js';
 import type { Prompt } from './prompt.js';
+import {
+  MAX_SPEED_FACTOR,
+  TargetSpeed,
+  type SpeedBaseline,
+  type SpeedFactors,
+} from './target-speed.js';
 
 /** Expected cost of a request that is sent. */
 export interface SentWork {
@@ -12,12 +18,20 @@
   readonly priority: number;
   /** Expected time to the first byte, ms. */
   readonly expectedMs: number;
+  /** Part of it that is spent waiting for other work, ms. */
+  readonly waitMs?: number;
+  /** The rest of it at a target of usual speed, ms. */
+  readonly serviceMs?: number;
+  /** Factor on times at the target that was assumed. */
+  readonly speedFactor?: number;
 }
 
 /** A request whose first byte has not arrived yet. */
 interface PendingRequest {
   readonly sentAt: number;
   readonly expectedMs: number;
+  readonly waitMs: number;
+  readonly serviceMs: number;
 }
 
 /** Requests of one gateway at a target. */
@@ -41,6 +55,10 @@
   readonly memoryTokens?: number;
   /** Start time of the target, Unix ms; absent if not reported. */
   readonly bornAt?: number;
+  /** How long work takes there now by its own word, percent of the usual time; not checked. */
+  readonly slowness?: number;
+  /** Factor on times at the target relative to others of its service, by another gateway. */
+  readonly speedFactor?: number;
 }
 
 interface TimestampedWork extends PeerWork {
@@ -51,12 +69,10 @@
 const PEER_WORK_LIFETIME_MS = 2000;
 /** For this time a report of the target takes precedence over the counts of other gateways. */
 const REPORT_LIFETIME_MS = 1500;
-const LATENCY_SAMPLE_WEIGHT = 0.1;
-const MIN_LATENCY_RATIO = 0.3;
-const MAX_LATENCY_RATIO = 8;
-/** Limits on the ratio of one sample, since unknown work also delays a first byte. */
-const MAX_LATENCY_RATIO_SAMPLE = 2.5;
-const MIN_LATENCY_RATIO_SAMPLE = 0.4;
+/** Of the expected wait, this may be exceeded before a request counts as delayed by the target. */
+const WAIT_TOLERANCE = 1.5;
+/** The most by which requests without a first byte raise the factor on times. */
+const MAX_OVERDUE_FACTOR = 4;
 const FAILURE_SAMPLE_WEIGHT = 0.2;
 /** The failure rate halves in this time, so that an avoided target is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
@@ -70,6 +86,8 @@
 export class TargetWork {
   readonly prefillQueue = new PrefillQueue();
 
+  readonly speed = new TargetSpeed();
+
   private readonly cache: PromptCache;
 
   private readonly awaitingFirstByte = new Map<string, PendingRequest>();
@@ -84,15 +102,14 @@
   /** Requests of other gateways, derived from the last report of the target. */
   private reported: TimestampedWork | undefined;
 
-  /** Smoothed ratio of the measured to the expected time to the first byte. */
-  private latencyRatio = 1;
-
   private smoothedFailureRate = 0;
 
   private failureRateUpdatedAt = 0;
 
   private lastByteAt = 0;
 
+  private lastSentAt = 0;
+
   private backoffMs = 0;
 
   private avoidUntil = 0;
@@ -122,9 +139,24 @@
     return this.reported && now - this.reported.at;
   }
 
-  /** Factor on expected times: the smoothed ratio of the measured to the expected first-byte time. */
-  get latencyFactor(): number {
-    return this.latencyRatio;
+  /**
+   * Factors on expected times at the target, relative to its service and to the median of its targets.
+   *
+   * @example work.speedFactors(USUAL_BASELINE, now).absolute // 1
+   */
+  speedFactors(baseline: SpeedBaseline, now: number): SpeedFactors {
+    const { absolute, relative } = this.speed.factors(baseline, now);
+    const overdue = Math.min(this.overdueFactor(now), absolute * MAX_OVERDUE_FACTOR);
+    if (overdue <= absolute) return { absolute, relative };
+    return {
+      absolute: Math.min(MAX_SPEED_FACTOR, overdue),
+      relative: Math.min(MAX_SPEED_FACTOR, (relative * overdue) / absolute),
+    };
+  }
+
+  /** Time since this process last sent a request to the target, ms. */
+  idleMs(now: number): number {
+    return now - this.lastSentAt;
   }
 
   /** Smoothed share of the recent requests that failed, 0 to 1. */
@@ -159,16 +191,18 @@
 
   onSend(
     id: string,
-    { prefillMs, priority, expectedMs }: SentWork,
+    { prefillMs, priority, expectedMs, waitMs = 0, serviceMs, speedFactor = 1 }: SentWork,
     prompt: Prompt | undefined,
     now: number,
   ): void {
     if (this.inFlight.size === 0) this.lastByteAt = now;
-    this.awaitingFirstByte.set(id, { sentAt: now, expectedMs });
+    this.lastSentAt = now;
+    const pending = { sentAt: now, expectedMs, waitMs, serviceMs: serviceMs ?? expectedMs };
+    this.awaitingFirstByte.set(id, pending);
     this.inFlight.set(id, prompt);
     if (!prompt) return;
     this.memory.add(prompt);
-    const workMs = prefillMs * this.latencyRatio;
+    const workMs = prefillMs * speedFactor;
     this.prefillQueue.add({ id, workMs, priority, sentAt: now, local: true });
     this.cache.add(prompt.segments);
   }
@@ -179,11 +213,7 @@
     this.prefillQueue.onFirstByte(id, now);
     this.onByte(now);
     if (!work) return;
-    const ratio = (now - work.sentAt) / Math.max(1, work.expectedMs);
-    const sample = Math.min(MAX_LATENCY_RATIO_SAMPLE, Math.max(MIN_LATENCY_RATIO_SAMPLE, ratio));
-    const latencyRatio =
-      this.latencyRatio * (1 - LATENCY_SAMPLE_WEIGHT + sample * LATENCY_SAMPLE_WEIGHT);
-    this.latencyRatio = Math.min(MAX_LATENCY_RATIO, Math.max(MIN_LATENCY_RATIO, latencyRatio));
+    this.speed.onTime({ ...work, measuredMs: now - work.sentAt }, now);
   }
 
   onByte(now: number): void {
@@ -222,7 +252,12 @@
   }
 
   /** Handles a load report; requests that this process did not send are those of other gateways. */
-  updateLoadReport({ requests, memoryTokens }: LoadReport, now: number): void {
+  updateLoadReport(
+    { requests, memoryTokens, slowness, speedFactor }: LoadReport,
+    now: number,
+  ): void {
+    this.speed.onFigure(slowness, now);
+    if (speedFactor !== undefined) this.speed.onPeerFactor(speedFactor, now);
     const known = this.workOfOthers(now);
     this.reported = {
       requests: Math.max(0, requests - this.inFlight.size),
@@ -240,6 +275,19 @@
     this.cache.add(segments);
   }
 
+  /**
+   * Factor that the requests without a first byte have reached by now. The second oldest one counts, so
+   * that a single request that is lost or long does not make the target look slow.
+   */
+  private overdueFactor(now: number): number {
+    const pending = this.awaitingFirstByte.values();
+    pending.next();
+    const second = pending.next();
+    if (second.done) return 0;
+    const { sentAt, waitMs, serviceMs } = second.value;
+    return (now - sentAt - waitMs * WAIT_TOLERANCE) / Math.max(1, serviceMs);
+  }
+
   /** Requests of other gateways, from the target's report if recent, otherwise from their counts. */
   private workOfOthers(now: number): PeerWork {
     if (this.reported && now - this.reported.at < REPORT_LIFETIME_MS) return this.reported;
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -128,14 +128,16 @@
     const wasDoubted = entry.isDoubted(startedAt);
     router.onSendToTarget(entry, progress.call);
     crashes.onSend(call);
-    const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
-    work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
+    const { prefillMs, expectedFirstByteMs: expectedMs, expectedWaitMs: waitMs } = candidate;
+    const { serviceMs = expectedMs, speedFactor = 1 } = candidate;
+    const sent = { prefillMs, priority, expectedMs, waitMs, serviceMs, speedFactor };
+    work.onSend(head.id, sent, head.prompt, startedAt);
     if (head.prompt) {
       const segments = head.prompt.segments.slice(0, -1);
-      const prompt = { id: head.id, workMs: prefillMs * work.latencyFactor, priority, segments };
+      const prompt = { id: head.id, workMs: prefillMs * speedFactor, priority, segments };
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
-    const seen: { firstByteAt?: number; survived?: boolean } = {};
+    const seen: { firstByteAt?: number; lastByteAt?: number; survived?: boolean } = {};
     const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
       headers: protocol.targetHeaders(
@@ -176,7 +178,11 @@
         onBytes();
         entry.onContact(timers.now());
         if (seen.firstByteAt === undefined) work.onFirstByte(head.id, timers.now());
-        else work.onByte(timers.now());
+        else {
+          work.onByte(timers.now());
+          router.onEventGap(entry, timers.now() - (seen.lastByteAt ?? seen.firstByteAt));
+        }
+        seen.lastByteAt = timers.now();
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -373,7 +373,11 @@
     const { address } = entry.record;
     const { bornAt } = report;
     if (bornAt !== undefined) this.state.onPeerStart({ id, address, bornAt }, 'report');
-    this.state.target(id)?.work.updateLoadReport(report, this.deps.timers.now());
+    const current = this.state.target(id);
+    // The factor of an earlier start says nothing about the present one.
+    const { speedFactor, ...load } = report;
+    const isSameStart = speedFactor !== undefined && current?.record.bornAt === bornAt;
+    current?.work.updateLoadReport(isSameStart ? report : load, this.deps.timers.now());
   }
 
   private createShutdown(): GracefulShutdown {
@@ -540,6 +544,7 @@
       restarts: this.restarts,
       timers,
       gateways: () => this.reachingGateways(),
+      speedFactorOf: (entry) => this.router.collectedSpeedFactor(entry),
       announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
     });
   }
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -16,6 +16,8 @@
   type SignalRows,
 } from './signal-rows.js';
 
+const PERCENT = 100;
+
 const METHOD = 'target.news';
 /** Its own method, as gateways of earlier releases take unknown content of the other for `unreachable`. */
 const START_METHOD = 'target.start';
@@ -46,13 +48,13 @@
   readonly q?: readonly LimitWireRow[];
   /** Rejection limits of services. */
   readonly j?: readonly RejectionLimitWireRow[];
-  /** Reports: target, requests, KV memory in tokens, start time. */
+  /** Reports: target, requests, KV memory in tokens, start time, relative factor on times in percent. */
   readonly r?: readonly ReportWireRow[];
   /** Id, prefill time in ms, priority, prompt segments that stay in the cache. */
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
-type ReportWireRow = readonly [string, number, (number | null)?, number?];
+type ReportWireRow = readonly [string, number, (number | null)?, number?, number?];
 
 interface RejectedParams {
   readonly n: string;
@@ -148,18 +150,29 @@
 }
 
 function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
-  const { requests, memoryTokens, bornAt } = report;
-  if (bornAt !== undefined) return [target, requests, memoryTokens ?? null, bornAt];
+  const { requests, memoryTokens, bornAt, speedFactor } = report;
+  if (bornAt !== undefined) {
+    // A factor belongs to one start of the target, so that it is left out without a start time.
+    const row = [target, requests, memoryTokens ?? null, bornAt] as const;
+    return speedFactor === undefined ? row : [...row, Math.round(speedFactor * PERCENT)];
+  }
   return memoryTokens === undefined ? [target, requests] : [target, requests, memoryTokens];
 }
 
-function fromReportRow([target, requests, memoryTokens, bornAt]: ReportWireRow): TargetReportRow {
+function fromReportRow([
+  target,
+  requests,
+  memoryTokens,
+  bornAt,
+  factor,
+]: ReportWireRow): TargetReportRow {
   return {
     target,
     report: {
       requests,
       ...(typeof memoryTokens === 'number' ? { memoryTokens } : {}),
       ...(bornAt === undefined ? {} : { bornAt }),
+      ...(typeof factor === 'number' ? { speedFactor: factor / PERCENT } : {}),
     },
   };
 }
--- a/packages/gateway/src/reports/report-task.ts
+++ b/packages/gateway/src/reports/report-task.ts
@@ -2,6 +2,7 @@
 import { ReportPollerAssignment, type LoadReport } from '@marjoramcart/core';
 import type { Task, TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
+import type { TargetEntry } from '../state/target-entry.js';
 import type { ReportPoller } from './report-poller.js';
 import type { RestartCheck } from './restart-check.js';
 
@@ -21,6 +22,8 @@
   readonly timers: TimerService;
   /** Names of the live gateways of the region, this one included. */
   readonly gateways: () => readonly string[];
+  /** Factor on times at a target by what this gateway saw itself; undefined if that is too little. */
+  readonly speedFactorOf: (entry: TargetEntry) => number | undefined;
   readonly announce: (rows: readonly TargetReportRow[]) => void;
 }
 
@@ -46,7 +49,7 @@
   }
 
   private async pollAssigned(): Promise<void> {
-    const { state, node, gateways, announce, timers, poller, restarts } = this.deps;
+    const { state, node, gateways, announce, timers, poller, restarts, speedFactorOf } = this.deps;
     const engines = state.usableEngines();
     const ids = engines.map(({ record }) => record.id);
     const assigned = new Set(this.assignment.targetsOf(node, gateways(), ids));
@@ -56,13 +59,16 @@
         .map(async (entry) => {
           const polled = await poller.poll(entry);
           restarts.onPolled(entry, polled);
-          return { target: entry.id, polled };
+          return { entry, polled };
         }),
     );
     // A target that sends no valid report in time is left out of this round.
-    const known = rows.flatMap(({ target, polled }): TargetReportRow[] =>
-      polled.kind === 'report' ? [{ target, report: polled.report }] : [],
-    );
+    const known = rows.flatMap(({ entry, polled }): TargetReportRow[] => {
+      if (polled.kind !== 'report') return [];
+      const speedFactor = speedFactorOf(entry);
+      const report = { ...polled.report, ...(speedFactor === undefined ? {} : { speedFactor }) };
+      return [{ target: entry.id, report }];
+    });
     if (known.length > 0) announce(known);
   }
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,6 +1,8 @@
 /** Ranks the destinations that may take a call now, best first. */
 import {
   allowsVersion,
+  hashOf,
+  isTrialDue,
   latenessCostMs,
   rankTargets,
   sampleTargets,
@@ -13,6 +15,8 @@
   requestsWithinLimit,
   SharedRateLimiter,
   usableShare,
+  USUAL_BASELINE,
+  usefulSlots,
   type Candidate,
   type PeerWork,
   type Destination,
@@ -23,6 +27,8 @@
   type RegionOption,
   type RegionWork,
   type ServiceSpeed,
+  type SpeedFactors,
+  type SpeedObservation,
   type VersionScope,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
@@ -46,6 +52,9 @@
 const LIMIT_WINDOW_MS = 4300;
 /** Lifetime of the cached summary of the local region. */
 const REGION_WORK_LIFETIME_MS = 200;
+const HASH_RANGE = 2 ** 32;
+/** Interval at which the median speed of the targets of a service is computed. */
+const BASELINE_INTERVAL_MS = 100;
 /** Shared prefixes from this length on are cached in one region only, if possible. */
 const LONG_SHARED_PREFIX_TOKENS = 1500;
 
@@ -107,6 +116,8 @@
 
   private regionWorkAt = -Infinity;
 
+  private readonly baselinesAt = new Map<string, number>();
+
   constructor(
     private readonly settings: GatewaySettings,
     private readonly state: GatewayState,
@@ -246,6 +257,7 @@
             softwareVersion: record.softwareVersion,
             work,
             sharedPrefixCached: isCachedLocally && record.id === preferred,
+            trial: this.isTrialDue({ id: record.id, work }, speed, gateways, now),
           }),
         ),
         speed,
@@ -256,9 +268,51 @@
   }
 
   speedOf(service: string): ServiceSpeed {
+    this.updateBaseline(service);
     return this.speeds.of(service, this.state.service(service)?.engine !== undefined);
   }
 
+  /** Handles the time between two parts of a stream from a target. */
+  onEventGap({ record, work }: TargetEntry, ms: number): void {
+    const ratio = this.speeds.onGap(record.service, ms);
+    if (ratio !== undefined) work.speed.onGap(ratio, this.timers.now());
+  }
+
+  /** Factors on times at a target. */
+  speedFactorsOf({ record, work }: TargetEntry): SpeedFactors {
+    return work.speedFactors(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  /** Relative factor of a target by what this gateway and others that told it have seen. */
+  collectedSpeedFactor({ record, work }: TargetEntry): number | undefined {
+    return work.speed.collectedFactor(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  /** What this gateway has seen of a target since it last told others. */
+  takeSpeedObservation({ record, work }: TargetEntry): SpeedObservation | undefined {
+    return work.speed.takeObservation(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  private isTrialDue(
+    { id, work }: Pick<RankedTarget, 'id' | 'work'>,
+    { baseline = USUAL_BASELINE }: ServiceSpeed,
+    gateways: number,
+    now: number,
+  ): boolean {
+    const factors = work.speedFactors(baseline, now);
+    if (factors.relative <= 1) return false;
+    const phase = hashOf(`${this.settings.node} ${id}`) / HASH_RANGE;
+    return isTrialDue(factors, work.idleMs(now), { gateways, phase });
+  }
+
+  private updateBaseline(service: string): void {
+    const now = this.timers.now();
+    if (now - (this.baselinesAt.get(service) ?? -Infinity) < BASELINE_INTERVAL_MS) return;
+    this.baselinesAt.set(service, now);
+    const speeds = this.state.usableTargets(service).map(({ work }) => work.speed);
+    this.speeds.updateBaseline(service, speeds, now);
+  }
+
   /** Counts a request against the rates of its target. */
   onSendToTarget(entry: TargetEntry, { head, service }: Call): void {
     const now = this.timers.now();
@@ -321,7 +375,8 @@
   /** Slots of a target that requests can use at the rate that it has named. */
   private usableSlots(entry: TargetEntry): number {
     const requestsPerS = this.state.rateLimitOf(entry);
-    const { slots, service } = entry.record;
+    const { service } = entry.record;
+    const slots = usefulSlots(entry.record.slots, this.speedFactorsOf(entry).relative);
     if (requestsPerS === undefined) return slots;
     return Math.min(slots, (requestsPerS * this.speedOf(service).slotMs) / MS_PER_S);
   }
--- a/packages/gateway/src/routing/service-speeds.ts
+++ b/packages/gateway/src/routing/service-speeds.ts
@@ -1,10 +1,22 @@
 /** Measured speed of services, from which expected times are computed. */
-import type { ServiceSpeed } from '@marjoramcart/core';
+import {
+  updateBaseline,
+  USUAL_BASELINE,
+  type ServiceSpeed,
+  type SpeedBaseline,
+  type TargetSpeed,
+} from '@marjoramcart/core';
 import type { GatewayTuning } from '../tuning.js';
 
 /** Weights of a new sample in the moving averages. */
 const TIME_WEIGHT = 0.03;
 const FAILURE_WEIGHT = 0.01;
+/** The usual gap follows slowly, so that targets that become slow together are still noticed. */
+const GAP_WEIGHT = 0.002;
+/** The first gaps count more, until there are as many as the weight above stands for. */
+const MIN_GAPS = 20;
+/** Gaps longer than this multiple of the usual one are pauses, and count as this. */
+const MAX_GAP_RATIO = 8;
 
 export class ServiceSpeeds {
   private readonly plainMs = new Map<string, number>();
@@ -13,6 +25,10 @@
 
   private readonly failureRates = new Map<string, number>();
 
+  private readonly baselines = new Map<string, SpeedBaseline>();
+
+  private readonly gaps = new Map<string, { readonly usualMs: number; readonly count: number }>();
+
   constructor(private readonly tuning: GatewayTuning) {}
 
   /** Speed of prefill and streams of a service with engines, or time per request of a plain one. */
@@ -25,9 +41,34 @@
       baseMs: isEngine ? engine.first_token_ms : plainMs,
       slotMs: isEngine ? (this.streamMs.get(service) ?? engine.stream_ms) : plainMs,
       baselineFailureRate: this.failureRates.get(service) ?? 0,
+      baseline: this.baselineOf(service),
     };
   }
 
+  /** Median speed of the targets of a service as this gateway sees them. */
+  baselineOf(service: string): SpeedBaseline {
+    return this.baselines.get(service) ?? USUAL_BASELINE;
+  }
+
+  /** Computes the median anew from the speeds of the targets that may be used. */
+  updateBaseline(service: string, targets: readonly TargetSpeed[], now: number): void {
+    if (targets.length === 0) return;
+    this.baselines.set(service, updateBaseline(targets, this.baselineOf(service), now));
+  }
+
+  /**
+   * Records a gap between two parts of a stream.
+   *
+   * @returns its ratio to the usual gap of the service; undefined while that is not known
+   */
+  onGap(service: string, ms: number): number | undefined {
+    const { usualMs, count } = this.gaps.get(service) ?? { usualMs: ms, count: 0 };
+    const weight = Math.max(GAP_WEIGHT, 1 / (count + 1));
+    const bounded = Math.min(ms, Math.max(1, usualMs) * MAX_GAP_RATIO);
+    this.gaps.set(service, { usualMs: usualMs + (bounded - usualMs) * weight, count: count + 1 });
+    return count < MIN_GAPS ? undefined : ms / Math.max(1, usualMs);
+  }
+
   /** Records the time from the start of an attempt at a plain service to its response. */
   onPlainDuration(service: string, ms: number): void {
     const before = this.plainMs.get(service) ?? this.tuning.plain.request_ms;
