Exchange learned speeds of targets within the region

A gateway that sees one request in a hundred of a target learns too little of its speed. Earlier releases log and drop the method. Rows belong to one start of a target. The figure of the load header is also read from polls.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -15,6 +15,7 @@
 export * from './prompt.js';
 export * from './region-choice.js';
 export * from './target-speed.js';
+export * from './speed-class.js';
 export * from './target-work.js';
 export * from './shared-prefix-affinity.js';
 export * from './kv-memory-usage.js';
--- a/packages/core/src/routing/report-poller-assignment.ts
+++ b/packages/core/src/routing/report-poller-assignment.ts
@@ -21,9 +21,21 @@
    */
   targetsOf(self: string, gateways: readonly string[], targets: readonly string[]): string[] {
     if (gateways.length <= SMALL_REGION_MAX_GATEWAYS) return [];
-    const count = Math.ceil(targets.length / TARGETS_PER_GATEWAY);
-    const pollers = rendezvousOrder('reports', gateways).slice(0, count);
-    if (!pollers.includes(self)) return [];
-    return targets.filter((target) => this.selector.choose(target, pollers) === self);
+    const pollerOf = this.pollers(gateways, targets.length);
+    return targets.filter((target) => pollerOf(target) === self);
+  }
+
+  /**
+   * Returns which gateway polls a target, where gateways poll them.
+   *
+   * @param count number of targets
+   * @example assignment.pollers(['vm-1', 'vm-2'], 3)('i-1') // 'vm-2'
+   */
+  pollers(gateways: readonly string[], count: number): (target: string) => string | undefined {
+    const pollers = rendezvousOrder('reports', gateways).slice(
+      0,
+      Math.ceil(count / TARGETS_PER_GATEWAY),
+    );
+    return (target) => this.selector.choose(target, pollers);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,7 +39,7 @@
 import type { SignalRows } from './peers/signal-rows.js';
 import { StateFetcher } from './peers/state-fetcher.js';
 import { WatchTask } from './peers/watch-task.js';
-import type { TargetUpdate } from './peers/target-update.js';
+import type { SpeedRow, TargetUpdate } from './peers/target-update.js';
 import type { FleetSource } from './ports/fleet-source.js';
 import type {
   DirectoryProtocol,
@@ -50,6 +50,7 @@
 import { ReportPoller } from './reports/report-poller.js';
 import { ReportTask } from './reports/report-task.js';
 import { RestartCheck } from './reports/restart-check.js';
+import { SpeedTask } from './reports/speed-task.js';
 import { RejectionGuard } from './routing/rejection-guard.js';
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
@@ -237,6 +238,7 @@
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
+      this.createSpeedTask(),
       this.restarts,
       this.reach,
     ];
@@ -356,12 +358,24 @@
       .with({ kind: 'start' }, ({ target, from }) => this.state.onPeerStart(target, from))
       .with({ kind: 'rejected' }, ({ target }) => this.rejections.onPeerRejected(target))
       .with({ kind: 'signals' }, ({ rows, from }) => this.applyPeerSignals(rows, from))
+      .with({ kind: 'speeds' }, ({ rows }) => this.applyPeerSpeeds(rows))
       .with({ kind: 'reports' }, ({ rows }) => {
         rows.forEach(({ target, report }) => this.applyPeerReport(target, report));
       })
       .exhaustive();
   }
 
+  private applyPeerSpeeds(rows: readonly SpeedRow[]): void {
+    const now = this.deps.timers.now();
+    rows.forEach(({ target, bornAt, factor, samples }) => {
+      const entry = this.state.target(target);
+      // What was seen of another start says nothing about the present one.
+      if (!entry || entry.record.bornAt !== bornAt) return;
+      if (samples === undefined) entry.work.speed.onPeerFactor(factor, now);
+      else entry.work.speed.onObservation({ factor, samples }, now);
+    });
+  }
+
   private applyPeerSignals(rows: SignalRows, from: string): void {
     this.state.onPeerSignals(rows, from);
     this.rejections.onPeerLimits(rows.rejectionLimits, from);
@@ -549,6 +563,24 @@
     });
   }
 
+  private createSpeedTask(): SpeedTask {
+    const { settings, timers, metrics, log } = this.deps;
+    return new SpeedTask({
+      node: settings.node,
+      state: this.state,
+      router: this.router,
+      timers,
+      metrics,
+      log: log.child('speeds'),
+      gateways: () => this.reachingGateways(),
+      send: (rows, node) => {
+        const update: TargetUpdate = { kind: 'speeds', rows };
+        if (node === undefined) this.gossip.announceTarget(update);
+        else this.gossip.sendTargetUpdate(update, node);
+      },
+    });
+  }
+
   private createAdminTask(): AdminTask {
     const { settings, metrics, log } = this.deps;
     return new AdminTask({
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -273,6 +273,12 @@
     this.sendToRegion(encodeTargetUpdate(update));
   }
 
+  /** Sends an update about targets to one gateway of the region. */
+  sendTargetUpdate(update: TargetUpdate, node: string): void {
+    const peer = this.table.get(node);
+    if (peer) this.sendDatagram(encodeTargetUpdate(update), peer.ip);
+  }
+
   /** Sends new evidence about prompt segments to other gateways; gossip spreads it to the rest. */
   announceSuspects(rows: readonly SuspectRow[]): void {
     const recipients = this.recipientsOfAll();
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -62,6 +62,14 @@
       rows: [
         { target: 'i-1', report: { requests: 3, memoryTokens: 41_000 } },
         { target: 'i-2', report: { requests: 1 } },
+        { target: 'i-3', report: { requests: 1, bornAt: 1_700_000_000_000, speedFactor: 2.5 } },
+      ],
+    },
+    {
+      kind: 'speeds',
+      rows: [
+        { target: 'i-1', bornAt: 1_700_000_000_000, factor: 4, samples: 1.5 },
+        { target: 'i-2', bornAt: 0, factor: 0.6 },
       ],
     },
   ];
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -17,6 +17,7 @@
 } from './signal-rows.js';
 
 const PERCENT = 100;
+const TENTHS = 10;
 
 const METHOD = 'target.news';
 /** Its own method, as gateways of earlier releases take unknown content of the other for `unreachable`. */
@@ -24,7 +25,22 @@
 /** Its own method for the same reason. */
 const REJECTED_METHOD = 'target.rejected';
 
+const SPEEDS_METHOD = 'target.speeds';
+
+/** Speed of a target that a gateway tells others. */
+export interface SpeedRow {
+  readonly target: string;
+  /** Start time that it belongs to, Unix ms; 0 if unknown. */
+  readonly bornAt: number;
+  /** Factor on times relative to the median of the service. */
+  readonly factor: number;
+  /** Evidence behind it, if it is what the sender saw itself; absent if it was collected. */
+  readonly samples?: number;
+}
+
 export type TargetUpdate =
+  /** Speeds of targets. */
+  | { readonly kind: 'speeds'; readonly rows: readonly SpeedRow[] }
   /** A prompt with a long prefill was sent to the target. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** A gateway can't reach the target. */
@@ -56,6 +72,13 @@
 
 type ReportWireRow = readonly [string, number, (number | null)?, number?, number?];
 
+/** Target, start time, factor in percent, evidence in tenths of a sample. */
+type SpeedWireRow = readonly [string, number, number, number?];
+
+interface SpeedsParams {
+  readonly s: readonly SpeedWireRow[];
+}
+
 interface RejectedParams {
   readonly n: string;
   readonly t: string;
@@ -81,6 +104,10 @@
     const params: RejectedParams = { n: update.from, t: update.target };
     return encodeNotification(REJECTED_METHOD, params);
   }
+  if (update.kind === 'speeds') {
+    const params: SpeedsParams = { s: update.rows.map(toSpeedRow) };
+    return encodeNotification(SPEEDS_METHOD, params);
+  }
   return encodeNotification(METHOD, paramsOf(update));
 }
 
@@ -96,6 +123,9 @@
     const { n, t } = params as RejectedParams;
     return { kind: 'rejected', target: t, from: n };
   }
+  if (method === SPEEDS_METHOD) {
+    return { kind: 'speeds', rows: (params as SpeedsParams).s.map(fromSpeedRow) };
+  }
   if (method !== METHOD) return undefined;
   const { t: target = '', n: from = '', p, r, l, q, j = [] } = params as UpdateParams;
   if (l && q) {
@@ -131,7 +161,9 @@
   ];
 }
 
-function paramsOf(update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' }>): UpdateParams {
+function paramsOf(
+  update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' | 'speeds' }>,
+): UpdateParams {
   return match(update)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toPromptRow(prompt) }))
     .with({ kind: 'unreachable' }, ({ target, from }) => ({ t: target, n: from }))
@@ -149,6 +181,20 @@
     .exhaustive();
 }
 
+function toSpeedRow({ target, bornAt, factor, samples }: SpeedRow): SpeedWireRow {
+  const row = [target, bornAt, Math.round(factor * PERCENT)] as const;
+  return samples === undefined ? row : [...row, Math.round(samples * TENTHS)];
+}
+
+function fromSpeedRow([target, bornAt, factor, samples]: SpeedWireRow): SpeedRow {
+  return {
+    target,
+    bornAt,
+    factor: factor / PERCENT,
+    ...(samples === undefined ? {} : { samples: samples / TENTHS }),
+  };
+}
+
 function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
   const { requests, memoryTokens, bornAt, speedFactor } = report;
   if (bornAt !== undefined) {
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -96,6 +96,8 @@
   readonly path: string;
   /** Undefined when the body is not a valid report. */
   decode(body: Buffer): LoadReport | undefined;
+  /** How long work takes at the target now by its own word, percent of the usual time. */
+  readSlowness(res: IncomingMessage): number | undefined;
   /** Ids of the requests in a report whose runs have made events. */
   decodeRuns(body: Buffer): readonly string[];
   readTargetSignals(res: IncomingMessage): TargetSignals;
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -77,7 +77,11 @@
     rejections.onSignals(target, signals);
     entry.onContact(timers.now());
     if (!report) return { kind: 'none' };
-    work.updateLoadReport(report, timers.now());
+    const slowness = protocol.readSlowness(sent.res);
+    work.updateLoadReport(
+      { ...report, ...(slowness === undefined ? {} : { slowness }) },
+      timers.now(),
+    );
     if (report.bornAt !== undefined && state.onStart(target, askedAt)) announceStart(target);
     // A report of another start may have runs of another version.
     if (body?.kind === 'complete' && streams.isLearning && report.bornAt === record.bornAt) {
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -280,6 +280,7 @@
 
   /** Factors on times at a target. */
   speedFactorsOf({ record, work }: TargetEntry): SpeedFactors {
+    this.updateBaseline(record.service);
     return work.speedFactors(this.speeds.baselineOf(record.service), this.timers.now());
   }
 
@@ -363,8 +364,8 @@
     const sum = (value: (entry: TargetEntry) => number): number =>
       usable.reduce((total, entry) => total + value(entry), 0);
     return {
-      targets: Math.ceil(sum((entry) => this.usableSlots(entry) / entry.record.slots)),
-      slots: Math.round(sum((entry) => this.usableSlots(entry))),
+      targets: Math.ceil(sum((entry) => this.usableSlotsOf(entry) / entry.record.slots)),
+      slots: Math.round(sum((entry) => this.usableSlotsOf(entry))),
       requests: sum(({ work }) => work.requests(now)),
       backlogMs: sum(({ work }) => work.prefillQueue.backlogMs(now)),
       memoryTokens: sum(({ work }) => work.memoryTokens(now)),
@@ -373,7 +374,7 @@
   }
 
   /** Slots of a target that requests can use at the rate that it has named. */
-  private usableSlots(entry: TargetEntry): number {
+  usableSlotsOf(entry: TargetEntry): number {
     const requestsPerS = this.state.rateLimitOf(entry);
     const { service } = entry.record;
     const slots = usefulSlots(entry.record.slots, this.speedFactorsOf(entry).relative);
