Count the impact of a prompt on running streams

A target sends no events to its running streams while it prefills a prompt; with 64 tokens per ms, a prompt of 50,000 tokens makes all streams there late for a gap target of 300 to 600 ms. The ranking adds a cost for each running stream, which begins at 0.3 of the shortest gap target of the service, and for a stream the prompts that are prefilled after its own. Routes have the gap target; services without one are ranked as before.

--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -30,6 +30,8 @@
   readonly timeoutMs: number;
   /** Target for the time to the first byte of the response, ms. */
   readonly latencyTargetMs: number;
+  /** Target for the longest gap between two events of a stream, ms; absent if the route has none. */
+  readonly gapTargetMs?: number;
   /** How long callers wait for the first byte before they disconnect, ms. */
   readonly patienceMs: number;
   /** Priority among the routes of a service; 0 is the most urgent. */
--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -7,6 +7,7 @@
 import { memoryWaitMs, unsharedTokens } from './kv-memory-usage.js';
 import { sharedPrefixTokens, type Prompt } from './prompt.js';
 import { estimatePrefillMs, type ServiceSpeed } from './service-speed.js';
+import { streamImpactCostMs, type GapTargets } from './stream-impact.js';
 import { USUAL_BASELINE, type SpeedFactors } from './target-speed.js';
 import type { TargetWork } from './target-work.js';
 
@@ -31,6 +32,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly latencyTargetMs: number;
+  /** Absent where streams have no gap targets. */
+  readonly gapTargets?: GapTargets;
 }
 
 /** Length of the prompt's prefix that a target has cached. */
@@ -123,9 +126,11 @@
       work.memoryCapacityTokens,
       speed.slotMs,
     );
-  const expectedWaitMs = slotAndMemoryWaitMs + work.prefillQueue.waitMs(priority, now);
+  const prefillWaitMs = work.prefillQueue.waitMs(priority, now);
+  const expectedWaitMs = slotAndMemoryWaitMs + prefillWaitMs;
   const usualServiceMs = speed.baseMs + prefillMs;
   const serviceMs = usualServiceMs * factors.absolute;
+  const backlogMs = work.prefillQueue.backlogMs(now);
   const uncachedTokens = Math.max(0, prompt.promptTokens - cachedTokens - fetchedTokens);
   const expectedFirstByteMs = expectedWaitMs + serviceMs;
   return {
@@ -134,7 +139,7 @@
     expectedWaitMs,
     serviceMs: usualServiceMs,
     speedFactor: factors.absolute,
-    deferredFirstByteMs: slotAndMemoryWaitMs + work.prefillQueue.backlogMs(now) + serviceMs,
+    deferredFirstByteMs: slotAndMemoryWaitMs + backlogMs + serviceMs,
     uncachedTokens,
     prefillMs,
     ...(source ? { fetchFrom: source.target.id } : {}),
@@ -145,6 +150,16 @@
       busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now) +
       recomputeCostMs(prompt, uncachedTokens, speed) +
+      streamImpactCostMs(
+        {
+          streams: work.requests(now),
+          prefillMs: prefillMs * factors.absolute,
+          laterPrefillMs: backlogMs - prefillWaitMs,
+          eventGapMs:
+            (speed.eventGapMs ?? 0) * work.speed.gapFactor(speed.baseline ?? USUAL_BASELINE, now),
+        },
+        req.gapTargets ?? {},
+      ) +
       (fetchedTokens / speed.prefillTokensPerMs) * RECOMPUTE_WEIGHT * FETCH_WEIGHT,
   };
 }
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -14,6 +14,7 @@
 export * from './limited-share.js';
 export * from './prompt.js';
 export * from './region-choice.js';
+export * from './stream-impact.js';
 export * from './target-speed.js';
 export * from './speed-class.js';
 export * from './target-work.js';
--- a/packages/core/src/routing/service-speed.ts
+++ b/packages/core/src/routing/service-speed.ts
@@ -13,6 +13,8 @@
   readonly slotMs: number;
   /** Share of the requests that fail at a healthy target. */
   readonly baselineFailureRate: number;
+  /** Usual gap between two events of a stream, ms; absent while it is not known. */
+  readonly eventGapMs?: number;
   /** Median speed of the targets as this gateway sees them; absent if they are as estimated. */
   readonly baseline?: SpeedBaseline;
 }
--- a/packages/core/src/routing/target-speed.ts
+++ b/packages/core/src/routing/target-speed.ts
@@ -187,6 +187,12 @@
     };
   }
 
+  /** Factor on the gaps between events relative to the median of the service. */
+  gapFactor(baseline: SpeedBaseline, now: number): number {
+    const evidence = this.gaps.evidenceAt(now);
+    return factorOf(((this.gaps.log - baseline.gap) * evidence) / (evidence + PRIOR_EVIDENCE));
+  }
+
   /** Handles what another gateway has seen since it last told. */
   onObservation({ factor, samples }: SpeedObservation, now: number): void {
     if (!(factor > 0) || !(samples > 0)) return;
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -20,6 +20,7 @@
   type Candidate,
   type PeerWork,
   type Destination,
+  type GapTargets,
   type LimitedShareRequest,
   type RandomSource,
   type RankedRequest,
@@ -186,6 +187,7 @@
       ...(call.head.prompt ? { prompt: call.head.prompt } : {}),
       priority: call.route.priority,
       latencyTargetMs: call.facts.latencyTargetMs,
+      ...(call.head.prompt ? { gapTargets: this.gapTargetsOf(call) } : {}),
     };
     if (this.reach.isCutOff) {
       const local = this.candidatesViaPeers(call, req, usable, options, now);
@@ -216,6 +218,14 @@
     return { candidates, unavailable, ...(opensInMs < Infinity ? { opensInMs } : {}) };
   }
 
+  private gapTargetsOf({ route, service }: Call): GapTargets {
+    const othersMs = this.state.shortestGapTargetMs(service);
+    return {
+      ...(route.gapTargetMs === undefined ? {} : { ownMs: route.gapTargetMs }),
+      ...(othersMs === undefined ? {} : { othersMs }),
+    };
+  }
+
   /** Local targets that other gateways of the region reach; none for a call that one of them forwarded. */
   private candidatesViaPeers(
     call: Call,
--- a/packages/gateway/src/routing/service-speeds.ts
+++ b/packages/gateway/src/routing/service-speeds.ts
@@ -42,9 +42,15 @@
       slotMs: isEngine ? (this.streamMs.get(service) ?? engine.stream_ms) : plainMs,
       baselineFailureRate: this.failureRates.get(service) ?? 0,
       baseline: this.baselineOf(service),
+      ...this.eventGapOf(service),
     };
   }
 
+  private eventGapOf(service: string): Pick<ServiceSpeed, 'eventGapMs'> {
+    const gap = this.gaps.get(service);
+    return gap && gap.count >= MIN_GAPS ? { eventGapMs: gap.usualMs } : {};
+  }
+
   /** Median speed of the targets of a service as this gateway sees them. */
   baselineOf(service: string): SpeedBaseline {
     return this.baselines.get(service) ?? USUAL_BASELINE;
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -174,6 +174,14 @@
     );
   }
 
+  /** Shortest gap target of the routes of a service, ms; undefined if none has one. */
+  shortestGapTargetMs(service: string): number | undefined {
+    const targets = (this.currentConfig?.routes ?? [])
+      .filter(({ services }) => services.some((share) => share.service === service))
+      .flatMap(({ gapTargetMs }) => gapTargetMs ?? []);
+    return targets.length === 0 ? undefined : Math.min(...targets);
+  }
+
   /** Shortest timeout of a route, ms; Infinity without routes. */
   get shortestTimeoutMs(): number {
     return Math.min(...(this.currentConfig?.routes ?? []).map(({ timeoutMs }) => timeoutMs));
