--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -7,6 +7,8 @@
 import { memoryWaitMs, unsharedTokens } from './kv-memory-usage.js';
 import { sharedPrefixTokens, type Prompt } from './prompt.js';
 import { estimatePrefillMs, type ServiceSpeed } from './service-speed.js';
+import { streamImpactCostMs, type GapTargets } from './stream-impact.js';
+import { USUAL_BASELINE, type SpeedFactors } from './target-speed.js';
 import type { TargetWork } from './target-work.js';
 
 /** A target that accepts requests now. */
@@ -19,6 +21,8 @@
   readonly work: TargetWork;
   /** Whether the shared prefix of the prompt is expected in its cache, whichever gateway sent it. */
   readonly sharedPrefixCached: boolean;
+  /** Whether it is ranked as if it were of usual speed, to find out whether it has recovered. */
+  readonly trial?: boolean;
 }
 
 /** Properties of a request that the ranking depends on. */
@@ -30,6 +34,8 @@
   readonly latencyTargetMs: number;
   /** Share of the requests that wait at engines which this one does not overtake; 1 if absent. */
   readonly shareAhead?: number;
+  /** Absent where streams have no gap targets. */
+  readonly gapTargets?: GapTargets;
 }
 
 /** Length of the prompt's prefix that a target has cached. */
@@ -55,6 +61,8 @@
 const FAILURE_COST_LATENCY_TARGETS = 3;
 /** Excess over the baseline failure rate that is ignored. */
 const FAILURE_TOLERANCE = 0.08;
+/** Cost of a request at a full target that need not wait, relative to its service time. */
+const BUSY_WEIGHT = 0.25;
 /** A target counts as full above this share of its slots. */
 const FULL_SHARE = 0.95;
 
@@ -105,6 +113,7 @@
   const { prompt, priority } = req;
   const { target, cachedTokens } = cachedPrefix;
   const { work, slots } = target;
+  const factors = assumedFactors(target, speed, now);
   const hasMore = longest && longest.cachedTokens >= cachedTokens + MIN_FETCHED_TOKENS;
   const source = hasMore ? longest : undefined;
   const fetchedTokens = source ? source.cachedTokens - cachedTokens : 0;
@@ -112,7 +121,7 @@
     estimatePrefillMs(prompt, cachedTokens + fetchedTokens, speed) +
     (source ? FETCH_START_MS + fetchedTokens * FETCH_MS_PER_TOKEN : 0);
   const slotAndMemoryWaitMs =
-    slotWaitMs(work.requests(now), slots, speed) * work.latencyFactor +
+    targetSlotWaitMs(work.requests(now), slots, factors, speed) +
     memoryWaitMs(
       work.memoryTokens(now),
       unsharedTokens(prompt),
@@ -121,19 +130,24 @@
     );
   // This gateway knows the prompts that it sent itself; reports count those of the others.
   const othersBacklogMs = work.waitingOfOthers(now) * (speed.promptMs ?? 0);
-  const expectedWaitMs =
-    slotAndMemoryWaitMs +
-    Math.max(work.prefillQueue.waitMs(priority, now), othersBacklogMs * (req.shareAhead ?? 1));
+  const prefillWaitMs = Math.max(
+    work.prefillQueue.waitMs(priority, now),
+    othersBacklogMs * (req.shareAhead ?? 1),
+  );
+  const expectedWaitMs = slotAndMemoryWaitMs + prefillWaitMs;
   const paceMs = work.paceMs(now);
-  const serviceMs = (speed.baseMs + prefillMs) * work.latencyFactor;
+  const usualServiceMs = speed.baseMs + prefillMs;
+  const serviceMs = usualServiceMs * factors.absolute;
+  const backlogMs = Math.max(work.prefillQueue.backlogMs(now), othersBacklogMs);
   const uncachedTokens = Math.max(0, prompt.promptTokens - cachedTokens - fetchedTokens);
   const expectedFirstByteMs = expectedWaitMs + serviceMs;
   return {
     destination: { kind: 'target', id: target.id },
     expectedFirstByteMs,
     expectedWaitMs,
-    deferredFirstByteMs:
-      slotAndMemoryWaitMs + Math.max(work.prefillQueue.backlogMs(now), othersBacklogMs) + serviceMs,
+    serviceMs: usualServiceMs,
+    speedFactor: factors.absolute,
+    deferredFirstByteMs: slotAndMemoryWaitMs + backlogMs + serviceMs,
     uncachedTokens,
     prefillMs,
     ...(source ? { fetchFrom: source.target.id } : {}),
@@ -142,34 +156,59 @@
     costMs:
       expectedFirstByteMs +
       latenessCostMs(expectedFirstByteMs, req) +
+      busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now) +
       recomputeCostMs(prompt, uncachedTokens, speed) +
+      streamImpactCostMs(
+        {
+          streams: work.requests(now),
+          prefillMs: prefillMs * factors.absolute,
+          laterPrefillMs: backlogMs - prefillWaitMs,
+          eventGapMs:
+            (speed.eventGapMs ?? 0) * work.speed.gapFactor(speed.baseline ?? USUAL_BASELINE, now),
+        },
+        req.gapTargets ?? {},
+      ) +
       (fetchedTokens / speed.prefillTokensPerMs) * RECOMPUTE_WEIGHT * FETCH_WEIGHT,
   };
 }
 
 function plainCandidate(
   req: RankedRequest,
-  { id, slots, work }: RankedTarget,
+  target: RankedTarget,
   speed: ServiceSpeed,
   now: number,
 ): Candidate {
-  const expectedWaitMs = slotWaitMs(work.requests(now), slots, speed) * work.latencyFactor;
-  const expectedFirstByteMs = expectedWaitMs + speed.baseMs * work.latencyFactor;
+  const { id, slots, work } = target;
+  const factors = assumedFactors(target, speed, now);
+  const expectedWaitMs = targetSlotWaitMs(work.requests(now), slots, factors, speed);
+  const expectedFirstByteMs = expectedWaitMs + speed.baseMs * factors.absolute;
   return {
     destination: { kind: 'target', id },
     expectedFirstByteMs,
     expectedWaitMs,
+    serviceMs: speed.baseMs,
+    speedFactor: factors.absolute,
     uncachedTokens: 0,
     prefillMs: 0,
     ...loadAge(work.reportAgeMs(now)),
     costMs:
       expectedFirstByteMs +
       latenessCostMs(expectedFirstByteMs, req) +
+      busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now),
   };
 }
 
+function assumedFactors(
+  { work, trial = false }: RankedTarget,
+  { baseline = USUAL_BASELINE }: ServiceSpeed,
+  now: number,
+): SpeedFactors {
+  const factors = work.speedFactors(baseline, now);
+  return trial ? { absolute: factors.absolute / factors.relative, relative: 1 } : factors;
+}
+
 function loadAge(loadAgeMs: number | undefined): Pick<Candidate, 'loadAgeMs'> {
   return loadAgeMs === undefined ? {} : { loadAgeMs };
 }
@@ -235,3 +274,37 @@
   const fullSlots = slots * FULL_SHARE;
   return requests < fullSlots ? 0 : ((requests - fullSlots + 1) / Math.max(1, slots)) * slotMs;
 }
+
+/**
+ * Requests that a target handles well at the same time: fewer than its slots if it is slower than the
+ * others, so that work is in proportion to speed. A faster one takes no more than its slots.
+ *
+ * @param relative factor on times relative to the median of the service
+ * @example usefulSlots(16, 2) // 8
+ */
+export function usefulSlots(slots: number, relative: number): number {
+  return Math.max(Math.min(slots, 1), slots / Math.max(1, relative));
+}
+
+/** Expected time until a target of this speed has a free slot, ms. */
+function targetSlotWaitMs(
+  requests: number,
+  slots: number,
+  { absolute, relative }: SpeedFactors,
+  speed: ServiceSpeed,
+): number {
+  // Fewer useful slots already stand for the longer time that each of them is occupied.
+  const rest = absolute / Math.max(1, relative);
+  return slotWaitMs(requests, usefulSlots(slots, relative), speed) * rest;
+}
+
+/** Cost of the requests that run at a target, so that equal targets get equal work while none is full, ms. */
+function busyCostMs(
+  { work, slots }: RankedTarget,
+  { relative }: SpeedFactors,
+  { baseMs }: ServiceSpeed,
+  now: number,
+): number {
+  const share = work.requests(now) / Math.max(1, usefulSlots(slots, relative));
+  return Math.min(1, share) * baseMs * BUSY_WEIGHT;
+}
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -142,14 +142,17 @@
     router.onSendToTarget(entry, progress.call);
     crashes.onSend(call);
     const { prefillMs, expectedFirstByteMs: expectedMs } = candidate;
-    work.onSend(head.id, { prefillMs, priority, expectedMs }, head.prompt, startedAt);
+    const { serviceMs = expectedMs, speedFactor = 1 } = candidate;
+    const waitMs = waitMsOf(candidate, priority);
+    const sent = { prefillMs, priority, expectedMs, waitMs, serviceMs, speedFactor };
+    work.onSend(head.id, sent, head.prompt, startedAt);
     if (head.prompt) router.speeds.onPrompt(call.service, prefillMs);
     if (head.prompt) {
       const segments = head.prompt.segments.slice(0, -1);
-      const prompt = { id: head.id, workMs: prefillMs * work.latencyFactor, priority, segments };
+      const prompt = { id: head.id, workMs: prefillMs * speedFactor, priority, segments };
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
-    const seen: { firstByteAt?: number; survived?: boolean } = {};
+    const seen: { firstByteAt?: number; lastByteAt?: number; survived?: boolean } = {};
     const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
       headers: protocol.targetHeaders(
@@ -195,7 +198,11 @@
           if (head.prompt) {
             router.mixOf(call.service).onWaited(priority, waitedMs, timers.now());
           }
-        } else work.onByte(timers.now());
+        } else {
+          work.onByte(timers.now());
+          router.onEventGap(entry, timers.now() - (seen.lastByteAt ?? seen.firstByteAt));
+        }
+        seen.lastByteAt = timers.now();
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
@@ -366,6 +373,15 @@
   return end.kind === 'streamed' || (end.kind === 'answered' && isSuccess(end.status));
 }
 
+/** Time for which a request waits for other work; a deferred one waits for all of it, ms. */
+function waitMsOf(
+  { expectedWaitMs, deferredFirstByteMs = 0, serviceMs = 0, speedFactor = 1 }: Candidate,
+  priority: number,
+): number {
+  if (priority < DEFERRED_PRIORITY) return expectedWaitMs;
+  return Math.max(expectedWaitMs, deferredFirstByteMs - serviceMs * speedFactor);
+}
+
 function priorityOf({ retry, deferred }: AttemptStep, { call }: CallProgress): number {
   if (deferred) return DEFERRED_PRIORITY;
   return retry ? RETRY_PRIORITY : call.priority;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,7 +39,7 @@
 import type { SignalRows } from './peers/signal-rows.js';
 import { StateFetcher } from './peers/state-fetcher.js';
 import { WatchTask } from './peers/watch-task.js';
-import type { TargetUpdate } from './peers/target-update.js';
+import type { SpeedRow, TargetUpdate } from './peers/target-update.js';
 import { QuotaTask } from './quota/quota-task.js';
 import type { FleetSource } from './ports/fleet-source.js';
 import type {
@@ -51,6 +51,7 @@
 import { ReportPoller } from './reports/report-poller.js';
 import { ReportTask } from './reports/report-task.js';
 import { RestartCheck } from './reports/restart-check.js';
+import { SpeedTask } from './reports/speed-task.js';
 import { RejectionGuard } from './routing/rejection-guard.js';
 import { Router } from './routing/router.js';
 import type { GatewaySettings } from './settings.js';
@@ -270,6 +271,7 @@
       new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
+      this.createSpeedTask(),
       this.restarts,
       this.reach,
     ];
@@ -391,12 +393,24 @@
       .with({ kind: 'start' }, ({ target, from }) => this.state.onPeerStart(target, from))
       .with({ kind: 'rejected' }, ({ target }) => this.rejections.onPeerRejected(target))
       .with({ kind: 'signals' }, ({ rows, from }) => this.applyPeerSignals(rows, from))
+      .with({ kind: 'speeds' }, ({ rows }) => this.applyPeerSpeeds(rows))
       .with({ kind: 'reports' }, ({ rows }) => {
         rows.forEach(({ target, report }) => this.applyPeerReport(target, report));
       })
       .exhaustive();
   }
 
+  private applyPeerSpeeds(rows: readonly SpeedRow[]): void {
+    const now = this.deps.timers.now();
+    rows.forEach(({ target, bornAt, factor, samples }) => {
+      const entry = this.state.target(target);
+      // What was seen of another start says nothing about the present one.
+      if (!entry || entry.record.bornAt !== bornAt) return;
+      if (samples === undefined) entry.work.speed.onPeerFactor(factor, now);
+      else entry.work.speed.onObservation({ factor, samples }, now);
+    });
+  }
+
   private applyPeerSignals(rows: SignalRows, from: string): void {
     this.state.onPeerSignals(rows, from);
     this.rejections.onPeerLimits(rows.rejectionLimits, from);
@@ -408,7 +422,11 @@
     const { address } = entry.record;
     const { bornAt } = report;
     if (bornAt !== undefined) this.state.onPeerStart({ id, address, bornAt }, 'report');
-    this.state.target(id)?.work.updateLoadReport(report, this.deps.timers.now());
+    const current = this.state.target(id);
+    // The factor of an earlier start says nothing about the present one.
+    const { speedFactor, ...load } = report;
+    const isSameStart = speedFactor !== undefined && current?.record.bornAt === bornAt;
+    current?.work.updateLoadReport(isSameStart ? report : load, this.deps.timers.now());
   }
 
   private createShutdown(): GracefulShutdown {
@@ -575,10 +593,29 @@
       restarts: this.restarts,
       timers,
       gateways: () => this.reachingGateways(),
+      speedFactorOf: (entry) => this.router.takeCollectedSpeed(entry),
       announce: (rows) => this.gossip.announceTarget({ kind: 'reports', rows }),
     });
   }
 
+  private createSpeedTask(): SpeedTask {
+    const { settings, timers, metrics, log } = this.deps;
+    return new SpeedTask({
+      node: settings.node,
+      state: this.state,
+      router: this.router,
+      timers,
+      metrics,
+      log: log.child('speeds'),
+      gateways: () => this.reachingGateways(),
+      send: (rows, node) => {
+        const update: TargetUpdate = { kind: 'speeds', rows };
+        if (node === undefined) this.gossip.announceTarget(update);
+        else this.gossip.sendTargetUpdate(update, node);
+      },
+    });
+  }
+
   private createAdminTask(): AdminTask {
     const { settings, metrics, log } = this.deps;
     return new AdminTask({
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -16,13 +16,31 @@
   type SignalRows,
 } from './signal-rows.js';
 
+const PERCENT = 100;
+const TENTHS = 10;
+
 const METHOD = 'target.news';
 /** Its own method, as gateways of earlier releases take unknown content of the other for `unreachable`. */
 const START_METHOD = 'target.start';
 /** Its own method for the same reason. */
 const REJECTED_METHOD = 'target.rejected';
 
+const SPEEDS_METHOD = 'target.speeds';
+
+/** Speed of a target that a gateway tells others. */
+export interface SpeedRow {
+  readonly target: string;
+  /** Start time that it belongs to, Unix ms; 0 if unknown. */
+  readonly bornAt: number;
+  /** Factor on times relative to the median of the service. */
+  readonly factor: number;
+  /** Evidence behind it, if it is what the sender saw itself; absent if it was collected. */
+  readonly samples?: number;
+}
+
 export type TargetUpdate =
+  /** Speeds of targets. */
+  | { readonly kind: 'speeds'; readonly rows: readonly SpeedRow[] }
   /** A prompt with a long prefill was sent to the target. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** A gateway can't reach the target. */
@@ -46,13 +64,16 @@
   readonly q?: readonly LimitWireRow[];
   /** Rejection limits of services. */
   readonly j?: readonly RejectionLimitWireRow[];
-  /** Reports: target, requests, KV memory in tokens, start time. */
+  /** Reports: target, requests, KV memory in tokens, start time, relative factor on times in percent. */
   readonly r?: readonly ReportWireRow[];
   /** Id, prefill time in ms, priority, prompt segments that stay in the cache. */
   readonly p?: readonly [string, number, number, readonly (readonly [string, number])[]];
 }
 
-/** Waiting requests and the time between events of streams follow, which the previous release ignores. */
+/**
+ * The previous release ignores what follows the start time: waiting requests, the time between events
+ * of streams in ms, and the learned factor on times in percent.
+ */
 type ReportWireRow = readonly [
   target: string,
   requests: number,
@@ -60,8 +81,16 @@
   bornAt?: number | null,
   waiting?: number | null,
   paceMs?: number | null,
+  speedFactor?: number | null,
 ];
 
+/** Target, start time, factor in percent, evidence in tenths of a sample. */
+type SpeedWireRow = readonly [string, number, number, number?];
+
+interface SpeedsParams {
+  readonly s: readonly SpeedWireRow[];
+}
+
 interface RejectedParams {
   readonly n: string;
   readonly t: string;
@@ -87,6 +116,10 @@
     const params: RejectedParams = { n: update.from, t: update.target };
     return encodeNotification(REJECTED_METHOD, params);
   }
+  if (update.kind === 'speeds') {
+    const params: SpeedsParams = { s: update.rows.map(toSpeedRow) };
+    return encodeNotification(SPEEDS_METHOD, params);
+  }
   return encodeNotification(METHOD, paramsOf(update));
 }
 
@@ -102,6 +135,9 @@
     const { n, t } = params as RejectedParams;
     return { kind: 'rejected', target: t, from: n };
   }
+  if (method === SPEEDS_METHOD) {
+    return { kind: 'speeds', rows: (params as SpeedsParams).s.map(fromSpeedRow) };
+  }
   if (method !== METHOD) return undefined;
   const { t: target = '', n: from = '', p, r, l, q, j = [] } = params as UpdateParams;
   if (l && q) {
@@ -137,7 +173,9 @@
   ];
 }
 
-function paramsOf(update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' }>): UpdateParams {
+function paramsOf(
+  update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' | 'speeds' }>,
+): UpdateParams {
   return match(update)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toPromptRow(prompt) }))
     .with({ kind: 'unreachable' }, ({ target, from }) => ({ t: target, n: from }))
@@ -155,18 +193,34 @@
     .exhaustive();
 }
 
+function toSpeedRow({ target, bornAt, factor, samples }: SpeedRow): SpeedWireRow {
+  const row = [target, bornAt, Math.round(factor * PERCENT)] as const;
+  return samples === undefined ? row : [...row, Math.round(samples * TENTHS)];
+}
+
+function fromSpeedRow([target, bornAt, factor, samples]: SpeedWireRow): SpeedRow {
+  return {
+    target,
+    bornAt,
+    factor: factor / PERCENT,
+    ...(samples === undefined ? {} : { samples: samples / TENTHS }),
+  };
+}
+
 function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
-  const { requests, memoryTokens, bornAt, waiting, paceMs } = report;
-  const pace = paceMs === undefined ? null : Math.round(paceMs);
+  const { requests, memoryTokens, bornAt, waiting, paceMs, speedFactor } = report;
   // The previous release takes a start time of null for one at the epoch, so it must not get null.
   if (bornAt !== undefined) {
-    return [target, requests, memoryTokens ?? null, bornAt, waiting ?? null, pace];
+    const pace = paceMs === undefined ? null : Math.round(paceMs);
+    // A factor belongs to one start of the target, so that it is left out without a start time.
+    const row = [target, requests, memoryTokens ?? null, bornAt, waiting ?? null, pace] as const;
+    return speedFactor === undefined ? row : [...row, Math.round(speedFactor * PERCENT)];
   }
   return memoryTokens === undefined ? [target, requests] : [target, requests, memoryTokens];
 }
 
 function fromReportRow(row: ReportWireRow): TargetReportRow {
-  const [target, requests, memoryTokens, bornAt, waiting, paceMs] = row;
+  const [target, requests, memoryTokens, bornAt, waiting, paceMs, factor] = row;
   return {
     target,
     report: {
@@ -175,6 +229,7 @@
       ...(typeof bornAt === 'number' ? { bornAt } : {}),
       ...(typeof waiting === 'number' ? { waiting } : {}),
       ...(typeof paceMs === 'number' ? { paceMs } : {}),
+      ...(typeof factor === 'number' ? { speedFactor: factor / PERCENT } : {}),
     },
   };
 }
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -117,5 +117,7 @@
   readonly path: string;
   /** Undefined when the body is not a valid report. */
   decode(body: Buffer): EngineReport | undefined;
+  /** How long work takes at the target now by its own word, percent of the usual time. */
+  readSlowness(res: IncomingMessage): number | undefined;
   readTargetSignals(res: IncomingMessage): TargetSignals;
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -4,6 +4,7 @@
   DeferralOutcomes,
   hashOf,
   isTooSlow,
+  isTrialDue,
   maxPaceMs,
   latenessCostMs,
   rankTargets,
@@ -18,10 +19,13 @@
   SharedRateLimiter,
   StreamLengths,
   usableShare,
+  USUAL_BASELINE,
+  usefulSlots,
   WaitingMix,
   type Candidate,
   type PeerWork,
   type Destination,
+  type GapTargets,
   type LimitedShareRequest,
   type RandomSource,
   type RankedRequest,
@@ -29,6 +33,8 @@
   type RegionOption,
   type RegionWork,
   type ServiceSpeed,
+  type SpeedFactors,
+  type SpeedObservation,
   type VersionScope,
 } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
@@ -44,8 +50,6 @@
 import { ServiceSpeeds } from './service-speeds.js';
 
 const MS_PER_S = 1000;
-/** Range of `hashOf`. */
-const HASHES = 2 ** 32;
 /** Allowance for gateways of the region that this gateway does not know yet. */
 const SPARE_GATEWAYS = 1;
 /** Window of the rate of a cold target; longer than one second, since delays can bunch requests together. */
@@ -54,6 +58,9 @@
 const LIMIT_WINDOW_MS = 4300;
 /** Lifetime of the cached summary of the local region. */
 const REGION_WORK_LIFETIME_MS = 200;
+const HASH_RANGE = 2 ** 32;
+/** Interval at which the median speed of the targets of a service is computed. */
+const BASELINE_INTERVAL_MS = 100;
 /** Shared prefixes from this length on are cached in one region only, if possible. */
 const LONG_SHARED_PREFIX_TOKENS = 1500;
 
@@ -124,6 +131,8 @@
 
   private regionWorkAt = -Infinity;
 
+  private readonly baselinesAt = new Map<string, number>();
+
   constructor(
     private readonly settings: GatewaySettings,
     private readonly state: GatewayState,
@@ -193,7 +202,10 @@
       priority: call.priority,
       latencyTargetMs: call.facts.latencyTargetMs,
       ...(call.head.prompt
-        ? { shareAhead: this.mixOf(call.service).shareAhead(call.priority, now) }
+        ? {
+            shareAhead: this.mixOf(call.service).shareAhead(call.priority, now),
+            gapTargets: this.gapTargetsOf(call),
+          }
         : {}),
     };
     if (this.reach.isCutOff) {
@@ -243,7 +255,7 @@
       events,
     });
     // The steps of a call have to agree, and the gateways that handle it too.
-    const sample = hashOf(head.id) / HASHES;
+    const sample = hashOf(head.id) / HASH_RANGE;
     return candidates.map((candidate) =>
       candidate.paceMs !== undefined && isTooSlow(candidate.paceMs, limitMs, sample)
         ? { ...candidate, tooSlow: true }
@@ -258,6 +270,14 @@
     return known;
   }
 
+  private gapTargetsOf({ route, service }: Call): GapTargets {
+    const othersMs = this.state.shortestGapTargetMs(service);
+    return {
+      ...(route.gapTargetMs === undefined ? {} : { ownMs: route.gapTargetMs }),
+      ...(othersMs === undefined ? {} : { othersMs }),
+    };
+  }
+
   /** Local targets that other gateways of the region reach; none for a call that one of them forwarded. */
   private candidatesViaPeers(
     call: Call,
@@ -299,6 +319,7 @@
             softwareVersion: record.softwareVersion,
             work,
             sharedPrefixCached: isCachedLocally && record.id === preferred,
+            trial: this.isTrialDue({ id: record.id, work }, speed, gateways, now),
           }),
         ),
         speed,
@@ -309,9 +330,52 @@
   }
 
   speedOf(service: string): ServiceSpeed {
+    this.updateBaseline(service);
     return this.speeds.of(service, this.state.service(service)?.engine !== undefined);
   }
 
+  /** Handles the time between two parts of a stream from a target. */
+  onEventGap({ record, work }: TargetEntry, ms: number): void {
+    const ratio = this.speeds.onGap(record.service, ms);
+    if (ratio !== undefined) work.speed.onGap(ratio, this.timers.now());
+  }
+
+  /** Factors on times at a target. */
+  speedFactorsOf({ record, work }: TargetEntry): SpeedFactors {
+    this.updateBaseline(record.service);
+    return work.speedFactors(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  /** Relative factor of a target for the region, by what this gateway and others that told it have seen. */
+  takeCollectedSpeed({ record, work }: TargetEntry): number | undefined {
+    return work.speed.takeCollected(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  /** What this gateway has seen of a target since it last told others. */
+  takeSpeedObservation({ record, work }: TargetEntry): SpeedObservation | undefined {
+    return work.speed.takeObservation(this.speeds.baselineOf(record.service), this.timers.now());
+  }
+
+  private isTrialDue(
+    { id, work }: Pick<RankedTarget, 'id' | 'work'>,
+    { baseline = USUAL_BASELINE }: ServiceSpeed,
+    gateways: number,
+    now: number,
+  ): boolean {
+    const factors = work.speedFactors(baseline, now);
+    if (factors.relative <= 1) return false;
+    const phase = hashOf(`${this.settings.node} ${id}`) / HASH_RANGE;
+    return isTrialDue(factors, work.idleMs(now), { gateways, phase });
+  }
+
+  private updateBaseline(service: string): void {
+    const now = this.timers.now();
+    if (now - (this.baselinesAt.get(service) ?? -Infinity) < BASELINE_INTERVAL_MS) return;
+    this.baselinesAt.set(service, now);
+    const speeds = this.state.usableTargets(service).map(({ work }) => work.speed);
+    this.speeds.updateBaseline(service, speeds, now);
+  }
+
   /** Counts a request against the rates of its target. */
   onSendToTarget(entry: TargetEntry, { head, service }: Call): void {
     const now = this.timers.now();
@@ -362,8 +426,8 @@
     const sum = (value: (entry: TargetEntry) => number): number =>
       usable.reduce((total, entry) => total + value(entry), 0);
     return {
-      targets: Math.ceil(sum((entry) => this.usableSlots(entry) / entry.record.slots)),
-      slots: Math.round(sum((entry) => this.usableSlots(entry))),
+      targets: Math.ceil(sum((entry) => this.usableSlotsOf(entry) / entry.record.slots)),
+      slots: Math.round(sum((entry) => this.usableSlotsOf(entry))),
       requests: sum(({ work }) => work.requests(now)),
       backlogMs: sum(({ work }) =>
         Math.max(
@@ -378,9 +442,10 @@
   }
 
   /** Slots of a target that requests can use at the rate that it has named. */
-  private usableSlots(entry: TargetEntry): number {
+  usableSlotsOf(entry: TargetEntry): number {
     const requestsPerS = this.state.rateLimitOf(entry);
-    const { slots, service } = entry.record;
+    const { service } = entry.record;
+    const slots = usefulSlots(entry.record.slots, this.speedFactorsOf(entry).relative);
     if (requestsPerS === undefined) return slots;
     return Math.min(slots, (requestsPerS * this.speedOf(service).slotMs) / MS_PER_S);
   }
