--- a/packages/gateway/src/quota/quota-task.test.ts
+++ b/packages/gateway/src/quota/quota-task.test.ts
@@ -60,7 +60,12 @@
       const table = new GatewayTable(node);
       this.timers.every(100, () => table.mergeRecord(this.recordOf(1 - index), this.timers.now()));
       return new QuotaTask({
-        settings: { node, region: 'north', regionOfDomain: new Map([['north-1', 'north']]) },
+        settings: {
+          node,
+          region: 'north',
+          regionOfDomain: new Map([['north-1', 'north']]),
+          customers: { required: true, revokeMs: 5000, revokeFailClosed: false, limitSlack: 0 },
+        },
         table,
         config: () => this.config,
         send: (message, ip) => this.deliver(message, ip),
--- a/packages/gateway/src/quota/quota-task.ts
+++ b/packages/gateway/src/quota/quota-task.ts
@@ -16,6 +16,11 @@
 import { QuotaLog } from './quota-log.js';
 
 const TICK_MS = 50;
+/**
+ * Part of the slack of limits that bursts may use. Requests of a small customer are as large as its
+ * limit in a second, so that a few at once would be refused; the rest is for gateways without an owner.
+ */
+const BURST_SLACK_SHARE = 0.5;
 const MEMBERS_INTERVAL_MS = 200;
 /** Longest time that a request waits for credit, also as a part of its latency target. */
 const MAX_WAIT_MS = 600;
@@ -50,7 +55,7 @@
 }
 
 export interface QuotaTaskDeps {
-  readonly settings: Pick<GatewaySettings, 'node' | 'region' | 'regionOfDomain'>;
+  readonly settings: Pick<GatewaySettings, 'node' | 'region' | 'regionOfDomain' | 'customers'>;
   readonly table: Pick<GatewayTable, 'alive' | 'ageMs' | 'get'>;
   /** The configuration in force. */
   readonly config: () => FleetConfig | undefined;
@@ -184,7 +189,9 @@
   }
 
   private limitOf(customer: string): CustomerLimit | undefined {
-    return this.deps.config()?.customers?.get(customer)?.limit;
+    const limit = this.deps.config()?.customers?.get(customer)?.limit;
+    const slack = this.deps.settings.customers.limitSlack * BURST_SLACK_SHARE;
+    return limit && { ...limit, burst: limit.burst + slack };
   }
 
   private isActive(): boolean {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -46,6 +46,8 @@
     readonly revokeMs: number;
     /** Whether no key is accepted after that time. */
     readonly revokeFailClosed: boolean;
+    /** Units by which a customer may exceed its limit within some seconds, over all gateways. */
+    readonly limitSlack: number;
   };
   /** Longest lifetime of a directory response, s. */
   readonly maxDirectoryTtlS: number;
