--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -7,7 +7,7 @@
 import { memoryWaitMs, unsharedTokens } from './kv-memory-usage.js';
 import { sharedPrefixTokens, type Prompt } from './prompt.js';
 import { estimatePrefillMs, type ServiceSpeed } from './service-speed.js';
-import { streamImpactCostMs, type GapTargets } from './stream-impact.js';
+import { paceRiskCostMs, streamImpactCostMs, type GapTargets } from './stream-impact.js';
 import { USUAL_BASELINE, type SpeedFactors } from './target-speed.js';
 import type { TargetWork } from './target-work.js';
 
@@ -159,6 +159,7 @@
       busyCostMs(target, factors, speed, now) +
       failureCostMs(work, req, speed, now) +
       recomputeCostMs(prompt, uncachedTokens, speed) +
+      paceRiskCostMs(paceMs, req.gapTargets ?? {}, req.latencyTargetMs) +
       streamImpactCostMs(
         {
           streams: work.requests(now),
--- a/packages/core/src/routing/region-choice.ts
+++ b/packages/core/src/routing/region-choice.ts
@@ -12,7 +12,7 @@
 } from './expected-first-byte.js';
 import { memoryWaitMs, unsharedTokens } from './kv-memory-usage.js';
 import { sharedPrefixTokens } from './prompt.js';
-import { streamImpactCostMs } from './stream-impact.js';
+import { paceRiskCostMs, streamImpactCostMs } from './stream-impact.js';
 import { estimatePrefillMs, type ServiceSpeed } from './service-speed.js';
 
 /** Load of one service in a region, as summarized by a gateway there. */
@@ -120,6 +120,7 @@
       latenessCostMs(expectedFirstByteMs, req) +
       REMOTE_REGION_COST_MS +
       recomputeCostMs(prompt, uncachedTokens, speed) +
+      paceRiskCostMs(work.paceMs, req.gapTargets ?? {}, req.latencyTargetMs) +
       streamImpactCostMs(
         { streams: requests / work.targets, prefillMs, laterPrefillMs: 0, eventGapMs: 0 },
         req.gapTargets ?? {},
--- a/packages/core/src/routing/stream-impact.ts
+++ b/packages/core/src/routing/stream-impact.ts
@@ -33,6 +33,8 @@
 const LATE_STREAM_COST_MS = 60;
 /** Streams that are late several times count once, so that longer prefills cost little more. */
 const MAX_LATENESS = 1.5;
+/** Cost of streams as slow as the gap target, in latency targets; a late stream is worth as little as a late first event. */
+const PACE_RISK_WEIGHT = 2;
 /** Cost of gaps of the request itself, relative to the time by which they are too long. */
 const OWN_GAP_WEIGHT = 2;
 
@@ -54,6 +56,23 @@
   return others + Math.min(ownMs, excessMs) * OWN_GAP_WEIGHT;
 }
 
+/**
+ * Cost of the risk that a stream becomes late by a gap at a target whose streams have this time between
+ * events, ms. Their mean grows with each prompt that is prefilled beside them and with the slowness of
+ * the target, and single gaps are several times longer.
+ *
+ * @param paceMs mean time between two events of the target's streams; undefined if not known
+ * @example paceRiskCostMs(80, { ownMs: 400 }, 800) // 320
+ */
+export function paceRiskCostMs(
+  paceMs: number | undefined,
+  { ownMs }: GapTargets,
+  latencyTargetMs: number,
+): number {
+  if (paceMs === undefined || ownMs === undefined) return 0;
+  return Math.min(1, paceMs / ownMs) * latencyTargetMs * PACE_RISK_WEIGHT;
+}
+
 /** 0 for a prefill that delays nobody, 1 for one that is as long as the gap target. */
 function lateness(prefillMs: number, gapTargetMs: number): number {
   const harmlessMs = gapTargetMs * HARMLESS_SHARE;
