--- a/packages/core/src/sharing/share-gate.ts
+++ b/packages/core/src/sharing/share-gate.ts
@@ -66,7 +66,8 @@
  * less is let through: what is refused after the division is refused to all customers alike.
  */
 const FULL_OVERLOAD_SHARE = 0.04;
-const MAX_CUT = 0.3;
+/** Least headroom, as a share of what was admitted lately. */
+const MIN_HEADROOM = 0.1;
 /** Levels are computed anew after this time. */
 const REFRESH_MS = 100;
 const MIN_RETRY_AFTER_MS = 100;
@@ -200,13 +201,13 @@
 
 /**
  * What the service is expected to admit. Without headroom the amount admitted lately would limit
- * itself, and the service would stay short when it has more room again.
+ * itself, and the service would stay short when it has more room again. Some headroom is left also while
+ * admission refuses requests, since it refuses early and would otherwise be starved of work.
  */
 function capacityOf({ admitted, overloaded }: DemandTotals): number {
   const overloadShare = overloaded > 0 ? overloaded / (admitted + overloaded) : 0;
-  const excess = overloadShare - FULL_OVERLOAD_SHARE;
-  if (excess > 0) return admitted * (1 - Math.min(MAX_CUT, excess));
-  return admitted * (1 - (MAX_HEADROOM * excess) / FULL_OVERLOAD_SHARE);
+  const headroom = MAX_HEADROOM * (1 - overloadShare / FULL_OVERLOAD_SHARE);
+  return admitted * (1 + Math.max(MIN_HEADROOM, headroom));
 }
 
 /** Time in which the demand decays to what is given, if the customer sends nothing more. */
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -2,6 +2,8 @@
 import {
   allowsVersion,
   DeferralOutcomes,
+  delaysStreams,
+  estimatePrefillMs,
   hashOf,
   isTooSlow,
   isTrialDue,
@@ -325,7 +327,12 @@
         speed,
         now,
       );
-    const first = rank(false);
+    // A long prompt delays all streams at its target, so that more targets are compared for it.
+    const { prompt } = req;
+    const isLong =
+      prompt !== undefined &&
+      delaysStreams(estimatePrefillMs(prompt, 0, speed), req.gapTargets ?? {});
+    const first = rank(isLong);
     return isLate(first[0], req) && first.length < open.length ? rank(true) : first;
   }
 
