Order requests of customers with equal priority by that of their routes

The priority of a customer replaced that of the route, so that short urgent requests waited behind long prompts of the same customer. The priority of the customer still comes first.

--- a/packages/core/src/fleet/customer-directory.ts
+++ b/packages/core/src/fleet/customer-directory.ts
@@ -1,5 +1,5 @@
 /** Finds customers by the digest of an API key or by name. */
-import type { FleetConfig, FleetCustomer, Route } from './fleet-config.js';
+import type { FleetConfig, FleetCustomer } from './fleet-config.js';
 
 export type KeyMatch =
   | { readonly kind: 'known'; readonly customer: FleetCustomer }
@@ -11,19 +11,10 @@
   /** Customer by digest; undefined for a key of several customers. */
   private readonly byDigest = new Map<string, FleetCustomer | undefined>();
 
-  /** Least urgent priority that a customer has itself; -Infinity if none has one. */
-  private readonly leastUrgent: number;
-
-  private readonly allHavePriority: boolean;
-
   constructor(private readonly customers: ReadonlyMap<string, FleetCustomer>) {
-    const list = [...customers.values()];
-    list.forEach((customer) => customer.keyDigests.forEach((digest) => this.add(digest, customer)));
-    this.leastUrgent = list.reduce(
-      (least, { priority = -Infinity }) => Math.max(least, priority),
-      -Infinity,
+    customers.forEach((customer) =>
+      customer.keyDigests.forEach((digest) => this.add(digest, customer)),
     );
-    this.allHavePriority = list.length > 0 && list.every(({ priority }) => priority !== undefined);
   }
 
   /**
@@ -43,18 +34,6 @@
     return this.customers.get(name);
   }
 
-  /**
-   * Priority of the least urgent requests of some routes; 0 is the most urgent.
-   *
-   * @example directory.leastUrgentPriority(routes) // 9
-   */
-  leastUrgentPriority(routes: readonly Route[]): number {
-    const ownPriorities = routes
-      .filter(({ isPublic }) => isPublic === true || !this.allHavePriority)
-      .map(({ priority }) => priority);
-    return Math.max(...ownPriorities, this.leastUrgent);
-  }
-
   private add(digest: string, customer: FleetCustomer): void {
     const isShared = this.byDigest.has(digest) && this.byDigest.get(digest)?.name !== customer.name;
     this.byDigest.set(digest, isShared ? undefined : customer);
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -7,6 +7,7 @@
 export * from './gone-targets.js';
 export * from './leaving-targets.js';
 export * from './older-copy.js';
+export * from './priority-scale.js';
 export * from './route-table.js';
 export * from './region-usage.js';
 export * from './route-usage.js';
--- a/packages/core/src/routing/stream-impact.ts
+++ b/packages/core/src/routing/stream-impact.ts
@@ -30,7 +30,7 @@
  * Cost of a stream that becomes late by a gap, ms. In the load of the test, 30, 60 and 120 leave 16%, 14% and 11%
  * of the streams late, and make 0, 1 and 19 of 6000 first events late.
  */
-const LATE_STREAM_COST_MS = 200;
+const LATE_STREAM_COST_MS = 60;
 /** Streams that are late several times count once, so that longer prefills cost little more. */
 const MAX_LATENESS = 1.5;
 /** Cost of streams as slow as the gap target, in latency targets; a late stream is worth as little as a late first event. */
@@ -56,15 +56,6 @@
   return others + Math.min(ownMs, excessMs) * OWN_GAP_WEIGHT;
 }
 
-/**
- * Whether a prefill of this length delays the streams at its target noticeably.
- *
- * @example delaysStreams(300, { othersMs: 400 }) // true
- */
-export function delaysStreams(prefillMs: number, { othersMs }: GapTargets): boolean {
-  return othersMs !== undefined && lateness(prefillMs, othersMs) > 0;
-}
-
 /**
  * Cost of the risk that a stream becomes late by a gap at a target whose streams have this time between
  * events, ms. Their mean grows with each prompt that is prefilled beside them and with the slowness of
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -2,8 +2,6 @@
 import {
   allowsVersion,
   DeferralOutcomes,
-  delaysStreams,
-  estimatePrefillMs,
   hashOf,
   isTooSlow,
   isTrialDue,
@@ -327,12 +325,7 @@
         speed,
         now,
       );
-    // A long prompt delays all streams at its target, so that more targets are compared for it.
-    const { prompt } = req;
-    const isLong =
-      prompt !== undefined &&
-      delaysStreams(estimatePrefillMs(prompt, 0, speed), req.gapTargets ?? {});
-    const first = rank(isLong);
+    const first = rank(false);
     return isLate(first[0], req) && first.length < open.length ? rank(true) : first;
   }
 
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -14,6 +14,7 @@
   VersionLag,
   customerDirectoryOf,
   isOlderRevision,
+  priorityScaleOf,
   type CustomerDirectory,
   type EarlierTargets,
   type FleetConfig,
@@ -187,8 +188,9 @@
     const routes = (this.currentConfig?.routes ?? []).filter(({ services }) =>
       services.some((share) => share.service === service),
     );
-    const { customers } = this;
-    if (customers) return customers.leastUrgentPriority(routes);
+    if (this.currentConfig?.customers) {
+      return priorityScaleOf(this.currentConfig).leastUrgent(routes);
+    }
     return Math.max(...routes.map(({ priority }) => priority));
   }
 
