Do not take requests that hang for a slow target

Requests on connections that were cut silently raised the factor of their target, so that later requests were waited for up to 3 times as long before they were tried elsewhere (504). A request that takes more than 12 times as long as usual now says nothing about the speed of its target.

--- a/packages/core/src/routing/target-speed.test.ts
+++ b/packages/core/src/routing/target-speed.test.ts
@@ -22,6 +22,16 @@
   assert.ok(work.speedFactors(USUAL_BASELINE, 180).relative >= 3);
 });
 
+// Guards against waiting long for requests after a silent cut of all links has ended.
+test('requests that hang on dead connections do not make a target look slow', () => {
+  const work = new TargetWork(1);
+  const ids = ['a', 'b', 'c'];
+  ids.forEach((id) => work.onSend(id, { prefillMs: 0, priority: 0, expectedMs: 60 }, undefined, 0));
+  assert.equal(work.speedFactors(USUAL_BASELINE, 2000).absolute, 1);
+  ids.forEach((id) => work.onEnd(id, 3000));
+  assert.equal(work.speedFactors(USUAL_BASELINE, 3000).absolute, 1);
+});
+
 // Guards against streams that crawl at a target whose first events come in time.
 test('gaps between events that are longer than usual raise the factor, and age within a second', () => {
   const speed = new TargetSpeed();
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -73,6 +73,8 @@
 const WAIT_TOLERANCE = 1.5;
 /** The most by which requests without a first byte raise the factor on times. */
 const MAX_OVERDUE_FACTOR = 4;
+/** A request that takes this many times as long hangs, for example on a connection that was cut silently. */
+const HANGING_FACTOR = MAX_SPEED_FACTOR * 1.5;
 const FAILURE_SAMPLE_WEIGHT = 0.2;
 /** The failure rate halves in this time, so that an avoided target is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
@@ -230,7 +232,9 @@
   onEnd(id: string, now: number): void {
     const pending = this.awaitingFirstByte.get(id);
     if (pending) {
-      this.speed.onAborted({ ...pending, measuredMs: now - pending.sentAt }, now);
+      if (overdueFactorOf(pending, now) <= HANGING_FACTOR) {
+        this.speed.onAborted({ ...pending, measuredMs: now - pending.sentAt }, now);
+      }
       this.awaitingFirstByte.delete(id);
       this.prefillQueue.remove(id, now);
     }
@@ -282,15 +286,14 @@
 
   /**
    * Factor that the requests without a first byte have reached by now. The second oldest one counts, so
-   * that a single request that is lost or long does not make the target look slow.
+   * that a single request that is lost or long does not make the target look slow. Requests that have
+   * taken far longer than at any slow target hang, which says nothing about its speed.
    */
   private overdueFactor(now: number): number {
-    const pending = this.awaitingFirstByte.values();
-    pending.next();
-    const second = pending.next();
-    if (second.done) return 0;
-    const { sentAt, waitMs, serviceMs } = second.value;
-    return (now - sentAt - waitMs * WAIT_TOLERANCE) / Math.max(1, serviceMs);
+    const factors = [...this.awaitingFirstByte.values()]
+      .map((pending) => overdueFactorOf(pending, now))
+      .filter((factor) => factor <= HANGING_FACTOR);
+    return factors[1] ?? 0;
   }
 
   /** Requests of other gateways, from the target's report if recent, otherwise from their counts. */
@@ -307,3 +310,7 @@
       );
   }
 }
+
+function overdueFactorOf({ sentAt, waitMs, serviceMs }: PendingRequest, now: number): number {
+  return (now - sentAt - waitMs * WAIT_TOLERANCE) / Math.max(1, serviceMs);
+}
