--- a/packages/core/src/quota/cost-of.ts
+++ b/packages/core/src/quota/cost-of.ts
@@ -13,7 +13,9 @@
 ): number {
   if (!isLimited(limit)) return 0;
   if (limit.unit === LimitUnit.Requests) return 1;
-  return prompt ? prompt.promptTokens + prompt.maxOutputTokens : limit.plainTokens;
+  const tokens = prompt ? prompt.promptTokens + prompt.maxOutputTokens : 0;
+  // A size that is no size must not make a request free or use up the limit of others.
+  return Number.isFinite(tokens) && tokens > 0 ? tokens : limit.plainTokens;
 }
 
 /** Whether there is a limit; a rate of 0 means that there is none. */
--- a/packages/core/src/quota/quota-account.ts
+++ b/packages/core/src/quota/quota-account.ts
@@ -20,6 +20,10 @@
 const ASKING_PAUSE_MS = 10_000;
 /** Accounts without requests are forgotten after this time. */
 const ACCOUNT_RETENTION_MS = 10_000;
+/** Owners remember leases for this time. */
+const ANSWERED_RETENTION_MS = 2500;
+/** A debt that no request has asked about for this time is forgotten. */
+const DEBT_RETENTION_MS = 60_000;
 /** Share of the rate that all gateways together may use without an owner. */
 const OWNERLESS_SHARE = 0.15;
 const MS_PER_S = 1000;
@@ -74,6 +78,9 @@
 
   private readonly pending = new Map<number, PendingAsk>();
 
+  /** Asks that were answered lately, by number, with the time of the answer. */
+  private readonly answered = new Map<number, number>();
+
   private uses: { readonly at: number; amount: number }[] = [];
 
   private askingSince: number | undefined;
@@ -237,8 +244,10 @@
   /** Adds a granted amount; returns false when the ask was given up, or answered before. */
   onGrant(row: QuotaGrantRow, now: number): boolean {
     const ask = this.pending.get(row.number);
-    if (!ask) return this.leases.some(({ number: held }) => held === row.number);
+    // A second answer to an ask that was sent again must not give back what was used meanwhile.
+    if (!ask) return this.answered.has(row.number);
     this.pending.delete(row.number);
+    this.answered.set(row.number, now);
     if (!row.granting) return true;
     this.onAnswered();
     const { number } = row;
@@ -265,6 +274,9 @@
       (ask) => now - ask.at >= ANSWER_TIMEOUT_MS || ask.owner !== owner,
     );
     lost.forEach(({ row }) => this.pending.delete(row.number));
+    this.answered.forEach((at, number) => {
+      if (now - at >= ANSWERED_RETENTION_MS) this.answered.delete(number);
+    });
     const surplus = this.surplus(now);
     const expired = this.leases.filter((lease) => now >= lease.expiresAt || lease === surplus);
     if (expired.length > 0) this.leases = this.leases.filter((lease) => !expired.includes(lease));
@@ -282,7 +294,8 @@
 
   isIdle(now: number): boolean {
     const isHeld = this.leases.length > 0 || this.pending.size > 0 || this.waiting.length > 0;
-    return !isHeld && this.debt <= 0 && now - this.touchedAt >= ACCOUNT_RETENTION_MS;
+    const isIndebted = this.debt > 0 && now - this.debtAt < DEBT_RETENTION_MS;
+    return !isHeld && !isIndebted && now - this.touchedAt >= ACCOUNT_RETENTION_MS;
   }
 
   /** A lease that came too late for its request and that the near future does not need. */
--- a/packages/core/src/quota/quota-peers.ts
+++ b/packages/core/src/quota/quota-peers.ts
@@ -14,6 +14,9 @@
 /** Heartbeats count as a sign of life if they are this much newer than the first ping, ms. */
 const HEARTBEAT_SLACK_MS = 300;
 const RETENTION_MS = 60_000;
+/** A live gateway that has never sent a message and leaves pings of this time without an answer knows none. */
+const MUTE_TIME_MS = 3000;
+const MAX_SPOKEN = 2000;
 
 interface Probe {
   readonly startedAt: number;
@@ -27,6 +30,9 @@
 
   private readonly probes = new Map<string, Probe>();
 
+  /** Gateways that have sent any of these messages; those of the previous release send none. */
+  private readonly spoken = new Set<string>();
+
   private readonly unanswered = new Map<string, { since: number; asks: number }>();
 
   /** Gateways and regions of which something is remembered. */
@@ -37,6 +43,8 @@
   /** Notes a message that arrived directly from a gateway. `now` is monotonic ms, as in all methods. */
   onHeard(node: string, region: string, now: number): void {
     this.regionHeardAt.set(region, now);
+    if (this.spoken.size >= MAX_SPOKEN) this.spoken.clear();
+    this.spoken.add(node);
     this.probes.delete(node);
     this.unanswered.delete(node);
   }
@@ -71,13 +79,14 @@
   }
 
   /**
-   * Whether a gateway that is probed does not live, or can't be reached.
+   * Whether a gateway that is probed does not live, can't be reached, or does not know these messages.
    *
    * @param heartbeatAt when it sent the last heartbeat that is known by gossip, monotonic ms
    */
   isDead(node: string, heartbeatAt: number, now: number): boolean {
     const probe = this.probes.get(node);
     if (!probe || probe.sent < PINGS || now - probe.startedAt < PING_TIME_MS) return false;
+    if (!this.spoken.has(node) && now - probe.startedAt >= MUTE_TIME_MS) return true;
     return heartbeatAt < probe.startedAt + HEARTBEAT_SLACK_MS;
   }
 
--- a/packages/core/src/quota/quota.test.ts
+++ b/packages/core/src/quota/quota.test.ts
@@ -390,3 +390,47 @@
   assert.equal(costOf(undefined, prompt), 0);
   assert.equal(costOf({ ...LIMIT, perS: 0 }, prompt), 0);
 });
+
+// Guards against an amount that is used and then given back because its grant arrives twice.
+test('a second answer to an ask gives nothing back, also after the lease has expired', () => {
+  const account = new QuotaAccount(0);
+  const row = { customer: 'acme', number: 1, first: 6000, need: 6000, want: 6000 };
+  const grant = {
+    customer: 'acme',
+    number: 1,
+    granting: true,
+    amount: 6000,
+    shortMs: 0,
+    waitMs: 0,
+  };
+  account.onAsked(row, 'vm-1', 0);
+  assert.equal(account.onGrant(grant, 100), true);
+  assert.ok(account.take(6000, 110));
+  assert.deepEqual(account.expire('vm-1', 1100), []);
+  assert.equal(account.onGrant(grant, 1300), true);
+});
+
+// Guards against customers without an owner while gateways of the previous release are alive.
+test('a live gateway that never answers these messages is replaced after some seconds', () => {
+  const peers = new QuotaPeers();
+  const ping = (from: number, to: number): void =>
+    Array.from({ length: (to - from) / 100 }, (_, index) => from + index * 100).forEach((now) => {
+      peers.probe('vm-1', now);
+      peers.due(now);
+    });
+  ping(0, 2900);
+  assert.equal(peers.isDead('vm-1', 2800, 2900), false);
+  ping(2900, 3200);
+  assert.equal(peers.isDead('vm-1', 3100, 3200), true);
+  peers.onHeard('vm-1', 'north', 3200);
+  ping(3200, 8000);
+  assert.equal(peers.isDead('vm-1', 7900, 8000), false);
+});
+
+// Guards against requests that are free, or that use up a limit, by a size that is none.
+test('a request costs a finite amount whatever size it names', () => {
+  const sizes = [-5, 0, Number.NaN, Infinity];
+  sizes.forEach((promptTokens) =>
+    assert.equal(costOf(LIMIT, { promptTokens, maxOutputTokens: 0 }), LIMIT.plainTokens),
+  );
+});
--- a/packages/core/src/sharing/work-units.ts
+++ b/packages/core/src/sharing/work-units.ts
@@ -15,5 +15,6 @@
   prompt: Pick<Prompt, 'promptTokens' | 'expectedOutputTokens'> | undefined,
 ): number {
   if (!prompt) return PLAIN_UNITS;
-  return prompt.promptTokens + UNITS_PER_OUTPUT_TOKEN * prompt.expectedOutputTokens;
+  const units = prompt.promptTokens + UNITS_PER_OUTPUT_TOKEN * prompt.expectedOutputTokens;
+  return Number.isFinite(units) && units > 0 ? units : PLAIN_UNITS;
 }
--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -381,7 +381,7 @@
 
   /** Runs a call within its customer's limit; what a forward costs was charged where it arrived. */
   private async runCharged(
-    { customer, forwardedBy, head, route }: Call,
+    { customer, forwardedBy, head, route, facts }: Call,
     response: CallerResponse,
     run: () => Promise<void>,
   ): Promise<void> {
@@ -393,6 +393,7 @@
       customer: customer.name,
       cost: costOf(customer.limit, head.prompt),
       latencyTargetMs: route.latencyTargetMs,
+      remainingMs: facts.deadlineAt - this.deps.timers.now(),
     });
     if (decision.kind === 'refused') {
       this.deps.metrics.onRefusal(ResultCodes.RateLimited.name);
@@ -470,7 +471,7 @@
     if (!customers) {
       return forwardedFor === undefined
         ? { kind: 'accepted' }
-        : { kind: 'refused', failure: AuthFailure.Unknown };
+        : { kind: 'refused', failure: AuthFailure.Outdated };
     }
     const credentials = {
       apiKey: head.apiKey ?? { kind: 'missing' as const },
--- a/packages/gateway/src/quota/quota-task.test.ts
+++ b/packages/gateway/src/quota/quota-task.test.ts
@@ -81,7 +81,12 @@
 
   /** @param pauseMs time until the next request; longer than a request waits for credit by default */
   async take(index: number, customer: string, pauseMs = 700): Promise<QuotaDecision> {
-    const decision = this.tasks[index]?.take({ customer, cost: 1, latencyTargetMs: TARGET_MS });
+    const decision = this.tasks[index]?.take({
+      customer,
+      cost: 1,
+      latencyTargetMs: TARGET_MS,
+      remainingMs: 4000,
+    });
     this.timers.advance(pauseMs);
     return decision ?? assert.fail();
   }
@@ -147,7 +152,7 @@
   const names = Array.from({ length: 2000 }, (_, index) => `c${index}`);
   const pair = new Pair(names, 0.001);
   names.concat(names).forEach((customer) => {
-    void pair.tasks[0]?.take({ customer, cost: 1, latencyTargetMs: TARGET_MS });
+    void pair.tasks[0]?.take({ customer, cost: 1, latencyTargetMs: TARGET_MS, remainingMs: 4000 });
   });
   pair.timers.advance(400);
   await Promise.resolve();
--- a/packages/gateway/src/quota/quota-task.ts
+++ b/packages/gateway/src/quota/quota-task.ts
@@ -36,6 +36,8 @@
   /** See `costOf`. */
   readonly cost: number;
   readonly latencyTargetMs: number;
+  /** Time until its deadline, ms. */
+  readonly remainingMs: number;
 }
 
 export type QuotaDecision =
@@ -125,11 +127,12 @@
    * Charges a request of a caller. The promise is resolved at once if the amount that this gateway
    * holds covers it.
    *
-   * @example const { kind } = await quota.take({ customer: 'acme', cost: 800, latencyTargetMs: 500 })
+   * @example const { kind } = await quota.take({ customer, cost: 800, latencyTargetMs: 500, remainingMs: 9000 })
    */
-  take({ customer, cost, latencyTargetMs }: QuotaRequest): Promise<QuotaDecision> {
+  take({ customer, cost, latencyTargetMs, remainingMs }: QuotaRequest): Promise<QuotaDecision> {
     const now = this.deps.timers.now();
-    const maxWaitMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, latencyTargetMs * WAIT_SHARE));
+    const usualMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, latencyTargetMs * WAIT_SHARE));
+    const maxWaitMs = Math.max(0, Math.min(usualMs, remainingMs));
     this.updateMembers(now);
     return new Promise((resolve) => {
       const settle = (result: TakeResult): void => resolve(this.decisionOf(customer, cost, result));
