Stop reading a connection with too many pipelined requests, and while a request waits for a configuration

Node.js keeps each further request until the first response ends, so that a flood of short ones ended a process; bodies that arrived while a request waited for a configuration were queued without a limit.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -30,6 +30,8 @@
   type Logger,
   type Task,
   type TimerService,
+  continueReading,
+  holdReading,
 } from '@marjoramcart/runtime';
 import type { Call } from '../exchange/call.js';
 import {
@@ -321,6 +323,9 @@
       this.streams.set(req.socket, response.closed);
     }
     const forward = forwarded ? readForward(req) : undefined;
+    // What arrives while the request waits for a configuration would be queued without a limit.
+    const mayWait = state.configBehindMs > 0 || (forward?.configVersion ?? 0) > config.version;
+    if (mayWait) holdReading(req);
     if (forward && !(await this.deps.configCatchUp.reach(forward.configVersion, forward.by))) {
       this.refuse(req, response, ResultCodes.ConfigurationBehind, decoded.head.id);
       return;
@@ -331,6 +336,7 @@
       return;
     }
     if (response.disconnected) return;
+    continueReading(req);
     const body = await readRequestBody(req, limits.maxBodyBytes, timers, allocation);
     if (body.kind === 'aborted') return;
     if (body.kind !== 'complete') {
--- a/packages/runtime/src/http/listener.test.ts
+++ b/packages/runtime/src/http/listener.test.ts
@@ -102,3 +102,35 @@
   await listener.close();
   assert.equal((await answered).filter((isAnswered) => !isAnswered).length, 0);
 });
+
+test('a flood of pipelined requests behind one in flight is not read on', async () => {
+  // Guards against requests that Node.js keeps without a limit while an earlier response is missing.
+  const readBytes: { socket?: net.Socket } = {};
+  let requests = 0;
+  const listener = new HttpListener({
+    address: '127.0.0.1:0',
+    handler: (req) => {
+      requests += 1;
+      readBytes.socket = req.socket;
+      return new Promise(() => undefined);
+    },
+    onError: () => {},
+  });
+  await listener.listen();
+  const client = connect(listener.address);
+  client.on('error', () => undefined);
+  await once(client, 'connect');
+  client.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(200_000));
+  const bytesRead = (): number => readBytes.socket?.bytesRead ?? 0;
+  const settle = async (before: number): Promise<number> => {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    const now = bytesRead();
+    return now > 0 && now === before ? now : settle(now);
+  };
+  assert.ok((await settle(-1)) < 1024 * 1024, `${bytesRead()} bytes read`);
+  assert.ok(requests <= 256, `${requests} requests`);
+  client.destroy();
+  listener.destroy();
+});
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -258,6 +258,9 @@
     if (pipeline.size >= MAX_PIPELINED) pipeline.end(() => this.closeSoon(socket));
     if (!pipeline.add(res)) {
       req.resume();
+      // Node.js keeps each further request until the first response ends, however small it is. It resumes the
+      // connection after the message, so that a pause has to come later.
+      setImmediate(() => socket.pause());
       return;
     }
     this.idleSince.delete(socket);
