--- a/packages/core/src/routing/expected-first-byte.ts
+++ b/packages/core/src/routing/expected-first-byte.ts
@@ -203,9 +203,10 @@
 
 function assumedFactors(
   { work, trial = false }: RankedTarget,
-  { baseline = USUAL_BASELINE }: ServiceSpeed,
+  { baseline = USUAL_BASELINE, learnsSpeeds = true }: ServiceSpeed,
   now: number,
 ): SpeedFactors {
+  if (!learnsSpeeds) return { absolute: work.latencyFactor, relative: 1 };
   const factors = work.speedFactors(baseline, now);
   return trial ? { absolute: factors.absolute / factors.relative, relative: 1 } : factors;
 }
@@ -303,9 +304,10 @@
 function busyCostMs(
   { work, slots }: RankedTarget,
   { relative }: SpeedFactors,
-  { baseMs }: ServiceSpeed,
+  { baseMs, learnsSpeeds = true }: ServiceSpeed,
   now: number,
 ): number {
+  if (!learnsSpeeds) return 0;
   const share = work.requests(now) / Math.max(1, usefulSlots(slots, relative));
   return Math.min(1, share) * baseMs * BUSY_WEIGHT;
 }
--- a/packages/core/src/routing/service-speed.ts
+++ b/packages/core/src/routing/service-speed.ts
@@ -17,6 +17,11 @@
   readonly baselineFailureRate: number;
   /** Usual gap between two events of a stream, ms; absent while it is not known. */
   readonly eventGapMs?: number;
+  /**
+   * Whether targets are told apart by learned speeds; true if absent. Off where no target tells how long
+   * work takes there.
+   */
+  readonly learnsSpeeds?: boolean;
   /** Median speed of the targets as this gateway sees them; absent if they are as estimated. */
   readonly baseline?: SpeedBaseline;
 }
--- a/packages/core/src/routing/target-work.ts
+++ b/packages/core/src/routing/target-work.ts
@@ -86,6 +86,12 @@
 const MAX_OVERDUE_FACTOR = 4;
 /** A request that takes this many times as long hangs, for example on a connection that was cut silently. */
 const HANGING_FACTOR = MAX_SPEED_FACTOR * 1.5;
+const LATENCY_SAMPLE_WEIGHT = 0.1;
+const MIN_LATENCY_RATIO = 0.3;
+const MAX_LATENCY_RATIO = 8;
+/** Limits on the ratio of one sample, since unknown work also delays a first byte. */
+const MAX_LATENCY_RATIO_SAMPLE = 2.5;
+const MIN_LATENCY_RATIO_SAMPLE = 0.4;
 const FAILURE_SAMPLE_WEIGHT = 0.2;
 /** The failure rate halves in this time, so that an avoided target is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
@@ -117,6 +123,11 @@
 
   private pace: TimestampedPace | undefined;
 
+  /** Smoothed ratio of the measured to the expected time to the first byte. */
+  private latencyRatio = 1;
+
+  private figureTold = false;
+
   private smoothedFailureRate = 0;
 
   private failureRateUpdatedAt = 0;
@@ -167,6 +178,16 @@
     return this.reported && now - this.reported.at;
   }
 
+  /** Factor on expected times where targets are not told apart by their speeds. */
+  get latencyFactor(): number {
+    return this.latencyRatio;
+  }
+
+  /** Whether the target has ever told how long work takes there. */
+  get tellsSpeed(): boolean {
+    return this.figureTold;
+  }
+
   /**
    * Factors on expected times at the target, relative to its service and to the median of its targets.
    *
@@ -241,6 +262,11 @@
     this.prefillQueue.onFirstByte(id, now);
     this.onByte(now);
     if (!work) return;
+    const ratio = (now - work.sentAt) / Math.max(1, work.expectedMs);
+    const sample = Math.min(MAX_LATENCY_RATIO_SAMPLE, Math.max(MIN_LATENCY_RATIO_SAMPLE, ratio));
+    const latencyRatio =
+      this.latencyRatio * (1 - LATENCY_SAMPLE_WEIGHT + sample * LATENCY_SAMPLE_WEIGHT);
+    this.latencyRatio = Math.min(MAX_LATENCY_RATIO, Math.max(MIN_LATENCY_RATIO, latencyRatio));
     this.speed.onTime({ ...work, measuredMs: now - work.sentAt }, now);
   }
 
@@ -289,6 +315,7 @@
   /** Handles a load report; requests that this process did not send are those of other gateways. */
   updateLoadReport(report: LoadReport, now: number): void {
     const { requests, memoryTokens, waiting, paceMs, slowness, speedFactor } = report;
+    if (slowness !== undefined) this.figureTold = true;
     this.speed.onFigure(slowness, now);
     if (speedFactor !== undefined) this.speed.onPeerFactor(speedFactor, now);
     const known = this.workOfOthers(now);
--- a/packages/gateway/src/exchange/sharing-refusal.test.ts
+++ b/packages/gateway/src/exchange/sharing-refusal.test.ts
@@ -44,6 +44,7 @@
   const response = {
     closed: Promise.resolve(),
     setRuns: () => undefined,
+    setRunState: () => undefined,
     send: (status: number, headers: readonly string[]) => sent.push({ status, headers }),
   } as unknown as CallerResponse;
   await executor.run(call, response);
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -204,7 +204,9 @@
       ...(call.head.prompt
         ? {
             shareAhead: this.mixOf(call.service).shareAhead(call.priority, now),
-            gapTargets: this.gapTargetsOf(call),
+            ...(this.speeds.learnsSpeeds(call.service)
+              ? { gapTargets: this.gapTargetsOf(call) }
+              : {}),
           }
         : {}),
     };
@@ -239,16 +241,24 @@
     return {
       candidates,
       unavailable,
-      mayDefer: this.deferrals.mayDefer(call.service, now),
+      mayDefer: !this.limitsStreams || this.deferrals.mayDefer(call.service, now),
       ...(opensInMs < Infinity ? { opensInMs } : {}),
     };
   }
 
+  /**
+   * Whether streams are admitted by the pace and the queues of targets. That is for deployments whose
+   * customers compete for capacity; the others are served as they were before.
+   */
+  private get limitsStreams(): boolean {
+    return this.state.config?.customers !== undefined;
+  }
+
   /** Marks the candidates whose streams are too slow for a call that begins a stream. */
   private withPace(call: Call, candidates: readonly Candidate[], now: number): Candidate[] {
     const { head, route, facts, service } = call;
     const events = head.prompt && this.lengths.longEvents(route.name, service);
-    if (events === undefined) return [...candidates];
+    if (events === undefined || !this.limitsStreams) return [...candidates];
     const limitMs = maxPaceMs({
       gapTargetMs: route.gapTargetMs,
       streamMs: facts.deadlineAt - now - facts.latencyTargetMs,
@@ -331,7 +341,9 @@
 
   speedOf(service: string): ServiceSpeed {
     this.updateBaseline(service);
-    return this.speeds.of(service, this.state.service(service)?.engine !== undefined);
+    const speed = this.speeds.of(service, this.state.service(service)?.engine !== undefined);
+    // Without a mean prefill time, waiting requests of other gateways count as before.
+    return this.limitsStreams ? speed : { ...speed, promptMs: 0 };
   }
 
   /** Handles the time between two parts of a stream from a target. */
@@ -343,25 +355,31 @@
   /** Factors on times at a target. */
   speedFactorsOf({ record, work }: TargetEntry): SpeedFactors {
     this.updateBaseline(record.service);
+    if (!this.speeds.learnsSpeeds(record.service)) {
+      return { absolute: work.latencyFactor, relative: 1 };
+    }
     return work.speedFactors(this.speeds.baselineOf(record.service), this.timers.now());
   }
 
   /** Relative factor of a target for the region, by what this gateway and others that told it have seen. */
   takeCollectedSpeed({ record, work }: TargetEntry): number | undefined {
+    if (!this.speeds.learnsSpeeds(record.service)) return undefined;
     return work.speed.takeCollected(this.speeds.baselineOf(record.service), this.timers.now());
   }
 
   /** What this gateway has seen of a target since it last told others. */
   takeSpeedObservation({ record, work }: TargetEntry): SpeedObservation | undefined {
+    if (!this.speeds.learnsSpeeds(record.service)) return undefined;
     return work.speed.takeObservation(this.speeds.baselineOf(record.service), this.timers.now());
   }
 
   private isTrialDue(
     { id, work }: Pick<RankedTarget, 'id' | 'work'>,
-    { baseline = USUAL_BASELINE }: ServiceSpeed,
+    { baseline = USUAL_BASELINE, learnsSpeeds }: ServiceSpeed,
     gateways: number,
     now: number,
   ): boolean {
+    if (learnsSpeeds === false) return false;
     const factors = work.speedFactors(baseline, now);
     if (factors.relative <= 1) return false;
     const phase = hashOf(`${this.settings.node} ${id}`) / HASH_RANGE;
@@ -372,8 +390,14 @@
     const now = this.timers.now();
     if (now - (this.baselinesAt.get(service) ?? -Infinity) < BASELINE_INTERVAL_MS) return;
     this.baselinesAt.set(service, now);
-    const speeds = this.state.usableTargets(service).map(({ work }) => work.speed);
-    this.speeds.updateBaseline(service, speeds, now);
+    const works = this.state.usableTargets(service).map(({ work }) => work);
+    if (works.some(({ tellsSpeed }) => tellsSpeed)) this.speeds.onSpeedTold(service);
+    if (!this.speeds.learnsSpeeds(service)) return;
+    this.speeds.updateBaseline(
+      service,
+      works.map(({ speed }) => speed),
+      now,
+    );
   }
 
   /** Counts a request against the rates of its target. */
--- a/packages/gateway/src/routing/service-speeds.ts
+++ b/packages/gateway/src/routing/service-speeds.ts
@@ -27,6 +27,9 @@
 
   private readonly failureRates = new Map<string, number>();
 
+  /** Services with targets that tell how long work takes there. */
+  private readonly telling = new Set<string>();
+
   private readonly baselines = new Map<string, SpeedBaseline>();
 
   private readonly gaps = new Map<string, { readonly usualMs: number; readonly count: number }>();
@@ -44,6 +47,7 @@
       slotMs: isEngine ? (this.streamMs.get(service) ?? engine.stream_ms) : plainMs,
       ...(isEngine ? { promptMs: this.promptMs.get(service) ?? 0 } : {}),
       baselineFailureRate: this.failureRates.get(service) ?? 0,
+      learnsSpeeds: this.learnsSpeeds(service),
       baseline: this.baselineOf(service),
       ...this.eventGapOf(service),
     };
@@ -60,6 +64,16 @@
     return gap && gap.count >= MIN_GAPS ? { eventGapMs: gap.usualMs } : {};
   }
 
+  /** Whether targets of a service are told apart by learned speeds. */
+  learnsSpeeds(service: string): boolean {
+    return this.telling.has(service);
+  }
+
+  /** Notes that a target of a service has told how long work takes there. */
+  onSpeedTold(service: string): void {
+    this.telling.add(service);
+  }
+
   /** Median speed of the targets of a service as this gateway sees them. */
   baselineOf(service: string): SpeedBaseline {
     return this.baselines.get(service) ?? USUAL_BASELINE;
