--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -200,7 +200,7 @@
       this.rejections,
     );
     this.sharing = new CapacitySharing({
-      config: () => this.state.config,
+      config: () => (settings.tuning.divide_capacity ? this.state.config : undefined),
       gateways: () => this.gossip.regionPeers().length + 1,
       timers,
       random,
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -37,6 +37,11 @@
    * regions in which they can't be handled, where they are refused.
    */
   directory_misdirected_share: z.number().min(0).max(1).default(0.05),
+  /**
+   * Whether the capacity of a short service is divided between customers. It protects customers from
+   * each other, and leaves some capacity unused while their demands change quickly.
+   */
+  divide_capacity: z.boolean().default(false),
   /** Limit of the request bodies that are read at the same time. */
   max_open_bodies: z.number().int().positive().default(1024),
   /** Limit of the open connections of callers, and of those of other gateways. */
