--- a/packages/core/src/routing/expected-first-byte.test.ts
+++ b/packages/core/src/routing/expected-first-byte.test.ts
@@ -254,3 +254,23 @@
   work.updatePeerWork('vm-2', { requests: 3, memoryTokens: 100 }, 1500);
   assert.equal(work.requests(1900), 3);
 });
+
+// Guards against deployments whose targets tell no speed and that are served differently than before.
+test('targets are told apart by learned speeds only where the service learns them', () => {
+  const [usual, slow] = [new TargetWork(CACHE_TOKENS), new TargetWork(CACHE_TOKENS)];
+  slow.updateLoadReport({ requests: 3, speedFactor: 4, slowness: 400, paceMs: 300 }, 1000);
+  usual.updateLoadReport({ requests: 0 }, 1000);
+  const targets = [usual, slow].map((work, index) => ({
+    id: `t${index}`,
+    failureDomain: 'north-a',
+    slots: 64,
+    work,
+    sharedPrefixCached: false,
+  }));
+  const costs = (learnsSpeeds: boolean): number[] =>
+    rankTargets(REQUEST, targets, { ...SPEED, learnsSpeeds }, 1000).map(({ costMs }) => costMs);
+  const [off = 0, alsoOff = 0] = costs(false);
+  const [on = 0, dearer = 0] = costs(true);
+  assert.equal(off, alsoOff);
+  assert.ok(dearer > on * 1.5, `${on}, ${dearer}`);
+});
