--- a/tests/stand-ins/src/users-platform/unfinished-bodies.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/unfinished-bodies.serial.test.ts
@@ -1,28 +1,14 @@
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
 import { BodyCrowd, type BodyShape } from './body-crowd.js';
-import { sendRequest, type ClientResponse } from './client-request.js';
-import { HOST, PLAIN_SERVICE, exampleConfig } from './example-config.js';
-import { GatewayProcess } from './gateway-process.js';
-import { StoreStandIn } from './store.js';
-import { TargetMode, TargetStandIn } from './target.js';
+import { HOST } from './example-config.js';
+import { MAX_BODY_BYTES, SmallGateway } from './small-gateway.js';
 
 const BASE_PORT = 29_600;
-/** Memory of a small VM; the process must stay below it. */
-const MEMORY_MB = 210;
-/** Lower than on a small VM (160), so that a small crowd is enough. */
-const HEAP_MB = 64;
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Descriptors of a gateway besides the connections of its callers. */
 const OWN_DESCRIPTORS = 100;
 /** The crowd stalls for this time before the process is looked at. */
 const STALL_MS = 3000;
-const READY_TIMEOUT_MS = 15_000;
-const POLL_MS = 100;
-const DEADLINE_MS = 10_000;
-const KB_PER_MB = 1024;
-/** Its target never answers. */
-const SILENT_SERVICE = 'silent';
 const QUEUED_CLIENTS = 40;
 const QUEUED_CHUNKS = 60_000;
 
@@ -38,54 +24,10 @@
   cleanUps = [];
 });
 
-function sendShort(gateway: GatewayProcess): Promise<ClientResponse> {
-  const req = { path: '/read/1', body: 'short', deadlineMs: DEADLINE_MS };
-  return sendRequest(gateway.callersAddress, req);
-}
-
-async function untilServing(gateway: GatewayProcess, leftMs = READY_TIMEOUT_MS): Promise<void> {
-  const res = await sendShort(gateway).catch(() => undefined);
-  if (res?.status === 200) return;
-  assert.ok(leftMs > 0 && gateway.end === undefined, `not serving: ${gateway.log.slice(-2000)}`);
-  await wait(POLL_MS);
-  await untilServing(gateway, leftMs - POLL_MS);
-}
-
-async function startGateway(basePort: number, tuning = ''): Promise<GatewayProcess> {
-  const gateway = new GatewayProcess({ basePort, memoryMb: MEMORY_MB, heapMb: HEAP_MB, tuning });
-  const store = new StoreStandIn();
-  const target = new TargetStandIn('i-1', `127.0.1.1:${basePort}`, false);
-  const silent = new TargetStandIn('i-2', `127.0.1.2:${basePort}`, false);
-  silent.mode = TargetMode.Silent;
-  cleanUps.push(
-    () => gateway.stop(),
-    () => store.close(),
-    () => target.close(),
-    () => silent.close(),
-  );
-  const route = { host: HOST, service: PLAIN_SERVICE, timeoutMs: 20_000, targetLatencyMs: 20_000 };
-  store.put(
-    'op/config',
-    exampleConfig(3, {
-      routes: [
-        { ...route, name: 'read', prefix: '/read/', kind: 'safe', maxAttempts: 1 },
-        { ...route, name: 'held', prefix: '/held/', kind: 'unsafe', service: SILENT_SERVICE },
-      ],
-      services: [{ name: PLAIN_SERVICE }, { name: SILENT_SERVICE }],
-      limits: {
-        maxHeaderBytes: 4096,
-        maxBodyBytes: MAX_BODY_BYTES,
-        headerTimeoutMs: 1000,
-        idleTimeoutMs: 5000,
-      },
-    }),
-  );
-  await Promise.all([target.listen(), silent.listen()]);
-  store.put(`servers/${silent.id}`, silent.entry(SILENT_SERVICE, 'north-a'));
-  store.put(`servers/${target.id}`, target.entry(PLAIN_SERVICE, 'north-a'));
-  await store.listen(gateway.storeAddress);
+async function startGateway(basePort: number, tuning = ''): Promise<SmallGateway> {
+  const gateway = new SmallGateway({ basePort, tuning });
+  cleanUps.push(() => gateway.close());
   await gateway.start();
-  await untilServing(gateway);
   return gateway;
 }
 
@@ -114,32 +56,30 @@
 CROWDS.forEach(({ name, clients, shape }, index) => {
   test(`${clients} unfinished bodies with ${name} leave a gateway alive and serving`, async () => {
     const gateway = await startGateway(BASE_PORT + index * 10);
-    const crowd = new BodyCrowd(gateway.callersAddress);
+    const crowd = new BodyCrowd(gateway.process.callersAddress);
     cleanUps.push(() => crowd.close());
     await crowd.send(clients, { path: '/read/1', ...shape });
     await wait(STALL_MS);
-    assert.equal(gateway.end, undefined, 'the process ended');
-    assert.ok(gateway.openDescriptors() <= clients + OWN_DESCRIPTORS);
-    const res = await sendShort(gateway);
+    gateway.assertAlive();
+    assert.ok(gateway.process.openDescriptors() <= clients + OWN_DESCRIPTORS);
+    const res = await gateway.sendShort();
     assert.equal(res.status, 200);
-    const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
-    assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+    gateway.assertWithinMemory();
   });
 });
 
 test('a single body of 4 MB in one-byte chunks is served', async () => {
   const gateway = await startGateway(BASE_PORT + CROWDS.length * 10);
   const body = '1\r\nx\r\n'.repeat(MAX_BODY_BYTES);
-  const crowd = new BodyCrowd(gateway.callersAddress);
+  const crowd = new BodyCrowd(gateway.process.callersAddress);
   cleanUps.push(() => crowd.close());
   const response = await crowd.exchange(
     `POST /read/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: whole\r\nDeadline-Ms: 20000\r\n` +
       `Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${body}0\r\n\r\n`,
   );
   assert.match(response, /^HTTP\/1\.1 200 /);
-  assert.equal(gateway.end, undefined, 'the process ended');
-  const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
-  assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+  gateway.assertAlive();
+  gateway.assertWithinMemory();
 });
 
 const MAX_CONNECTIONS = 50;
@@ -153,30 +93,29 @@
   test(`${LIMITED_CLIENTS} clients with ${name} keep within the limit of connections`, async () => {
     const tuning = `max_connections: ${MAX_CONNECTIONS}\nmax_open_bodies: ${MAX_OPEN_BODIES}\n`;
     const gateway = await startGateway(BASE_PORT + (CROWDS.length + 1 + index) * 10, tuning);
-    const crowd = new BodyCrowd(gateway.callersAddress);
+    const crowd = new BodyCrowd(gateway.process.callersAddress);
     cleanUps.push(() => crowd.close());
     const head = `POST /read/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: c\r\n`;
     const start =
       name === 'unfinished headers' ? `${head}X: y` : `${head}Content-Length: 9\r\n\r\nx`;
     await crowd.sendStart(LIMITED_CLIENTS, start);
-    const res = await sendShort(gateway);
+    const res = await gateway.sendShort();
     assert.equal(res.status, 200);
-    assert.equal(gateway.end, undefined, 'the process ended');
-    assert.ok(gateway.openDescriptors() <= MAX_CONNECTIONS + OWN_DESCRIPTORS);
+    gateway.assertAlive();
+    assert.ok(gateway.process.openDescriptors() <= MAX_CONNECTIONS + OWN_DESCRIPTORS);
   });
 });
 
 // Guards against tiny chunks that are queued while the response to their request waits for its turn.
 test('requests that are refused behind one in flight hold no memory', async () => {
   const gateway = await startGateway(BASE_PORT + (CROWDS.length + 3) * 10);
-  const crowd = new BodyCrowd(gateway.callersAddress);
+  const crowd = new BodyCrowd(gateway.process.callersAddress);
   cleanUps.push(() => crowd.close());
   const first = `POST /held/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: a\r\nDeadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nx`;
   const refused = `POST /read/2 HTTP/1.1\r\nHost: ${HOST}\r\nTransfer-Encoding: chunked\r\n\r\n`;
   await crowd.sendStart(QUEUED_CLIENTS, first + refused + '1\r\nx\r\n'.repeat(QUEUED_CHUNKS));
   await wait(STALL_MS);
-  assert.equal(gateway.end, undefined, 'the process ended');
-  assert.equal((await sendShort(gateway)).status, 200);
-  const peakMb = gateway.peakMemoryKb() / KB_PER_MB;
-  assert.ok(peakMb <= MEMORY_MB, `peak memory of ${peakMb.toFixed(0)} MB`);
+  gateway.assertAlive();
+  assert.equal((await gateway.sendShort()).status, 200);
+  gateway.assertWithinMemory();
 });
