--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -228,6 +228,11 @@
     return this.inFlight;
   }
 
+  /** Bytes of the request bodies that are held or announced. */
+  get heldBodyBytes(): number {
+    return this.bodyMemory.heldBytes;
+  }
+
   async start(): Promise<void> {
     await Promise.all([this.callerListener.listen(), this.forwardListener.listen()]);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
   AdminTask,
   BodyMemory,
   HttpClient,
+  MemoryWatch,
   probeConnection,
   type Logger,
   type Metrics,
@@ -125,6 +126,8 @@
 
   private readonly shutdown: GracefulShutdown;
 
+  private readonly memoryWatch: MemoryWatch;
+
   private isListening = false;
 
   constructor(private readonly deps: GatewayDeps) {
@@ -213,6 +216,7 @@
     );
     const reportPoller = this.createReportPoller(httpClient);
     this.restarts = this.createRestartCheck(reportPoller);
+    const responseMemory = new BodyMemory(settings.maxResponseMemoryBytes);
     const executor = new RequestExecutor({
       settings,
       state: this.state,
@@ -228,7 +232,7 @@
       random,
       metrics,
       log: log.child('request'),
-      responseMemory: new BodyMemory(settings.maxResponseMemoryBytes),
+      responseMemory,
     });
     this.quota = new QuotaTask({
       settings,
@@ -263,6 +267,16 @@
       metrics,
       log: log.child('callers'),
     });
+    this.memoryWatch = new MemoryWatch({
+      limitBytes: settings.memoryBytes,
+      held: {
+        request_bodies: () => this.callers.heldBodyBytes,
+        responses: () => responseMemory.heldBytes,
+      },
+      timers,
+      metrics: deps.metrics,
+      log: log.child('memory'),
+    });
     this.shutdown = this.createShutdown();
     this.tasks = [
       this.callers,
@@ -298,6 +312,7 @@
     // The listeners open first, so that early requests get a refusal instead of a connection reset.
     await Promise.all(this.tasks.map((task) => task.start()));
     this.isListening = true;
+    this.memoryWatch.start();
     await this.watch.start();
     // The gateway serves requests even while the metrics listener can't open.
     this.admin
