--- a/packages/runtime/src/http/collect-body.ts
+++ b/packages/runtime/src/http/collect-body.ts
@@ -45,10 +45,12 @@
   const blocks = new BodyBlocks(announced === undefined ? Infinity : announcedBytes);
   let pieces = 0;
   let size = 0;
-  let settled = false;
+  // The listeners stay as long as the message, and must not keep its body in memory with the result.
+  let deliver: ((result: CollectResult) => void) | undefined = onResult;
   const finish = (result: CollectResult): void => {
-    if (settled) return;
-    settled = true;
+    if (!deliver) return;
+    const settle = deliver;
+    deliver = undefined;
     bodyPacer.remove(msg);
     blocks.clear();
     if (result.kind === 'complete') allocation?.settle(result.body.length);
@@ -56,10 +58,10 @@
       allocation?.release();
       holdReading(msg);
     }
-    onResult(result);
+    settle(result);
   };
   const onData = (piece: Buffer): void => {
-    if (settled) return;
+    if (!deliver) return;
     size += piece.length;
     if (size > maxBytes) {
       finish({ kind: 'too-large' });
--- a/packages/runtime/src/http/pipeline.ts
+++ b/packages/runtime/src/http/pipeline.ts
@@ -11,9 +11,15 @@
 export class Pipeline {
   private readonly open = new Set<ServerResponse>();
 
-  /** Response to the latest request, the only one that may announce the close. */
+  /**
+   * Response to the latest request, the only one that may announce the close. It is forgotten once it has
+   * closed, as it would keep its request in memory for as long as the connection is open.
+   */
   private last: ServerResponse | undefined;
 
+  /** Whether a response that has closed told its client that the connection closes after it. */
+  private closed = false;
+
   /** Whether no further request of the connection is handled. */
   private ended = false;
 
@@ -31,7 +37,7 @@
 
   /** Whether a response was begun that closes the connection. */
   get isClosing(): boolean {
-    return this.last !== undefined && closesConnection(this.last);
+    return this.closed || (this.last !== undefined && closesConnection(this.last));
   }
 
   /** Only the latest request may not have been read to its end. */
@@ -52,6 +58,10 @@
 
   remove(res: ServerResponse): void {
     this.open.delete(res);
+    if (res === this.last) {
+      this.closed = closesConnection(res);
+      this.last = undefined;
+    }
     if (this.hasPending) return;
     if (!this.isClosing) this.onEmpty?.();
     this.onEmpty = undefined;
