--- a/packages/control/src/testing/daemon-fixture.ts
+++ b/packages/control/src/testing/daemon-fixture.ts
@@ -1,4 +1,5 @@
 /** Starts control daemons in the test process and builds their inputs. */
+import net from 'node:net';
 import {
   MessageAuthenticator,
   RpcClient,
@@ -6,7 +7,6 @@
   silentLogger,
 } from '@marjoramcart/runtime';
 import type { EntrySyncParams, ProcessRef, VmRecord } from '@marjoramcart/core';
-import { serve } from './fake-server.js';
 import { createControlDaemon, type ControlDaemon } from '../daemon.js';
 
 export const FLEET_SECRET = 'a-shared-fleet-secret';
@@ -26,11 +26,25 @@
   - { id: c1, key: 0123456789abcdef0123456789abcdef, class: standard }
 `;
 
+/** Below the ports that the operating system gives to outgoing connections, of which one could take a free port. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 2000;
+const usedPorts = new Set<number>();
+
 /** A free loopback address; daemons advertise the port of their settings, so it must not be 0. */
 export async function freeAddress(): Promise<string> {
-  const { address, close } = await serve(() => {});
-  close();
-  return address;
+  const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+  if (usedPorts.has(port) || !(await isFree(port))) return freeAddress();
+  usedPorts.add(port);
+  return `127.0.0.1:${port}`;
+}
+
+function isFree(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
 
 export interface DaemonOptions {
