--- a/packages/core/src/membership/gateway-table.test.ts
+++ b/packages/core/src/membership/gateway-table.test.ts
@@ -186,3 +186,44 @@
   table.mergeRecord(record(1, { heartbeat: 3, cutOff: false }), 10);
   assert.equal(isCutOff(), false);
 });
+
+// Guards against an old sign, or a record sent before it, that takes back what is known of a gateway's reach.
+test('of what is told about the reach of a gateway the latest change counts, whatever arrives last', () => {
+  const table = new GatewayTable('vm-0');
+  const processId = processIdOf(record(1));
+  const isCutOff = (): boolean => table.get('vm-1')?.cutOff ?? false;
+  table.mergeRecord(record(1), 0);
+  assert.equal(table.mergeReach({ processId, changes: 1 }, 10), true);
+  assert.equal(isCutOff(), true);
+  // Sent before the change, with a newer heartbeat than the one that is known.
+  table.mergeRecord(record(1, { heartbeat: 5 }), 20);
+  assert.equal(isCutOff(), true);
+  table.mergeRecord(record(1, { heartbeat: 9, cutOff: false, reachChanges: 2 }), 30);
+  assert.equal(isCutOff(), false);
+  assert.equal(table.mergeReach({ processId, changes: 1 }, 40), false);
+  assert.equal(isCutOff(), false);
+  table.mergeRecord(record(1, { heartbeat: 10, cutOff: true, reachChanges: 255 }), 50);
+  assert.equal(table.mergeReach({ processId, changes: 0 }, 60), true);
+  assert.equal(isCutOff(), false);
+  assert.equal(table.mergeReach({ processId, changes: 254 }, 70), false);
+  // Another process of the same gateway begins anew.
+  table.mergeRecord(record(1, { bootAt: 2000 }), 80);
+  assert.equal(table.mergeReach({ processId, changes: 1 }, 90), false);
+  assert.equal(isCutOff(), false);
+});
+
+// Guards against messages that grow with the number of gateways that have lost their targets.
+test('recent changes of reach are relayed first, and no more than fit', () => {
+  const table = new GatewayTable('vm-0');
+  Array.from({ length: 60 }, (_, index) => record(index + 1)).forEach((gateway) => {
+    table.mergeRecord(gateway, 0);
+    table.mergeReach({ processId: processIdOf(gateway), changes: 1 }, 0);
+  });
+  const recent = record(61);
+  table.mergeRecord(recent, 8000);
+  table.mergeReach({ processId: processIdOf(recent), changes: 1 }, 8000);
+  const signs = table.reachSigns(32, 4, seededRandom(1), 9000);
+  assert.deepEqual(signs[0], { processId: processIdOf(recent), changes: 1 });
+  assert.equal(signs.length, 5);
+  assert.equal(table.reachSigns(32, 4, seededRandom(1), 100).length, 32);
+});
--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -2,6 +2,7 @@
  * Gateways known by gossip. Only a gateway itself increments the heartbeat counter in its record.
  * It counts as alive while newer heartbeats arrive.
  */
+import { sampleItems, type RandomSource } from '../random-source.js';
 import { hashOf } from '../rendezvous.js';
 import type { RegionWork } from '../routing/region-choice.js';
 
@@ -36,6 +37,22 @@
   readonly era?: number;
   /** Whether it reaches no target of its region; gateways of the previous release don't tell it. */
   readonly cutOff?: boolean;
+  /**
+   * How often the process has lost its targets or reached them again, which orders what is told of it.
+   * Gateways of the previous release don't tell it.
+   */
+  readonly reachChanges?: number;
+}
+
+/**
+ * Whether a gateway reaches its targets, as gateways relay it to each other. Records are rarely relayed, so
+ * that most gateways of other regions would learn of a change late.
+ */
+export interface ReachSign {
+  /** See `processIdOf`. */
+  readonly processId: number;
+  /** Count of the changes so far, modulo `REACH_MODULUS`; odd if the gateway is cut off. */
+  readonly changes: number;
 }
 
 /** A sign of life that gateways relay to each other. */
@@ -77,6 +94,8 @@
   leavingAt: number | undefined;
   /** When the gateway sent its last known heartbeat, monotonic ms. */
   lastHeartbeatAt: number;
+  /** When it became known that the process has lost its targets or reaches them again, monotonic ms. */
+  reachChangedAt: number;
 }
 
 /** Time without a heartbeat after which a gateway of a small fleet counts as lost. */
@@ -90,6 +109,10 @@
 const ALIVE_LIFETIME_MS = 100;
 const MAX_GATEWAYS = 2000;
 const PHASES = Object.values(GatewayPhase);
+/** Changes of reach are relayed first for this time after they became known. */
+const REACH_RELAY_MS = 5000;
+/** Counts of changes of reach are told modulo this number; one that is less than half ahead is newer. */
+export const REACH_MODULUS = 256;
 
 /** Process ids have 24 bits. Beats of a second process with the same id count for the first one. */
 const PROCESS_IDS = 2 ** 24;
@@ -132,16 +155,22 @@
       this.processes.set(processId, { node: record.node, at: now });
     if (known && !isNewer(record, known.record)) return false;
     if (!known && this.known.size >= MAX_GATEWAYS) return false;
+    const before = known?.processId === processId ? known : undefined;
+    const merged = before ? withNewerReach(record, before.record) : record;
     const changesChoices =
-      known?.processId !== processId ||
-      known.record.phase !== record.phase ||
-      known.record.cutOff !== record.cutOff;
+      !before || before.record.phase !== record.phase || before.record.cutOff !== merged.cutOff;
     const sentAt = now - ageMs;
-    const lastHeartbeatAt =
-      known?.processId === processId ? Math.max(sentAt, known.lastHeartbeatAt) : sentAt;
-    const before = known?.processId === processId ? known.leavingAt : undefined;
-    const leavingAt = isLeaving(record.phase) ? (before ?? now) : undefined;
-    this.known.set(record.node, { processId, record, leavingAt, lastHeartbeatAt });
+    const lastHeartbeatAt = Math.max(sentAt, before?.lastHeartbeatAt ?? sentAt);
+    const leavingAt = isLeaving(record.phase) ? (before?.leavingAt ?? now) : undefined;
+    const isSameReach = (before?.record.reachChanges ?? 0) === (merged.reachChanges ?? 0);
+    const reachChangedAt = before && !isSameReach ? now : (before?.reachChangedAt ?? -Infinity);
+    this.known.set(record.node, {
+      processId,
+      record: merged,
+      leavingAt,
+      lastHeartbeatAt,
+      reachChangedAt,
+    });
     if (changesChoices) this.clearCache();
     return true;
   }
@@ -163,6 +192,50 @@
     return BeatResult.Newer;
   }
 
+  /**
+   * Stores whether a process reaches its targets; returns whether that was news.
+   *
+   * @example table.mergeReach({ processId: 7, changes: 1 }, now) // the gateway is cut off
+   */
+  mergeReach({ processId, changes }: ReachSign, now: number): boolean {
+    const known = this.gatewayOf(processId);
+    if (!known) return false;
+    const { reachChanges: before = 0 } = known.record;
+    const ahead = (changes - (before % REACH_MODULUS) + REACH_MODULUS) % REACH_MODULUS;
+    if (ahead === 0 || ahead >= REACH_MODULUS / 2) return false;
+    const reachChanges = before + ahead;
+    known.record = { ...known.record, reachChanges, cutOff: isOdd(reachChanges) };
+    known.reachChangedAt = now;
+    this.clearCache();
+    return true;
+  }
+
+  /**
+   * What is relayed about the reach of gateways: recent changes, and some of the earlier ones, which
+   * gateways may have missed.
+   *
+   * @param maxRecent limit of the recent changes
+   * @param maxEarlier limit of the others
+   */
+  reachSigns(
+    maxRecent: number,
+    maxEarlier: number,
+    random: RandomSource,
+    now: number,
+  ): readonly ReachSign[] {
+    const changed = [...this.known.values()].filter(({ record }) => (record.reachChanges ?? 0) > 0);
+    const isRecent = ({ reachChangedAt }: KnownGateway): boolean =>
+      now - reachChangedAt < REACH_RELAY_MS;
+    const earlier = changed.filter((known) => !isRecent(known));
+    return [
+      ...sampleItems(changed.filter(isRecent), maxRecent, random),
+      ...sampleItems(earlier, maxEarlier, random),
+    ].map(({ processId, record }) => ({
+      processId,
+      changes: (record.reachChanges ?? 0) % REACH_MODULUS,
+    }));
+  }
+
   /** Stores the load of a region, unless a newer summary is known. */
   mergeSummary({ region, work, ageMs }: RegionSummary, now: number): void {
     const at = now - ageMs;
@@ -289,6 +362,17 @@
   return a.node === b.node && a.bootAt === b.bootAt;
 }
 
+/** The record with what is known of its reach, if that is newer. */
+function withNewerReach(record: GatewayRecord, known: GatewayRecord): GatewayRecord {
+  const { reachChanges = 0, cutOff = false } = known;
+  if ((record.reachChanges ?? 0) >= reachChanges) return record;
+  return { ...record, reachChanges, cutOff };
+}
+
+function isOdd(count: number): boolean {
+  return count % 2 === 1;
+}
+
 function isNewer(a: GatewayRecord, b: GatewayRecord): boolean {
   return a.bootAt > b.bootAt || (a.bootAt === b.bootAt && a.heartbeat > b.heartbeat);
 }
--- a/packages/gateway/src/peers/gossip-fleet.test.ts
+++ b/packages/gateway/src/peers/gossip-fleet.test.ts
@@ -20,6 +20,8 @@
 const DISCOVERY_MS = 3000;
 /** Bound of the platform for a dead gateway in the directory of a fleet of this size. */
 const DEATH_BOUND_MS = 9000;
+/** Bound in which all gateways have to know that others are cut off from their targets. */
+const REACH_BOUND_MS = 3000;
 const NEWCOMERS_AFTER_MS = 5000;
 const HIGH_LOSS = 0.2;
 /** Time after a change of the loss, and time for which a fleet is observed. */
@@ -46,6 +48,9 @@
   /** How often gateways summed up or stored the load that each one puts on targets. */
   targetWorkReads = 0;
 
+  /** Regions whose gateways reach none of their targets. */
+  readonly cutOffRegions = new Set<string>();
+
   private readonly regionOf = new Map<string, string>();
 
   readonly network: LossyNetwork;
@@ -106,6 +111,27 @@
     return Math.min(...[...this.gossips.values()].map((gossip) => this.knownTo(gossip).size));
   }
 
+  /** Tells all other gateways at once, as a gateway does when its links are lost or return. */
+  announceRegion(region: string): void {
+    [...this.gossips]
+      .filter(([node]) => this.regionOfNode(node) === region)
+      .forEach(([, gossip]) => gossip.announce());
+  }
+
+  /** Number of pairs in which a gateway of another region is wrong about whether one is cut off. */
+  wrongAboutRegion(region: string): number {
+    const expected = this.cutOffRegions.has(region);
+    const members = [...this.gossips.keys()].filter((node) => this.regionOfNode(node) === region);
+    return [...this.gossips]
+      .filter(([node]) => this.regionOfNode(node) !== region)
+      .flatMap(([, { table }]) => members.map((node) => table.get(node)?.cutOff ?? false))
+      .filter((cutOff) => cutOff !== expected).length;
+  }
+
+  private regionOfNode(node: string): string {
+    return regionName(Number(node.split('-').at(-1)), this.size.regions);
+  }
+
   bytesSent(): number {
     return [...this.gossips.values()].reduce((sum, { traffic }) => sum + traffic, 0);
   }
@@ -130,7 +156,7 @@
         configVersion: 3,
         revision: 100,
         era: 1,
-        cutOff: false,
+        cutOff: this.cutOffRegions.has(settings.region),
         regionWork: { 'marjoram-llm': { ...work, ...memory }, 'crew-app': { ...work, ...memory } },
         targetWork: () => {
           this.targetWorkReads += 1;
@@ -206,6 +232,30 @@
   assert.equal(fleet.fewestKnown(), 389);
 });
 
+SIZES.forEach((size) => {
+  const { gateways, regions } = size;
+  // Guards against gateways of other regions that go on sending requests to gateways that reach no target, or
+  // none any more to those that have reached theirs again.
+  test(`${gateways} gateways of ${regions} regions know within 3 s that a region is cut off, and its return`, async () => {
+    const fleet = new GossipFleet(size);
+    fleet.add(0, gateways);
+    await fleet.run(START_SPREAD_MS + DISCOVERY_MS);
+    const region = regionName(1, regions);
+    fleet.cutOffRegions.add(region);
+    fleet.announceRegion(region);
+    await fleet.run(REACH_BOUND_MS);
+    assert.equal(fleet.wrongAboutRegion(region), 0);
+    const before = fleet.bytesSent();
+    await fleet.run(OBSERVED_MS);
+    const bytesPerS = ((fleet.bytesSent() - before) / gateways / OBSERVED_MS) * 1000;
+    assert.ok(bytesPerS <= MAX_BYTES_PER_S, `${Math.round(bytesPerS)} bytes per second`);
+    fleet.cutOffRegions.delete(region);
+    fleet.announceRegion(region);
+    await fleet.run(REACH_BOUND_MS);
+    assert.equal(fleet.wrongAboutRegion(region), 0);
+  });
+});
+
 // Guards against dead gateways that stay in the directory for longer than the platform allows.
 test('gateways that die while others start are known as lost within 9 s, with a fifth of the datagrams lost', async () => {
   const fleet = new GossipFleet({ gateways: 66, regions: 3 });
--- a/packages/gateway/src/peers/gossip-message.ts
+++ b/packages/gateway/src/peers/gossip-message.ts
@@ -6,6 +6,7 @@
   type GatewayRecord,
   type HostUsageRow,
   type PeerWork,
+  type ReachSign,
   type RegionSummary,
   type RelayedRecord,
   type RegionWork,
@@ -20,7 +21,14 @@
   type DemandWireRow,
 } from '../sharing/packed-demand.js';
 import { encodeNotification, type Notification } from './notification.js';
-import { packBeats, packProcessIds, unpackBeats, unpackProcessIds } from './packed-beats.js';
+import {
+  packBeats,
+  packProcessIds,
+  packReachSigns,
+  unpackBeats,
+  unpackProcessIds,
+  unpackReachSigns,
+} from './packed-beats.js';
 import {
   fromLeavingWireRow,
   fromLimitWireRow,
@@ -50,6 +58,8 @@
   readonly others: readonly RelayedRecord[];
   /** Signs of life of further gateways, which the receiver applies if it has their records. */
   readonly beats: readonly GatewayBeat[];
+  /** Whether further gateways reach their targets, where that has changed. */
+  readonly reach: readonly ReachSign[];
   /**
    * Set while the sender is still discovering gateways: asks for the beats of a part of those that the
    * receiver knows. Numbered, so that a few messages ask for all.
@@ -81,12 +91,18 @@
   readonly echo?: { readonly sentAt: number; readonly heldMs: number };
 }
 
-/** The previous release reads no era and not whether the gateway is cut off. */
-type RecordRow = readonly [...OwnRow, ageMs?: number, era?: number | null, cutOff?: 0 | 1];
+/** Earlier releases read neither the era, nor whether the gateway is cut off, nor how often that changed. */
+type RecordRow = readonly [
+  ...OwnRow,
+  ageMs?: number,
+  era?: number | null,
+  cutOff?: 0 | 1,
+  reachChanges?: number,
+];
 
 /**
- * A record; in `RecordRow`, its age follows, ms, which is 0 in the sender's own record, the era, and 1 if
- * the gateway reaches no target.
+ * A record; in `RecordRow`, its age follows, ms, which is 0 in the sender's own record, the era, 1 if the
+ * gateway reaches no target, and how often that has changed.
  */
 type OwnRow = readonly [
   node: string,
@@ -117,6 +133,8 @@
   readonly o: readonly RecordRow[];
   /** Beats; see `packBeats`. */
   readonly h?: string;
+  /** Reach of gateways; see `packReachSigns`. */
+  readonly x?: string;
   readonly p?: number;
   /** Process ids of the wanted records. */
   readonly u?: string;
@@ -147,6 +165,7 @@
 const AGE_INDEX = 10;
 const ERA_INDEX = 11;
 const CUT_OFF_INDEX = 12;
+const REACH_CHANGES_INDEX = 13;
 /** Assumed age of a record that was sent without one, by a gateway of the previous release. */
 const UNKNOWN_AGE_MS = 1500;
 const MS_PER_S = 1000;
@@ -158,6 +177,7 @@
     f: toRow(message.from, toWorkRows(message.work), 0),
     o: message.others.map(({ record, ageMs }) => toRow(record, {}, Math.ceil(ageMs))),
     ...(message.beats.length > 0 ? { h: packBeats(message.beats) } : {}),
+    ...(message.reach.length > 0 ? { x: packReachSigns(message.reach) } : {}),
     ...(message.pull === undefined ? {} : { p: message.pull }),
     ...(message.wanted.length > 0 ? { u: packProcessIds(message.wanted) } : {}),
     ...(message.summaries.length > 0 ? { g: message.summaries.map(toSummaryRow) } : {}),
@@ -195,6 +215,7 @@
     o,
     h = '',
     u = '',
+    x = '',
     p,
     g = [],
     w,
@@ -213,6 +234,7 @@
     from: fromRow(f),
     others: o.map((row) => ({ record: fromRow(row), ageMs: row[AGE_INDEX] ?? UNKNOWN_AGE_MS })),
     beats: unpackBeats(h),
+    reach: unpackReachSigns(x),
     ...(p === undefined ? {} : { pull: p }),
     wanted: unpackProcessIds(u),
     work: fromWorkRows(f[WORK_INDEX]),
@@ -252,6 +274,7 @@
     ageMs,
     record.era ?? null,
     record.cutOff ? 1 : 0,
+    ...(record.reachChanges ? ([record.reachChanges] as const) : ([] as const)),
   ];
 }
 
@@ -293,6 +316,7 @@
 function fromRow(row: RecordRow): GatewayRecord {
   const [node, bootAt, heartbeat, phase, region, failureDomain, ip, configVersion, revision] = row;
   const era = readEra(row[ERA_INDEX]);
+  const reachChanges = row[REACH_CHANGES_INDEX];
   return {
     node,
     bootAt,
@@ -305,6 +329,7 @@
     revision,
     ...(era === undefined ? {} : { era }),
     ...(row[CUT_OFF_INDEX] === 1 ? { cutOff: true } : {}),
+    ...(reachChanges === undefined ? {} : { reachChanges }),
   };
 }
 
--- a/packages/gateway/src/peers/gossip-task.ts
+++ b/packages/gateway/src/peers/gossip-task.ts
@@ -24,6 +24,7 @@
   type PeerWork,
   type QuotaMessage,
   type RandomSource,
+  type ReachSign,
   type RegionSummary,
   type RelayedRecord,
   type SuspectRow,
@@ -70,6 +71,9 @@
 const MAX_RECORDS = 12;
 /** Beats of other gateways in a message. */
 const MAX_BEATS = 92;
+/** Recent changes of the reach of other gateways in a message, and earlier ones. */
+const MAX_RECENT_REACH_SIGNS = 32;
+const MAX_EARLIER_REACH_SIGNS = 4;
 /** Age up to which gateways are told to those that are discovering; ages above can't be sent. */
 const MAX_DISCOVERY_AGE_MS = 6300;
 /** Expected number of beats in the response to a message that asks for a part of the gateways. */
@@ -190,6 +194,9 @@
 
   private heartbeat = 0;
 
+  /** How often this gateway lost its targets or reached them again; odd while it is cut off. */
+  private reachChanges = 0;
+
   /** Starts at a random value, so that gateways that start together ask different seeds. */
   private ticks: number;
 
@@ -415,6 +422,7 @@
       demands,
       ...state
     } = this.localState();
+    if (state.cutOff !== (this.reachChanges % 2 === 1)) this.reachChanges += 1;
     const last = to ? this.lastFrom.get(to.node) : undefined;
     const toRegion = to?.region === region;
     const datagram = encodeGossip({
@@ -426,10 +434,12 @@
         failureDomain,
         ip: this.settings.ip,
         ...state,
+        reachChanges: this.reachChanges,
       },
       others: this.recordsFor(records, now),
       wanted: [],
       beats: this.beatsFor(to, beats, now),
+      reach: beats > 0 ? this.reachSigns(now) : [],
       ...content,
       ...this.nextPull(beats > 0 && records === 0, now),
       // The gateways of the region know its load themselves.
@@ -467,6 +477,10 @@
     );
   }
 
+  private reachSigns(now: number): readonly ReachSign[] {
+    return this.table.reachSigns(MAX_RECENT_REACH_SIGNS, MAX_EARLIER_REACH_SIGNS, this.random, now);
+  }
+
   private recordsFor(count: number, now: number): RelayedRecord[] {
     if (count === 0) return [];
     return sampleItems(this.table.recent(now, MAX_DISCOVERY_AGE_MS), count, this.random).map(
@@ -553,6 +567,7 @@
       .map((beat) => ({ ...beat, ageMs: beat.ageMs + transitMs }))
       .filter((beat) => this.table.mergeBeat(beat, now) === BeatResult.Unknown)
       .map(({ processId }) => processId);
+    message.reach.forEach((sign) => this.table.mergeReach(sign, now));
     this.listener.onSuspects(message.suspects);
     const inRegion = from.region === this.settings.region;
     if (inRegion && this.isSmallRegion()) {
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -208,7 +208,11 @@
   };
   const message: GossipMessage = {
     from,
-    others: [{ record: { ...from, node: 'vm-2', cutOff: true }, ageMs: 1200 }],
+    others: [{ record: { ...from, node: 'vm-2', cutOff: true, reachChanges: 301 }, ageMs: 1200 }],
+    reach: [
+      { processId: 0xff_ff_fe, changes: 255 },
+      { processId: 2, changes: 0 },
+    ],
     beats: [
       { processId: 0xff_ff_ff, phase: GatewayPhase.Ready, ageMs: 6300 },
       { processId: 1, phase: GatewayPhase.Closing, ageMs: 0 },
--- a/packages/gateway/src/peers/packed-beats.ts
+++ b/packages/gateway/src/peers/packed-beats.ts
@@ -1,5 +1,5 @@
 /** Compact text form of beats and process ids; beats of a large fleet have to fit into one packet. */
-import { GatewayPhase, type GatewayBeat } from '@marjoramcart/core';
+import { GatewayPhase, type GatewayBeat, type ReachSign } from '@marjoramcart/core';
 
 /** A beat has no code of its own for a gateway that finishes; its record says that it does. */
 const PHASES = [
@@ -9,6 +9,8 @@
   GatewayPhase.Closing,
 ] as const;
 const ID_BYTES = 3;
+/** Process id, and a byte with the count of changes. */
+const REACH_BYTES = 4;
 /** Process id, and a byte with the age and the phase. */
 const BEAT_BYTES = 4;
 /** Unit in which ages are sent, ms, and the largest number of units. */
@@ -50,6 +52,26 @@
   });
 }
 
+/** @example packReachSigns([{ processId: 1, changes: 1 }]) // 'AAABAQ==' */
+export function packReachSigns(signs: readonly ReachSign[]): string {
+  const bytes = Buffer.alloc(signs.length * REACH_BYTES);
+  signs.forEach(({ processId, changes }, index) => {
+    const start = index * REACH_BYTES;
+    bytes.writeUIntBE(processId, start, ID_BYTES);
+    bytes.writeUInt8(changes, start + ID_BYTES);
+  });
+  return bytes.toString('base64');
+}
+
+/** Bytes after the last whole sign are ignored. */
+export function unpackReachSigns(text: string): ReachSign[] {
+  const bytes = Buffer.from(text, 'base64');
+  return Array.from({ length: Math.floor(bytes.length / REACH_BYTES) }, (_, index) => ({
+    processId: bytes.readUIntBE(index * REACH_BYTES, ID_BYTES),
+    changes: bytes.readUInt8(index * REACH_BYTES + ID_BYTES),
+  }));
+}
+
 /** @example packProcessIds([1]) // 'AAAB' */
 export function packProcessIds(ids: readonly number[]): string {
   const bytes = Buffer.alloc(ids.length * ID_BYTES);
