--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -11,6 +11,7 @@
 export * from './route-table.js';
 export * from './region-usage.js';
 export * from './route-usage.js';
+export * from './rate-sharers.js';
 export * from './rate-shares.js';
 export * from './rejection-limits.js';
 export * from './rejection-room.js';
--- a/packages/core/src/membership/gateway-table.ts
+++ b/packages/core/src/membership/gateway-table.ts
@@ -163,7 +163,7 @@
     const lastHeartbeatAt = Math.max(sentAt, before?.lastHeartbeatAt ?? sentAt);
     const leavingAt = isLeaving(record.phase) ? (before?.leavingAt ?? now) : undefined;
     const isSameReach = (before?.record.reachChanges ?? 0) === (merged.reachChanges ?? 0);
-    const reachChangedAt = before && !isSameReach ? now : (before?.reachChangedAt ?? -Infinity);
+    const reachChangedAt = isSameReach ? (before?.reachChangedAt ?? -Infinity) : now;
     this.known.set(record.node, {
       processId,
       record: merged,
@@ -308,6 +308,16 @@
     return known?.processId === processId ? known : undefined;
   }
 
+  /**
+   * For how long a live gateway has been known to reach no target, ms; 0 if it is not known to. One of an earlier
+   * release tells no order of its changes, and counts as reaching its targets here.
+   */
+  cutOffForMs(node: string, now: number): number {
+    const known = this.known.get(node);
+    if (!known || !isOdd(known.record.reachChanges ?? 0) || !this.isAlive(node, now)) return 0;
+    return now - known.reachChangedAt;
+  }
+
   /** Time since a gateway sent its last known heartbeat in ms; Infinity for an unknown one. */
   ageMs(node: string, now: number): number {
     const known = this.known.get(node);
--- a/packages/gateway/src/reach/reach-watch.ts
+++ b/packages/gateway/src/reach/reach-watch.ts
@@ -7,6 +7,7 @@
   ProbeVerdict,
   chooseProbed,
   verdictOf,
+  type OwnReach,
   type RandomSource,
   type TargetRecord,
 } from '@marjoramcart/core';
@@ -51,6 +52,8 @@
 
   private lostAt: number | undefined;
 
+  private cut: OwnReach['lastCut'];
+
   private running: Promise<void> | undefined;
 
   /** Targets of the last probe. */
@@ -68,6 +71,11 @@
     return this.lostAt !== undefined;
   }
 
+  /** End of the last cut, monotonic ms, and its duration; undefined if there was none. */
+  get lastCut(): OwnReach['lastCut'] {
+    return this.cut;
+  }
+
   start(): Promise<void> {
     this.unsubscribe = this.deps.timers.every(TICK_MS, () => this.tick());
     return Promise.resolve();
@@ -168,7 +176,9 @@
         ms: Math.round(tookMs),
       });
     } else {
-      log.info('targets can be reached again', { lost_ms: Math.round(now - (this.lostAt ?? now)) });
+      const durationMs = now - (this.lostAt ?? now);
+      this.cut = { endedAt: now, durationMs };
+      log.info('targets can be reached again', { lost_ms: Math.round(durationMs) });
     }
     this.lostAt = isCutOff ? now : undefined;
     onChange(isCutOff);
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -14,6 +14,7 @@
   sharedPrefixTokens,
   rankWithRemoteRegions,
   PromptSizes,
+  RateSharers,
   RateShares,
   requestsWithinLimit,
   SharedRateLimiter,
@@ -115,6 +116,8 @@
 
   private readonly limitLimiter: SharedRateLimiter;
 
+  private readonly sharers: RateSharers;
+
   private readonly coldShares: RateShares;
 
   private readonly limitShares: RateShares;
@@ -139,7 +142,7 @@
     private readonly gossip: Pick<GossipTask, 'table' | 'regionPeers' | 'roster' | 'roundTripMs'>,
     private readonly timers: TimerService,
     private readonly random: RandomSource,
-    private readonly reach: Pick<ReachWatch, 'isCutOff'>,
+    private readonly reach: Pick<ReachWatch, 'isCutOff' | 'lastCut'>,
     readonly rejections: RejectionGuard,
   ) {
     this.speeds = new ServiceSpeeds(settings.tuning);
@@ -152,10 +155,16 @@
       startedAt: timers.now(),
       paced: true,
     });
-    this.coldShares = new RateShares(settings.node, gossip.roster, {
+    this.sharers = new RateSharers({
+      roster: gossip.roster,
+      table: gossip.table,
+      reach: () => reach,
+      now: () => timers.now(),
+    });
+    this.coldShares = new RateShares(settings.node, this.sharers, {
       spareGateways: SPARE_GATEWAYS,
     });
-    this.limitShares = new RateShares(settings.node, gossip.roster, {
+    this.limitShares = new RateShares(settings.node, this.sharers, {
       spareGateways: 0,
       dividesRest: true,
     });
@@ -487,7 +496,7 @@
       bornAt: entry.record.bornAt,
       recordAgeMs: now - entry.recordReceivedAt,
       allowance: coldForMs > 0 ? this.coldAllowanceOf(entry, rate) : undefined,
-      gateways: this.gossip.roster.size,
+      gateways: this.sharers.size,
     };
   }
 
@@ -500,7 +509,7 @@
       requestsPerS,
       ageMs: this.state.rateLimitAgeMs(entry) ?? 0,
       share: this.limitShareOf(id, requestsPerS),
-      gateways: this.gossip.roster.size,
+      gateways: this.sharers.size,
     };
   }
 
@@ -536,8 +545,7 @@
   }
 
   private limitShareOf(target: string, requestsPerS: number): number {
-    const { roster } = this.gossip;
-    if (!roster.isComplete(this.timers.now())) return 0;
+    if (!this.sharers.mayUseShare()) return 0;
     return this.limitShares.of(target, requestsWithinLimit(requestsPerS));
   }
 
@@ -546,9 +554,8 @@
   }
 
   private coldAllowanceOf({ record }: TargetEntry, rate: number): number {
-    const { roster } = this.gossip;
     // Gateways that divide the rate by different rosters would exceed it together.
-    if (!roster.isComplete(this.timers.now())) return 0;
+    if (!this.sharers.mayUseShare()) return 0;
     const { factor, slack } = this.settings.coldRateLimit;
     return this.coldShares.of(record.id, rate * factor + slack);
   }
