--- a/packages/entry/src/dispatch/target-exchange.ts
+++ b/packages/entry/src/dispatch/target-exchange.ts
@@ -164,7 +164,7 @@
     );
     if (sent.kind !== 'answer') return broken;
     if (sent.res.statusCode !== 200 || !isEventStream(sent.res)) {
-      discardResponse(sent.res, this.timers);
+      discardResponse(sent, this.timers);
       return broken;
     }
     const result = await relayStream(sent.res, ctx);
@@ -188,7 +188,7 @@
       () => true,
       AbortSignal.timeout(CANCEL_TIMEOUT_MS),
     );
-    if (sent.kind === 'answer') discardResponse(sent.res, this.timers);
+    if (sent.kind === 'answer') discardResponse(sent, this.timers);
   }
 }
 
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -94,7 +94,7 @@
     const { res } = sent;
     const refused = options.toPeer ? readPeerRefusal(res) : undefined;
     if (refused) {
-      discardResponse(res, this.timers);
+      discardResponse(sent, this.timers);
       return refused;
     }
     const head = this.protocol.readResponseHead(res, options.progress.call.head);
@@ -103,7 +103,7 @@
     if (isFromTarget && !options.toPeer) options.onSignals(this.protocol.readTargetSignals(res));
     switch (head.kind) {
       case 'not-run':
-        discardResponse(res, this.timers);
+        discardResponse(sent, this.timers);
         return head;
       case 'invalid':
         res.on('error', () => undefined);
