--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -167,22 +167,7 @@
         state.mayUse(entry) &&
         router.mayRunIn(progress.call, settings.region) &&
         allowsVersion(progress.scope, entry.softwareVersionAt(timers.now())),
-      streamSource: () => {
-        const check = (): VersionCheck => {
-          const listed = state.target(id);
-          // A target that is no longer listed may go on with what it runs.
-          const isSame =
-            listed === undefined ||
-            (listed === entry && entry.record.softwareVersion === sentVersion);
-          if (!isSame) return { kind: 'settled', version: undefined };
-          if (wasDoubted && entry.isDoubted(timers.now())) return { kind: 'pending' };
-          return { kind: 'settled', version: sentVersion };
-        };
-        const first = check();
-        return first.kind === 'settled'
-          ? { version: first.version }
-          : { version: undefined, confirm: check };
-      },
+      streamSource: () => this.streamSourceOf(entry, sentVersion, wasDoubted),
       isAlive: () => work.isAlive(timers.now()),
       onReport: (report) => work.updateLoadReport(report, timers.now()),
       onSignals: (signals) => {
@@ -232,6 +217,31 @@
     return end;
   }
 
+  /**
+   * Version of a stream that a target begins. What confirms it later may be kept for as long as the target
+   * is in doubt; made here, it does not refer to the call and its body.
+   */
+  private streamSourceOf(
+    entry: TargetEntry,
+    sentVersion: string | undefined,
+    wasDoubted: boolean,
+  ): StreamSource {
+    const { state, timers } = this.deps;
+    const check = (): VersionCheck => {
+      const listed = state.target(entry.id);
+      // A target that is no longer listed may go on with what it runs.
+      const isSame =
+        listed === undefined || (listed === entry && entry.record.softwareVersion === sentVersion);
+      if (!isSame) return { kind: 'settled', version: undefined };
+      if (wasDoubted && entry.isDoubted(timers.now())) return { kind: 'pending' };
+      return { kind: 'settled', version: sentVersion };
+    };
+    const first = check();
+    return first.kind === 'settled'
+      ? { version: first.version }
+      : { version: undefined, confirm: check };
+  }
+
   private async sendToPeer(
     { node, region }: { readonly node: string; readonly region: string },
     candidate: Candidate,
