--- a/packages/runtime/src/metrics/memory-watch.test.ts
+++ b/packages/runtime/src/metrics/memory-watch.test.ts
@@ -32,3 +32,23 @@
   assert.equal(lines.length, 2);
   assert.match(await metrics.text(), /marjoramcart_held_bytes\{part="bodies"\} 2097152/);
 });
+
+test('a process whose memory can not be read goes on', () => {
+  // Guards against a process that ends when it has no descriptor left to read its memory.
+  const timers = new ManualTimerService();
+  const lines: string[] = [];
+  const log = { warn: (message: string) => lines.push(message) };
+  const failed = new Error('EMFILE: too many open files, uv_resident_set_memory');
+  new MemoryWatch({
+    limitBytes: 100 * MB,
+    held: {},
+    timers,
+    metrics: new Metrics(),
+    log: log as unknown as Logger,
+    usage: () => {
+      throw failed;
+    },
+  }).start();
+  timers.advance(3000);
+  assert.deepEqual(lines, ['memory could not be read']);
+});
--- a/packages/runtime/src/metrics/memory-watch.ts
+++ b/packages/runtime/src/metrics/memory-watch.ts
@@ -49,10 +49,17 @@
   }
 
   private check(): void {
-    const { limitBytes, held, timers, log, usage = () => process.memoryUsage() } = this.options;
-    const { rss, heapUsed, external } = usage();
+    const { limitBytes, held, timers, log } = this.options;
     const now = timers.now();
-    if (rss < limitBytes * HIGH_SHARE || now - this.loggedAt < MIN_LOG_INTERVAL_MS) return;
+    if (now - this.loggedAt < MIN_LOG_INTERVAL_MS) return;
+    const usage = this.readUsage();
+    if (usage instanceof Error) {
+      this.loggedAt = now;
+      log.warn('memory could not be read', { err: usage });
+      return;
+    }
+    const { rss, heapUsed, external } = usage;
+    if (rss < limitBytes * HIGH_SHARE) return;
     this.loggedAt = now;
     const parts = Object.entries(held).map(([part, bytes]) => [`${part}_mb`, toMb(bytes())]);
     log.warn('memory is nearly used up', {
@@ -63,6 +70,16 @@
       ...Object.fromEntries(parts),
     });
   }
+
+  /** Reading it takes a descriptor, so that it fails while the process has none left. */
+  private readUsage(): MemoryUsage | Error {
+    const { usage = () => process.memoryUsage() } = this.options;
+    try {
+      return usage();
+    } catch (err) {
+      return err instanceof Error ? err : new Error(String(err));
+    }
+  }
 }
 
 function toMb(bytes: number): number {
