--- a/packages/runtime/src/http/http-client.test.ts
+++ b/packages/runtime/src/http/http-client.test.ts
@@ -5,6 +5,7 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { HttpClient } from './http-client.js';
+import { probeConnection } from './probe-connection.js';
 import { readResponseBody } from './read-response-body.js';
 
 async function readResultOf(respond: (socket: Socket) => void): Promise<string> {
@@ -218,3 +219,26 @@
   assert.equal(sent.kind, 'failed');
   assert.equal(sent.sent, false);
 });
+
+[
+  { name: 'a port that is out of range', address: '127.0.0.1:99999', id: 'i-1' },
+  { name: 'a header that is not valid', address: '127.0.0.1:9', id: 'i\n1' },
+].forEach(({ name, address, id }) => {
+  // Guards against an error that nobody handles, which ends the process.
+  test(`a request with ${name} fails without being sent`, async () => {
+    const client = new HttpClient({});
+    const out = { address, method: 'GET', path: '/', headers: ['id', id], body: Buffer.alloc(0) };
+    const signal = AbortSignal.timeout(5000);
+    const results = await Promise.all(
+      [true, false].map((newConnection) =>
+        client.send({ ...out, newConnection }, () => true, signal),
+      ),
+    );
+    client.close();
+    results.forEach((result) => assert.equal(result.kind === 'failed' && result.sent, false));
+  });
+});
+
+test('a probe of a port that is out of range has no answer', async () => {
+  assert.equal(await probeConnection('127.0.0.1:99999', 5000), 'no-answer');
+});
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -107,7 +107,7 @@
   /**
    * Sends a request and waits for the head of the response. `mayWrite` is called immediately before
    * the write, and again if a connection had to be established for it. If it returns false, nothing is
-   * sent.
+   * sent. A request that can't be made, as its address or a header is not valid, has failed. Never rejects.
    */
   async send(
     out: OutgoingRequest,
@@ -136,9 +136,8 @@
     mayWrite = (): boolean => true,
   ): Promise<RequestResult> {
     const [host, port] = out.address.split(':');
-    return new Promise((resolve) => {
-      let sent = socket !== undefined;
-      const req = http.request({
+    const req = attempt(() =>
+      http.request({
         host,
         port,
         method: out.method,
@@ -148,7 +147,14 @@
           : { ...out.headers, 'content-length': out.body.length },
         signal,
         ...(socket ? { createConnection: () => socket } : { agent: this.agent }),
-      });
+      }),
+    );
+    if (req instanceof Error) {
+      socket?.destroy();
+      return Promise.resolve(failure(false, false, req.message));
+    }
+    return new Promise((resolve) => {
+      let sent = socket !== undefined;
       req.on('socket', (used) => {
         used.setNoDelay(true);
         this.idle.delete(used);
@@ -252,14 +258,27 @@
   return { kind: 'failed', sent, reused, message };
 }
 
+/** Node.js throws at once for an address or a header that is not valid. */
+function attempt<T>(fn: () => T): T | Error {
+  try {
+    return fn();
+  } catch (err) {
+    return err instanceof Error ? err : new Error(String(err));
+  }
+}
+
 function connect(
   address: string,
   signal: AbortSignal,
   timeoutMs: number,
 ): Promise<net.Socket | RequestFailure> {
   const [host, port] = address.split(':');
+  const connecting = attempt(() => net.connect({ host, port: Number(port), noDelay: true }));
+  if (connecting instanceof Error) {
+    return Promise.resolve(failure(false, false, connecting.message));
+  }
+  const socket: net.Socket = connecting;
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port: Number(port), noDelay: true });
     const timer = { handle: undefined as NodeJS.Timeout | undefined };
     const onAbort = (): void => abandon('aborted');
     const finish = (result: net.Socket | RequestFailure): void => {
--- a/packages/runtime/src/http/probe-connection.ts
+++ b/packages/runtime/src/http/probe-connection.ts
@@ -1,7 +1,7 @@
 /** Finds out whether a process listens at an address. */
 import net from 'node:net';
 
-/** `no-answer`: neither accepted nor refused in time, as in a network partition. */
+/** `no-answer`: neither accepted nor refused in time, as in a network partition, or not a valid address. */
 export type ConnectionProbe = 'accepted' | 'refused' | 'no-answer';
 
 /**
@@ -14,7 +14,7 @@
 export function probeConnection(address: string, timeoutMs: number): Promise<ConnectionProbe> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port: Number(port), timeout: timeoutMs });
+    const socket = new net.Socket();
     const finish = (result: ConnectionProbe): void => {
       socket.destroy();
       resolve(result);
@@ -24,5 +24,12 @@
     socket.on('error', (err: NodeJS.ErrnoException) =>
       finish(err.code === 'ECONNREFUSED' ? 'refused' : 'no-answer'),
     );
+    try {
+      socket.connect({ host, port: Number(port) });
+      socket.setTimeout(timeoutMs);
+    } catch {
+      // Node.js throws at once for a port that is out of range.
+      finish('no-answer');
+    }
   });
 }
