--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -45,6 +45,7 @@
 import type { GatewayDirectory } from '../directory/gateway-directory.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
+import { UnreadResponses } from '../exchange/unread-responses.js';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
 import type { CallHead, CallHeadResult, RequestProtocol } from '../ports/request-protocol.js';
 import type { QuotaTask } from '../quota/quota-task.js';
@@ -143,6 +144,8 @@
   readonly maxBodyMemoryBytes: number;
   /** Limit of the request bodies that are being read. */
   readonly maxOpenBodies: number;
+  /** Limit of the short responses that callers have not read, bytes. */
+  readonly maxUnreadResponseBytes: number;
   /** Limit of the open connections of each listener. */
   readonly maxConnections: number;
   readonly state: GatewayState;
@@ -176,6 +179,8 @@
 
   private readonly bodyMemory: BodyMemory;
 
+  private readonly unreadResponses: UnreadResponses;
+
   private readonly turns = new TurnQueue();
 
   /** Resolves at the end of the last stream of a connection. */
@@ -198,6 +203,13 @@
         rejections.add();
       },
     });
+    const closed = new RejectionCount((count) =>
+      log.warn('connections closed whose callers do not read their responses', { count }),
+    );
+    this.unreadResponses = new UnreadResponses({
+      maxBytes: deps.maxUnreadResponseBytes,
+      onClosed: () => closed.add(),
+    });
     const common = {
       log,
       timers: deps.timers,
@@ -233,6 +245,11 @@
     return this.bodyMemory.heldBytes;
   }
 
+  /** Bytes of the short responses that callers have not read. */
+  get unreadResponseBytes(): number {
+    return this.unreadResponses.heldBytes;
+  }
+
   async start(): Promise<void> {
     await Promise.all([this.callerListener.listen(), this.forwardListener.listen()]);
   }
@@ -282,7 +299,7 @@
     forwarded: boolean,
   ): Promise<void> {
     this.inFlight += 1;
-    const response = new CallerResponse(res, forwarded);
+    const response = new CallerResponse(res, forwarded, undefined, this.unreadResponses);
     const allocation = this.bodyMemory.allocate();
     try {
       await this.handle(req, response, forwarded, allocation).finally(() => allocation.release());
--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -4,7 +4,9 @@
  */
 import type { ServerResponse } from 'node:http';
 import { RunState } from '@marjoramcart/core';
+import { SMALL_RESPONSE_BYTES } from '@marjoramcart/runtime';
 import type { HeaderList } from '../ports/request-protocol.js';
+import type { UnreadResponses } from './unread-responses.js';
 
 /** Response header that says whether the request was run; a forwarding gateway reads it. */
 export const RUN_HEADER = 'marjoramcart-run';
@@ -58,11 +60,13 @@
    * @param toPeer whether the caller is a gateway, which receives the number of targets that ran the
    *   request and the version that a stream comes from
    * @param maxStallMs a caller that reads nothing of its response for this time is disconnected
+   * @param unread counts short responses that are not read; long ones have a limit of their own
    */
   constructor(
     private readonly res: ServerResponse,
     private readonly toPeer: boolean,
     private readonly maxStallMs = MAX_STALL_MS,
+    private readonly unread?: Pick<UnreadResponses, 'add'>,
   ) {
     this.closed = new Promise((resolve) => {
       const { socket } = res.req;
@@ -155,6 +159,8 @@
     const length = this.isBodiless(status) ? [] : ['content-length', String(body.length)];
     this.res.writeHead(status, [...headers, ...this.peerHeaders(), ...length]);
     this.res.end(body);
+    if (this.res.writableFinished || body.length > SMALL_RESPONSE_BYTES) return;
+    this.unread?.add(this.res.req.socket, body.length, this.closed);
   }
 
   private isBodiless(status: number): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,6 +249,7 @@
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
       maxBodyMemoryBytes: settings.maxBodyMemoryBytes,
       maxOpenBodies: settings.tuning.max_open_bodies,
+      maxUnreadResponseBytes: settings.maxUnreadResponseBytes,
       maxConnections: settings.tuning.max_connections,
       state: this.state,
       configCatchUp: new ConfigCatchUp({
@@ -272,6 +273,7 @@
       held: {
         request_bodies: () => this.callers.heldBodyBytes,
         responses: () => responseMemory.heldBytes,
+        unread_responses: () => this.callers.unreadResponseBytes,
       },
       timers,
       metrics: deps.metrics,
