--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
   BodyMemory,
   HttpClient,
   MemoryWatch,
+  RejectionCount,
   probeConnection,
   type Logger,
   type Metrics,
@@ -128,6 +129,8 @@
 
   private readonly memoryWatch: MemoryWatch;
 
+  private readonly reportMemory: BodyMemory;
+
   private isListening = false;
 
   constructor(private readonly deps: GatewayDeps) {
@@ -214,6 +217,7 @@
     const httpClient = new HttpClient(deps.dialMap ?? {}, CONNECT_TIMEOUT_MS, (address) =>
       this.restarts.onIdleClosed(address),
     );
+    this.reportMemory = new BodyMemory(settings.maxReportMemoryBytes);
     const reportPoller = this.createReportPoller(httpClient);
     this.restarts = this.createRestartCheck(reportPoller);
     const responseMemory = new BodyMemory(settings.maxResponseMemoryBytes);
@@ -272,6 +276,7 @@
       limitBytes: settings.memoryBytes,
       held: {
         request_bodies: () => this.callers.heldBodyBytes,
+        reports: () => this.reportMemory.heldBytes,
         responses: () => responseMemory.heldBytes,
         unread_responses: () => this.callers.unreadResponseBytes,
       },
@@ -573,13 +578,18 @@
   }
 
   private createReportPoller(httpClient: HttpClient): ReportPoller {
-    const { settings, reportProtocol, timers } = this.deps;
+    const { settings, reportProtocol, timers, log } = this.deps;
+    const unread = new RejectionCount((count) =>
+      log.child('reports').warn('reports not read, as large ones take up too much', { count }),
+    );
     return new ReportPoller({
       state: this.state,
       rejections: this.rejections,
       httpClient,
       protocol: reportProtocol,
       timers,
+      memory: this.reportMemory,
+      onNoMemory: () => unread.add(),
       streams: this.streams,
       announceStart: (target) =>
         this.gossip.announceTarget({ kind: 'start', target, from: settings.node }),
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -1,6 +1,11 @@
 /** Polls a target for its load report, and applies what the target tells about itself in it. */
 import type { LoadReport, TargetIncarnation } from '@marjoramcart/core';
-import { readResponseBody, type HttpClient, type TimerService } from '@marjoramcart/runtime';
+import {
+  readResponseBody,
+  type BodyMemory,
+  type HttpClient,
+  type TimerService,
+} from '@marjoramcart/runtime';
 import type { ReportProtocol } from '../ports/request-protocol.js';
 import type { RejectionGuard } from '../routing/rejection-guard.js';
 import type { GatewayState } from '../state/gateway-state.js';
@@ -29,6 +34,10 @@
   readonly httpClient: HttpClient;
   readonly protocol: ReportProtocol;
   readonly timers: TimerService;
+  /** Memory for reports of more than 64 KiB; those beyond it are not read to their end. */
+  readonly memory: BodyMemory;
+  /** Called for each report that is not read for want of memory. */
+  readonly onNoMemory: () => void;
   readonly rejections: Pick<RejectionGuard, 'onSignals'>;
   /** Tells the other gateways of the region when a target started. */
   readonly announceStart: (target: TargetIncarnation) => void;
@@ -49,6 +58,7 @@
   ): Promise<PolledReport> {
     const { httpClient, protocol, timers, state, announceStart, streams, rejections } = this.deps;
     const { record, work } = entry;
+    const memory = this.deps.memory.allocate();
     const askedAt = timers.now();
     const abort = new AbortController();
     const stop = timers.after(REPORT_TIMEOUT_MS, () => abort.abort());
@@ -64,13 +74,21 @@
       () => true,
       abort.signal,
     );
-    const body = sent.kind === 'answer' ? await readResponseBody(sent.res) : undefined;
+    const body =
+      sent.kind === 'answer'
+        ? await readResponseBody(sent.res, (bytes) => memory.grow(bytes))
+        : undefined;
     stop();
     if (sent.kind !== 'answer') {
       if (sent.kind !== 'failed' || sent.sent) return { kind: 'none' };
       return { kind: abort.signal.aborted ? 'silent' : 'refused' };
     }
+    if (body?.kind === 'paused') {
+      sent.res.destroy();
+      this.deps.onNoMemory();
+    }
     const decoded = body?.kind === 'complete' ? protocol.decode(body.body) : undefined;
+    memory.release();
     const paceMs = decoded && entry.progress.onRuns(decoded.runs, timers.now());
     const report = decoded && { ...decoded, ...(paceMs === undefined ? {} : { paceMs }) };
     const target = { ...record, bornAt: report?.bornAt ?? record.bornAt };
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -40,6 +40,8 @@
   readonly maxBodyMemoryBytes: number;
   /** The same for the responses of targets; those beyond it are passed on as callers read them. */
   readonly maxResponseMemoryBytes: number;
+  /** Limit of the load reports of more than 64 KiB that are read at the same time, bytes. */
+  readonly maxReportMemoryBytes: number;
   /** Limit of the short responses whose callers have not read them, bytes. */
   readonly maxUnreadResponseBytes: number;
   /** How keys of customers are handled that a newer configuration may have added or removed. */
