--- a/packages/runtime/src/http/body-pacer.ts
+++ b/packages/runtime/src/http/body-pacer.ts
@@ -11,16 +11,27 @@
    * chunks.
    */
   MaxReading: 1,
-  /** A body that received nothing for this time lets the next one be read. */
-  MaxIdleMs: 10,
+  /** Pause of a body after a turn in which nothing could be read, ms; doubled after each further one. */
+  FirstPauseMs: 10,
+  /** Bodies that stall cost the process at most one turn in this time each, ms. */
+  MaxPauseMs: 640,
 } as const;
 
-/** Reads paced bodies one after the other, one read of the connection each. */
+/**
+ * Reads paced bodies one after the other, one read of the connection each. A turn ends with the next poll
+ * of the connections, also when nothing was read.
+ */
 export class BodyPacer {
   private readonly waiting = new Set<IncomingMessage>();
 
-  /** Bodies that may be read, with the timers that end their turns. */
-  private readonly reading = new Map<IncomingMessage, NodeJS.Timeout>();
+  /** Bodies that may be read, with what ends their turns. */
+  private readonly reading = new Map<IncomingMessage, NodeJS.Immediate>();
+
+  /** Bodies whose last turn was in vain, with the timers after which they wait for the next one. */
+  private readonly pausing = new Map<IncomingMessage, NodeJS.Timeout>();
+
+  /** Last pause of each body that has received nothing since, ms. */
+  private readonly pauses = new WeakMap<IncomingMessage, number>();
 
   /** Time for which each body waited for its turns so far, and since when it waits again, ms. */
   private readonly waits = new WeakMap<IncomingMessage, { totalMs: number; since?: number }>();
@@ -29,7 +40,7 @@
 
   /** Number of paced bodies. */
   get size(): number {
-    return this.waiting.size + this.reading.size;
+    return this.waiting.size + this.reading.size + this.pausing.size;
   }
 
   /**
@@ -40,11 +51,13 @@
    * @example pacer.onPiece(req, pieces, size)
    */
   onPiece(msg: IncomingMessage, pieces: number, bytes: number): void {
-    if (this.waiting.has(msg)) return;
+    if (this.waiting.has(msg) || this.pausing.has(msg)) return;
     const isReading = this.reading.has(msg);
     if (!isReading && (pieces <= PacerLimits.FreePieces || bytes >= pieces * PacerLimits.TinyBytes))
       return;
+    this.pauses.delete(msg);
     this.hold(msg);
+    this.queue(msg);
   }
 
   /** Time for which a body was not read although its client may have sent more, ms. */
@@ -57,12 +70,14 @@
   /** Forgets a body that is not read any more. */
   remove(msg: IncomingMessage): void {
     this.waiting.delete(msg);
+    clearTimeout(this.pausing.get(msg));
+    this.pausing.delete(msg);
     this.endTurn(msg);
     if (this.waiting.size > 0) this.schedule();
   }
 
   private endTurn(msg: IncomingMessage): void {
-    clearTimeout(this.reading.get(msg));
+    clearImmediate(this.reading.get(msg));
     this.reading.delete(msg);
   }
 
@@ -81,21 +96,42 @@
     [...this.waiting].slice(0, free).forEach((msg) => {
       this.waiting.delete(msg);
       this.waits.set(msg, { totalMs: this.waitedMs(msg) });
+      // Runs after the next poll, in which a body that has something to read receives it.
       this.reading.set(
         msg,
-        setTimeout(() => this.hold(msg), PacerLimits.MaxIdleMs),
+        setImmediate(() => this.pause(msg)),
       );
       continueReading(msg);
     });
   }
 
+  /** Stops to read a body. */
   private hold(msg: IncomingMessage): void {
     this.endTurn(msg);
-    this.waiting.add(msg);
     this.waits.set(msg, { totalMs: this.waitedMs(msg), since: performance.now() });
     holdReading(msg);
+  }
+
+  private queue(msg: IncomingMessage): void {
+    this.waiting.add(msg);
     this.schedule();
   }
+
+  /** Ends a turn in which nothing was read. */
+  private pause(msg: IncomingMessage): void {
+    this.hold(msg);
+    const before = this.pauses.get(msg);
+    const pauseMs = before
+      ? Math.min(2 * before, PacerLimits.MaxPauseMs)
+      : PacerLimits.FirstPauseMs;
+    this.pauses.set(msg, pauseMs);
+    const timer = setTimeout(() => {
+      this.pausing.delete(msg);
+      this.queue(msg);
+    }, pauseMs);
+    this.pausing.set(msg, timer);
+    if (this.waiting.size > 0) this.schedule();
+  }
 }
 
 /** Shared by all bodies of the process, as they share its event loop. */
