--- a/packages/core/src/relay/sse-frame-parser.ts
+++ b/packages/core/src/relay/sse-frame-parser.ts
@@ -28,8 +28,13 @@
   readonly after?: number;
 }
 
+const NOTHING = Buffer.alloc(0);
+
 export class SseFrameParser {
-  private incomplete: Buffer = Buffer.alloc(0);
+  private incomplete: Buffer = NOTHING;
+
+  /** Buffer at whose start the incomplete frame is, with room for more; empty if it is in a chunk. */
+  private block: Buffer = NOTHING;
 
   /** Id of the last complete event; undefined if events have no ids. */
   lastId: number | undefined;
@@ -51,17 +56,20 @@
 
   /** Adds a chunk; returns the frames that are now complete, or undefined if there are none. */
   push(chunk: Buffer): Buffer | undefined {
-    const data = this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]);
+    const data = this.incomplete.length === 0 ? chunk : this.append(chunk);
     const scanFrom = Math.max(0, this.incomplete.length - 3);
     const end = this.scan(data, scanFrom);
-    this.incomplete = end === data.length ? Buffer.alloc(0) : data.subarray(end);
+    this.incomplete = end === data.length ? NOTHING : data.subarray(end);
+    // The caller keeps the frames.
+    if (end > 0) this.block = NOTHING;
     if (this.incomplete.length > MAX_FRAME_BYTES) this.error ??= { kind: 'frame-too-large' };
     return end === 0 ? undefined : data.subarray(0, end);
   }
 
   /** Discards an incomplete frame before the stream is resumed on another connection. */
   reset(): void {
-    this.incomplete = Buffer.alloc(0);
+    this.incomplete = NOTHING;
+    this.block = NOTHING;
   }
 
   /** Whether the stream ended at a frame boundary, and after `data: [DONE]` if it uses this marker. */
@@ -70,6 +78,18 @@
     return ended && this.incomplete.length === 0 && this.error === undefined;
   }
 
+  /** Copies each byte of a long frame in many pieces a few times at most, as the block doubles. */
+  private append(chunk: Buffer): Buffer {
+    const { incomplete, block } = this;
+    const size = incomplete.length + chunk.length;
+    if (size > block.length) {
+      this.block = Buffer.allocUnsafe(Math.max(size, 2 * block.length));
+      incomplete.copy(this.block);
+    }
+    chunk.copy(this.block, incomplete.length);
+    return this.block.subarray(0, size);
+  }
+
   private scan(data: Buffer, scanFrom: number): number {
     let start = 0;
     let at = data.indexOf(LF, scanFrom);
