--- a/tests/stand-ins/src/users-platform/kept-connections.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/kept-connections.serial.test.ts
@@ -41,8 +41,11 @@
   socket.write(Buffer.alloc(bytes, 'x'));
   const [text] = await Promise.race([response, closed]);
   const [firstLine = ''] = String(text).split('\r\n');
-  if (SERVED.test(firstLine)) cleanUps.push(() => void socket.destroy());
-  else socket.destroy();
+  const close = (): void => {
+    socket.destroy();
+  };
+  if (SERVED.test(firstLine)) cleanUps.push(close);
+  else close();
   return firstLine;
 }
 
