--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -93,6 +93,20 @@
     return this.isDisconnected || this.res.req.socket.readableEnded;
   }
 
+  /** Whether the response has to wait for those to earlier requests of its connection. */
+  get isQueued(): boolean {
+    return this.res.socket === null && !this.disconnected;
+  }
+
+  /** Resolves when no earlier response of the connection is left, or the connection is closed. */
+  turn(): Promise<void> {
+    if (!this.isQueued) return Promise.resolve();
+    const next = new Promise<void>((resolve) => {
+      this.res.once('socket', () => resolve());
+    });
+    return Promise.race([next, this.closed]);
+  }
+
   /** Calls `fn` when the caller disconnects; replaces the previous listener. */
   onDisconnect(fn: (() => void) | undefined): void {
     this.disconnectListener = fn;
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -12,7 +12,7 @@
   type RequestStep,
   type ResultCode,
 } from '@marjoramcart/core';
-import type { BodyMemory, Logger } from '@marjoramcart/runtime';
+import { SMALL_RESPONSE_BYTES, type BodyMemory, type Logger } from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
 import type { CapacitySharing } from '../sharing/capacity-sharing.js';
@@ -59,11 +59,13 @@
   /** Handles a call until its response is complete. */
   async run(call: Call, response: CallerResponse): Promise<void> {
     const { timers, metrics, responseMemory } = this.deps;
+    const memory = responseMemory.allocate();
+    void response.closed.then(() => memory.release());
+    // What waits for an earlier response is held however small it is, and one read may have hundreds of requests.
+    if (response.isQueued && !memory.grow(SMALL_RESPONSE_BYTES)) await response.turn();
     if (call.forwardedBy === undefined) this.budget(call.service).onRequest(timers.now());
     const { prompt } = call.head;
     if (prompt) this.deps.router.lengths.onRequest(call.route.name, prompt.expectedOutputTokens);
-    const memory = responseMemory.allocate();
-    void response.closed.then(() => memory.release());
     const recordResult = metrics.startRequest(call.route.name, call.facts.arrivedAt);
     const scope = await this.deps.streams.scopeOf(call);
     if (scope.kind === 'none') {
--- a/packages/runtime/src/http/read-response-body.ts
+++ b/packages/runtime/src/http/read-response-body.ts
@@ -5,7 +5,7 @@
 /** Largest body of a response that is not streamed. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** A smaller body is always held, so that a failure can be followed by another attempt. */
-const SMALL_RESPONSE_BYTES = 64 * 1024;
+export const SMALL_RESPONSE_BYTES = 64 * 1024;
 
 export type ResponseBodyResult =
   | { readonly kind: 'complete'; readonly body: Buffer }
--- /dev/null
+++ b/tests/stand-ins/src/users-platform/pipelined-memory.serial.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { afterEach, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { HOST } from './example-config.js';
+import { SmallGateway } from './small-gateway.js';
+
+const BASE_PORT = 30_500;
+const IDLE_TIMEOUT_MS = 120_000;
+const PIPELINED = 250;
+const RESPONSE_BYTES = 64_000;
+const CONNECT_INTERVAL_MS = 100;
+const HOLD_MS = 2000;
+
+let cleanUps: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  await Promise.all(cleanUps.map((cleanUp) => cleanUp()));
+  cleanUps = [];
+});
+
+async function startGateway(basePort: number): Promise<SmallGateway> {
+  const gateway = new SmallGateway({ basePort, idleTimeoutMs: IDLE_TIMEOUT_MS });
+  cleanUps.push(() => gateway.close());
+  await gateway.start();
+  return gateway;
+}
+
+/** Opens connections one after the other, each with many requests whose responses it does not read. */
+async function pipeline(gateway: SmallGateway, path: string, connections: number): Promise<void> {
+  if (connections === 0) return;
+  const [host, port] = gateway.process.callersAddress.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  cleanUps.push(() => {
+    socket.destroy();
+  });
+  socket.on('error', () => undefined);
+  socket.pause();
+  const request = `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: piped\r\n\r\n`;
+  socket.write(request.repeat(PIPELINED));
+  await delay(CONNECT_INTERVAL_MS);
+  await pipeline(gateway, path, connections - 1);
+}
+
+async function assertServes(gateway: SmallGateway): Promise<void> {
+  await delay(HOLD_MS);
+  gateway.assertWithinMemory();
+  assert.equal((await gateway.sendShort()).status, 200);
+  gateway.assertWithinMemory();
+}
+
+// Guards against responses of up to 64 KiB, each behind an unread one of its connection, that no limit counts.
+test('pipelined responses that are not read stay within the memory', async () => {
+  const gateway = await startGateway(BASE_PORT);
+  gateway.target.plainBody = Buffer.alloc(RESPONSE_BYTES, 'x');
+  await pipeline(gateway, '/read/1', 20);
+  await assertServes(gateway);
+});
