--- a/tests/stand-ins/src/users-platform/store.ts
+++ b/tests/stand-ins/src/users-platform/store.ts
@@ -33,12 +33,15 @@
   Refuses: 'refuses',
   /** Loses responses that contain keys of the operator; the connection stays open. */
   LosesOperatorKeys: 'loses-operator-keys',
+  /** Answers lists with one page after the other of entries that gateways do not use. */
+  EndlessLists: 'endless-lists',
   /** Answers lists as of the last call of `freezeLists`. */
   StaleLists: 'stale-lists',
 } as const;
 export type StoreMode = (typeof StoreMode)[keyof typeof StoreMode];
 
 const OPERATOR_PREFIX = 'op/';
+const FOREIGN_VALUE = 'x'.repeat(1_000_000);
 
 export class StoreStandIn {
   private readonly servers: http.Server[] = [];
@@ -173,6 +176,12 @@
   }
 
   private range(prefix: string, after: string, res: ServerResponse, address: string): void {
+    if (this.modeOf(address) === StoreMode.EndlessLists) {
+      const key = `${after}z`;
+      const items = [{ key, value: FOREIGN_VALUE, revision: this.revision }];
+      sendJson(res, 200, { items, hasMore: true, asOf: this.revision });
+      return;
+    }
     const stale = this.modeOf(address) === StoreMode.StaleLists;
     const items = stale ? this.frozenItems : this.items;
     const keys = [...items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort();
