--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,7 +282,12 @@
       this.callers,
       this.gossip,
       this.quota,
-      new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
+      new FleetRpcTask(
+        settings.listen.peers,
+        () => this.state.snapshotForPeer(),
+        log.child('rpc'),
+        timers,
+      ),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
       this.createSpeedTask(),
--- a/packages/gateway/src/peers/fleet-rpc.test.ts
+++ b/packages/gateway/src/peers/fleet-rpc.test.ts
@@ -2,7 +2,12 @@
 import { createHash } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { afterEach, test } from 'node:test';
-import { ANY_REGION, type FleetConfig, type FleetState } from '@marjoramcart/core';
+import {
+  ANY_REGION,
+  type FleetConfig,
+  type FleetCustomer,
+  type FleetState,
+} from '@marjoramcart/core';
 import { ManualTimerService, Metrics, silentLogger } from '@marjoramcart/runtime';
 import { GatewayState } from '../state/gateway-state.js';
 import { StateMetrics } from '../state/state-metrics.js';
@@ -46,8 +51,12 @@
 }
 
 /** A gateway of this release that has a state in force. */
-async function serve(state: FleetState): Promise<void> {
-  const task = new FleetRpcTask(ADDRESS, () => state, silentLogger());
+async function serve(
+  state: FleetState | (() => FleetState),
+  timers = new ManualTimerService(),
+): Promise<void> {
+  const snapshot = typeof state === 'function' ? state : () => state;
+  const task = new FleetRpcTask(ADDRESS, snapshot, silentLogger(), timers);
   await task.start();
   closers.push(() => task.stop());
 }
@@ -142,3 +151,44 @@
   await serve(previous);
   assert.equal((await fetched()).config.lacksCustomers, lacksCustomers);
 });
+
+// Guards against a gateway that outgrows its machine, and is late for its callers, as each answer to the
+// gateways that fetch a configuration with many customers is encoded by itself.
+test('concurrent and later answers share one encoding of a configuration, for a limited time', async () => {
+  let encodings = 0;
+  const acme: FleetCustomer = { name: 'acme', keyDigests: ['d-1'], regions: ANY_REGION };
+  const counted = {
+    ...acme,
+    toJSON: () => {
+      encodings += 1;
+      return acme;
+    },
+  };
+  const named = (first: FleetCustomer): Map<string, FleetCustomer> =>
+    new Map([
+      ['acme', first],
+      ...Array.from({ length: 2000 }, (_, index) => {
+        const name = `customer-${index}`;
+        return [name, { ...acme, name }] as const;
+      }),
+    ]);
+  const previous = JSON.parse(PREVIOUS_RELEASE) as FleetState;
+  const base = { ...previous.config, services: new Map() };
+  const config = { ...base, customers: named(counted) };
+  let state: FleetState = { ...previous, config, evacuated: new Set() };
+  const timers = new ManualTimerService();
+  await serve(() => ({ ...state }), timers);
+  const states = await Promise.all(Array.from({ length: 30 }, () => fetched()));
+  const customers = named(acme);
+  states.forEach((each) => assert.deepEqual(each, { ...state, config: { ...base, customers } }));
+  assert.equal(encodings, 1);
+  state = { ...state, revision: 41, evacuated: new Set(['a']) };
+  assert.deepEqual(await fetched(), { ...state, config: { ...base, customers } });
+  assert.equal(encodings, 1);
+  state = { ...state, config: { ...config, version: 8 } };
+  assert.equal((await fetched()).config.version, 8);
+  assert.equal(encodings, 2);
+  timers.advance(60_000);
+  assert.equal((await fetched()).config.version, 8);
+  assert.equal(encodings, 3);
+});
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -2,17 +2,18 @@
 import http from 'node:http';
 import { promisify } from 'node:util';
 import { gunzip, gzip } from 'node:zlib';
-import { JSONRPCClient, JSONRPCServer } from 'json-rpc-2.0';
+import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from 'json-rpc-2.0';
+import { readEra, type FleetConfig, type FleetState } from '@marjoramcart/core';
 import {
-  readEra,
-  type FleetConfig,
-  type FleetCustomer,
-  type FleetState,
-  type ServiceSpec,
-  type StateRevision,
-  type TargetRecord,
-} from '@marjoramcart/core';
-import { BodyMemory, HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
+  BodyMemory,
+  HttpListener,
+  readBody,
+  type Logger,
+  type Task,
+  type TimerService,
+} from '@marjoramcart/runtime';
+import { FetchedState, configToJson, fromJson, type FleetStateJson } from './fleet-state-json.js';
+import { SharedEncoding } from './shared-encoding.js';
 
 const PATH = '/rpc';
 const GZIP = 'gzip';
@@ -28,32 +29,19 @@
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Limit after decompression; 25,000 customers with two keys each take 7 MB. */
 const MAX_STATE_BYTES = 32 * 1024 * 1024;
-/** Shorter responses are not compressed. */
+/** Shorter responses without customers are not compressed. */
 const MIN_COMPRESSED_LENGTH = 64 * 1024;
 
 const compress = promisify(gzip);
 const decompress = promisify(gunzip);
 
+type RpcResponse = JSONRPCResponse | JSONRPCResponse[] | null;
+
 interface FetchParams {
   /** Whether the asker knows of customers; not told by gateways of the previous release. */
   readonly customers?: boolean;
 }
 
-interface FleetConfigJson extends Omit<FleetConfig, 'services' | 'customers' | 'lacksCustomers'> {
-  readonly services: readonly ServiceSpec[];
-  /** Null if the deployment has none; not told by gateways of the previous release. */
-  readonly customers?: readonly FleetCustomer[] | null;
-}
-
-interface FleetStateJson {
-  readonly revision: number;
-  /** Not told by gateways of the previous release. */
-  readonly era?: number;
-  readonly config: FleetConfigJson;
-  readonly targets: readonly TargetRecord[];
-  readonly evacuated: readonly string[];
-}
-
 /** Task that serves the fleet state to other gateways. */
 export class FleetRpcTask implements Task {
   readonly name = 'fleet-rpc';
@@ -64,10 +52,20 @@
 
   private readonly memory = new BodyMemory(MAX_REQUESTS_BYTES);
 
-  constructor(address: string, snapshot: () => FleetState | undefined, log: Logger) {
+  private readonly configs: SharedEncoding<FleetConfig>;
+
+  constructor(
+    address: string,
+    snapshot: () => FleetState | undefined,
+    log: Logger,
+    timers: TimerService,
+  ) {
+    this.configs = new SharedEncoding(timers, (config) =>
+      JSON.stringify(configToJson(config, true)),
+    );
     this.server.addMethod(FETCH_METHOD, (params: FetchParams | undefined) => {
       const state = snapshot();
-      return state ? toJson(state, params?.customers === true) : null;
+      return state ? new FetchedState(state, params?.customers === true) : null;
     });
     this.listener = new HttpListener({
       address,
@@ -83,6 +81,7 @@
 
   stop(): Promise<void> {
     this.listener.destroy();
+    this.configs.forget();
     return Promise.resolve();
   }
 
@@ -95,14 +94,38 @@
       return;
     }
     const response = await this.server.receiveJSON(body.data.toString('utf8'));
-    const text = JSON.stringify(response);
     const isJson = { 'content-type': 'application/json' };
-    if (text.length < MIN_COMPRESSED_LENGTH || req.headers['accept-encoding'] !== GZIP) {
-      res.writeHead(200, isJson).end(text);
+    if (req.headers['accept-encoding'] !== GZIP) {
+      res.writeHead(200, isJson).end(JSON.stringify(response));
       return;
     }
-    const compressed = await compress(text);
-    res.writeHead(200, { ...isJson, 'content-encoding': GZIP }).end(compressed);
+    const members = await this.encode(response);
+    if (typeof members === 'string') {
+      res.writeHead(200, isJson).end(members);
+      return;
+    }
+    res.writeHead(200, { ...isJson, 'content-encoding': GZIP });
+    members.forEach((member) => res.write(member));
+    res.end();
+  }
+
+  /** Text of a response, or the members of a gzip stream with it. */
+  private async encode(response: RpcResponse): Promise<string | readonly Buffer[]> {
+    if (response && 'result' in response && response.result instanceof FetchedState) {
+      const { jsonrpc, id, result } = response;
+      const { sharedConfig, rest } = result;
+      if (sharedConfig) {
+        // Ends with the braces of the result and the response; the configuration goes before them.
+        const text = JSON.stringify({ jsonrpc, id, result: rest });
+        return Promise.all([
+          compress(`${text.slice(0, -2)},"config":`),
+          this.configs.of(sharedConfig),
+          compress('}}'),
+        ]);
+      }
+    }
+    const text = JSON.stringify(response);
+    return text.length < MIN_COMPRESSED_LENGTH ? text : [await compress(text)];
   }
 }
 
@@ -167,46 +190,3 @@
     : body.data;
   return data.toString('utf8');
 }
-
-function toJson(state: FleetState, withCustomers: boolean): FleetStateJson {
-  const { era, revision, config, targets, evacuated } = state;
-  return {
-    era,
-    revision,
-    config: configToJson(config, withCustomers),
-    targets,
-    evacuated: [...evacuated],
-  };
-}
-
-function fromJson(json: FleetStateJson & StateRevision): FleetState {
-  const { era, revision, config, targets, evacuated } = json;
-  return {
-    era,
-    revision,
-    config: configFromJson(config),
-    targets,
-    evacuated: new Set(evacuated),
-  };
-}
-
-/** Gateways of the previous release would not use the customers, which may be many. */
-function configToJson(config: FleetConfig, withCustomers: boolean): FleetConfigJson {
-  const { customers, lacksCustomers, services, ...rest } = config;
-  return {
-    ...rest,
-    services: [...services.values()],
-    ...(lacksCustomers || !withCustomers
-      ? {}
-      : { customers: customers ? [...customers.values()] : null }),
-  };
-}
-
-function configFromJson({ customers, services, ...rest }: FleetConfigJson): FleetConfig {
-  return {
-    ...rest,
-    services: new Map(services.map((service) => [service.name, service])),
-    ...(customers ? { customers: new Map(customers.map((entry) => [entry.name, entry])) } : {}),
-    ...(customers === undefined ? { lacksCustomers: true } : {}),
-  };
-}
