--- a/packages/core/src/quota/quota-account.ts
+++ b/packages/core/src/quota/quota-account.ts
@@ -33,6 +33,8 @@
   readonly owner: string;
   readonly expiresAt: number;
   amount: number;
+  /** What the owner was told that it can have back. */
+  returned: number;
 }
 
 interface PendingAsk {
@@ -46,7 +48,10 @@
 export interface UnusedLease {
   readonly owner: string;
   readonly number: number;
-  /** Undefined when it is not known whether anything was granted. */
+  /**
+   * What of the lease was not used, with what was returned before. Undefined when it is not known whether
+   * anything was granted.
+   */
   readonly amount: number | undefined;
 }
 
@@ -140,7 +145,8 @@
         Object.assign(lease, { amount: lease.amount - amount });
         rest -= amount;
         return { lease, amount };
-      });
+      })
+      .filter(({ amount }) => amount > 0);
     this.recordUse(cost, now);
     let refunded = false;
     return {
@@ -150,7 +156,7 @@
         // What belongs to an expired lease was not returned to the owner and is lost.
         parts
           .filter(({ lease }) => at < lease.expiresAt)
-          .forEach(({ lease, amount }) => Object.assign(lease, { amount: lease.amount + amount }));
+          .forEach(({ lease, amount }) => this.putBack(lease, amount));
       },
     };
   }
@@ -253,7 +259,7 @@
     const { number } = row;
     const expiresAt = ask.at + LEASE_MS;
     if (row.amount > 0) {
-      this.leases.push({ number, owner: ask.owner, expiresAt, amount: row.amount });
+      this.leases.push({ number, owner: ask.owner, expiresAt, amount: row.amount, returned: 0 });
     }
     // An ask may be in transit while the bucket refills.
     const roundTripMs = now - ask.sentAt;
@@ -286,9 +292,7 @@
         number: row.number,
         amount: undefined,
       })),
-      ...expired
-        .filter(({ amount }) => amount > 0)
-        .map(({ owner: granter, number, amount }) => ({ owner: granter, number, amount })),
+      ...expired.filter(({ amount }) => amount > 0).map(returnRest),
     ];
   }
 
@@ -298,6 +302,12 @@
     return !isHeld && !isIndebted && now - this.touchedAt >= ACCOUNT_RETENTION_MS;
   }
 
+  /** The rest of the lease may have been returned before. */
+  private putBack(lease: Lease, amount: number): void {
+    Object.assign(lease, { amount: lease.amount + amount });
+    if (!this.leases.includes(lease)) this.leases.push(lease);
+  }
+
   /** A lease that came too late for its request and that the near future does not need. */
   private surplus(now: number): Lease | undefined {
     if (this.waiting.length > 0) return undefined;
@@ -329,6 +339,12 @@
   }
 }
 
+function returnRest(lease: Lease): UnusedLease {
+  const returned = lease.returned + lease.amount;
+  Object.assign(lease, { returned, amount: 0 });
+  return { owner: lease.owner, number: lease.number, amount: returned };
+}
+
 function ownerlessPerMs(perS: number, gateways: number): number {
   return (OWNERLESS_SHARE * perS) / Math.max(1, gateways) / MS_PER_S;
 }
--- a/packages/core/src/quota/quota-messages.ts
+++ b/packages/core/src/quota/quota-messages.ts
@@ -18,7 +18,7 @@
   readonly customer: string;
   /** Number of the row that asked for it. */
   readonly number: number;
-  /** All of the lease if undefined, as when the grant was lost. */
+  /** With what was returned of the lease before; all of it if undefined, as when the grant was lost. */
   readonly amount: number | undefined;
 }
 
--- a/packages/core/src/quota/quota-owner.ts
+++ b/packages/core/src/quota/quota-owner.ts
@@ -30,6 +30,7 @@
 
 interface Lease extends QuotaAnswer {
   readonly at: number;
+  returned: number;
 }
 
 /** Leases of a short time, which may still be used. */
@@ -116,22 +117,27 @@
     const answer = grant(bucket, row, now);
     // A row that found the bucket short is not granted when it arrives again: its asker makes a new one.
     if (answer.amount > 0 || bucket.leases.size < MAX_LEASES / 2) {
-      recordLease(bucket, key, { ...answer, at: now });
+      recordLease(bucket, key, { ...answer, at: now, returned: 0 });
     }
     return answer;
   }
 
-  /** Puts back what a gateway did not use; each lease can be returned once. */
+  /**
+   * Puts back what a gateway did not use. A return names all that was returned of a lease so far, so that
+   * one that arrives twice, or after a later one, puts back nothing twice.
+   */
   giveBack(asker: string, { customer, number, amount }: QuotaReturn, now: number): void {
     const bucket = this.buckets.get(customer);
     const key = `${asker}#${number}`;
     const lease = bucket?.leases.get(key);
     if (!bucket || !lease) return;
-    const returned = Math.min(Math.max(0, amount ?? lease.amount), lease.amount);
-    bucket.leases.delete(key);
+    const returned = Math.min(amount ?? lease.amount, lease.amount);
+    const added = Math.max(0, returned - lease.returned);
+    lease.returned += added;
+    if (lease.returned >= lease.amount) bucket.leases.delete(key);
     const slot = bucket.slots.find(({ at }) => lease.at - at >= 0 && lease.at - at < SLOT_MS);
-    if (slot) slot.amount -= returned;
-    add(bucket, returned, now);
+    if (slot) slot.amount -= added;
+    add(bucket, added, now);
   }
 
   /** Forgets the bucket of a customer that another gateway grants for. */
--- a/packages/core/src/quota/quota.test.ts
+++ b/packages/core/src/quota/quota.test.ts
@@ -366,6 +366,79 @@
   assert.equal(account.balance(1000), 0, 'leases expire 1 s after they were asked for');
 });
 
+/** An owner with a burst of 10,000 that hardly refills, and an account that leases from it. */
+function leasing() {
+  const owner = new QuotaOwner();
+  const limit = { ...LIMIT, perS: 0.001, burst: 10_000 };
+  const share = { limit, share: 1, ownerSince: -1e10 };
+  const account = new QuotaAccount(0);
+  let number = 0;
+  const lease = (first: number, want: number, now: number): number => {
+    number += 1;
+    const row = { customer: 'c0', number, first, need: first, want };
+    account.onAsked(row, 'vm-1', now);
+    const answer = owner.ask('vm-7', row, share, now);
+    account.onGrant({ customer: 'c0', number, granting: true, ...answer }, now);
+    return answer.amount;
+  };
+  /** Returns what the account does not need, each datagram twice. */
+  const giveBack = (now: number): void => {
+    const unused = account.expire('vm-1', now);
+    [...unused, ...unused].forEach((part) =>
+      owner.giveBack('vm-7', { customer: 'c0', ...part }, now),
+    );
+  };
+  /** What another gateway gets; amounts that were refused are reserved for 5.5 s. */
+  const rest = (now: number): number => {
+    const row = { customer: 'c0', number: 1, first: 1, need: 20_000, want: 20_000 };
+    return owner.ask('vm-8', row, share, now).amount;
+  };
+  return { account, lease, giveBack, rest };
+}
+
+// Guards against a customer who loses what did not run, as the rest of its lease was returned before.
+test('a refund from a lease whose rest was returned goes to the customer, and once only', () => {
+  const { account, lease, giveBack, rest } = leasing();
+  assert.equal(lease(10_000, 10_000, 0), 10_000);
+  const charge = account.take(6000, 10);
+  giveBack(20);
+  assert.equal(account.balance(20), 0, 'the rest of the lease is returned');
+  charge?.refund(30);
+  charge?.refund(30);
+  assert.equal(account.balance(30), 6000);
+  giveBack(40);
+  giveBack(50);
+  assert.equal(account.balance(50), 0);
+  assert.equal(rest(6000), 10_000);
+});
+
+// Guards against amounts that two requests use, and against ones that nobody can use any more.
+test('whatever is taken, refunded and returned within a second, nothing is lost or given twice', () => {
+  const step = fc.record({
+    kind: fc.constantFrom('lease', 'take', 'refund', 'return'),
+    amount: fc.integer({ min: 1, max: 6000 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+      const { account, lease, giveBack, rest } = leasing();
+      const charges: { cost: number; refund(now: number): void }[] = [];
+      steps.forEach(({ kind, amount }, now) => {
+        if (kind === 'lease') lease(amount, amount + 1000, now);
+        if (kind === 'take') {
+          const charge = account.take(amount, now);
+          if (charge) charges.push({ cost: amount, refund: (at) => charge.refund(at) });
+        }
+        if (kind === 'refund') charges.splice(0, 1).forEach((charge) => charge.refund(now));
+        if (kind === 'return') giveBack(now);
+      });
+      const used = charges.reduce((sum, { cost }) => sum + cost, 0);
+      giveBack(1100);
+      assert.equal(rest(7000) + used, 10_000);
+    }),
+    { numRuns: 1000, seed: 47 },
+  );
+});
+
 // A second gateway that is asked only because messages were lost would grant the limit once more.
 test('a gateway counts as dead after five pings in 1 s without an answer or a heartbeat', () => {
   const pingFor = (peers: QuotaPeers, durationMs: number): void =>
