--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -42,6 +42,7 @@
   VERSION_HEADER,
   decodeText,
 } from '../exchange/caller-response.js';
+import type { GatewayConnections } from '../connections/gateway-connections.js';
 import type { GatewayDirectory } from '../directory/gateway-directory.js';
 import type { RequestExecutor } from '../exchange/request-executor.js';
 import { sendResult } from '../exchange/send-result.js';
@@ -143,8 +144,7 @@
   readonly maxBodyMemoryBytes: number;
   /** Limit of the request bodies that are being read. */
   readonly maxOpenBodies: number;
-  /** Limit of the open connections of each listener. */
-  readonly maxConnections: number;
+  readonly connections: Pick<GatewayConnections, 'callers' | 'forwards'>;
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
@@ -202,11 +202,6 @@
       log,
       timers: deps.timers,
       maxHeaderBytes: MAX_HEADER_BYTES,
-      maxConnections: deps.maxConnections,
-      onConnectionsRejected: (count: number) => {
-        deps.metrics.onConnectionsRejected(count);
-        log.warn('connections closed because there are too many', { count });
-      },
       onError: (err: unknown) => log.error('request failed', { err }),
       onClientError: (err: NodeJS.ErrnoException, socket: Socket) =>
         this.onClientError(err, socket),
@@ -214,11 +209,13 @@
     this.callerListener = new HttpListener({
       ...common,
       address: deps.callersAddress,
+      connections: deps.connections.callers,
       handler: (req, res) => this.serve(req, res, false),
     });
     this.forwardListener = new HttpListener({
       ...common,
       address: deps.forwardAddress,
+      connections: deps.connections.forwards,
       handler: (req, res) => this.serve(req, res, true),
     });
     this.applyLimits();
--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -7,7 +7,7 @@
   type HostResidency,
   type RandomSource,
 } from '@marjoramcart/core';
-import { HttpListener, type Logger, type Task } from '@marjoramcart/runtime';
+import { HttpListener, type ConnectionShare, type Logger, type Task } from '@marjoramcart/runtime';
 import type { DirectoryProtocol, DirectoryQuery } from '../ports/request-protocol.js';
 import type { GatewayDirectory } from './gateway-directory.js';
 
@@ -20,6 +20,8 @@
   /** `ip:port` of the directory and of the readiness check; equal when one listener serves both. */
   readonly directoryAddress: string;
   readonly readyAddress: string;
+  /** Connections of each listener, by its address. */
+  readonly connections?: Readonly<Record<string, ConnectionShare>>;
   /** Port at which callers reach gateways; the same on all VMs. */
   readonly callersPort: number;
   readonly ttlS: number;
@@ -46,6 +48,7 @@
       (address) =>
         new HttpListener({
           address,
+          ...(deps.connections ? { connections: deps.connections[address] } : {}),
           log: deps.log,
           handler: (req, res) => this.handle(req, res),
           onError: (err) => deps.log.error('request failed', { err }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
   HttpClient,
   MemoryWatch,
   probeConnection,
+  readDescriptorLimit,
   type Logger,
   type Metrics,
   type Task,
@@ -29,6 +30,7 @@
 import { match } from 'ts-pattern';
 import { CallerTask } from './callers/caller-task.js';
 import { ConfigCatchUp } from './callers/config-catch-up.js';
+import { GatewayConnections } from './connections/gateway-connections.js';
 import { CrashWatch } from './crashes/crash-watch.js';
 import { DirectoryTask } from './directory/directory-task.js';
 import { GatewayDirectory } from './directory/gateway-directory.js';
@@ -90,6 +92,8 @@
 
   private readonly random: RandomSource;
 
+  private readonly connections: GatewayConnections;
+
   private readonly gossip: GossipTask;
 
   private readonly rejections: RejectionGuard;
@@ -211,8 +215,18 @@
       log: log.child('sharing'),
     });
     const metrics = new GatewayMetrics(deps.metrics, timers);
-    const httpClient = new HttpClient(deps.dialMap ?? {}, CONNECT_TIMEOUT_MS, (address) =>
-      this.restarts.onIdleClosed(address),
+    this.connections = new GatewayConnections({
+      descriptors: Math.min(settings.maxDescriptors ?? Infinity, readDescriptorLimit() ?? Infinity),
+      maxConnections: settings.tuning.max_connections,
+      metrics: deps.metrics,
+      log: log.child('connections'),
+      onRejected: (count) => metrics.onConnectionsRejected(count),
+    });
+    const httpClient = new HttpClient(
+      deps.dialMap ?? {},
+      CONNECT_TIMEOUT_MS,
+      (address) => this.restarts.onIdleClosed(address),
+      this.connections.outgoing,
     );
     const reportPoller = this.createReportPoller(httpClient);
     this.restarts = this.createRestartCheck(reportPoller);
@@ -248,8 +262,8 @@
       callersAddress: settings.listen.callers,
       forwardAddress: `${settings.ip}:${settings.forwardPort}`,
       maxBodyMemoryBytes: settings.maxBodyMemoryBytes,
-      maxOpenBodies: settings.tuning.max_open_bodies,
-      maxConnections: settings.tuning.max_connections,
+      maxOpenBodies: Math.min(settings.tuning.max_open_bodies, this.connections.maxOpenBodies),
+      connections: this.connections,
       state: this.state,
       configCatchUp: new ConfigCatchUp({
         state: this.state,
@@ -282,7 +296,12 @@
       this.callers,
       this.gossip,
       this.quota,
-      new FleetRpcTask(settings.listen.peers, () => this.state.snapshotForPeer(), log.child('rpc')),
+      new FleetRpcTask(
+        settings.listen.peers,
+        () => this.state.snapshotForPeer(),
+        log.child('rpc'),
+        this.connections.peers,
+      ),
       this.createDirectoryTask(),
       this.createReportTask(reportPoller),
       this.createSpeedTask(),
@@ -487,6 +506,10 @@
     return new DirectoryTask({
       directoryAddress: settings.listen.directory,
       readyAddress: settings.listen.ready,
+      connections: {
+        [settings.listen.ready]: this.connections.ready,
+        [settings.listen.directory]: this.connections.directory,
+      },
       callersPort: Number(settings.listen.callers.split(':')[1]),
       ttlS: this.directoryTtlS(),
       protocol: directoryProtocol,
@@ -635,6 +658,7 @@
     const { settings, metrics, log } = this.deps;
     return new AdminTask({
       address: settings.listen.metrics,
+      connections: this.connections.metrics,
       metrics,
       log: log.child('admin'),
       readiness: () => ({
--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -12,7 +12,14 @@
   type StateRevision,
   type TargetRecord,
 } from '@marjoramcart/core';
-import { BodyMemory, HttpListener, readBody, type Logger, type Task } from '@marjoramcart/runtime';
+import {
+  BodyMemory,
+  HttpListener,
+  readBody,
+  type ConnectionShare,
+  type Logger,
+  type Task,
+} from '@marjoramcart/runtime';
 
 const PATH = '/rpc';
 const GZIP = 'gzip';
@@ -64,7 +71,12 @@
 
   private readonly memory = new BodyMemory(MAX_REQUESTS_BYTES);
 
-  constructor(address: string, snapshot: () => FleetState | undefined, log: Logger) {
+  constructor(
+    address: string,
+    snapshot: () => FleetState | undefined,
+    log: Logger,
+    connections?: ConnectionShare,
+  ) {
     this.server.addMethod(FETCH_METHOD, (params: FetchParams | undefined) => {
       const state = snapshot();
       return state ? toJson(state, params?.customers === true) : null;
@@ -72,6 +84,7 @@
     this.listener = new HttpListener({
       address,
       log,
+      ...(connections ? { connections } : {}),
       handler: (req, res) => this.handle(req, res),
       onError: (err) => log.error('request failed', { err }),
     });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -34,6 +34,8 @@
   readonly coldRateLimit: { readonly factor: number; readonly slack: number };
   /** Time between SIGTERM and the end of the process, ms. */
   readonly graceMs: number;
+  /** Descriptors of the VM for connections; absent if its settings tell none. */
+  readonly maxDescriptors?: number;
   /** Memory of the VM, bytes. */
   readonly memoryBytes: number;
   /** Limit of the request bodies that are held at the same time, bytes. */
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -44,7 +44,7 @@
   divide_capacity: z.boolean().default(false),
   /** Limit of the request bodies that are read at the same time. */
   max_open_bodies: z.number().int().positive().default(1024),
-  /** Limit of the open connections of callers, and of those of other gateways. */
+  /** Upper bound of the open connections of callers, and of those of other gateways. */
   max_connections: z.number().int().positive().default(8192),
 });
 
--- a/packages/runtime/src/admin/admin-task.ts
+++ b/packages/runtime/src/admin/admin-task.ts
@@ -1,5 +1,6 @@
 /** Admin HTTP server of a daemon. It serves `/healthz`, `/readyz`, `/metrics` and `/status`. */
 import type { ServerResponse } from 'node:http';
+import type { ConnectionShare } from '../http/connection-share.js';
 import { HttpListener } from '../http/listener.js';
 import type { Task } from '../kernel/kernel.js';
 import type { Logger } from '../logs/logger.js';
@@ -19,6 +20,7 @@
   readonly address: string;
   readonly metrics: Metrics;
   readonly log: Logger;
+  readonly connections?: ConnectionShare;
   readonly readiness: () => Readiness;
   /** Returns the response body of `/status`. */
   readonly status: () => object;
@@ -40,6 +42,7 @@
     this.listener = new HttpListener({
       address: options.address,
       log: options.log,
+      ...(options.connections ? { connections: options.connections } : {}),
       handler: ({ url }, res) => this.handle(url ?? '', res),
       onError: (err) => options.log.error('request failed', { err }),
     });
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -5,6 +5,8 @@
   type OutgoingHttpHeaders,
 } from 'node:http';
 import net from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { ConnectionShare } from './connection-share.js';
 import { PooledAgent } from './pooled-agent.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
@@ -60,11 +62,10 @@
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
 export class HttpClient {
-  private readonly agent = new PooledAgent({
-    maxFreeSockets: MAX_FREE_CONNECTIONS,
-    timeout: 0,
-    scheduling: 'lifo',
-  });
+  private readonly agent = new PooledAgent(
+    { maxFreeSockets: MAX_FREE_CONNECTIONS, timeout: 0, scheduling: 'lifo' },
+    (socket) => this.count(socket),
+  );
 
   /** Open connections without a request. */
   private readonly idle = new Set<net.Socket>();
@@ -75,11 +76,13 @@
    * @param dialMap addresses to connect to in place of a process's own address
    * @param connectTimeoutMs limit for establishing a new connection
    * @param onIdleClosed called with `ip:port` when the other side closes a connection without a request
+   * @param connections counts the open connections
    */
   constructor(
     private readonly dialMap: Readonly<Record<string, string>>,
     private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
     private readonly onIdleClosed: (address: string) => void = () => undefined,
+    private readonly connections?: ConnectionShare,
   ) {
     this.agent.on('free', (socket: net.Socket, { host, port }: http.RequestOptions) => {
       socket.setTimeout(IDLE_CONNECTION_MS);
@@ -88,6 +91,13 @@
     });
   }
 
+  private count(socket: Duplex): void {
+    const { connections } = this;
+    if (!connections || socket.destroyed) return;
+    connections.add();
+    socket.once('close', () => connections.release());
+  }
+
   private watchIdle(socket: net.Socket, address: string): void {
     if (socket.destroyed || !socket.writable) return;
     this.idle.add(socket);
@@ -116,7 +126,9 @@
   ): Promise<RequestResult> {
     if (!out.newConnection)
       return mayWrite() ? this.write(out, undefined, signal, mayWrite) : VETOED;
-    const socket = await connect(out.address, signal, this.connectTimeoutMs);
+    const socket = await connect(out.address, signal, this.connectTimeoutMs, (opened) =>
+      this.count(opened),
+    );
     if (!(socket instanceof net.Socket)) return socket;
     if (socket.destroyed) return failure(false, false, 'connection closed before the write');
     if (mayWrite()) return this.write(out, socket, signal);
@@ -256,10 +268,12 @@
   address: string,
   signal: AbortSignal,
   timeoutMs: number,
+  onOpen: (socket: net.Socket) => void,
 ): Promise<net.Socket | RequestFailure> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
     const socket = net.connect({ host, port: Number(port), noDelay: true });
+    onOpen(socket);
     const timer = { handle: undefined as NodeJS.Timeout | undefined };
     const onAbort = (): void => abandon('aborted');
     const finish = (result: net.Socket | RequestFailure): void => {
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -5,9 +5,10 @@
 import type { Logger } from '../logs/logger.js';
 import type { TimerService } from '../timers/timer-service.js';
 import { bindWithRetry } from './bind-with-retry.js';
+import { ConnectionBudget } from './connection-budget.js';
+import type { ConnectionHolder, ConnectionShare } from './connection-share.js';
 import { halfClose } from './lingering-close.js';
 import { closeAfter, isCloseAnnounced, Pipeline } from './pipeline.js';
-import { RejectionCount } from './rejection-count.js';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
@@ -22,10 +23,8 @@
   /** With these, the listener half-closes a connection after its last response and reads on for a while. */
   readonly timers?: Pick<TimerService, 'after'>;
   readonly maxHeaderBytes?: number;
-  /** At this number of open connections the one that was idle longest is closed, else the new one. */
-  readonly maxConnections?: number;
-  /** Called at most once a second with the number of connections that were closed for it. */
-  readonly onConnectionsRejected?: (count: number) => void;
+  /** Without room for another connection the one that was idle longest is closed, else the new one. */
+  readonly connections?: ConnectionShare;
   readonly headersTimeoutMs?: number;
   /**
    * Leaves `Expect: 100-continue` to the handler, which calls `res.writeContinue()` when it accepts
@@ -53,7 +52,7 @@
 /** Under constant load no iteration is idle; the listener then closes after this time. */
 const MAX_WAIT_FOR_IDLE_MS = 500;
 
-export class HttpListener {
+export class HttpListener implements ConnectionHolder {
   private readonly server: http.Server;
 
   private closing = false;
@@ -66,10 +65,7 @@
 
   private readonly connections = new Set<net.Socket>();
 
-  /** Connections that were closed because there were too many. */
-  private readonly rejections = new RejectionCount((count) =>
-    this.options.onConnectionsRejected?.(count),
-  );
+  private readonly share: ConnectionShare;
 
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
@@ -91,6 +87,10 @@
         void this.dispatch(req, res);
       },
     );
+    this.share =
+      options.connections ??
+      new ConnectionBudget(DEFAULT_MAX_CONNECTIONS).share({ name: options.address });
+    this.share.attach(this);
     this.server.on('connection', (socket: net.Socket) => this.trackIdle(socket));
     if (options.deferContinue === true) {
       this.server.on('checkContinue', (req, res) => {
@@ -203,26 +203,35 @@
     return now - (this.acceptedAt.get(socket) ?? now);
   }
 
+  /** Also a connection whose request has no complete head is idle. */
+  get longestIdleSince(): number | undefined {
+    const [since] = this.idleSince.values();
+    return since;
+  }
+
+  closeLongestIdle(): void {
+    const [socket] = this.idleSince.keys();
+    if (!socket) return;
+    socket.destroy();
+    this.forget(socket);
+  }
+
   private trackIdle(socket: net.Socket): void {
     this.arrivals += 1;
-    if (this.connections.size >= (this.options.maxConnections ?? DEFAULT_MAX_CONNECTIONS)) {
-      this.rejections.add();
-      // Also a connection whose request has not arrived completely is idle.
-      const [longestIdle] = this.idleSince.keys();
-      const victim = longestIdle ?? socket;
-      victim.destroy();
-      this.connections.delete(victim);
-      this.idleSince.delete(victim);
-      if (victim === socket) return;
+    if (!this.share.admit()) {
+      socket.destroy();
+      return;
     }
     this.connections.add(socket);
     const now = performance.now();
     this.acceptedAt.set(socket, now);
     this.idleSince.set(socket, now);
-    socket.once('close', () => {
-      this.idleSince.delete(socket);
-      this.connections.delete(socket);
-    });
+    socket.once('close', () => this.forget(socket));
+  }
+
+  private forget(socket: net.Socket): void {
+    this.idleSince.delete(socket);
+    if (this.connections.delete(socket)) this.share.release();
   }
 
   private closeIdleConnections(): void {
--- a/packages/runtime/src/http/pooled-agent.ts
+++ b/packages/runtime/src/http/pooled-agent.ts
@@ -10,7 +10,11 @@
  * @example new PooledAgent({ maxSockets: 8 })
  */
 export class PooledAgent extends http.Agent {
-  constructor(options: http.AgentOptions = {}) {
+  /** @param onConnection called with each connection that is opened */
+  constructor(
+    options: http.AgentOptions = {},
+    private readonly onConnection: (socket: Duplex) => void = () => undefined,
+  ) {
     super({ keepAlive: true, ...options });
   }
 
@@ -18,6 +22,8 @@
     options: ClientRequestArgs,
     callback?: (err: Error | null, stream: Duplex) => void,
   ): Duplex | null | undefined {
-    return super.createConnection(options, callback)?.on('error', () => undefined);
+    const socket = super.createConnection(options, callback)?.on('error', () => undefined);
+    if (socket) this.onConnection(socket);
+    return socket;
   }
 }
--- a/tests/stand-ins/src/users-platform/example-config.ts
+++ b/tests/stand-ins/src/users-platform/example-config.ts
@@ -54,6 +54,8 @@
   readonly storeAddress: string;
   readonly seedIp: string;
   readonly memoryMb?: number;
+  /** Descriptors that the machine has, 200 of them for files. */
+  readonly maxFds?: number;
   readonly customers?: CustomerSettings;
 }
 
@@ -69,7 +71,7 @@
 
 /** Renders a gateway's settings file (TOML) as the users' platform writes it. */
 export function renderSettings(location: GatewayLocation): string {
-  const { node, ip, zone, basePort, storeAddress, seedIp, memoryMb = 350 } = location;
+  const { node, ip, zone, basePort, storeAddress, seedIp, memoryMb = 350, maxFds } = location;
   const { contracts = [], revokeMs, revokeFailClosed = false } = location.customers ?? {};
   const address = (offset: number): string => `"${ip}:${basePort + offset}"`;
   return `
@@ -92,6 +94,7 @@
 control = ${address(PortOffset.Control)}
 [limits]
 memoryMb = ${memoryMb}
+${maxFds === undefined ? '' : `maxFds = ${maxFds}`}
 [bounds]
 graceS = 8
 retryBudgetRatio = 0.2
--- a/tests/stand-ins/src/users-platform/gateway-process.ts
+++ b/tests/stand-ins/src/users-platform/gateway-process.ts
@@ -19,6 +19,10 @@
   readonly memoryMb: number;
   /** Limit of the old generation of the heap, MB. */
   readonly heapMb: number;
+  /** Descriptors of the machine, as its settings tell them. */
+  readonly maxFds?: number;
+  /** Limit of the open descriptors of the process itself. */
+  readonly descriptorLimit?: number;
   /** Lines that are added to the gateway's own settings (YAML). */
   readonly tuning?: string;
 }
@@ -57,7 +61,7 @@
   }
 
   async start(): Promise<void> {
-    const { basePort, memoryMb, heapMb, tuning = '' } = this.options;
+    const { basePort, memoryMb, heapMb, maxFds, descriptorLimit, tuning = '' } = this.options;
     this.folder = await mkdtemp(join(tmpdir(), 'gateway-'));
     const settings = join(this.folder, 'boot.toml');
     const tuningFile = join(this.folder, 'gateway.yaml');
@@ -69,12 +73,24 @@
       memoryMb,
       storeAddress: this.storeAddress,
       seedIp: '127.0.0.1',
+      ...(maxFds === undefined ? {} : { maxFds }),
     } as const;
     await writeFile(settings, renderSettings(location));
     await writeFile(tuningFile, `metrics_port: ${basePort + METRICS_OFFSET}\n${tuning}`);
+    const limit = descriptorLimit === undefined ? '' : `ulimit -n ${descriptorLimit}; `;
     this.child = spawn(
-      process.execPath,
-      [`--max-old-space-size=${heapMb}`, START, '--settings', settings, '--tuning', tuningFile],
+      'sh',
+      [
+        '-c',
+        `${limit}exec "$0" "$@"`,
+        process.execPath,
+        `--max-old-space-size=${heapMb}`,
+        START,
+        '--settings',
+        settings,
+        '--tuning',
+        tuningFile,
+      ],
       { stdio: ['ignore', 'pipe', 'ignore'] },
     );
     this.child.stdout?.on('data', (chunk: Buffer) => {
--- a/tests/stand-ins/src/users-platform/small-gateway.ts
+++ b/tests/stand-ins/src/users-platform/small-gateway.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { sendRequest, type ClientResponse } from './client-request.js';
 import { HOST, PLAIN_SERVICE, exampleConfig } from './example-config.js';
-import { GatewayProcess } from './gateway-process.js';
+import { GatewayProcess, type ProcessOptions } from './gateway-process.js';
 import { StoreStandIn } from './store.js';
 import { TargetMode, TargetStandIn } from './target.js';
 
@@ -19,13 +19,15 @@
 /** Its target never answers. */
 const SILENT_SERVICE = 'silent';
 
-export interface SmallGatewayOptions {
+export interface SmallGatewayOptions extends Pick<ProcessOptions, 'maxFds' | 'descriptorLimit'> {
   /** First of ten free ports. */
   readonly basePort: number;
   /** Lines that are added to the gateway's own settings (YAML). */
   readonly tuning?: string;
   /** How long callers may keep a connection without a request, ms. */
   readonly idleTimeoutMs?: number;
+  /** How long the head of a request may take, ms. */
+  readonly headerTimeoutMs?: number;
 }
 
 /**
@@ -45,8 +47,8 @@
   private readonly silent: TargetStandIn;
 
   constructor(private readonly options: SmallGatewayOptions) {
-    const { basePort, tuning = '' } = options;
-    this.process = new GatewayProcess({ basePort, memoryMb: MEMORY_MB, heapMb: HEAP_MB, tuning });
+    const { basePort } = options;
+    this.process = new GatewayProcess({ ...options, memoryMb: MEMORY_MB, heapMb: HEAP_MB });
     this.target = new TargetStandIn('i-1', `127.0.1.1:${basePort}`, false);
     this.silent = new TargetStandIn('i-2', `127.0.1.2:${basePort}`, false);
     this.silent.mode = TargetMode.Silent;
@@ -72,7 +74,7 @@
         limits: {
           maxHeaderBytes: 4096,
           maxBodyBytes: MAX_BODY_BYTES,
-          headerTimeoutMs: 1000,
+          headerTimeoutMs: this.options.headerTimeoutMs ?? 1000,
           idleTimeoutMs: this.options.idleTimeoutMs ?? 5000,
         },
       }),
