--- a/packages/gateway/src/peers/fleet-rpc.ts
+++ b/packages/gateway/src/peers/fleet-rpc.ts
@@ -8,6 +8,7 @@
   BodyMemory,
   HttpListener,
   readBody,
+  type ConnectionShare,
   type Logger,
   type Task,
   type TimerService,
@@ -59,6 +60,7 @@
     snapshot: () => FleetState | undefined,
     log: Logger,
     timers: TimerService,
+    connections?: ConnectionShare,
   ) {
     this.configs = new SharedEncoding(timers, (config) =>
       JSON.stringify(configToJson(config, true)),
@@ -70,6 +72,7 @@
     this.listener = new HttpListener({
       address,
       log,
+      ...(connections ? { connections } : {}),
       handler: (req, res) => this.handle(req, res),
       onError: (err) => log.error('request failed', { err }),
     });
