--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -7,6 +7,7 @@
 import { bindWithRetry } from './bind-with-retry.js';
 import { halfClose } from './lingering-close.js';
 import { closeAfter, isCloseAnnounced, Pipeline } from './pipeline.js';
+import { PipelineMemory } from './pipeline-memory.js';
 import { RejectionCount } from './rejection-count.js';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
@@ -71,6 +72,9 @@
     this.options.onConnectionsRejected?.(count),
   );
 
+  /** What requests take up that wait for the responses before them. */
+  private readonly waiting = new PipelineMemory();
+
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
 
@@ -255,14 +259,20 @@
     const pipeline = Pipeline.of(socket);
     this.arrivals += 1;
     if (this.stopped && pipeline.size > 0) pipeline.end(() => this.closeSoon(socket));
-    if (pipeline.size >= MAX_PIPELINED) pipeline.end(() => this.closeSoon(socket));
+    const isBehind = pipeline.size > 0;
+    if (isBehind && (pipeline.size >= MAX_PIPELINED || !this.waiting.hasRoom(req))) {
+      pipeline.end(() => this.closeSoon(socket));
+    }
     if (!pipeline.add(res)) {
+      // What is left of one read may have thousands of requests.
+      if (!this.waiting.addDropped(req)) socket.destroy();
       req.resume();
       // Node.js keeps each further request until the first response ends, however small it is. It resumes the
       // connection after the message, so that a pause has to come later.
       setImmediate(() => socket.pause());
       return;
     }
+    if (isBehind) this.waiting.add(req, res);
     this.idleSince.delete(socket);
     // Node.js closes the connection in a listener of this event.
     res.prependOnceListener('finish', () => this.onSent(res));
--- a/tests/stand-ins/src/users-platform/pipelined-memory.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/pipelined-memory.serial.test.ts
@@ -27,7 +27,11 @@
 }
 
 /** Opens connections one after the other, each with many requests whose responses it does not read. */
-async function pipeline(gateway: SmallGateway, path: string, connections: number): Promise<void> {
+async function pipeline(
+  gateway: SmallGateway,
+  requests: string,
+  connections: number,
+): Promise<void> {
   if (connections === 0) return;
   const [host, port] = gateway.process.callersAddress.split(':');
   const socket = net.connect({ host, port: Number(port) });
@@ -36,10 +40,13 @@
   });
   socket.on('error', () => undefined);
   socket.pause();
-  const request = `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: piped\r\n\r\n`;
-  socket.write(request.repeat(PIPELINED));
+  socket.write(requests);
   await delay(CONNECT_INTERVAL_MS);
-  await pipeline(gateway, path, connections - 1);
+  await pipeline(gateway, requests, connections - 1);
+}
+
+function requestOf(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: piped\r\n\r\n`;
 }
 
 async function assertServes(gateway: SmallGateway): Promise<void> {
@@ -53,6 +60,18 @@
 test('pipelined responses that are not read stay within the memory', async () => {
   const gateway = await startGateway(BASE_PORT);
   gateway.target.plainBody = Buffer.alloc(RESPONSE_BYTES, 'x');
-  await pipeline(gateway, '/read/1', 20);
+  await pipeline(gateway, requestOf('/read/1').repeat(PIPELINED), 20);
   await assertServes(gateway);
 });
+
+// Guards against requests that are few enough on each connection, and end the process over all connections.
+[
+  { name: 'handled', requests: requestOf('/read/1').repeat(PIPELINED) },
+  { name: 'too many for their connection', requests: requestOf('/none').repeat(4 * PIPELINED) },
+].forEach(({ name, requests }, index) => {
+  test(`requests behind one that lasts stay within the memory, ${name}`, async () => {
+    const gateway = await startGateway(BASE_PORT + 10 * (index + 1));
+    await pipeline(gateway, requestOf('/held/1') + requests, 60);
+    await assertServes(gateway);
+  });
+});
