--- a/packages/entry/src/callers/pipelined-calls.test.ts
+++ b/packages/entry/src/callers/pipelined-calls.test.ts
@@ -106,3 +106,14 @@
   await until(() => statuses().length === 2);
   assert.match(statuses().join(' '), /^4\d\d 200$/);
 });
+
+// Guards against calls that stay in progress for ever, with their bodies, since their connection closed before their turn.
+test('a call behind another one ends when its caller leaves', async (t) => {
+  const { entry, socket, target } = await connect(t);
+  t.after(() => entry.stop());
+  socket.write(call('1') + call('2'));
+  await until(() => target.calls.length === 2);
+  await until(() => entry.control.syncs.at(-1)?.load.openRequests === 2);
+  socket.destroy();
+  await until(() => entry.control.syncs.at(-1)?.load.openRequests === 0);
+});
--- a/packages/entry/src/relay/caller-response.ts
+++ b/packages/entry/src/relay/caller-response.ts
@@ -59,6 +59,9 @@
 
   private readonly disconnectListeners = new Set<() => void>();
 
+  /** Called when the caller disconnects, also while the response is recorded. */
+  private readonly drainListeners = new Set<() => void>();
+
   private disconnected = false;
 
   private recorded: Buffer[] = [];
@@ -72,12 +75,19 @@
     private readonly options: CallerResponseOptions,
   ) {
     res.on('error', () => undefined);
-    res.on('close', () => {
+    const { socket } = res.req;
+    const onClose = (): void => {
+      socket.off('close', onClose);
+      res.off('close', onClose);
       if (res.writableFinished) return;
       this.disconnected = true;
-      this.disconnectListeners.forEach((listener) => listener());
+      [...this.drainListeners, ...this.disconnectListeners].forEach((listener) => listener());
+      this.drainListeners.clear();
       this.disconnectListeners.clear();
-    });
+    };
+    res.on('close', onClose);
+    // A response that waits for an earlier one on its connection does not tell of the end of that.
+    socket.on('close', onClose);
   }
 
   /** Whether the response was started. */
@@ -115,13 +125,13 @@
       listener();
       return;
     }
-    const once = (): void => {
-      this.res.off('drain', once);
-      this.res.off('close', once);
+    const onDrained = (): void => {
+      this.res.off('drain', onDrained);
+      this.drainListeners.delete(onDrained);
       listener();
     };
-    this.res.once('drain', once);
-    this.res.once('close', once);
+    this.res.once('drain', onDrained);
+    this.drainListeners.add(onDrained);
   }
 
   end(): void {
--- a/packages/entry/src/relay/relay.test.ts
+++ b/packages/entry/src/relay/relay.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { EventEmitter } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough } from 'node:stream';
 import { test } from 'node:test';
@@ -16,7 +17,10 @@
 /** Relays between two in-memory streams; the caller's side buffers at most 100 bytes. */
 function startRelay(): Relay {
   const from = Object.assign(new PassThrough(), { headers: {}, complete: true });
-  const to = Object.assign(new PassThrough({ highWaterMark: 100 }), { writeHead: () => undefined });
+  const to = Object.assign(new PassThrough({ highWaterMark: 100 }), {
+    req: { socket: new EventEmitter() },
+    writeHead: () => undefined,
+  });
   const response = new CallerResponse(to as unknown as ServerResponse, {
     commonHeaders: () => ({}),
     record: false,
--- a/packages/entry/src/testing/in-memory-response.ts
+++ b/packages/entry/src/testing/in-memory-response.ts
@@ -11,6 +11,9 @@
 
   readonly writableFinished = true;
 
+  /** The connection never closes. */
+  readonly req = { socket: new EventEmitter() };
+
   writeHead(status: number, headers: Record<string, unknown>): this {
     this.statusCode = status;
     this.headers = headers;
