--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -9,6 +9,7 @@
 import type { ConnectionHolder, ConnectionShare } from './connection-share.js';
 import { halfClose } from './lingering-close.js';
 import { closeAfter, isCloseAnnounced, Pipeline } from './pipeline.js';
+import { PipelineMemory } from './pipeline-memory.js';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
@@ -67,6 +68,9 @@
 
   private readonly share: ConnectionShare;
 
+  /** What requests take up that wait for the responses before them. */
+  private readonly waiting = new PipelineMemory();
+
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
 
@@ -264,14 +268,20 @@
     const pipeline = Pipeline.of(socket);
     this.arrivals += 1;
     if (this.stopped && pipeline.size > 0) pipeline.end(() => this.closeSoon(socket));
-    if (pipeline.size >= MAX_PIPELINED) pipeline.end(() => this.closeSoon(socket));
+    const isBehind = pipeline.size > 0;
+    if (isBehind && (pipeline.size >= MAX_PIPELINED || !this.waiting.hasRoom(req))) {
+      pipeline.end(() => this.closeSoon(socket));
+    }
     if (!pipeline.add(res)) {
+      // What is left of one read may have thousands of requests.
+      if (!this.waiting.addDropped(req)) socket.destroy();
       req.resume();
       // Node.js keeps each further request until the first response ends, however small it is. It resumes the
       // connection after the message, so that a pause has to come later.
       setImmediate(() => socket.pause());
       return;
     }
+    if (isBehind) this.waiting.add(req, res);
     this.idleSince.delete(socket);
     // Node.js closes the connection in a listener of this event.
     res.prependOnceListener('finish', () => this.onSent(res));
