--- a/packages/runtime/src/http/read-body.ts
+++ b/packages/runtime/src/http/read-body.ts
@@ -35,7 +35,11 @@
       allocation?.release();
       resolve(result.kind === 'complete' ? { kind: 'complete', data: result.body } : result);
     });
-    timeout.handle = setTimeout(() => collector.stop({ kind: 'too-slow' }), timeoutMs);
+    // What arrived during a pause of the process is read in the poll before an immediate.
+    timeout.handle = setTimeout(
+      () => setImmediate(() => collector.stop({ kind: 'too-slow' })),
+      timeoutMs,
+    );
     collector.start();
   });
 }
--- a/packages/runtime/src/http/read-request-body.ts
+++ b/packages/runtime/src/http/read-request-body.ts
@@ -47,7 +47,7 @@
       stopCheck();
       resolve(result);
     });
-    stopCheck = timers.every(RequestBodyTiming.CheckIntervalMs, () => {
+    const isTooSlow = (): boolean => {
       const totalMs = timers.now() - startedAt;
       // A client is not slow while the gateway does not read what it sent.
       const elapsedMs = totalMs - bodyPacer.waitedMs(req);
@@ -55,9 +55,14 @@
         ((elapsedMs - RequestBodyTiming.RateGraceMs) / 1000) * RequestBodyTiming.MinBytesPerS;
       const isLate =
         elapsedMs >= RequestBodyTiming.TimeoutMs || totalMs >= RequestBodyTiming.MaxTotalMs;
-      if (isLate || collector.size < minBytes) {
-        collector.stop({ kind: 'too-slow' });
-      }
+      return isLate || collector.size < minBytes;
+    };
+    stopCheck = timers.every(RequestBodyTiming.CheckIntervalMs, () => {
+      if (!isTooSlow()) return;
+      // What arrived during a pause of the process is read in the poll before an immediate.
+      setImmediate(() => {
+        if (isTooSlow()) collector.stop({ kind: 'too-slow' });
+      });
     });
     collector.start();
   });
