--- a/packages/gateway/src/exchange/caller-response.test.ts
+++ b/packages/gateway/src/exchange/caller-response.test.ts
@@ -46,6 +46,40 @@
   assert.match(received, /first[^]*second$/);
 });
 
+// Guards against a request that goes on after its caller has left, and against a listener for each on their connection.
+test('responses that wait for an earlier one hear of the end of their connection without a listener each', async (t) => {
+  const handled: CallerResponse[] = [];
+  const connections: net.Socket[] = [];
+  const listener = new HttpListener({
+    address: '127.0.0.1:0',
+    handler: (req, res) => {
+      handled.push(new CallerResponse(res, false, STALL_MS));
+      connections.push(req.socket);
+    },
+    onError: () => undefined,
+  });
+  await listener.listen();
+  const [host, port] = listener.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  t.after(() => {
+    socket.destroy();
+    listener.destroy();
+  });
+  socket.write(REQUEST.repeat(20));
+  const untilHandled = async (): Promise<void> => {
+    if (handled.length === 20) return;
+    await new Promise(setImmediate);
+    await untilHandled();
+  };
+  await untilHandled();
+  assert.ok((connections[0]?.listenerCount('close') ?? 0) <= 10);
+  const left: boolean[] = [];
+  handled.forEach((response) => response.onDisconnect(() => left.push(true)));
+  socket.destroy();
+  await Promise.all(handled.map(({ closed }) => closed));
+  assert.equal(left.length, 20);
+});
+
 // A request that did not run would be charged, or one that may have run would cost nothing.
 test('what may have run is told by the number of targets, and by the result code that is sent', async (t) => {
   const states: boolean[][] = [];
--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -65,18 +65,12 @@
     private readonly maxStallMs = MAX_STALL_MS,
   ) {
     this.closed = new Promise((resolve) => {
-      const { socket } = res.req;
-      const onClose = (): void => {
-        socket.off('close', onClose);
-        res.off('close', onClose);
+      res.once('close', () => {
         resolve();
         if (res.writableFinished) return;
         this.isDisconnected = true;
         this.disconnectListener?.();
-      };
-      res.on('close', onClose);
-      // A response that waits for an earlier one on its connection does not tell of the end of that.
-      socket.on('close', onClose);
+      });
     });
     // The close event that follows is handled instead.
     res.on('error', () => undefined);
--- a/packages/runtime/src/http/pipeline.test.ts
+++ b/packages/runtime/src/http/pipeline.test.ts
@@ -183,6 +183,22 @@
   assert.equal(received.match(/connection: close/gi)?.length, 1);
 });
 
+// Guards against requests that go on after their client has left, and against a listener for each on their connection.
+test('a response that waits for an earlier one hears once of the end of its connection', async () => {
+  const heard: string[] = [];
+  await ask(...Array.from({ length: 20 }, (_, index) => `/${index}`));
+  const [first] = open.values();
+  assert.ok(first && first.req.socket.listenerCount('close') <= 10);
+  open.forEach((res, path) => res.on('close', () => heard.push(path)));
+  respond('/0');
+  respond('/3');
+  await pause(50);
+  socket.destroy();
+  await pause(50);
+  assert.deepEqual(heard.sort(), [...open.keys()].sort());
+  assert.equal(open.size, 20);
+});
+
 // Guards against a client that occupies the process with a deep pipeline, so that all other callers wait.
 test('the work for a request does not grow with the depth of its pipeline', () => {
   const depth = 10_000;
--- a/packages/runtime/src/http/pipeline.ts
+++ b/packages/runtime/src/http/pipeline.ts
@@ -26,8 +26,11 @@
   private onEmpty: (() => void) | undefined;
 
   static of(socket: Socket): Pipeline {
-    const pipeline = pipelines.get(socket) ?? new Pipeline();
+    const known = pipelines.get(socket);
+    if (known) return known;
+    const pipeline = new Pipeline();
     pipelines.set(socket, pipeline);
+    socket.once('close', () => pipeline.onDisconnect());
     return pipeline;
   }
 
@@ -67,6 +70,13 @@
     this.onEmpty = undefined;
   }
 
+  /** Node.js tells only the response whose turn it is that the connection has closed. */
+  private onDisconnect(): void {
+    [...this.open]
+      .filter((res) => !res.socket && !res.writableFinished)
+      .forEach((res) => res.emit('close'));
+  }
+
   /** Announces in the response that is left that the connection closes after it, unless there are more. */
   announceClose(): void {
     if (this.size === 1 && this.last && !this.last.headersSent) announceClose(this.last);
