--- a/packages/runtime/src/http/lingering-close.ts
+++ b/packages/runtime/src/http/lingering-close.ts
@@ -2,13 +2,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { TimerService } from '../timers/timer-service.js';
-import { bodyPacer } from './body-pacer.js';
-import { continueReading, dropBody } from './hold-reading.js';
+import { discardBody, MAX_DISCARDED_BYTES } from './discard-body.js';
+import { dropBody } from './hold-reading.js';
 import { Pipeline } from './pipeline.js';
 
 export const LingeringCloseLimits = {
-  /** Twice the largest accepted body, for callers that read the response only after sending. */
-  MaxBytes: 8 * 1024 * 1024,
+  /** For callers that read the response only after sending. */
+  MaxBytes: MAX_DISCARDED_BYTES,
   MaxMs: 2000,
   /** Without reading, the end of the request is not seen, so this time always elapses. */
   MaxUnreadMs: 1000,
@@ -45,19 +45,9 @@
     dropBody(req);
     return;
   }
-  let discarded = 0;
-  let pieces = 0;
-  socket.once('close', () => bodyPacer.remove(req));
-  req.on('data', (chunk: Buffer) => {
-    discarded += chunk.length;
-    pieces += 1;
-    bodyPacer.onPiece(req, pieces, discarded);
-    if (discarded > LingeringCloseLimits.MaxBytes) close();
-  });
   req.on('error', close);
   req.on('end', close);
-  continueReading(req);
-  req.resume();
+  discardBody(req, close);
 }
 
 /**
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * from './http/body-memory.js';
 export * from './http/body-pacer.js';
 export * from './http/read-body.js';
+export * from './http/discard-body.js';
 export * from './http/discard-response.js';
 export * from './http/hold-reading.js';
 export * from './http/http-client.js';
