--- a/packages/runtime/src/http/pipeline-memory.test.ts
+++ b/packages/runtime/src/http/pipeline-memory.test.ts
@@ -14,7 +14,8 @@
   const req = { socket, rawHeaders, url: '/' } as unknown as IncomingMessage;
   const responses = Array.from({ length: 3 }, () => new EventEmitter() as ServerResponse);
   responses.forEach((res) => memory.add(req, res));
-  const each = HEAD_BYTES + 2 + PipelineMemoryLimits.OverheadBytes;
+  const { OverheadBytes, TextOverheadBytes } = PipelineMemoryLimits;
+  const each = HEAD_BYTES + 2 + OverheadBytes + 2 * TextOverheadBytes;
   assert.equal(memory.heldBytes, 3 * each);
   responses[0]?.emit('close');
   assert.equal(memory.heldBytes, 2 * each);
--- a/packages/runtime/src/http/pipeline-memory.ts
+++ b/packages/runtime/src/http/pipeline-memory.ts
@@ -9,6 +9,8 @@
   MaxTotalBytes: 16 * 1024 * 1024,
   /** Cost of a request that is handled, besides its head. */
   OverheadBytes: 10 * 1024,
+  /** Cost of each name and each value in a head, besides its text. */
+  TextOverheadBytes: 48,
   /** Cost of one that is not handled, which Node.js keeps until the first response ends. */
   DroppedBytes: 2 * 1024,
 } as const;
@@ -69,6 +71,10 @@
   return PipelineMemoryLimits.OverheadBytes + headBytes(req);
 }
 
+/** Heap that the head of a request takes up; many short lines cost some ten times their bytes. */
 function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
+  return rawHeaders.reduce(
+    (sum, text) => sum + text.length + PipelineMemoryLimits.TextOverheadBytes,
+    url.length,
+  );
 }
--- a/tests/stand-ins/src/users-platform/pipelined-memory.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/pipelined-memory.serial.test.ts
@@ -9,6 +9,8 @@
 const IDLE_TIMEOUT_MS = 120_000;
 const PIPELINED = 250;
 const RESPONSE_BYTES = 64_000;
+/** Some 3600 bytes, below the limit of the head. */
+const LINES = Array.from({ length: 300 }, (_, index) => `x-${index}: a\r\n`).join('');
 const CONNECT_INTERVAL_MS = 100;
 const HOLD_MS = 2000;
 
@@ -45,8 +47,8 @@
   await pipeline(gateway, requests, connections - 1);
 }
 
-function requestOf(path: string): string {
-  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: piped\r\n\r\n`;
+function requestOf(path: string, head = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: piped\r\n${head}\r\n`;
 }
 
 async function assertServes(gateway: SmallGateway): Promise<void> {
@@ -67,6 +69,7 @@
 // Guards against requests that are few enough on each connection, and end the process over all connections.
 [
   { name: 'handled', requests: requestOf('/read/1').repeat(PIPELINED) },
+  { name: 'with heads of many lines', requests: requestOf('/read/1', LINES).repeat(PIPELINED) },
   { name: 'too many for their connection', requests: requestOf('/none').repeat(4 * PIPELINED) },
 ].forEach(({ name, requests }, index) => {
   test(`requests behind one that lasts stay within the memory, ${name}`, async () => {
