--- a/packages/entry/src/callers/call-parser.ts
+++ b/packages/entry/src/callers/call-parser.ts
@@ -12,7 +12,7 @@
   type OperationConfig,
   type ServiceConfig,
 } from '@marjoramcart/core';
-import { type BodyMemory, type TimerService, readRequestBody } from '@marjoramcart/runtime';
+import { type BodyAllocation, type TimerService, readRequestBody } from '@marjoramcart/runtime';
 import { rejected, type Call, type Rejection } from '../request/call.js';
 import { engineBody, parseChat, routedChat } from '../request/chat-request.js';
 import type { EntryState } from '../state/entry-state.js';
@@ -39,8 +39,6 @@
 export interface ParserDeps {
   readonly state: EntryState;
   readonly timers: TimerService;
-  /** Limits the bodies that are read at the same time; absent if they are not limited. */
-  readonly bodies?: BodyMemory;
 }
 
 /** An authenticated request whose body has not been read yet. */
@@ -49,6 +47,8 @@
   readonly config: ConfigView;
   readonly customer: CustomerConfig;
   readonly arrivedAt: number;
+  /** Memory for the body, which the caller of the parser releases; absent if it is not limited. */
+  readonly allocation: BodyAllocation | undefined;
   /** Called when all checks that need no body have passed. */
   readonly onBodyWanted: () => void;
 }
@@ -228,15 +228,12 @@
 }
 
 async function readBody(
-  { timers, bodies }: ParserDeps,
-  { req, onBodyWanted }: ParserInput,
+  { timers }: ParserDeps,
+  { req, allocation, onBodyWanted }: ParserInput,
   maxBytes: number,
 ): Promise<{ readonly kind: 'body'; readonly body: Buffer } | Rejection | { kind: 'aborted' }> {
   onBodyWanted();
-  const allocation = bodies?.allocate();
   const result = await readRequestBody(req, maxBytes, timers, allocation);
-  // The limit is for bodies that are being read; the queues of customers limit the others.
-  allocation?.release();
   switch (result.kind) {
     case 'complete':
       return { kind: 'body', body: result.body };
--- a/packages/entry/src/callers/caller-task.ts
+++ b/packages/entry/src/callers/caller-task.ts
@@ -15,6 +15,7 @@
   type TimerService,
   RefusedConnections,
   dropBody,
+  type BodyAllocation,
   type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
@@ -36,7 +37,7 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
-  /** Limits the bodies that are read at the same time. */
+  /** Limits the bodies of the calls in progress; absent if they are not limited. */
   readonly bodies?: BodyMemory;
   readonly runner: CallRunner;
   readonly sync: SyncTask;
@@ -91,6 +92,19 @@
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const allocation = this.options.bodies?.allocate();
+    try {
+      await this.respond(req, res, allocation);
+    } finally {
+      allocation?.release();
+    }
+  }
+
+  private async respond(
+    req: IncomingMessage,
+    res: ServerResponse,
+    allocation: BodyAllocation | undefined,
+  ): Promise<void> {
     const { state, timers, sync } = this.options;
     const arrivedAt = timers.now();
     const callerRevision = req.headers['marjoramcart-revision'];
@@ -110,7 +124,7 @@
     const onBodyWanted = (): void => {
       if (req.headers.expect !== undefined) res.writeContinue();
     };
-    const input = { req, config, customer, arrivedAt, onBodyWanted };
+    const input = { req, config, customer, arrivedAt, allocation, onBodyWanted };
     const route = routeOf(path, req.method ?? '');
     switch (route) {
       case 'chat':
--- a/packages/entry/src/forward/peer-task.ts
+++ b/packages/entry/src/forward/peer-task.ts
@@ -24,6 +24,7 @@
   type TimerService,
   readRequestBody,
   dropBody,
+  type BodyAllocation,
   type BodyMemory,
   lingeringClose,
 } from '@marjoramcart/runtime';
@@ -48,7 +49,7 @@
   readonly address: string;
   readonly state: EntryState;
   readonly timers: TimerService;
-  /** Limits the bodies that are read at the same time. */
+  /** Limits the bodies of the calls in progress; absent if they are not limited. */
   readonly bodies?: BodyMemory;
   readonly auth: MessageAuthenticator;
   readonly runner: CallRunner;
@@ -116,7 +117,7 @@
   }
 
   private async handleForward(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { state, log, timers } = this.options;
+    const { log, timers } = this.options;
     const arrivedAt = timers.now();
     const envelope = this.authenticate(req);
     if (!envelope) {
@@ -132,8 +133,23 @@
       return;
     }
     const allocation = this.options.bodies?.allocate();
+    try {
+      await this.runForward(req, res, envelope, accepted.call, allocation);
+    } finally {
+      allocation?.release();
+    }
+  }
+
+  /** Reads the body of an accepted forward and runs its call. */
+  private async runForward(
+    req: IncomingMessage,
+    res: ServerResponse,
+    envelope: ForwardEnvelope,
+    accepted: Call,
+    allocation: BodyAllocation | undefined,
+  ): Promise<void> {
+    const { state, timers } = this.options;
     const body = await readRequestBody(req, MAX_BODY_BYTES, timers, allocation);
-    allocation?.release();
     if (body.kind === 'no-memory') {
       this.refuse(req, res, ResultCodes.BodyMemoryFull, envelope.key);
       return;
@@ -143,7 +159,7 @@
       return;
     }
     const response = this.createResponse(res, envelope.key !== undefined);
-    const call = { ...accepted.call, body: body.body };
+    const call = { ...accepted, body: body.body };
     const forwardedByOwner = envelope.reason === 'load' && call.key?.bootId !== state.self.bootId;
     await this.options.runner.run(call, response, forwardedByOwner);
   }
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -68,6 +68,7 @@
   /** Target policy; defaults to the daemon's default policy. */
   readonly targetPolicy?: string;
   readonly drainNoticeMs?: number;
+  readonly maxBodyMemoryMb?: number;
 }
 
 /** Starts an entry of one failure domain with its own control daemon. */
@@ -84,6 +85,9 @@
     control: control.address,
     seed: 1,
     policies: { target: options.targetPolicy ?? 'default' },
+    ...(options.maxBodyMemoryMb === undefined
+      ? {}
+      : { max_body_memory_mb: options.maxBodyMemoryMb }),
   });
   const timers = new SystemTimerService();
   const metrics = new Metrics();
--- a/packages/runtime/src/settings/daemon-settings.ts
+++ b/packages/runtime/src/settings/daemon-settings.ts
@@ -39,7 +39,7 @@
       fairness: z.string().default('default'),
     })
     .prefault({}),
-  /** Limit of the request bodies that are being read, together. */
+  /** Limit of the request bodies of all calls in progress, together, MB. */
   max_body_memory_mb: z.number().positive().default(128),
   /** Limit of the number of request bodies that are being read. */
   max_open_bodies: z.number().int().positive().default(1024),
