--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -19,7 +19,7 @@
 } from '@marjoramcart/core';
 import {
   BodyMemory,
-  dropBody,
+  discardBody,
   HttpListener,
   lingeringClose,
   readRequestBody,
@@ -529,7 +529,7 @@
       open_bodies: this.bodyMemory.openBodies || undefined,
     });
     metrics.onRefusal(code.name);
-    dropBody(req);
+    discardBody(req);
     response.onSent(() => {
       if (!req.complete) lingeringClose(req, timers, true);
     });
--- a/packages/runtime/src/http/discard-body.test.ts
+++ b/packages/runtime/src/http/discard-body.test.ts
@@ -4,7 +4,7 @@
 import net from 'node:net';
 import { after, afterEach, test } from 'node:test';
 import { SystemTimerService } from '../timers/system-timer-service.js';
-import { MAX_DISCARDED_BYTES } from './discard-body.js';
+import { discardBody, MAX_DISCARDED_BYTES } from './discard-body.js';
 import { dropBody } from './hold-reading.js';
 import { lingeringClose } from './lingering-close.js';
 import { HttpListener } from './listener.js';
@@ -51,6 +51,28 @@
   return client;
 }
 
+['end', 'reset'].forEach((way) => {
+  // Guards against a request that keeps its place until its deadline, as the end of its connection is not seen.
+  test(`the ${way} of a connection is seen behind a body that is discarded`, async () => {
+    const responses: ServerResponse[] = [];
+    const client = await connect((index, req, res) => {
+      responses.push(res);
+      if (index > 0) discardBody(req);
+    });
+    client.write(`GET / HTTP/1.1\r\nHost: a\r\n\r\n${POST}${CHUNK.repeat(20)}`);
+    const untilHandled = async (): Promise<ServerResponse> => {
+      const [first] = responses;
+      if (first && responses.length === 2) return first;
+      await new Promise(setImmediate);
+      return untilHandled();
+    };
+    const closed = once(await untilHandled(), 'close');
+    if (way === 'end') client.end();
+    else client.resetAndDestroy();
+    await closed;
+  });
+});
+
 // Guards against the rest of a refused request that is parsed at full speed, as Node.js removes what counts it.
 test('a connection closes when more than the limit follows a refusal without reading', async () => {
   let socket: net.Socket | undefined;
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../logs/logger.js';
 import type { TimerService } from '../timers/timer-service.js';
 import { bindWithRetry } from './bind-with-retry.js';
+import { discardBody } from './discard-body.js';
 import { halfClose } from './lingering-close.js';
 import { closeAfter, isCloseAnnounced, Pipeline } from './pipeline.js';
 import { RejectionCount } from './rejection-count.js';
@@ -45,6 +46,8 @@
  * connection closes after the responses before them.
  */
 const MAX_PIPELINED = 256;
+/** Node.js keeps each request that is not handled until the responses before it are sent. */
+const MAX_UNHANDLED = 64;
 const IDLE_SWEEP_INTERVAL_MS = 100;
 /** Idle time before a closing listener closes a connection, as a request may be on its way. */
 const CLOSE_IDLE_AFTER_MS = 1000;
@@ -235,8 +238,11 @@
   /** The response to invalid HTTP follows those to the requests before it. */
   private onClientError(err: NodeJS.ErrnoException, socket: net.Socket): void {
     const respond = (): void => this.options.onClientError?.(err, socket);
-    if (socket.destroyed) respond();
-    else Pipeline.of(socket).end(respond);
+    const pipeline = Pipeline.of(socket);
+    // Node.js does the same for a client that ends its connection after a complete request.
+    if (socket.readableEnded && pipeline.hasPending) socket.destroy();
+    else if (socket.destroyed) respond();
+    else pipeline.end(respond);
   }
 
   private onSent(res: ServerResponse): void {
@@ -257,10 +263,8 @@
     if (this.stopped && pipeline.size > 0) pipeline.end(() => this.closeSoon(socket));
     if (pipeline.size >= MAX_PIPELINED) pipeline.end(() => this.closeSoon(socket));
     if (!pipeline.add(res)) {
-      req.resume();
-      // Node.js keeps each further request until the first response ends, however small it is. It resumes the
-      // connection after the message, so that a pause has to come later.
-      setImmediate(() => socket.pause());
+      if (pipeline.discard() > MAX_UNHANDLED) socket.destroy();
+      discardBody(req);
       return;
     }
     this.idleSince.delete(socket);
--- a/packages/runtime/src/http/pipeline.ts
+++ b/packages/runtime/src/http/pipeline.ts
@@ -11,6 +11,9 @@
 export class Pipeline {
   private readonly open = new Set<ServerResponse>();
 
+  /** Requests that are not handled. */
+  private discarded = 0;
+
   /**
    * Response to the latest request, the only one that may announce the close. It is forgotten once it has
    * closed, as it would keep its request in memory for as long as the connection is open.
@@ -43,12 +46,18 @@
     return this.closed || (this.last !== undefined && closesConnection(this.last));
   }
 
-  /** Only the latest request may not have been read to its end. */
-  private get hasPending(): boolean {
+  /** Whether a complete request waits for its response; only the latest may not have been read to its end. */
+  get hasPending(): boolean {
     if (this.size !== 1 || !this.last) return this.size > 0;
     return this.last.req.complete || this.last.headersSent;
   }
 
+  /** Counts a request that is not handled; returns the number of them. */
+  discard(): number {
+    this.discarded += 1;
+    return this.discarded;
+  }
+
   /** Adds the response to a new request; returns false if the connection closes before its turn. */
   add(res: ServerResponse): boolean {
     if (this.ended || this.isClosing) return false;
--- a/tests/stand-ins/src/users-platform/pipelined-requests.test.ts
+++ b/tests/stand-ins/src/users-platform/pipelined-requests.test.ts
@@ -119,6 +119,16 @@
   assert.deepEqual(statuses(), ['200', '413']);
 });
 
+// Guards against a request that keeps its target busy after its caller has left, as a refused body behind it is not read.
+test('a request ends with its caller also while a body behind it is refused', async () => {
+  await ask('/read/slow');
+  const start = 'x'.repeat(BODY_BYTES - 1);
+  socket.write(`${head('POST', '/once/1')}Content-Length: ${BODY_BYTES}\r\n\r\n${start}`);
+  await pause();
+  socket.destroy();
+  await fleet.until(() => target.runs.some(({ cancelled }) => cancelled));
+});
+
 // Guards against an interrupted stream that cuts the response to a request that was passed on.
 test('a request behind a stream is passed on when the stream has ended', async () => {
   const pathsRun = (): string[] => target.runs.map(({ path }) => path);
