--- a/packages/runtime/src/http/body-pacer.test.ts
+++ b/packages/runtime/src/http/body-pacer.test.ts
@@ -51,3 +51,22 @@
   [body, ...stalled].forEach(({ msg }) => pacer.remove(msg));
   assert.equal(pacer.size, 0);
 });
+
+// Guards against stalled bodies in tiny chunks that stay open for 60 s, as if the process did not read them.
+test('a body that has nothing to read does not count as waiting, one that has does', async (t) => {
+  const clock = { now: 0 };
+  t.mock.timers.enable({ apis: ['setTimeout'] });
+  t.mock.method(performance, 'now', () => clock.now);
+  const pacer = new BodyPacer();
+  const stalled = pacedBody(pacer, 0);
+  const busy = Array.from({ length: 5 }, () => pacedBody(pacer, Infinity));
+  const steps = Array.from({ length: 200 }, () => async () => {
+    clock.now += 50;
+    t.mock.timers.tick(50);
+    await nextTurn();
+  });
+  await steps.reduce<Promise<void>>((before, step) => before.then(step), Promise.resolve());
+  assert.ok(pacer.waitedMs(stalled.msg) < clock.now / 2);
+  busy.forEach(({ msg }) => assert.ok(pacer.waitedMs(msg) > clock.now / 2));
+  [stalled, ...busy].forEach(({ msg }) => pacer.remove(msg));
+});
--- a/packages/runtime/src/http/body-pacer.ts
+++ b/packages/runtime/src/http/body-pacer.ts
@@ -17,6 +17,15 @@
   MaxPauseMs: 640,
 } as const;
 
+interface Wait {
+  /** Time for which a body waited for turns in which there was something to read, ms. */
+  readonly totalMs: number;
+  /** Since when it waits for a turn, ms. */
+  readonly since?: number;
+  /** How long it waited for the turn that it has, ms. */
+  readonly turnMs?: number;
+}
+
 /**
  * Reads paced bodies one after the other, one read of the connection each. A turn ends with the next poll
  * of the connections, also when nothing was read.
@@ -33,8 +42,7 @@
   /** Last pause of each body that has received nothing since, ms. */
   private readonly pauses = new WeakMap<IncomingMessage, number>();
 
-  /** Time for which each body waited for its turns so far, and since when it waits again, ms. */
-  private readonly waits = new WeakMap<IncomingMessage, { totalMs: number; since?: number }>();
+  private readonly waits = new WeakMap<IncomingMessage, Wait>();
 
   private scheduled = false;
 
@@ -56,15 +64,15 @@
     if (!isReading && (pieces <= PacerLimits.FreePieces || bytes >= pieces * PacerLimits.TinyBytes))
       return;
     this.pauses.delete(msg);
-    this.hold(msg);
+    this.endTurn(msg);
+    holdReading(msg);
     this.queue(msg);
   }
 
   /** Time for which a body was not read although its client may have sent more, ms. */
   waitedMs(msg: IncomingMessage): number {
-    const wait = this.waits.get(msg);
-    if (!wait) return 0;
-    return wait.totalMs + (wait.since === undefined ? 0 : performance.now() - wait.since);
+    const { totalMs, since, turnMs = 0 } = this.waits.get(msg) ?? { totalMs: 0 };
+    return totalMs + (since === undefined ? turnMs : performance.now() - since);
   }
 
   /** Forgets a body that is not read any more. */
@@ -95,7 +103,8 @@
     const free = Math.max(0, PacerLimits.MaxReading - this.reading.size);
     [...this.waiting].slice(0, free).forEach((msg) => {
       this.waiting.delete(msg);
-      this.waits.set(msg, { totalMs: this.waitedMs(msg) });
+      const totalMs = this.waits.get(msg)?.totalMs ?? 0;
+      this.waits.set(msg, { totalMs, turnMs: this.waitedMs(msg) - totalMs });
       // Runs after the next poll, in which a body that has something to read receives it.
       this.reading.set(
         msg,
@@ -105,21 +114,17 @@
     });
   }
 
-  /** Stops to read a body. */
-  private hold(msg: IncomingMessage): void {
-    this.endTurn(msg);
-    this.waits.set(msg, { totalMs: this.waitedMs(msg), since: performance.now() });
-    holdReading(msg);
-  }
-
   private queue(msg: IncomingMessage): void {
     this.waiting.add(msg);
+    this.waits.set(msg, { totalMs: this.waitedMs(msg), since: performance.now() });
     this.schedule();
   }
 
-  /** Ends a turn in which nothing was read. */
+  /** Ends a turn in which nothing was read: the client had sent nothing while the body waited for it. */
   private pause(msg: IncomingMessage): void {
-    this.hold(msg);
+    this.endTurn(msg);
+    holdReading(msg);
+    this.waits.set(msg, { totalMs: this.waits.get(msg)?.totalMs ?? 0 });
     const before = this.pauses.get(msg);
     const pauseMs = before
       ? Math.min(2 * before, PacerLimits.MaxPauseMs)
