--- a/packages/gateway/src/directory/directory-task.ts
+++ b/packages/gateway/src/directory/directory-task.ts
@@ -7,7 +7,14 @@
   type HostResidency,
   type RandomSource,
 } from '@marjoramcart/core';
-import { HttpListener, type ConnectionShare, type Logger, type Task } from '@marjoramcart/runtime';
+import {
+  HttpListener,
+  ignoreBody,
+  type ConnectionShare,
+  type Logger,
+  type Task,
+  type TimerService,
+} from '@marjoramcart/runtime';
 import type { DirectoryProtocol, DirectoryQuery } from '../ports/request-protocol.js';
 import type { GatewayDirectory } from './gateway-directory.js';
 
@@ -31,6 +38,7 @@
   readonly random: RandomSource;
   readonly residencyOf: (host: string) => HostResidency;
   readonly configVersion: () => number;
+  readonly timers?: Pick<TimerService, 'after'>;
   readonly log: Logger;
 }
 
@@ -50,6 +58,7 @@
           address,
           ...(deps.connections ? { connections: deps.connections[address] } : {}),
           log: deps.log,
+          ...(deps.timers ? { timers: deps.timers } : {}),
           handler: (req, res) => this.handle(req, res),
           onError: (err) => deps.log.error('request failed', { err }),
         }),
@@ -67,7 +76,7 @@
 
   private handle(req: IncomingMessage, res: ServerResponse): void {
     const { protocol, phase } = this.deps;
-    req.resume();
+    ignoreBody(req, res);
     if (protocol.isReadyCheck(req)) {
       const ready = phase() === GatewayPhase.Ready;
       res.writeHead(ready ? 200 : 503, { 'content-length': 0 }).end();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -502,7 +502,7 @@
   }
 
   private createDirectoryTask(): DirectoryTask {
-    const { settings, directoryProtocol, log } = this.deps;
+    const { settings, directoryProtocol, timers, log } = this.deps;
     return new DirectoryTask({
       directoryAddress: settings.listen.directory,
       readyAddress: settings.listen.ready,
@@ -518,6 +518,7 @@
       random: this.random,
       residencyOf: (host) => this.state.routes.residencyOf(host),
       configVersion: () => this.state.config?.version ?? 0,
+      timers,
       log: log.child('directory'),
     });
   }
--- a/packages/runtime/src/admin/admin-task.ts
+++ b/packages/runtime/src/admin/admin-task.ts
@@ -1,6 +1,7 @@
 /** Admin HTTP server of a daemon. It serves `/healthz`, `/readyz`, `/metrics` and `/status`. */
 import type { ServerResponse } from 'node:http';
 import type { ConnectionShare } from '../http/connection-share.js';
+import { ignoreBody } from '../http/ignore-body.js';
 import { HttpListener } from '../http/listener.js';
 import type { Task } from '../kernel/kernel.js';
 import type { Logger } from '../logs/logger.js';
@@ -43,7 +44,10 @@
       address: options.address,
       log: options.log,
       ...(options.connections ? { connections: options.connections } : {}),
-      handler: ({ url }, res) => this.handle(url ?? '', res),
+      handler: (req, res) => {
+        ignoreBody(req, res);
+        return this.handle(req.url ?? '', res);
+      },
       onError: (err) => options.log.error('request failed', { err }),
     });
   }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,6 +11,7 @@
 export * from './http/discard-response.js';
 export * from './http/hold-reading.js';
 export * from './http/http-client.js';
+export * from './http/ignore-body.js';
 export * from './http/lingering-close.js';
 export * from './http/listener.js';
 export * from './http/pooled-agent.js';
