--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -148,6 +148,8 @@
   /** Limit of the short responses that callers have not read, bytes. */
   readonly maxUnreadResponseBytes: number;
   readonly connections: Pick<GatewayConnections, 'callers' | 'forwards'>;
+  /** Limit of the requests of a listener that wait behind earlier ones of their connections, bytes. */
+  readonly maxPipelinedBytes: number;
   readonly state: GatewayState;
   readonly configCatchUp: ConfigCatchUp;
   readonly directory: Pick<GatewayDirectory, 'acceptsInMs'>;
@@ -213,6 +215,7 @@
       log,
       timers: deps.timers,
       maxHeaderBytes: MAX_HEADER_BYTES,
+      maxPipelinedBytes: deps.maxPipelinedBytes,
       onError: (err: unknown) => log.error('request failed', { err }),
       onClientError: (err: NodeJS.ErrnoException, socket: Socket) =>
         this.onClientError(err, socket),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -269,6 +269,7 @@
       maxOpenBodies: Math.min(settings.tuning.max_open_bodies, this.connections.maxOpenBodies),
       maxUnreadResponseBytes: settings.maxUnreadResponseBytes,
       connections: this.connections,
+      maxPipelinedBytes: settings.maxPipelinedBytes,
       state: this.state,
       configCatchUp: new ConfigCatchUp({
         state: this.state,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -44,6 +44,8 @@
   readonly maxResponseMemoryBytes: number;
   /** Limit of the load reports of more than 64 KiB that are read at the same time, bytes. */
   readonly maxReportMemoryBytes: number;
+  /** Limit of the requests of a listener that wait behind earlier ones of their connections, bytes. */
+  readonly maxPipelinedBytes: number;
   /** Limit of the short responses whose callers have not read them, bytes. */
   readonly maxUnreadResponseBytes: number;
   /** How keys of customers are handled that a newer configuration may have added or removed. */
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -27,6 +27,8 @@
   readonly maxHeaderBytes?: number;
   /** Without room for another connection the one that was idle longest is closed, else the new one. */
   readonly connections?: ConnectionShare;
+  /** Limit of the requests that wait behind earlier ones of their connections, bytes. */
+  readonly maxPipelinedBytes?: number;
   readonly headersTimeoutMs?: number;
   /**
    * Leaves `Expect: 100-continue` to the handler, which calls `res.writeContinue()` when it accepts
@@ -72,7 +74,7 @@
   private readonly share: ConnectionShare;
 
   /** What requests take up that wait for the responses before them. */
-  private readonly waiting = new PipelineMemory();
+  private readonly waiting: PipelineMemory;
 
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
@@ -98,6 +100,7 @@
       options.connections ??
       new ConnectionBudget(DEFAULT_MAX_CONNECTIONS).share({ name: options.address });
     this.share.attach(this);
+    this.waiting = new PipelineMemory(options.maxPipelinedBytes);
     this.server.on('connection', (socket: net.Socket) => this.trackIdle(socket));
     if (options.deferContinue === true) {
       this.server.on('checkContinue', (req, res) => {
--- a/packages/runtime/src/http/pipeline-memory.ts
+++ b/packages/runtime/src/http/pipeline-memory.ts
@@ -3,10 +3,10 @@
 import type { Socket } from 'node:net';
 
 export const PipelineMemoryLimits = {
-  /** Limit of the requests that are handled while they wait; some 1200 short ones. */
+  /** Limit of the requests that are handled while they wait, if its owner names none; some 1200 short ones. */
   MaxBytes: 12 * 1024 * 1024,
-  /** Limit of all that wait, with those that are not handled as their connections close. */
-  MaxTotalBytes: 16 * 1024 * 1024,
+  /** Limit of all that wait, with those that are not handled as their connections close, by that limit. */
+  TotalFactor: 4 / 3,
   /** Cost of a request that is handled, besides its head. */
   OverheadBytes: 10 * 1024,
   /** Cost of each name and each value in a head, besides its text. */
@@ -21,6 +21,9 @@
   /** Bytes of each connection with requests that wait. */
   private readonly ofConnection = new Map<Socket, number>();
 
+  /** @param maxBytes limit of the requests that are handled while they wait */
+  constructor(private readonly maxBytes: number = PipelineMemoryLimits.MaxBytes) {}
+
   /** Bytes of all requests that wait. */
   get heldBytes(): number {
     return this.held;
@@ -28,7 +31,7 @@
 
   /** Whether one more request may wait. */
   hasRoom(req: IncomingMessage): boolean {
-    return this.held + costOf(req) <= PipelineMemoryLimits.MaxBytes;
+    return this.held + costOf(req) <= this.maxBytes;
   }
 
   /** Adds a request that is handled, until its response or its connection closes. */
@@ -49,7 +52,7 @@
    */
   addDropped(req: IncomingMessage): boolean {
     this.charge(req.socket, PipelineMemoryLimits.DroppedBytes + headBytes(req));
-    return this.held <= PipelineMemoryLimits.MaxTotalBytes;
+    return this.held <= this.maxBytes * PipelineMemoryLimits.TotalFactor;
   }
 
   private charge(socket: Socket, bytes: number): void {
