--- a/packages/gateway/src/connections/gateway-connections.ts
+++ b/packages/gateway/src/connections/gateway-connections.ts
@@ -69,11 +69,22 @@
         ...this.budget.open,
       });
     });
-    const share = (name: string, part: number, max: number, min = 0): ConnectionShare =>
-      this.budget.share({ name, max, reserved: Math.max(Math.floor(limit * part), min) });
-    const other = (name: string): ConnectionShare => share(name, OTHER_SHARE, MAX_OTHER, MIN_OTHER);
-    this.callers = share('callers', CALLERS_SHARE, maxConnections);
-    this.forwards = share('forwards', FORWARDS_SHARE, maxConnections);
+    const share = (
+      name: string,
+      part: number,
+      max: number,
+      { min = 0, opensOthers = false } = {},
+    ): ConnectionShare =>
+      this.budget.share({
+        name,
+        max,
+        opensOthers,
+        reserved: Math.max(Math.floor(limit * part), min),
+      });
+    const other = (name: string): ConnectionShare =>
+      share(name, OTHER_SHARE, MAX_OTHER, { min: MIN_OTHER });
+    this.callers = share('callers', CALLERS_SHARE, maxConnections, { opensOthers: true });
+    this.forwards = share('forwards', FORWARDS_SHARE, maxConnections, { opensOthers: true });
     this.outgoing = share('outgoing', OUTGOING_SHARE, limit);
     this.ready = other('ready');
     this.directory = other('directory');
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -12,7 +12,13 @@
   type RequestStep,
   type ResultCode,
 } from '@marjoramcart/core';
-import { SMALL_RESPONSE_BYTES, type BodyMemory, type Logger } from '@marjoramcart/runtime';
+import {
+  SMALL_RESPONSE_BYTES,
+  type BodyAllocation,
+  type BodyMemory,
+  type ConnectionShare,
+  type Logger,
+} from '@marjoramcart/runtime';
 import { match } from 'ts-pattern';
 import type { GatewayMetrics } from '../metrics/gateway-metrics.js';
 import type { CapacitySharing } from '../sharing/capacity-sharing.js';
@@ -27,6 +33,7 @@
 /** Upper bound of the random share that is added to Retry-After, so that retries are spread. */
 const RETRY_AFTER_SPREAD = 0.6;
 const UNKNOWN_VERSION_RETRY_MS = 500;
+const NO_CONNECTION_RETRY_MS = 500;
 /** Result in the metrics when a target responded with an unsuccessful status. */
 const TARGET_STATUS = 'target_status';
 
@@ -37,6 +44,8 @@
   readonly log: Logger;
   /** Limits the responses of targets that are held at the same time. */
   readonly responseMemory: BodyMemory;
+  /** Connections to targets and gateways. */
+  readonly outgoing: Pick<ConnectionShare, 'startCall' | 'endCall'>;
 }
 
 export class RequestExecutor {
@@ -67,20 +76,35 @@
     const { prompt } = call.head;
     if (prompt) this.deps.router.lengths.onRequest(call.route.name, prompt.expectedOutputTokens);
     const recordResult = metrics.startRequest(call.route.name, call.facts.arrivedAt);
-    const scope = await this.deps.streams.scopeOf(call);
-    if (scope.kind === 'none') {
-      recordResult(this.refuseUnknownVersion(response));
+    if (!this.deps.outgoing.startCall()) {
+      // A connection that fails for want of descriptors would be taken for the failure of a target.
+      this.deps.log.info('refuse', { id: call.head.id, cause: 'too many connections' });
+      recordResult(this.refuse(RefusalReason.Overload, NO_CONNECTION_RETRY_MS, response));
       return;
     }
+    try {
+      recordResult(await this.runStarted(call, response, memory));
+    } finally {
+      this.deps.outgoing.endCall();
+    }
+  }
+
+  /** Looks for a destination and carries out steps; returns the result of the call. */
+  private async runStarted(
+    call: Call,
+    response: CallerResponse,
+    memory: BodyAllocation,
+  ): Promise<string> {
+    const scope = await this.deps.streams.scopeOf(call);
+    if (scope.kind === 'none') return this.refuseUnknownVersion(response);
     const shared = this.deps.sharing.start(call);
     if (shared?.refusal) {
       this.decisions.onSharingRefusal(call, shared.refusal);
       response.setRuns(0);
       const { retryAfterMs } = shared.refusal;
-      recordResult(this.refuse(RefusalReason.Overload, retryAfterMs, response));
-      return;
+      return this.refuse(RefusalReason.Overload, retryAfterMs, response);
     }
-    const result = await this.takeSteps({
+    return this.takeSteps({
       call,
       ...(shared ? { shared } : {}),
       scope,
@@ -91,7 +115,6 @@
       lastEventId: call.head.resumeAfter,
       failure: undefined,
     });
-    recordResult(result);
   }
 
   /** Carries out steps until one ends the call; returns the result of the call. */
--- a/packages/gateway/src/exchange/sharing-refusal.test.ts
+++ b/packages/gateway/src/exchange/sharing-refusal.test.ts
@@ -32,6 +32,7 @@
     metrics: new GatewayMetrics(new Metrics(), timers),
     log: silentLogger(),
     responseMemory: new BodyMemory(1000),
+    outgoing: { startCall: () => true, endCall: () => undefined },
   } as unknown as ExecutorDeps);
   const call = {
     head: { id: 'a' },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -251,6 +251,7 @@
       metrics,
       log: log.child('request'),
       responseMemory,
+      outgoing: this.connections.outgoing,
     });
     this.quota = new QuotaTask({
       settings,
--- a/packages/runtime/src/http/connection-budget.test.ts
+++ b/packages/runtime/src/http/connection-budget.test.ts
@@ -67,3 +67,22 @@
   assert.deepEqual(callers.since, [5, 6, 7, 8]);
   assert.equal(outgoing.open, 8);
 });
+
+// Guards against calls for whose connections no descriptors are left.
+test('calls start while the connections that they open have room, and idle ones close for them', () => {
+  const budget = new ConnectionBudget(12);
+  const callers = budget.share({ name: 'callers', reserved: 4, opensOthers: true });
+  const outgoing = budget.share({ name: 'outgoing', reserved: 1 });
+  budget.share({ name: 'ready', reserved: 2 });
+  const idle = new IdleConnections(callers);
+  idle.open(9, 0);
+  const started = Array.from({ length: 9 }, () => outgoing.startCall()).filter(Boolean).length;
+  assert.equal(started, 6);
+  assert.equal(callers.open, 4);
+  Array.from({ length: started }).forEach(() => outgoing.add());
+  assert.deepEqual(budget.open, { callers: 4, outgoing: 6, ready: 0 });
+  outgoing.release();
+  assert.equal(outgoing.startCall(), false);
+  outgoing.endCall();
+  assert.equal(outgoing.startCall(), true);
+});
--- a/packages/runtime/src/http/connection-budget.ts
+++ b/packages/runtime/src/http/connection-budget.ts
@@ -9,6 +9,8 @@
   readonly reserved?: number;
   /** Upper bound of this part; the limit of the process if absent. */
   readonly max?: number;
+  /** Whether the requests on its connections open connections of another part. */
+  readonly opensOthers?: boolean;
 }
 
 /**
@@ -42,8 +44,13 @@
   }
 
   /** Adds a part of the process. */
-  share({ name, reserved = 0, max = this.limit }: ShareOptions): ConnectionShare {
-    const share = new ConnectionShare(this, name, Math.min(reserved, max), max);
+  share({
+    name,
+    reserved = 0,
+    max = this.limit,
+    opensOthers = false,
+  }: ShareOptions): ConnectionShare {
+    const share = new ConnectionShare(this, name, Math.min(reserved, max), max, opensOthers);
     this.shares.push(share);
     return share;
   }
@@ -54,7 +61,15 @@
 
   /** Closes idle connections until a part may open one more; returns false if too few are idle. */
   makeRoom(share: ConnectionShare): boolean {
-    while (!this.hasRoom(share)) {
+    return this.closeIdleUntil(share, () => this.hasRoom(share));
+  }
+
+  makeRoomForCall(share: ConnectionShare): boolean {
+    return this.closeIdleUntil(share, () => this.hasRoomForCall(share));
+  }
+
+  private closeIdleUntil(share: ConnectionShare, hasRoom: () => boolean): boolean {
+    while (!hasRoom()) {
       const [victim] = this.candidates(share)
         .filter(({ longestIdleSince }) => longestIdleSince !== undefined)
         .toSorted((a, b) => Number(a.longestIdleSince) - Number(b.longestIdleSince));
@@ -67,10 +82,19 @@
 
   private hasRoom(share: ConnectionShare): boolean {
     if (share.open >= share.max) return false;
-    if (share.open < share.reserved) return true;
+    if (share.used < share.reserved) return true;
     return this.shares.reduce((sum, { taken }) => sum + taken, 0) < this.limit;
   }
 
+  /** What is reserved for parts whose requests open connections is of no use to them without those. */
+  private hasRoomForCall(share: ConnectionShare): boolean {
+    if (share.usedByNextCall <= share.reserved) return true;
+    const others = this.shares
+      .filter((other) => other !== share)
+      .reduce((sum, { open, taken, opensOthers }) => sum + (opensOthers ? open : taken), 0);
+    return others + share.usedByNextCall <= this.limit;
+  }
+
   private candidates(share: ConnectionShare): ConnectionShare[] {
     if (share.open >= share.max) return [share];
     return this.shares.filter((other) => other === share || other.open > other.reserved);
--- a/tests/stand-ins/src/users-platform/connection-crowd.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/connection-crowd.serial.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import net from 'node:net';
 import { afterEach, test } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
 import { sendRequest } from './client-request.js';
 import { HOST, PortOffset } from './example-config.js';
 import { SmallGateway, type SmallGatewayOptions } from './small-gateway.js';
@@ -19,6 +20,11 @@
   `POST /held/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: f\r\nDeadline-Ms: 20000\r\n` +
   'marjoramcart-forwarded-by: vm-2\r\nmarjoramcart-config: 3\r\nContent-Length: 1\r\n\r\nx';
 
+const HELD = `POST /held/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: h\r\nDeadline-Ms: 20000\r\nContent-Length: 1\r\n\r\nx`;
+/** They fit into the descriptors, but not with a connection to a target for each. */
+const KEPT_CLIENTS = 170;
+const GROUP = 10;
+
 let cleanUps: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -136,3 +142,30 @@
   const open = forwards.map(({ readyState, destroyed }) => (destroyed ? 'closed' : readyState));
   assert.deepEqual(open, ['open', 'open']);
 });
+
+// Guards against requests for which no descriptors are left, so that targets count as unreachable.
+test('callers that all send requests at once leave descriptors to connections to targets', async () => {
+  const gateway = await startGateway(8, { descriptorLimit: DESCRIPTORS });
+  const sockets = Array.from({ length: KEPT_CLIENTS }, () =>
+    connect(gateway.process.callersAddress).resume(),
+  );
+  await Promise.all(sockets.map((socket) => untilClosedOr(socket, 'connect')));
+  // Accepted before the first request is sent.
+  assert.equal((await gateway.sendShort()).status, 200);
+  // In groups, as idle connections are closed for requests that arrive one by one.
+  await sockets.reduce(async (before, socket, index) => {
+    await before;
+    socket.write(HELD);
+    if (index % GROUP === GROUP - 1) await setTimeout(0);
+  }, Promise.resolve());
+  await Promise.race(sockets.map((socket) => untilClosedOr(socket, 'data')));
+  const open = gateway.process.openDescriptors();
+  assert.ok(open < DESCRIPTORS, `${open} open descriptors`);
+  const ready = await sendRequest(addressOf(gateway, PortOffset.Ready), { path: '/api/ready' });
+  assert.equal(ready.status, 200);
+  sockets.forEach((socket) => socket.destroy());
+  await Promise.all(sockets.map((socket) => socket.closed || once(socket, 'close')));
+  assert.equal((await gateway.sendShort()).status, 200);
+  assert.ok(!gateway.process.log.includes('EMFILE'));
+  gateway.assertAlive();
+});
