--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -219,7 +219,8 @@
     });
     const metrics = new GatewayMetrics(deps.metrics, timers);
     this.connections = new GatewayConnections({
-      descriptors: Math.min(settings.maxDescriptors ?? Infinity, readDescriptorLimit() ?? Infinity),
+      // The platform may count connections apart from the descriptors of the process, so that its figure goes first.
+      descriptors: settings.maxDescriptors ?? readDescriptorLimit() ?? Infinity,
       maxConnections: settings.tuning.max_connections,
       metrics: deps.metrics,
       log: log.child('connections'),
