--- a/packages/runtime/src/http/reading-clock.ts
+++ b/packages/runtime/src/http/reading-clock.ts
@@ -5,7 +5,7 @@
   IntervalMs: 50,
   /** Longest time that counts between two polls of the connections, ms. */
   MaxStepMs: 100,
-  /** The clock stops when it was not read for this time, ms. No longer silence can be measured. */
+  /** The clock stops when it was not read for this time, ms; a longer silence counts as this one. */
   IdleMs: 2000,
 } as const;
 
