Refuse a prompt segment that crashes targets at any moment of their answers

Cause: the first byte of an answer was taken for its end. A request that was lost later was no witness of its target's death, and one whose answer had gone on for 200 ms cleared its segments although its target had not finished.

Change: each request whose answer was not complete is a witness; only an answer that is complete from its first event on clears a segment that was not good before. Known good segments are handled as before, a long answer that ends with its target does not blame them, and deaths that a refused segment explains do not count against those beside it. A target that leaves is no evidence; one that is back with a newer start is. The log line of a death says how many answers had begun.

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -140,13 +140,77 @@
   assert.notEqual(suspects.verdict(['document'], NEVER, 6100), undefined);
 });
 
-test('an answer that began before a death does not clear its segments of it', () => {
+test('an answer that was complete before a death does not clear its segments of it', () => {
   const suspects = new CrashSuspects();
   deaths(5, suspects, ['bad'], 1000);
   suspects.onAnswered(['bad'], 500, 6000);
   assert.notEqual(suspects.verdict(['bad'], NEVER, 6100), undefined);
 });
 
+// Guards against a part that is never refused because its answers go on for some time before each crash.
+test('an answer that goes on clears only segments that were good before', () => {
+  const suspects = new CrashSuspects();
+  suspects.onAnswered(['system'], 0, 0);
+  [1000, 2000, 3000, 4000, 5000].forEach((at, index) => {
+    suspects.onDeath(`i-${index}`, `req-${index}`, ['system', 'bad'], at);
+    suspects.onSurvived(['system', 'bad'], at + 300, at + 500);
+  });
+  assert.equal(suspects.verdict(['system'], NEVER, 6000), undefined);
+  assert.equal(suspects.verdict(['bad'], NEVER, 6000)?.key, 'bad');
+});
+
+// Guards against refusing the segments of long streams that end with targets which crash by themselves.
+test('long answers that end with their targets do not blame segments that were good before', () => {
+  const suspects = new CrashSuspects();
+  suspects.onAnswered(['system'], 0, 0);
+  Array.from({ length: 8 }).forEach((_, index) => {
+    const times = { ageMs: 0, ranMs: 3000, wroteMs: 2500 };
+    suspects.onDeath(`i-${index}`, `req-${index}`, ['system'], 1000 + index * 1000, times);
+  });
+  assert.equal(suspects.verdict(['system'], NEVER, 9000), undefined);
+});
+
+test('a gateway that never answered a segment learns with its deaths that it was good', () => {
+  const [witness, other] = [new CrashSuspects(), new CrashSuspects()];
+  witness.onAnswered(['system'], 0, 0);
+  Array.from({ length: 4 }).forEach((_, index) => {
+    const at = 1000 + index * 1000;
+    const times = { ageMs: 0, ranMs: 3000, wroteMs: 2500 };
+    other.merge(witness.onDeath(`i-${index}`, `req-${index}`, ['system'], at, times), at + 20);
+  });
+  assert.equal(other.verdict(['system'], NEVER, 5000), undefined);
+});
+
+// Guards against refusing sound requests that were in flight each time another one crashed their target.
+test('deaths that a refused segment explains do not count against the segments beside it', () => {
+  const suspects = new CrashSuspects();
+  suspects.onAnswered(['system', 'document'], 0, 0);
+  Array.from({ length: 7 }).forEach((_, index) => {
+    suspects.onDeath(`i-${index}`, `req-${index}`, ['system', 'bad'], 1000 + index * 1000);
+    suspects.onDeath(`i-${index}`, `other-${index}`, ['system', 'document'], 1010 + index * 1000);
+  });
+  assert.equal(suspects.verdict(['system', 'document'], NEVER, 9000), undefined);
+  assert.equal(suspects.verdict(['system', 'bad'], NEVER, 9000)?.key, 'bad');
+});
+
+test('deaths without the refused segment still count against others', () => {
+  const suspects = new CrashSuspects();
+  deaths(4, suspects, ['bad', 'second']);
+  deaths(3, suspects, ['second'], 10_000);
+  assert.notEqual(suspects.verdict(['second'], NEVER, 13_000), undefined);
+});
+
+// Guards against forgetting a segment between its deaths because each target had many other requests.
+test('a segment with several deaths is kept while many others have one', () => {
+  const suspects = new CrashSuspects();
+  deaths(2, suspects, ['bad']);
+  Array.from({ length: 600 }).forEach((_, index) => {
+    suspects.onDeath('i-9', `req-${index}`, [`other-${index}`], 2500);
+  });
+  suspects.onDeath('i-3', 'req-3', ['bad'], 3000);
+  assert.equal(suspects.verdict(['bad'], NEVER, 3100)?.deaths, 3);
+});
+
 test('one gateway tries a refused segment again, and an answer ends the refusal everywhere', () => {
   const trying = new CrashSuspects();
   const other = new CrashSuspects();
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -1,8 +1,9 @@
 /**
  * Finds prompt segments and whole requests that crash targets, both identified by keys. Every request
- * that awaited its first byte when a target died is a witness against its keys; a request that is
- * answered clears them. A key is refused after several deaths without an answer in between. All
- * gateways exchange what they saw, as one of them rarely sees enough.
+ * whose answer was not complete when a target died is a witness against its keys; a request that is
+ * answered to its end clears them. A key is refused after several deaths without an answer in between.
+ * Deaths that a refused key explains do not count against keys that merely were there. All gateways
+ * exchange what they saw, as one of them rarely sees enough.
  */
 import { hashOf } from '../rendezvous.js';
 
@@ -12,7 +13,7 @@
   readonly key: string;
   /** Deaths since the key was last cleared. */
   readonly deaths: readonly SuspectDeath[];
-  /** Time since a request with the key was answered; absent if none was since the first death. */
+  /** Time since a request with the key was answered to its end; absent if none was since the first death. */
   readonly clearedAgeMs?: number;
 }
 
@@ -24,9 +25,11 @@
   readonly ageMs: number;
   /** Time from the sending of the request to the death; absent in messages of earlier releases. */
   readonly ranMs?: number;
+  /** Time from the first byte of its answer to the death; absent if there was none. */
+  readonly wroteMs?: number;
 }
 
-type DeathTimes = Pick<SuspectDeath, 'ageMs' | 'ranMs'>;
+type DeathTimes = Pick<SuspectDeath, 'ageMs' | 'ranMs' | 'wroteMs'>;
 
 /** Why a request is refused. */
 export interface CrashVerdict {
@@ -44,6 +47,8 @@
   readonly at: number;
   /** When the request was sent to the target; -Infinity if that is not known. */
   readonly sentAt: number;
+  /** For how long the target had been writing the answer, the shortest of all requests, ms. */
+  readonly wroteMs: number;
 }
 
 interface Suspect {
@@ -58,6 +63,8 @@
 const MAX_DEATHS = 3;
 /** The same for a key whose requests were answered before the first death. */
 const MAX_DEATHS_KNOWN_GOOD = 5;
+/** A key whose requests were answered before is suspected only while answers are shorter than this. */
+export const SURVIVAL_MS = 200;
 /** Targets that die within this time, as in the loss of a rack, count as one death. */
 const SAME_CAUSE_MS = 300;
 /** Accuracy of the order of events that another gateway reports. */
@@ -85,6 +92,7 @@
 const MAX_KNOWN_GOOD = 2000;
 /** Segments whose ids begin with this are not tracked, so that no caller can name the key of a request. */
 const REQUEST_KEY_PREFIX = 'request ';
+const PREFIX_OF_REQUEST_KEY = /^request \S+ \S+ /;
 
 /**
  * Key of a whole request.
@@ -116,23 +124,33 @@
   /** Keys by the time at which a request with them was last answered, oldest first. */
   private readonly answeredAt = new Map<string, number>();
 
+  /** Beginnings of the request keys that are tracked; undefined after a change. */
+  private prefixes: ReadonlySet<string> | undefined;
+
+  /** Keys that are refused for their own deaths; undefined after a change. */
+  private blamed: ReadonlyMap<string, Suspect> | undefined;
+
   /** Number of keys that are tracked. */
   get size(): number {
     return this.suspects.size;
   }
 
-  /** Whether a key that begins with this text is tracked. */
+  /** Whether a key is tracked of which `requestKey` asks with this text. */
   hasPrefix(prefix: string): boolean {
-    return [...this.suspects.keys()].some((key) => key.startsWith(prefix));
+    this.prefixes ??= new Set(
+      [...this.suspects.keys()].map((key) => PREFIX_OF_REQUEST_KEY.exec(key)?.[0] ?? key),
+    );
+    return this.prefixes.has(prefix);
   }
 
   /**
-   * Counts the death of a target that had not answered a request yet.
+   * Counts the death of a target that had not answered a request to its end yet.
    *
    * @param request identifies the request; the same when it comes again
    * @param keys its segments that it shares with others, and its own key
    * @param now monotonic ms, as in all methods
-   * @param times age of the death, and how long the request had been at the target, ms
+   * @param times age of the death, and how long the request had been at the target and its answer
+   *   had been written, ms
    * @returns rows for the other gateways
    * @example suspects.onDeath('i-1', 'req-7', ['system', 'document'], timers.now())
    */
@@ -141,15 +159,15 @@
     request: string,
     keys: readonly string[],
     now: number,
-    { ageMs, ranMs }: DeathTimes = { ageMs: 0 },
+    times: DeathTimes = { ageMs: 0 },
   ): SuspectRow[] {
-    const death = {
-      target: hashOf(target),
-      request: hashOf(request),
-      ageMs,
-      ...(ranMs === undefined ? {} : { ranMs }),
-    };
-    const rows = keys.map((key) => ({ key, deaths: [death] }));
+    const death = { target: hashOf(target), request: hashOf(request), ...times };
+    const rows = keys.map((key) => {
+      const answeredAt = this.lastAnswerOf(key, this.suspects.get(key));
+      // Another gateway may not know that the key was good.
+      const cleared = answeredAt > -Infinity ? { clearedAgeMs: now - answeredAt } : {};
+      return { key, deaths: [death], ...cleared };
+    });
     this.merge(rows, now);
     return rows;
   }
@@ -157,22 +175,41 @@
   /**
    * Clears the keys of a request that was answered.
    *
+   * @param answeredAt when the answer was complete; deaths after that still count
+   * @returns rows of the keys that were suspects, for the other gateways
+   */
+  onAnswered(keys: readonly string[], answeredAt: number, now: number): SuspectRow[] {
+    keys.forEach((key) => this.rememberAnswer(key, answeredAt));
+    return keys
+      .filter((key) => this.clear(key, answeredAt))
+      .map((key) => ({ key, deaths: [], clearedAgeMs: now - answeredAt }));
+  }
+
+  /**
+   * Clears those keys of a request whose answer has gone on for `SURVIVAL_MS` that were good before.
+   * Others are cleared only by a whole answer, as they may crash their target at any moment.
+   *
    * @param firstByteAt when its first byte arrived; deaths after that still count
    * @returns rows of the keys that were suspects, for the other gateways
    */
-  onAnswered(keys: readonly string[], firstByteAt: number, now: number): SuspectRow[] {
-    keys.forEach((key) => this.rememberAnswer(key, firstByteAt));
+  onSurvived(keys: readonly string[], firstByteAt: number, now: number): SuspectRow[] {
     return keys
-      .filter((key) => this.clear(key, firstByteAt))
+      .filter((key) => this.isKnownGood(key) && this.clear(key, firstByteAt))
       .map((key) => ({ key, deaths: [], clearedAgeMs: now - firstByteAt }));
   }
 
+  private isKnownGood(key: string): boolean {
+    const suspect = this.suspects.get(key);
+    return suspect !== undefined && this.wasGood(key, suspect);
+  }
+
   /** Adds what another gateway saw. */
   merge(rows: readonly SuspectRow[], now: number): void {
     rows.forEach(({ key, deaths, clearedAgeMs }) => {
       if (deaths.length > 0) this.addDeaths(key, deaths, now);
       if (clearedAgeMs !== undefined) this.clear(key, now - clearedAgeMs);
     });
+    if (this.suspects.size > MAX_SUSPECTS) this.evict();
   }
 
   /**
@@ -210,15 +247,17 @@
       )
       .sort(([, a], [, b]) => b.deaths.length - a.deaths.length)
       .slice(0, limit)
-      .map(([key, { deaths, clearedAt }]) => ({
+      .map(([key, suspect]) => ({ key, suspect, answeredAt: this.lastAnswerOf(key, suspect) }))
+      .map(({ key, suspect: { deaths }, answeredAt }) => ({
         key,
-        deaths: deaths.map(({ target, request, at, sentAt }) => ({
+        deaths: deaths.map(({ target, request, at, sentAt, wroteMs }) => ({
           target,
           request,
           ageMs: Math.round(now - at),
           ...(sentAt > -Infinity ? { ranMs: Math.round(at - sentAt) } : {}),
+          ...(wroteMs > 0 ? { wroteMs: Math.round(wroteMs) } : {}),
         })),
-        ...(clearedAt > -Infinity ? { clearedAgeMs: Math.round(now - clearedAt) } : {}),
+        ...(answeredAt > -Infinity ? { clearedAgeMs: Math.round(now - answeredAt) } : {}),
       }));
   }
 
@@ -243,15 +282,47 @@
   }
 
   private isRefused(key: string, suspect: Suspect): boolean {
-    const requests = new Set(suspect.deaths.map(({ request }) => request));
+    if (!this.hasEnough(key, suspect, suspect.deaths)) return false;
+    const explaining = [...this.blamedKeys()]
+      .filter(([blamedKey, blamed]) => this.isStronger(blamedKey, blamed, key, suspect))
+      .flatMap(([, { deaths }]) => deaths);
+    const unexplained = suspect.deaths.filter((death) => !isKnown(death, explaining));
+    return this.hasEnough(key, suspect, unexplained);
+  }
+
+  /** Whether these deaths are enough to refuse a key. */
+  private hasEnough(key: string, suspect: Suspect, deaths: readonly Death[]): boolean {
+    const wasGood = this.wasGood(key, suspect);
+    // A key that was good is in many answers, which end with any target that dies.
+    const counted = wasGood ? deaths.filter(({ wroteMs }) => wroteMs <= SURVIVAL_MS) : deaths;
+    const requests = new Set(counted.map(({ request }) => request));
     if (isSegmentKey(key) && requests.size < MIN_REQUESTS) return false;
-    const maxDeaths = this.wasGood(key, suspect) ? MAX_DEATHS_KNOWN_GOOD : MAX_DEATHS;
-    return countSeparate(key, suspect) >= maxDeaths;
+    const maxDeaths = wasGood ? MAX_DEATHS_KNOWN_GOOD : MAX_DEATHS;
+    return separateDeaths(key, counted).length >= maxDeaths;
+  }
+
+  /** Keys whose deaths are enough to refuse them, whatever else may explain these. */
+  private blamedKeys(): ReadonlyMap<string, Suspect> {
+    this.blamed ??= new Map(
+      [...this.suspects].filter(([key, suspect]) => this.hasEnough(key, suspect, suspect.deaths)),
+    );
+    return this.blamed;
+  }
+
+  /** Whether there is more evidence against a key than against another one. */
+  private isStronger(key: string, suspect: Suspect, otherKey: string, other: Suspect): boolean {
+    const otherWasGood = this.wasGood(otherKey, other);
+    if (this.wasGood(key, suspect) !== otherWasGood) return otherWasGood;
+    return countSeparate(key, suspect) > countSeparate(otherKey, other);
   }
 
   private wasGood(key: string, suspect: Suspect): boolean {
-    const answeredAt = this.answeredAt.get(key) ?? suspect.clearedAt;
-    return lastDeathOf(suspect) - answeredAt < KNOWN_GOOD_LIFETIME_MS;
+    return lastDeathOf(suspect) - this.lastAnswerOf(key, suspect) < KNOWN_GOOD_LIFETIME_MS;
+  }
+
+  private lastAnswerOf(key: string, suspect: Suspect | undefined): number {
+    const ownAt = this.answeredAt.get(key) ?? -Infinity;
+    return Math.max(ownAt, suspect?.clearedAt ?? -Infinity);
   }
 
   private addDeaths(key: string, deaths: readonly SuspectDeath[], now: number): void {
@@ -260,30 +331,44 @@
       clearedAt: -Infinity,
       triedAt: -Infinity,
     };
-    const added = deaths
-      .map(({ target, request, ageMs, ranMs = Infinity }) => ({
+    const told = deaths
+      .map(({ target, request, ageMs, ranMs = Infinity, wroteMs = 0 }) => ({
         target,
         request,
         at: now - ageMs,
         sentAt: now - ageMs - ranMs,
+        wroteMs,
       }))
-      .filter((death) => death.at > suspect.clearedAt && !isKnown(death, suspect.deaths));
+      .filter((death) => death.at > suspect.clearedAt);
+    const added = told.filter((death) => !isKnown(death, suspect.deaths));
+    const known = suspect.deaths.map((death) => withShortest(death, told));
     suspect.deaths = withoutSurplus(
       key,
-      [...suspect.deaths, ...added].sort((a, b) => a.at - b.at || a.target - b.target),
+      [...known, ...added].sort((a, b) => a.at - b.at || a.target - b.target),
     );
     if (suspect.deaths.length === 0) return;
     this.suspects.delete(key);
     this.suspects.set(key, suspect);
-    if (this.suspects.size > MAX_SUSPECTS) this.evictOne();
+    this.onChange();
+  }
+
+  private onChange(): void {
+    this.prefixes = undefined;
+    this.blamed = undefined;
   }
 
-  /** Drops the oldest suspect; a refused key only if there is no other, as it gets no new deaths. */
-  private evictOne(): void {
-    const evictable = [...this.suspects].find(([key, suspect]) => !this.isRefused(key, suspect));
-    const [oldest] = this.suspects.keys();
-    const evicted = evictable?.[0] ?? oldest;
-    if (evicted !== undefined) this.suspects.delete(evicted);
+  /**
+   * Drops the suspects with the fewest deaths, the oldest first; a refused key only if there is no other,
+   * as it gets no new deaths.
+   */
+  private evict(): void {
+    const weight = ([key, suspect]: readonly [string, Suspect]): number =>
+      this.isRefused(key, suspect) ? Infinity : countSeparate(key, suspect);
+    [...this.suspects]
+      .map((entry) => ({ key: entry[0], weight: weight(entry) }))
+      .sort((a, b) => (a.weight === b.weight ? 0 : a.weight - b.weight))
+      .slice(0, this.suspects.size - MAX_SUSPECTS)
+      .forEach(({ key }) => this.drop(key));
   }
 
   /** Returns whether any death of the key was before that time. */
@@ -293,6 +378,7 @@
     suspect.clearedAt = at;
     const { deaths } = suspect;
     suspect.deaths = deaths.filter((death) => death.at > at);
+    this.onChange();
     return suspect.deaths.length < deaths.length;
   }
 
@@ -312,7 +398,12 @@
         const lifetimeMs = refused ? REFUSED_LIFETIME_MS : SUSPECT_LIFETIME_MS;
         return now - lastEventOf(suspect) > lifetimeMs;
       })
-      .forEach(([key]) => this.suspects.delete(key));
+      .forEach(([key]) => this.drop(key));
+  }
+
+  private drop(key: string): void {
+    this.suspects.delete(key);
+    this.onChange();
   }
 }
 
@@ -324,9 +415,18 @@
 
 /** Whether the death is one of those known, which another gateway may have noticed at another time. */
 function isKnown(death: Death, known: readonly Death[]): boolean {
-  return known.some(
-    ({ target, at }) => target === death.target && Math.abs(at - death.at) < SAME_DEATH_MS,
-  );
+  return known.some((other) => isSameDeath(death, other));
+}
+
+function isSameDeath(a: Death, b: Death): boolean {
+  return a.target === b.target && Math.abs(a.at - b.at) < SAME_DEATH_MS;
+}
+
+/** The death with the shortest time of writing that any gateway saw. */
+function withShortest(death: Death, told: readonly Death[]): Death {
+  const times = told.filter((other) => isSameDeath(death, other)).map(({ wroteMs }) => wroteMs);
+  const wroteMs = Math.min(death.wroteMs, ...times);
+  return wroteMs < death.wroteMs ? { ...death, wroteMs } : death;
 }
 
 /** Number of deaths that count. */
--- a/packages/gateway/src/crashes/crash-watch.test.ts
+++ b/packages/gateway/src/crashes/crash-watch.test.ts
@@ -3,7 +3,7 @@
 import type { SuspectRow, TargetRecord } from '@marjoramcart/core';
 import { ManualTimerService, silentLogger } from '@marjoramcart/runtime';
 import type { CallHead } from '../ports/request-protocol.js';
-import { CrashWatch } from './crash-watch.js';
+import { CrashWatch, type CrashWatchDeps } from './crash-watch.js';
 
 const TARGET: TargetRecord = {
   id: 'i-1',
@@ -33,30 +33,99 @@
   },
 };
 
-/** What a gateway announces after a request was lost at a target that refuses connections. */
-async function announcedAfterLoss(hasLostLinks: boolean): Promise<readonly SuspectRow[]> {
+/** Time after a loss at which a target that accepts connections again tells its start. */
+const START_KNOWN_MS = 1000;
+
+interface Fixture {
+  readonly watch: CrashWatch;
+  readonly timers: ManualTimerService;
+  readonly announced: SuspectRow[];
+}
+
+function fixtureOf(changes: Partial<CrashWatchDeps> = {}): Fixture {
   const announced: SuspectRow[] = [];
+  const timers = new ManualTimerService();
   const watch = new CrashWatch({
     node: 'vm-1',
-    timers: new ManualTimerService(),
+    timers,
     log: silentLogger(),
     otherGateways: () => ['vm-2'],
     probe: () => Promise.resolve('refused'),
-    hasLostLinks: () => Promise.resolve(hasLostLinks),
+    startOf: () => TARGET.bornAt,
+    isLeaving: () => false,
+    hasLostLinks: () => Promise.resolve(false),
     announce: (rows) => announced.push(...rows),
+    ...changes,
   });
-  watch.onLost(TARGET, { head: HEAD, body: Buffer.from('body') }, 0);
-  await new Promise((resolve) => {
+  return { watch, timers, announced };
+}
+
+/** Waits for the probe of a target. */
+function probed(): Promise<void> {
+  return new Promise((resolve) => {
     setImmediate(resolve);
   });
-  return announced;
+}
+
+function lose({ watch }: Fixture, head = HEAD): void {
+  watch.onLost(TARGET, { head, body: Buffer.from('body') }, 0);
+}
+
+/** What a gateway announces after a request was lost at a target that refuses connections. */
+async function announcedAfterLoss(
+  changes: Partial<CrashWatchDeps>,
+): Promise<readonly SuspectRow[]> {
+  const fixture = fixtureOf(changes);
+  lose(fixture);
+  await probed();
+  return fixture.announced;
 }
 
 test('a request that is lost as its target dies is a witness against its segments', async () => {
-  assert.ok((await announcedAfterLoss(false)).some(({ key }) => key === 'system'));
+  assert.ok((await announcedAfterLoss({})).some(({ key }) => key === 'system'));
 });
 
 // Guards against sound prompts that are refused everywhere since a gateway lost its links during them.
 test('a request that is lost with all links of its gateway is no witness', async () => {
-  assert.deepEqual(await announcedAfterLoss(true), []);
+  assert.deepEqual(await announcedAfterLoss({ hasLostLinks: () => Promise.resolve(true) }), []);
+});
+
+test('a request that is lost as its connection is reset is no witness', async () => {
+  const fixture = fixtureOf({ probe: () => Promise.resolve('accepted') });
+  lose(fixture);
+  await probed();
+  fixture.timers.advance(START_KNOWN_MS);
+  assert.deepEqual(fixture.announced, []);
+});
+
+// Guards against prompts that crash targets which are back before anyone finds them gone.
+test('a request whose target is back with a newer start is a witness', async () => {
+  const fixture = fixtureOf({
+    probe: () => Promise.resolve('accepted'),
+    startOf: () => TARGET.bornAt + 1,
+  });
+  lose(fixture);
+  await probed();
+  fixture.timers.advance(START_KNOWN_MS);
+  assert.ok(fixture.announced.some(({ key }) => key === 'system'));
+});
+
+// Guards against refusing prompts that were running on targets which left one after the other.
+test('a request that is lost as its target leaves is no witness', async () => {
+  assert.deepEqual(await announcedAfterLoss({ isLeaving: () => true }), []);
+});
+
+// Guards against missing the request at fault among the many that a target had.
+test('each of a hundred requests of a target that dies is a witness', async () => {
+  const fixture = fixtureOf();
+  Array.from({ length: 100 }).forEach((_, index) => {
+    const segments = [
+      { id: `part-${index}`, tokens: 100 },
+      { id: 'own', tokens: 100 },
+    ];
+    const prompt = { promptTokens: 200, maxOutputTokens: 10, expectedOutputTokens: 10, segments };
+    lose(fixture, { ...HEAD, id: `r-${index}`, prompt });
+  });
+  await probed();
+  assert.ok(fixture.announced.some(({ key }) => key === 'part-99'));
 });
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -16,7 +16,11 @@
 import type { Call } from '../exchange/call.js';
 
 /** Limit of requests of one target that are considered when it dies. */
-const MAX_WITNESSES = 32;
+const MAX_WITNESSES = 128;
+/** Limit of rows that are sent to the other gateways for one death. */
+const MAX_ANNOUNCED_ROWS = 256;
+/** Within this time after a loss, the start time of a target that accepts connections again is known. */
+const START_KNOWN_MS = 1000;
 const MAX_SEGMENTS = 16;
 /** Longer segment ids are not tracked, which bounds the memory. */
 const MAX_SEGMENT_ID_LENGTH = 128;
@@ -28,9 +32,11 @@
 /** The parts of a call that identify it when it comes again. */
 type TrackedCall = Pick<Call, 'head' | 'body'>;
 
-/** A request whose connection broke before its first byte, without its body; monotonic ms. */
+/** A request whose connection broke before its answer was complete, without its body; monotonic ms. */
 interface LostRequest {
   readonly id: string;
+  /** When the first byte of the answer arrived; undefined if none did. */
+  readonly firstByteAt: number | undefined;
   readonly content: string;
   readonly keys: readonly string[];
   readonly sentAt: number;
@@ -44,6 +50,10 @@
   /** Names of the other live gateways of all regions. */
   readonly otherGateways: () => readonly string[];
   readonly probe: (address: string) => Promise<ConnectionProbe>;
+  /** Latest known start time of a target, Unix ms; undefined if it is no longer listed. */
+  readonly startOf: (target: string) => number | undefined;
+  /** Whether a target is about to end by itself. */
+  readonly isLeaving: (target: TargetRecord) => boolean;
   /** Whether the gateway has lost its own links to targets that other gateways reach. */
   readonly hasLostLinks: () => Promise<boolean>;
   readonly announce: (rows: readonly SuspectRow[]) => void;
@@ -52,7 +62,7 @@
 export class CrashWatch {
   private readonly suspects = new CrashSuspects();
 
-  /** Requests without a first byte whose connections broke, by target, until the target is probed. */
+  /** Requests whose connections broke, by target, until the target is probed. */
   private readonly unconfirmed = new Map<string, LostRequest[]>();
 
   private readonly digests = new WeakMap<TrackedCall, string>();
@@ -60,13 +70,16 @@
   constructor(private readonly deps: CrashWatchDeps) {}
 
   /**
-   * Handles the loss of a connection on which a request had no first byte yet.
+   * Handles the loss of a connection before the answer to a request was complete.
    *
    * @param sentAt when the request was sent, monotonic ms
+   * @param firstByteAt when the first byte of the answer arrived; undefined if none did
    */
-  onLost(target: TargetRecord, call: TrackedCall, sentAt: number): void {
+  onLost(target: TargetRecord, call: TrackedCall, sentAt: number, firstByteAt?: number): void {
+    if (this.deps.isLeaving(target)) return;
     const lost = {
       id: call.head.id,
+      firstByteAt,
       content: this.contentOf(call),
       keys: this.allKeys(call),
       sentAt,
@@ -81,15 +94,26 @@
     void this.confirm(target);
   }
 
-  /** Handles a request that is answered. `firstByteAt` is monotonic ms. */
-  onAnswered(call: TrackedCall, firstByteAt: number): void {
-    const { timers, announce, log } = this.deps;
+  /** Handles a request that was answered from the beginning to the end. */
+  onAnswered(call: TrackedCall): void {
     const keys = this.trackedKeys(call);
     if (keys.length === 0) return;
-    const rows = this.suspects.onAnswered(keys, firstByteAt, timers.now());
+    const now = this.deps.timers.now();
+    this.onCleared(call, this.suspects.onAnswered(keys, now, now));
+  }
+
+  private onCleared({ head }: TrackedCall, rows: readonly SuspectRow[]): void {
     if (rows.length === 0) return;
-    log.info('suspects of crashes cleared', { id: call.head.id, suspects: keysOf(rows) });
-    announce(rows);
+    this.deps.log.info('suspects of crashes cleared', { id: head.id, suspects: keysOf(rows) });
+    this.deps.announce(rows);
+  }
+
+  /** Handles a request whose target goes on writing the answer. `firstByteAt` is monotonic ms. */
+  onSurvived(call: TrackedCall, firstByteAt: number): void {
+    if (this.suspects.size === 0) return;
+    const { timers } = this.deps;
+    const keys = this.trackedKeys(call);
+    this.onCleared(call, this.suspects.onSurvived(keys, firstByteAt, timers.now()));
   }
 
   onSend(call: TrackedCall): void {
@@ -116,26 +140,39 @@
   }
 
   private async confirm(target: TargetRecord): Promise<void> {
-    const { probe, hasLostLinks, timers, log, announce } = this.deps;
+    const { probe, hasLostLinks, timers } = this.deps;
     const result = await probe(target.address);
     const isOwnLoss = result === 'refused' && (await hasLostLinks());
     const requests = this.unconfirmed.get(target.id) ?? [];
     this.unconfirmed.delete(target.id);
+    if (result === 'refused' && !isOwnLoss) this.onDeath(target, requests);
     // A connection can also be lost on the way, or be reset by a target that goes on.
-    if (result !== 'refused' || isOwnLoss) return;
+    else timers.after(START_KNOWN_MS, () => this.checkStart(target, requests));
+  }
+
+  /** Finds a target that died and was back before it was probed. */
+  private checkStart(target: TargetRecord, requests: readonly LostRequest[]): void {
+    const startedAt = this.deps.startOf(target.id) ?? 0;
+    if (target.bornAt !== 0 && startedAt > target.bornAt) this.onDeath(target, requests);
+  }
+
+  private onDeath(target: TargetRecord, requests: readonly LostRequest[]): void {
+    const { timers, log, announce } = this.deps;
     const incarnation = `${target.id} ${target.bornAt}`;
     const now = timers.now();
-    const rows = requests.flatMap(({ content, keys, sentAt, lostAt }) => {
-      const times = { ageMs: now - lostAt, ranMs: lostAt - sentAt };
+    const rows = requests.flatMap(({ content, keys, sentAt, firstByteAt, lostAt }) => {
+      const wroteMs = firstByteAt === undefined ? {} : { wroteMs: lostAt - firstByteAt };
+      const times = { ageMs: now - lostAt, ranMs: lostAt - sentAt, ...wroteMs };
       return this.suspects.onDeath(incarnation, content, keys, now, times);
     });
-    const byKey = new Map(rows.map((row) => [row.key, row]));
+    const byKey = new Map([...rows].sort(byTimeOfWriting).map((row) => [row.key, row]));
     log.info('target died before it answered requests', {
       target: target.id,
       ids: requests.map(({ id }) => id),
+      began: requests.filter(({ firstByteAt }) => firstByteAt !== undefined).length,
       suspects: byKey.size,
     });
-    announce([...byKey.values()]);
+    announce([...byKey.values()].slice(0, MAX_ANNOUNCED_ROWS));
   }
 
   /** Whether this gateway is the one of the fleet that tries a refused key again. */
@@ -188,6 +225,11 @@
     .filter((id) => id.length <= MAX_SEGMENT_ID_LENGTH && isSegmentKey(id));
 }
 
+/** Orders rows of one death each, the longest time of writing first. */
+function byTimeOfWriting(a: SuspectRow, b: SuspectRow): number {
+  return (b.deaths[0]?.wroteMs ?? 0) - (a.deaths[0]?.wroteMs ?? 0);
+}
+
 function keysOf(rows: readonly SuspectRow[]): string[] {
   return rows.map(({ key }) => key);
 }
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from 'node:http';
 import {
   allowsVersion,
+  SURVIVAL_MS,
   wouldRetryAfterLoss,
   type Candidate,
   type LoadReport,
@@ -45,8 +46,6 @@
 const RETRY_PRIORITY = 0;
 /** Deferred requests are prefilled after all others. */
 const DEFERRED_PRIORITY = 9;
-/** A request that crashes its target does so within this time after its first byte, if it gets one. */
-const SURVIVAL_MS = 200;
 
 export type AttemptStep = Extract<RequestStep, { kind: 'attempt' }>;
 
@@ -152,6 +151,7 @@
       const prompt = { id: head.id, workMs: prefillMs * speedFactor, priority, segments };
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
+    const resumesAfter = progress.lastEventId;
     const seen: { firstByteAt?: number; lastByteAt?: number; survived?: boolean } = {};
     const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
@@ -191,15 +191,14 @@
         seen.firstByteAt ??= timers.now();
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
-          crashes.onAnswered(call, seen.firstByteAt);
+          crashes.onSurvived(call, seen.firstByteAt);
         }
       },
     });
-    if (isComplete(end) && !seen.survived) {
-      crashes.onAnswered(call, seen.firstByteAt ?? timers.now());
-    }
-    if (end.kind === 'lost' && !aborted && seen.firstByteAt === undefined) {
-      crashes.onLost(record, call, startedAt);
+    // What a target adds to a stream that others began may be too little to crash it.
+    if (isComplete(end) && resumesAfter === undefined) crashes.onAnswered(call);
+    if (isBroken(end) && !aborted) {
+      crashes.onLost(record, call, startedAt, seen.firstByteAt);
     }
     work.onEnd(head.id, timers.now());
     if (seen.firstByteAt === undefined && head.prompt) {
@@ -383,6 +382,11 @@
   return end.kind === 'streamed' || (end.kind === 'answered' && isSuccess(end.status));
 }
 
+/** Whether the connection was lost before the answer was complete. */
+function isBroken(end: AttemptEnd): boolean {
+  return end.kind === 'lost' || (end.kind === 'relayed' && !end.complete);
+}
+
 /** Time for which a request waits for other work; a deferred one waits for all of it, ms. */
 function waitMsOf(
   { expectedWaitMs, deferredFirstByteMs = 0, serviceMs = 0, speedFactor = 1 }: Candidate,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -600,6 +600,8 @@
       log: log.child('crashes'),
       otherGateways: () => this.gossip.table.alive(timers.now()).map(({ node }) => node),
       probe: (address) => probeConnection(this.dial(address), CONNECT_TIMEOUT_MS),
+      startOf: (target) => this.state.target(target)?.record.bornAt,
+      isLeaving: (target) => this.state.isLeaving(target),
       hasLostLinks: () => this.hasLostLinks(),
       announce: (rows) => this.gossip.announceSuspects(rows),
     });
--- a/packages/gateway/src/peers/suspect-rows.ts
+++ b/packages/gateway/src/peers/suspect-rows.ts
@@ -6,22 +6,22 @@
 /** Limit of rows in one datagram. */
 const MAX_ROWS = 32;
 
-/**
- * Key, deaths as target, request, age and time at the target, and the time since it was cleared; times
- * in ms.
- */
-export type SuspectWireRow = readonly [
-  string,
-  readonly (readonly [number, number, number, number?])[],
-  number?,
-];
+/** Target, request, age, time at the target (-1 if unknown) and time of writing; times in ms. */
+type WireDeath = readonly [number, number, number, number?, number?];
+
+/** Key, deaths, and the time since it was cleared, ms. */
+export type SuspectWireRow = readonly [string, readonly WireDeath[], number?];
+
+const UNKNOWN_MS = -1;
 
 export function toSuspectWireRow({ key, deaths, clearedAgeMs }: SuspectRow): SuspectWireRow {
-  const rows = deaths.map(({ target, request, ageMs, ranMs }) =>
-    ranMs === undefined
-      ? ([target, request, Math.round(ageMs)] as const)
-      : ([target, request, Math.round(ageMs), Math.round(ranMs)] as const),
-  );
+  const rows = deaths.map(({ target, request, ageMs, ranMs, wroteMs }): WireDeath => {
+    const age = Math.round(ageMs);
+    if (wroteMs !== undefined) {
+      return [target, request, age, Math.round(ranMs ?? UNKNOWN_MS), Math.round(wroteMs)];
+    }
+    return ranMs === undefined ? [target, request, age] : [target, request, age, Math.round(ranMs)];
+  });
   return clearedAgeMs === undefined
     ? [key, rows]
     : [key, rows, Math.round(Math.max(0, clearedAgeMs))];
@@ -30,11 +30,12 @@
 export function fromSuspectWireRow([key, rows, clearedAgeMs]: SuspectWireRow): SuspectRow {
   return {
     key,
-    deaths: rows.map(([target, request, ageMs, ranMs]) => ({
+    deaths: rows.map(([target, request, ageMs, ranMs = UNKNOWN_MS, wroteMs]) => ({
       target,
       request,
       ageMs,
-      ...(ranMs === undefined ? {} : { ranMs }),
+      ...(ranMs === UNKNOWN_MS ? {} : { ranMs }),
+      ...(wroteMs === undefined ? {} : { wroteMs }),
     })),
     ...(clearedAgeMs === undefined ? {} : { clearedAgeMs }),
   };
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -293,6 +293,12 @@
     );
   }
 
+  /** Whether a start of a target is expected to end, or has left the list. */
+  isLeaving({ id, bornAt }: TargetIncarnation): boolean {
+    const entry = this.targets.get(id);
+    return entry === undefined || (entry.record.bornAt === bornAt && !this.mayUse(entry));
+  }
+
   /** All targets of the local region. */
   localTargets(): TargetEntry[] {
     return [...this.targets.values()].filter(({ record }) => record.region === this.region);
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -34,6 +34,19 @@
 } as const;
 export type TargetMode = (typeof TargetMode)[keyof typeof TargetMode];
 
+/** When a target crashes on a request. */
+export const CrashMoment = {
+  BeforeAnswer: 'before-answer',
+  HalfEvent: 'half-event',
+  /** After as many whole events as `breaksAfter` says. */
+  BetweenEvents: 'between-events',
+  /** After the last event, before the stream ends. */
+  BeforeEnd: 'before-end',
+  /** In the middle of a body that is not a stream. */
+  HalfBody: 'half-body',
+} as const;
+export type CrashMoment = (typeof CrashMoment)[keyof typeof CrashMoment];
+
 /** A request that a target has started to run. */
 export interface TargetRun {
   readonly requestId: string;
@@ -93,9 +106,11 @@
   /** Time from the start of a run to its response, ms. */
   workMs: (run: TargetRun) => number = () => 0;
 
-  /** Whether the target crashes before it answers a request; it is back after some time. */
+  /** Whether the target crashes on a request; it is back after some time. */
   crashesOn: (run: TargetRun) => boolean = () => false;
 
+  crashMoment: CrashMoment = CrashMoment.BeforeAnswer;
+
   /** Places for requests; without them, all requests run at once. */
   room: TargetRoom | undefined;
 
@@ -234,7 +249,7 @@
     const workMs = room?.options.workMs ?? this.workMs(run);
     if (workMs > 0) await delay(workMs);
     await this.awake;
-    if (this.crashesOn(run)) this.crash();
+    if (this.crashesOn(run) && this.crashMoment === CrashMoment.BeforeAnswer) this.crash();
     else this.respond(run, res);
   }
 
@@ -281,7 +296,14 @@
         return;
       default:
         if (this.streams) this.stream(run, signature, res);
-        else
+        else if (this.crashesOn(run)) {
+          res.writeHead(200, {
+            'request-id': requestId,
+            'response-signature': signature,
+            'content-length': 100,
+          });
+          res.write('half', () => this.crash());
+        } else
           send(
             res,
             200,
@@ -310,11 +332,22 @@
       'response-signature': signature,
     });
     const from = Number(run.headers['last-event-id'] ?? 0) + 1;
-    this.sendEvent(from, res);
+    this.sendEvent(from, res, this.crashesOn(run) ? this.crashMoment : undefined);
   }
 
-  private sendEvent(id: number, res: ServerResponse): void {
+  private sendEvent(id: number, res: ServerResponse, crash: CrashMoment | undefined): void {
     if (res.destroyed) return;
+    if (
+      (crash === CrashMoment.BetweenEvents && id > this.breaksAfter) ||
+      (crash === CrashMoment.BeforeEnd && id > EVENT_COUNT)
+    ) {
+      this.crash();
+      return;
+    }
+    if (crash === CrashMoment.HalfEvent) {
+      res.write(`id: ${id}\nda`, () => this.crash());
+      return;
+    }
     if (id > EVENT_COUNT) {
       res.end();
       return;
@@ -326,7 +359,7 @@
     const source = this.tellsVersion ? ` of ${this.version}` : '';
     res.write(`id: ${id}\ndata: event ${id}${source}\n\n`);
     setTimeout(() => {
-      void this.awake.then(() => this.sendEvent(id + 1, res));
+      void this.awake.then(() => this.sendEvent(id + 1, res, crash));
     }, this.eventIntervalMs);
   }
 }
