Refuse a segment that nearly all requests have only after seven deaths

Cause: a segment that all requests have is at each target that dies, which says nothing about it, and no completed answer had cleared it.

--- a/packages/core/src/retries/crash-suspects.test.ts
+++ b/packages/core/src/retries/crash-suspects.test.ts
@@ -193,6 +193,17 @@
   assert.equal(suspects.verdict(['system', 'bad'], NEVER, 9000)?.key, 'bad');
 });
 
+// Guards against refusing all requests of a route while targets crash by themselves and no answer of
+// the route has been completed yet.
+test('a segment that nearly all requests have is refused only after seven deaths', () => {
+  const suspects = new CrashSuspects((key) => key === 'system');
+  deaths(6, suspects, ['system', 'document']);
+  assert.equal(suspects.verdict(['system'], NEVER, 6000), undefined);
+  assert.equal(suspects.verdict(['system', 'document'], NEVER, 6000)?.key, 'document');
+  suspects.onDeath('i-7', 'req-7', ['system'], 7000);
+  assert.notEqual(suspects.verdict(['system'], NEVER, 7100), undefined);
+});
+
 test('deaths without the refused segment still count against others', () => {
   const suspects = new CrashSuspects();
   deaths(4, suspects, ['bad', 'second']);
--- a/packages/core/src/retries/crash-suspects.ts
+++ b/packages/core/src/retries/crash-suspects.ts
@@ -63,6 +63,8 @@
 const MAX_DEATHS = 3;
 /** The same for a key whose requests were answered before the first death. */
 const MAX_DEATHS_KNOWN_GOOD = 5;
+/** The same for a segment that nearly all requests have, so that it is at each target that dies. */
+const MAX_DEATHS_COMMON = 7;
 /** A key whose requests were answered before is suspected only while answers are shorter than this. */
 export const SURVIVAL_MS = 200;
 /** Targets that die within this time, as in the loss of a rack, count as one death. */
@@ -130,6 +132,9 @@
   /** Keys that are refused for their own deaths; undefined after a change. */
   private blamed: ReadonlyMap<string, Suspect> | undefined;
 
+  /** @param isCommon whether nearly all requests of its route have a segment */
+  constructor(private readonly isCommon: (key: string) => boolean = () => false) {}
+
   /** Number of keys that are tracked. */
   get size(): number {
     return this.suspects.size;
@@ -282,14 +287,21 @@
   }
 
   private isRefused(key: string, suspect: Suspect): boolean {
-    if (!this.hasEnough(key, suspect, suspect.deaths)) return false;
+    if (!this.mayBeCause(key, suspect)) return false;
     const explaining = [...this.blamedKeys()]
       .filter(([blamedKey, blamed]) => this.isStronger(blamedKey, blamed, key, suspect))
+      .filter(([blamedKey, blamed]) => this.mayBeCause(blamedKey, blamed))
       .flatMap(([, { deaths }]) => deaths);
     const unexplained = suspect.deaths.filter((death) => !isKnown(death, explaining));
     return this.hasEnough(key, suspect, unexplained);
   }
 
+  /** Whether the deaths of a key are enough to refuse it, whatever else may explain them. */
+  private mayBeCause(key: string, suspect: Suspect): boolean {
+    if (!this.hasEnough(key, suspect, suspect.deaths)) return false;
+    return countSeparate(key, suspect) >= MAX_DEATHS_COMMON || !this.isCommon(key);
+  }
+
   /** Whether these deaths are enough to refuse a key. */
   private hasEnough(key: string, suspect: Suspect, deaths: readonly Death[]): boolean {
     const wasGood = this.wasGood(key, suspect);
@@ -301,7 +313,7 @@
     return separateDeaths(key, counted).length >= maxDeaths;
   }
 
-  /** Keys whose deaths are enough to refuse them, whatever else may explain these. */
+  /** Keys whose deaths are enough to refuse them if they are not common. */
   private blamedKeys(): ReadonlyMap<string, Suspect> {
     this.blamed ??= new Map(
       [...this.suspects].filter(([key, suspect]) => this.hasEnough(key, suspect, suspect.deaths)),
--- a/packages/gateway/src/crashes/crash-watch.ts
+++ b/packages/gateway/src/crashes/crash-watch.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import {
   CrashSuspects,
+  SegmentShares,
   isSegmentKey,
   rendezvousOrder,
   requestKey,
@@ -60,7 +61,9 @@
 }
 
 export class CrashWatch {
-  private readonly suspects = new CrashSuspects();
+  private readonly shares = new SegmentShares();
+
+  private readonly suspects = new CrashSuspects((key) => this.shares.isCommon(key));
 
   /** Requests whose connections broke, by target, until the target is probed. */
   private readonly unconfirmed = new Map<string, LostRequest[]>();
@@ -116,6 +119,12 @@
     this.onCleared(call, this.suspects.onSurvived(keys, firstByteAt, timers.now()));
   }
 
+  /** Handles a request that has arrived. */
+  onRequest({ head, route }: Pick<Call, 'head' | 'route'>): void {
+    const segments = sharedSegments(head);
+    if (segments.length > 0) this.shares.add(route.name, segments);
+  }
+
   onSend(call: TrackedCall): void {
     this.suspects.onSend(this.trackedKeys(call), this.deps.timers.now());
   }
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -73,6 +73,7 @@
     // What waits for an earlier response is held however small it is, and one read may have hundreds of requests.
     if (response.isQueued && !memory.grow(SMALL_RESPONSE_BYTES)) await response.turn();
     if (call.forwardedBy === undefined) this.budget(call.service).onRequest(timers.now());
+    this.deps.crashes.onRequest(call);
     const { prompt } = call.head;
     if (prompt) this.deps.router.lengths.onRequest(call.route.name, prompt.expectedOutputTokens);
     const recordResult = metrics.startRequest(call.route.name, call.facts.arrivedAt);
--- a/packages/gateway/src/exchange/sharing-refusal.test.ts
+++ b/packages/gateway/src/exchange/sharing-refusal.test.ts
@@ -26,6 +26,7 @@
     streams: { scopeOf: () => Promise.resolve({ kind: 'any' }) },
     sharing: { start: () => shared },
     router: {},
+    crashes: { onRequest: () => undefined },
     state: { revision: 0, sourceAgeMs: 0 },
     timers,
     random: seededRandom(1),
