Doubt the version of a restarted engine also where services have no warm-up

Cause: only the warm-up made a gateway doubt that an engine is the start it knows, so that its entry's version was believed until the entry changed, up to a heartbeat later.

Change: engines of all services are asked for their start time after a broken connection; without a warm-up only their version is in doubt, not their warmth. A stream that begins before the entry of a new start is there gets its version with the entry.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -228,12 +228,15 @@
     const { state, timers } = this.deps;
     const check = (): VersionCheck => {
       const listed = state.target(entry.id);
+      const { softwareVersion } = entry.record;
       // A target that is no longer listed may go on with what it runs.
       const isSame =
-        listed === undefined || (listed === entry && entry.record.softwareVersion === sentVersion);
+        listed === undefined ||
+        (listed === entry && (sentVersion === undefined || softwareVersion === sentVersion));
       if (!isSame) return { kind: 'settled', version: undefined };
       if (wasDoubted && entry.isDoubted(timers.now())) return { kind: 'pending' };
-      return { kind: 'settled', version: sentVersion };
+      if (listed && entry.awaitsRecord) return { kind: 'pending' };
+      return { kind: 'settled', version: softwareVersion };
     };
     const first = check();
     return first.kind === 'settled'
--- a/packages/gateway/src/reports/restart-check.ts
+++ b/packages/gateway/src/reports/restart-check.ts
@@ -1,6 +1,7 @@
 /**
- * Task that asks targets which may have restarted for their start time. A restarted target is cold, and
- * has to be known to be before it is back: its entry in the source tells of the restart much later.
+ * Task that asks targets which may have restarted for their start time. A restarted target is cold and may
+ * be of another version, which has to be known before it is back: its entry in the source tells of the
+ * restart much later.
  */
 import type { TargetIncarnation } from '@marjoramcart/core';
 import type { Task, TimerService } from '@marjoramcart/runtime';
@@ -216,9 +217,7 @@
     return questions;
   }
 
-  /** Whether the target tells its start time, and is cold after a restart. */
   private canBeAsked({ record }: TargetEntry): boolean {
-    const service = this.deps.state.service(record.service);
-    return service?.engine !== undefined && service.warmupMs > 0;
+    return this.deps.state.tellsStart(record);
   }
 }
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -40,8 +40,6 @@
 const OUTAGE_MS = 2500;
 /** Targets whose entries expired while the source was unreachable register again within this time. */
 const RELIST_MS = 2500;
-/** Time beyond the warm-up for which a target that may have restarted is assumed to be cold. */
-const COLD_AFTER_SIGN_MS = 1500;
 /** After an evacuation, targets are assumed to be cold until their entries are updated. */
 const COLD_AFTER_EVACUATION_MS = 2500;
 const DEFAULT_CACHE_TOKENS = 400_000;
@@ -425,14 +423,24 @@
     });
   }
 
-  /** Assumes that a target may have restarted and be cold, until it tells its start time. */
+  /**
+   * Assumes that a target may have restarted, with another version and cold if it has a warm-up, until it
+   * tells its start time.
+   */
   suspectRestart(id: string, reason: ColdReason): void {
     const entry = this.targets.get(id);
-    const warmupMs = entry ? this.warmupMsOf(entry.record) : 0;
-    if (!entry || warmupMs === 0) return;
+    if (!entry) return;
     const now = this.timers.now();
-    if (entry.suspectRestart(now + warmupMs + COLD_AFTER_SIGN_MS, reason, now))
-      this.logCold(entry, now);
+    const warmupMs = this.warmupMsOf(entry.record);
+    if (warmupMs === 0 && !this.tellsStart(entry.record)) return;
+    if (!entry.suspectRestart(warmupMs, reason, now)) return;
+    if (warmupMs > 0) this.logCold(entry, now);
+    else this.log.info('software version of target in doubt', { target: id, reason });
+  }
+
+  /** Whether a target tells its start time in load reports. */
+  tellsStart({ service }: TargetRecord): boolean {
+    return this.service(service)?.engine !== undefined;
   }
 
   /**
@@ -480,11 +488,10 @@
     );
   }
 
-  private remainingColdMs({ id, service }: TargetRecord, now: number): number {
-    const entry = this.targets.get(id);
+  private remainingColdMs(record: TargetRecord, now: number): number {
+    const entry = this.targets.get(record.id);
     if (!entry) return 0;
-    const tellsStart = this.service(service)?.engine !== undefined;
-    return tellsStart ? Math.max(0, entry.coldUntil - now) : entry.coldForMs(now);
+    return this.tellsStart(record) ? Math.max(0, entry.coldUntil - now) : entry.coldForMs(now);
   }
 
   /** Targets of the local region at an address. */
@@ -500,6 +507,7 @@
     const next = this.replaceTarget({ ...record, ...start }, entry, from);
     // The time counts from now, not from each time that this record is applied.
     next.record = { ...next.record, coldForMs: 0 };
+    next.awaitsRecord = true;
     if (dropAt !== undefined) next.scheduleDrop(dropAt);
     next.listedEra = entry.listedEra;
   }
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -18,6 +18,10 @@
 } as const;
 export type ColdReason = (typeof ColdReason)[keyof typeof ColdReason];
 
+/** Time beyond the warm-up for which a target that may have restarted is assumed to be cold. */
+const COLD_AFTER_SIGN_MS = 1500;
+/** Time for which the version of a target without a warm-up is unknown if it tells no start time. */
+const VERSION_DOUBT_MS = 3000;
 /** Starts before the present one that are remembered, so that old words about them are ignored. */
 const MAX_EARLIER_STARTS = 4;
 
@@ -30,6 +34,8 @@
   readonly since: number;
   /** When it counts as not restarted, if it has not told its start time by then. */
   readonly until: number;
+  /** Whether it is cold if it has restarted. */
+  readonly mayBeCold: boolean;
   readonly reason: ColdReason;
 }
 
@@ -55,6 +61,9 @@
   /** Whether another target responded at the address. */
   misdirected = false;
 
+  /** Whether the target told of its start, and its entry does not yet. */
+  awaitsRecord = false;
+
   /** Time until which a target that was gone already receives no requests, contact time. */
   keptOutUntil = -Infinity;
 
@@ -101,12 +110,16 @@
 
   /** How much longer the target is assumed to be cold, ms; 0 if it is assumed to be warm. */
   coldForMs(now: number): number {
-    return Math.max(0, this.coldUntil - now, this.isDoubted(now) ? this.doubtedUntil - now : 0);
+    return Math.max(0, this.coldUntil - now, this.mayBeCold(now) ? this.doubtedUntil - now : 0);
   }
 
   /** Why the target is assumed to be cold. */
   coldReasonAt(now: number): ColdReason | undefined {
-    return this.doubt && this.isDoubted(now) ? this.doubt.reason : this.coldReason;
+    return this.doubt && this.mayBeCold(now) ? this.doubt.reason : this.coldReason;
+  }
+
+  private mayBeCold(now: number): boolean {
+    return this.doubt?.mayBeCold === true && this.isDoubted(now);
   }
 
   /** Whether the target may have restarted without a word of it since. */
@@ -127,13 +140,17 @@
   /**
    * Assumes that the target may have restarted, until it tells its start time.
    *
+   * @param warmupMs how long it is cold after a restart; 0 if it never is
    * @returns whether this was not assumed before
    */
-  suspectRestart(until: number, reason: ColdReason, now: number): boolean {
+  suspectRestart(warmupMs: number, reason: ColdReason, now: number): boolean {
     const before = this.isDoubted(now) ? this.doubt : undefined;
+    const until = now + warmupMs + (warmupMs > 0 ? COLD_AFTER_SIGN_MS : VERSION_DOUBT_MS);
     // The word of another gateway does not replace what this one saw itself.
     this.doubt =
-      before && reason === ColdReason.Told ? { ...before, until } : { since: now, until, reason };
+      before && reason === ColdReason.Told
+        ? { ...before, until }
+        : { since: now, until, mayBeCold: warmupMs > 0, reason };
     return before === undefined;
   }
 
@@ -194,6 +211,7 @@
     // An entry without a start time says nothing about it.
     const { bornAt, softwareVersion } = this.record;
     const isWhole = record.bornAt !== 0 && record.softwareVersion !== undefined;
+    if (!isSame && record.bornAt !== 0) this.awaitsRecord = false;
     this.record = isWhole
       ? record
       : {
--- a/tests/stand-ins/src/users-platform/stream-fleet-tests.ts
+++ b/tests/stand-ins/src/users-platform/stream-fleet-tests.ts
@@ -14,10 +14,12 @@
   /**
    * @param firstPort first of ten free ports for each test
    * @param zones zones of the gateways vm-1, vm-2 and so on
+   * @param warmupS warm-up of the engines; absent for the usual one
    */
   constructor(
     private readonly firstPort: number,
     private readonly zones: readonly Zone[],
+    private readonly warmupS?: number,
   ) {}
 
   /** Adds a test; its fleet has no engines at first. */
@@ -38,6 +40,7 @@
 
   private async runOne(basePort: number, run: FleetTest): Promise<void> {
     const fleet = new StreamFleet(basePort);
+    if (this.warmupS !== undefined) fleet.warmupS = this.warmupS;
     try {
       await fleet.start();
       await fleet.addGateways(1, this.zones);
--- a/tests/stand-ins/src/users-platform/stream-fleet.ts
+++ b/tests/stand-ins/src/users-platform/stream-fleet.ts
@@ -32,6 +32,8 @@
 
   private readonly engines: TargetStandIn[] = [];
 
+  warmupS = WARMUP_S;
+
   override async start(): Promise<void> {
     const route = {
       host: HOST,
@@ -43,7 +45,7 @@
       maxAttempts: 4,
     };
     const engine = {
-      warmupS: WARMUP_S,
+      warmupS: this.warmupS,
       coldPerS: 100,
       engine: { slots: 8, kvCapacityTokens: 1e5 },
     };
