Doubt the versions of all engines after a pause of the process

Cause: a gateway that wakes believes the versions of before the pause.

Change: after a pause that the timer service detects, the versions of all engines of the region are in doubt until they tell their start time; they do not count as cold for it.

--- a/packages/gateway/src/reports/restart-check.test.ts
+++ b/packages/gateway/src/reports/restart-check.test.ts
@@ -183,3 +183,20 @@
   assert.ok(fixture.polls <= 66, `${fixture.polls} questions in a minute`);
   assert.ok(fixture.told.length <= 41, `told ${fixture.told.length} times in a minute`);
 });
+
+// Guards against streams that go on at targets which started again with another version while their
+// gateway was frozen (ORDER).
+test('the version of a target is in doubt after a pause, until it tells its start; it is not cold', async () => {
+  const fixture = createFixture();
+  await fixture.check.start();
+  fixture.answer = 5;
+  await pass(fixture, 1000);
+  fixture.answer = 'silent';
+  fixture.timers.pause(3500);
+  const now = fixture.timers.now();
+  assert.equal(entryOf(fixture).isDoubted(now), true);
+  assert.equal(entryOf(fixture).coldForMs(now), 0);
+  fixture.answer = 5;
+  await pass(fixture, 1000);
+  assert.equal(entryOf(fixture).isDoubted(fixture.timers.now()), false);
+});
--- a/packages/gateway/src/reports/restart-check.ts
+++ b/packages/gateway/src/reports/restart-check.ts
@@ -56,7 +56,15 @@
   constructor(private readonly deps: RestartCheckDeps) {}
 
   start(): Promise<void> {
-    this.unsubscribe = this.deps.timers.every(CHECK_INTERVAL_MS, () => this.askAgain());
+    const { timers, state } = this.deps;
+    const subscriptions = [
+      timers.every(CHECK_INTERVAL_MS, () => this.askAgain()),
+      timers.onPause(({ durationMs }) => {
+        state.onPause(durationMs);
+        this.askAgain();
+      }),
+    ];
+    this.unsubscribe = () => subscriptions.forEach((unsubscribe) => unsubscribe());
     return Promise.resolve();
   }
 
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -438,6 +438,20 @@
     else this.log.info('software version of target in doubt', { target: id, reason });
   }
 
+  /**
+   * Handles a pause of this process, in which targets may have restarted with other versions and whatever
+   * told of it may have been lost.
+   */
+  onPause(durationMs: number): void {
+    const now = this.timers.now();
+    const entries = this.localTargets().filter(({ record }) => this.tellsStart(record));
+    entries.forEach((entry) => entry.suspectVersion(ColdReason.Unconfirmed, now));
+    this.log.info('software versions in doubt after a pause', {
+      paused_ms: Math.round(durationMs),
+      targets: entries.length,
+    });
+  }
+
   /** Whether a target tells its start time in load reports. */
   tellsStart({ service }: TargetRecord): boolean {
     return this.service(service)?.engine !== undefined;
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -154,6 +154,12 @@
     return before === undefined;
   }
 
+  /** Assumes that the target may be of another version, until it tells its start time. */
+  suspectVersion(reason: ColdReason, now: number): void {
+    const until = Math.max(now + VERSION_DOUBT_MS, this.isDoubted(now) ? this.doubtedUntil : 0);
+    this.doubt = { since: now, until, mayBeCold: this.mayBeCold(now), reason };
+  }
+
   /**
    * Handles the word that the target has not restarted.
    *
