Ask an engine for its start before a stream goes on there

Cause: a gateway without a connection to an engine sees no sign of its restart while the gateway that watches it is frozen. Evidence, from the logs of a joined stream: the gateway had the entry of the start before from another gateway, 0.98 s old, and sent a take-up to the engine 0.1 s after its next start.

With one version nothing is asked.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -24,6 +24,7 @@
   TargetSignals,
 } from '../ports/request-protocol.js';
 import type { RestartCheck } from '../reports/restart-check.js';
+import type { StartConfirmer } from '../reports/start-confirmer.js';
 import type { Router } from '../routing/router.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
@@ -58,6 +59,7 @@
   readonly gossip: Pick<GossipTask, 'table' | 'roster' | 'announceTarget'>;
   readonly crashes: CrashWatch;
   readonly restarts: Pick<RestartCheck, 'onConnectionLost' | 'onUnreachable'>;
+  readonly starts: Pick<StartConfirmer, 'confirm'>;
   readonly streams: StreamRegistry;
   readonly timers: TimerService;
 }
@@ -135,6 +137,8 @@
     const { record, work } = entry;
     const { call } = progress;
     const { head } = call;
+    const unconfirmed = await this.confirmVersion(entry, progress);
+    if (unconfirmed) return unconfirmed;
     const startedAt = timers.now();
     const sentVersion = record.softwareVersion;
     const wasDoubted = entry.isDoubted(startedAt);
@@ -216,6 +220,23 @@
     return end;
   }
 
+  /**
+   * Confirms that a target is of the version that a stream goes on at.
+   *
+   * @returns why nothing is sent; undefined if the target is confirmed or any version may go on
+   */
+  private async confirmVersion(
+    entry: TargetEntry,
+    { call, scope }: CallProgress,
+  ): Promise<AttemptEnd | undefined> {
+    const { streams, starts, restarts } = this.deps;
+    if (scope.kind !== 'only' || !streams.isMixed(call.service)) return undefined;
+    const confirmation = await starts.confirm(entry);
+    if (confirmation === 'confirmed') return undefined;
+    if (confirmation === 'unreachable') restarts.onUnreachable(entry);
+    return { kind: 'not-sent', message: `start of the target is ${confirmation}`, withdrawn: true };
+  }
+
   /**
    * Version of a stream that a target begins. What confirms it later may be kept for as long as the target
    * is in doubt; made here, it does not refer to the call and its body.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,7 @@
 import { ReportPoller } from './reports/report-poller.js';
 import { ReportTask } from './reports/report-task.js';
 import { RestartCheck } from './reports/restart-check.js';
+import { StartConfirmer } from './reports/start-confirmer.js';
 import { SpeedTask } from './reports/speed-task.js';
 import { RejectionGuard } from './routing/rejection-guard.js';
 import { Router } from './routing/router.js';
@@ -245,6 +246,7 @@
       gossip: this.gossip,
       crashes: this.crashes,
       restarts: this.restarts,
+      starts: new StartConfirmer({ state: this.state, poller: reportPoller }),
       streams: this.streams,
       sharing: this.sharing,
       timers,
--- a/packages/gateway/src/streams/stream-registry.ts
+++ b/packages/gateway/src/streams/stream-registry.ts
@@ -249,6 +249,17 @@
       .exhaustive();
   }
 
+  /** Whether more than one version can have begun the present streams of a service. */
+  isMixed(service: string): boolean {
+    const now = this.deps.timers.now();
+    const cached = this.mixed.get(service);
+    if (cached && now - cached.at < MIXED_LIFETIME_MS) return cached.isMixed;
+    const ageMs = this.longestWaitOf(service) + TRANSIT_MS;
+    const isMixed = this.deps.state.onlyVersionWithin(service, ageMs) === undefined;
+    this.mixed.set(service, { isMixed, at: now });
+    return isMixed;
+  }
+
   private async find({ head, service, requiredVersion, facts }: Call): Promise<FoundVersion> {
     if (requiredVersion !== undefined) {
       return { version: requiredVersion, origin: Origin.Forwarded };
@@ -304,17 +315,6 @@
     return this.longestWaitMs.get(service) ?? 0;
   }
 
-  /** Whether more than one version can have begun the present streams of a service. */
-  private isMixed(service: string): boolean {
-    const now = this.deps.timers.now();
-    const cached = this.mixed.get(service);
-    if (cached && now - cached.at < MIXED_LIFETIME_MS) return cached.isMixed;
-    const ageMs = this.longestWaitOf(service) + TRANSIT_MS;
-    const isMixed = this.deps.state.onlyVersionWithin(service, ageMs) === undefined;
-    this.mixed.set(service, { isMixed, at: now });
-    return isMixed;
-  }
-
   private tell(rows: readonly StreamRow[]): void {
     if (this.pending.size === 0) this.deps.timers.after(TELL_DELAY_MS, () => this.flush());
     rows.forEach((row) =>
