Forget the version of a stream whose engine had started again unseen

Cause: a stream that begins at a new start before its gateway hears of it is noted with the version before. Evidence, from the logs of a joined stream: sent at 4.921 s, engine born at 4.798 s, told by another gateway at 5.105 s.

Change: a stream that goes on although its engine is known to have started again is noted as of unknown version, at the holders of the note and at the gateway that forwarded it, and does not go on elsewhere.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -131,7 +131,7 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { state, timers, router, protocol, gossip, crashes, settings } = this.deps;
+    const { state, timers, router, protocol, gossip, crashes, settings, streams } = this.deps;
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed', withdrawn: true };
     const { record, work } = entry;
@@ -156,7 +156,12 @@
       gossip.announceTarget({ kind: 'prompt', target: id, prompt });
     }
     const resumesAfter = progress.lastEventId;
-    const seen: { firstByteAt?: number; lastByteAt?: number; survived?: boolean } = {};
+    const seen: {
+      firstByteAt?: number;
+      lastByteAt?: number;
+      survived?: boolean;
+      replaced?: boolean;
+    } = {};
     const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
       headers: protocol.targetHeaders(
@@ -193,6 +198,10 @@
         }
         seen.lastByteAt = timers.now();
         seen.firstByteAt ??= timers.now();
+        if (!seen.replaced && this.isReplaced(entry)) {
+          seen.replaced = true;
+          streams.onReplaced(call, id);
+        }
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
           crashes.onSurvived(call, seen.firstByteAt);
@@ -220,6 +229,12 @@
     return end;
   }
 
+  /** Whether a target is known to have started again since the entry was made. */
+  private isReplaced(entry: TargetEntry): boolean {
+    const listed = this.deps.state.target(entry.id);
+    return listed !== undefined && listed !== entry;
+  }
+
   /**
    * Confirms that a target is of the version that a stream goes on at.
    *
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -127,7 +127,7 @@
   private nextStep(progress: CallProgress): RequestStep {
     const { router, timers, crashes } = this.deps;
     const { call, response, attempts } = progress;
-    settleScope(progress);
+    settleScope(progress, this.deps.streams.isUncertain(call));
     const verdict = crashes.verdict(call);
     const now = timers.now();
     const destinations = router.destinations(call, progress.scope);
@@ -275,8 +275,12 @@
   }
 }
 
-/** Sets the scope of a stream whose version has become known since its first event. */
-function settleScope(progress: CallProgress): void {
+/** Sets the scope of a stream whose version has become known, or uncertain, since its first event. */
+function settleScope(progress: CallProgress, isUncertain: boolean): void {
+  if (isUncertain && progress.scope.kind === 'only') {
+    Object.assign(progress, { scope: scopeOfVersion(undefined), confirmVersion: undefined });
+    return;
+  }
   const check = progress.confirmVersion?.();
   if (check?.kind !== 'settled') return;
   Object.assign(progress, { scope: scopeOfVersion(check.version), confirmVersion: undefined });
--- a/packages/gateway/src/streams/stream-registry.ts
+++ b/packages/gateway/src/streams/stream-registry.ts
@@ -154,8 +154,7 @@
 
   /** Notes that a version delivered the first event of a call, or goes on with its stream. */
   onDelivered({ head, service, forwardedBy }: Call, { version, confirm }: StreamSource): void {
-    const isResumed = head.resumeAfter !== undefined;
-    const begin = { id: (isResumed ? head.resumes : undefined) ?? head.id, service, version };
+    const begin = { id: beginIdOf(head), service, version };
     if (begin.id.length > MAX_ID_LENGTH) return;
     // The gateway that the caller is connected to tells the others.
     const isOwn = forwardedBy === undefined;
@@ -165,6 +164,29 @@
     }
   }
 
+  /**
+   * Handles a stream that goes on although its target is known to have started again. It may come from
+   * the new start, whose version is another one.
+   */
+  onReplaced({ head, service, forwardedBy }: Call, target: string): void {
+    if (!this.isMixed(service) || head.id.length > MAX_ID_LENGTH) return;
+    const begin = { id: beginIdOf(head), service, version: undefined };
+    this.note(begin, true);
+    // The gateway that forwarded the request would go on with the version that it was told.
+    const origin = forwardedBy === undefined ? undefined : this.deps.gossip.table.get(forwardedBy);
+    if (origin) {
+      const streams = [{ ...begin, ageMs: 0 }];
+      this.deps.gossip.sendStreamUpdate({ kind: 'begun', streams }, origin.ip);
+    }
+    this.deps.log.info('target of a stream has started again', { id: head.id, target });
+  }
+
+  /** Whether it was found after its begin that the version of a stream is not known. */
+  isUncertain({ head, service }: Call): boolean {
+    const begin = this.streams.get(service, beginIdOf(head));
+    return begin !== undefined && begin.version === undefined;
+  }
+
   private note(begin: StreamBegin, isOwn: boolean): void {
     this.streams.add(begin, this.deps.timers.now());
     if (!isOwn || !this.isMixed(begin.service)) return;
@@ -409,3 +431,8 @@
     question?.resolve(version);
   }
 }
+
+/** Request that began the stream of a request. */
+function beginIdOf({ id, resumes, resumeAfter }: Call['head']): string {
+  return (resumeAfter === undefined ? undefined : resumes) ?? id;
+}
--- a/tests/stand-ins/src/users-platform/restarted-version.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-version.test.ts
@@ -82,4 +82,23 @@
   },
 );
 
+// Guards against a stream that began at a new start before its gateway heard of it, by a connection
+// that shows no restart, and goes on at the version before (ORDER).
+tests.add(
+  'a stream that outlives the start of its engine by its entry is not joined',
+  async (fleet) => {
+    const engines = await addTwo(fleet);
+    const [first] = engines;
+    Object.assign(first, { version: 'v2', ...SLOW });
+    const streams = await beginAt(fleet, engines);
+    Object.assign(first, { born: Date.now() });
+    await fleet.untilStartKnown(first, ['vm-1']);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2 * SLOW_EVENT_INTERVAL_MS);
+    });
+    breakStreams(first);
+    assertNotJoined(await Promise.all(streams));
+  },
+);
+
 await tests.run('streams of engines that start again with another version');
