Complete a stream that is resumed after its last event

Cause: a complete answer without events counted as broken off, also where the stream goes on after its last event.

Change: a resumed stream may be complete without events if a length or chunks tell its end; a response that has not begun gets the engine's head.

--- a/packages/core/src/relay/sse-frame-parser.test.ts
+++ b/packages/core/src/relay/sse-frame-parser.test.ts
@@ -113,3 +113,12 @@
   assert.deepEqual(received, event);
   assert.ok(bytes <= 4 * event.length, `${bytes} bytes for ${event.length}`);
 });
+
+// Guards against a complete answer that counts as broken off since it has nothing to add to a stream.
+test('a stream without events is complete only if it is resumed', () => {
+  assert.equal(new SseFrameParser({ doneMarker: false, after: 6 }).complete, true);
+  assert.equal(new SseFrameParser({ doneMarker: false }).complete, false);
+  const cut = new SseFrameParser({ doneMarker: false, after: 6 });
+  cut.push(Buffer.from('id: 7\nda'));
+  assert.equal(cut.complete, false);
+});
--- a/packages/core/src/relay/sse-frame-parser.ts
+++ b/packages/core/src/relay/sse-frame-parser.ts
@@ -72,9 +72,13 @@
     this.block = NOTHING;
   }
 
-  /** Whether the stream ended at a frame boundary, and after `data: [DONE]` if it uses this marker. */
+  /**
+   * Whether the stream ended at a frame boundary, and after `data: [DONE]` if it uses this marker. One
+   * that is resumed after its last event has no further one.
+   */
   get complete(): boolean {
-    const ended = this.done || (!this.options.doneMarker && this.events > 0);
+    const { doneMarker, after } = this.options;
+    const ended = this.done || (!doneMarker && (this.events > 0 || after !== undefined));
     return ended && this.incomplete.length === 0 && this.error === undefined;
   }
 
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -189,8 +189,15 @@
           finish({ kind: 'lost', message: `malformed stream: ${frames.error.kind}` });
       });
       res.on('end', () => {
-        if (res.complete && frames.complete) finish({ kind: 'streamed' });
-        else finish({ kind: 'lost', message: 'the stream ended before it was complete' });
+        // Without events, only its framing tells a complete stream from one that broke off.
+        const isWhole = res.complete && frames.complete && (frames.events > 0 || isFramed(res));
+        if (!isWhole) {
+          finish({ kind: 'lost', message: 'the stream ended before it was complete' });
+          return;
+        }
+        if (!response.started && !settled)
+          response.start(status, this.protocol.responseHeaders(res.rawHeaders));
+        finish({ kind: 'streamed' });
       });
       const onConnectionLost = (message: string): void =>
         finish({ kind: 'lost', message, connectionLost: true, runs: runCountOf(res) });
@@ -201,6 +208,11 @@
   }
 }
 
+/** Whether a response tells by a length or by chunks where it ends. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** Forwards a response as the caller reads it, beginning with what was read before. */
 function relayRest(
   res: IncomingMessage,
--- a/tests/stand-ins/src/users-platform/restarted-version.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-version.test.ts
@@ -11,7 +11,7 @@
 const ALL_IDS = [1, 2, 3, 4, 5, 6];
 const SLOW = { eventIntervalMs: SLOW_EVENT_INTERVAL_MS };
 
-const tests = new StreamFleetTests(31_000, [NORTH, NORTH], 0);
+const tests = new StreamFleetTests(31_600, [NORTH, NORTH], 0);
 
 /** Adds two engines of one version, and lets a gateway serve streams. */
 async function addTwo(fleet: StreamFleet): Promise<[TargetStandIn, TargetStandIn]> {
