Send a target no requests for the retry time of its rejection

Cause: the retry time of a rejection was passed to the caller and used for nothing else; the target looked idle and was chosen first.

Change: TargetPauses, a part of its own, keeps such a target out of the choice of this gateway; a request that is about to be written to it is withdrawn, and callers that find no other target are told when the pause ends.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -6,6 +6,7 @@
 export * from './fleet-config.js';
 export * from './gone-targets.js';
 export * from './leaving-targets.js';
+export * from './target-pauses.js';
 export * from './older-copy.js';
 export * from './priority-scale.js';
 export * from './route-table.js';
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -174,6 +174,7 @@
         state.target(id) === entry &&
         !entry.isDoubtedSince(startedAt, timers.now()) &&
         state.mayUse(entry) &&
+        !router.isPaused(entry) &&
         router.mayRunIn(progress.call, settings.region) &&
         allowsVersion(progress.scope, entry.softwareVersionAt(timers.now())),
       streamSource: () => this.streamSourceOf(entry, sentVersion, wasDoubted),
@@ -182,6 +183,7 @@
       onSignals: (signals) => {
         state.onTargetSignals(record, signals, head.id);
         router.rejections.onSignals(record, signals, startedAt);
+        router.onPause(record, signals.pauseMs, head.id);
       },
       onBytes: () => {
         onBytes();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,6 +209,7 @@
       random,
       this.reach,
       this.rejections,
+      log.child('routing'),
     );
     this.sharing = new CapacitySharing({
       config: () => (settings.tuning.divide_capacity ? this.state.config : undefined),
@@ -353,6 +354,7 @@
     timers.every(HOUSEKEEPING_INTERVAL_MS, () => {
       this.state.dropExpired();
       this.rejections.expire();
+      this.router.expire();
       this.sharing.check();
       this.streams.check();
       this.fetcher.check();
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -73,6 +73,8 @@
   readonly rateLimit: RateLimitSignal;
   /** Rejections per second that the target bears without falling over; absent if it names no limit. */
   readonly rejectionLimit?: number;
+  /** How long the target wants no requests from this gateway, ms; absent unless it says so. */
+  readonly pauseMs?: number;
 }
 
 export interface RequestProtocol {
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -18,6 +18,7 @@
   RateShares,
   requestsWithinLimit,
   SharedRateLimiter,
+  TargetPauses,
   StreamLengths,
   usableShare,
   USUAL_BASELINE,
@@ -36,9 +37,10 @@
   type ServiceSpeed,
   type SpeedFactors,
   type SpeedObservation,
+  type TargetRecord,
   type VersionScope,
 } from '@marjoramcart/core';
-import type { TimerService } from '@marjoramcart/runtime';
+import type { Logger, TimerService } from '@marjoramcart/runtime';
 import type { Call } from '../exchange/call.js';
 import type { GossipTask } from '../peers/gossip-task.js';
 import type { ReachWatch } from '../reach/reach-watch.js';
@@ -110,6 +112,8 @@
 
   readonly deferrals = new DeferralOutcomes();
 
+  private readonly pauses = new TargetPauses();
+
   private readonly waitingMix = new Map<string, WaitingMix>();
 
   private readonly coldLimiter: SharedRateLimiter;
@@ -144,6 +148,7 @@
     private readonly random: RandomSource,
     private readonly reach: Pick<ReachWatch, 'isCutOff' | 'lastCut'>,
     readonly rejections: RejectionGuard,
+    private readonly log: Logger,
   ) {
     this.speeds = new ServiceSpeeds(settings.tuning);
     this.coldLimiter = new SharedRateLimiter({
@@ -244,7 +249,9 @@
       .map(({ record }): Destination => ({ kind: 'target', id: record.id }));
     const opensInMs = Math.min(
       ...usable
-        .map((entry) => this.limitOpensInMs(entry, lateShare, now))
+        .map((entry) =>
+          Math.max(this.limitOpensInMs(entry, lateShare, now), this.pauseMsOf(entry, now)),
+        )
         .filter((ms) => ms > 0 && ms < Infinity),
     );
     return {
@@ -514,13 +521,43 @@
   }
 
   private isOpen(entry: TargetEntry, now: number): boolean {
-    if (isAvoided(entry, now)) return false;
+    if (isAvoided(entry, now) || this.pauseMsOf(entry, now) > 0) return false;
     if (entry.coldForMs(now) === 0) return true;
     const rate = this.coldRequestsPerS(entry);
     if (rate === 0) return true;
     return this.coldLimiter.maySend(entry.record.id, this.coldAllowanceOf(entry, rate), now);
   }
 
+  /**
+   * Handles a target that may want no requests from this gateway for a while.
+   *
+   * @param pauseMs for how long, ms; undefined if it does not say so
+   * @param requestId request that it rejected
+   */
+  onPause(target: TargetRecord, pauseMs: number | undefined, requestId: string): void {
+    const now = this.timers.now();
+    if (pauseMs === undefined || !this.pauses.onPause(target, pauseMs, now)) return;
+    this.log.info('target wants no requests for a while', {
+      target: target.id,
+      pause_ms: Math.round(pauseMs),
+      id: requestId,
+    });
+  }
+
+  /** Whether a target wants no requests from this gateway now. */
+  isPaused(entry: TargetEntry): boolean {
+    return this.pauseMsOf(entry, this.timers.now()) > 0;
+  }
+
+  /** Forgets pauses that are over. */
+  expire(): void {
+    this.pauses.expire(this.timers.now());
+  }
+
+  private pauseMsOf({ record }: TargetEntry, now: number): number {
+    return this.pauses.opensInMs(record, now);
+  }
+
   private limitedShareRequest(
     { head, service, priority }: Call,
     usable: readonly TargetEntry[],
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -82,6 +82,12 @@
 
   readonly runs: TargetRun[] = [];
 
+  /** When requests were rejected in the mode `Sheds`, Unix ms. */
+  readonly rejectedAt: number[] = [];
+
+  /** Value of `Retry-After` in those rejections, s. */
+  retryAfterS: number | undefined;
+
   /** Requests in flight, as sent in its load reports. */
   active = 0;
 
@@ -221,6 +227,8 @@
       return;
     }
     if (this.mode === TargetMode.Sheds) {
+      this.rejectedAt.push(Date.now());
+      if (this.retryAfterS !== undefined) res.setHeader('retry-after', this.retryAfterS);
       reject(res, requestId);
       return;
     }
