Count a request at its target in the turn that chose the target

Cause: since the sender waited, if only for a microtask, for a confirmation that most requests do not need, so that others chose the same target before the request was counted there.

Change: only a stream that goes on while its service has several versions waits.

--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -137,8 +137,11 @@
     const { record, work } = entry;
     const { call } = progress;
     const { head } = call;
-    const unconfirmed = await this.confirmVersion(entry, progress);
-    if (unconfirmed) return unconfirmed;
+    // Others must not choose this target before the request is counted, so nothing else is waited for here.
+    if (progress.scope.kind === 'only' && streams.isMixed(progress.call.service)) {
+      const unconfirmed = await this.confirmStart(entry);
+      if (unconfirmed) return unconfirmed;
+    }
     const startedAt = timers.now();
     const sentVersion = record.softwareVersion;
     const wasDoubted = entry.isDoubted(startedAt);
@@ -238,16 +241,12 @@
   }
 
   /**
-   * Confirms that a target is of the version that a stream goes on at.
+   * Confirms that a target is still the start that a stream is to go on at.
    *
-   * @returns why nothing is sent; undefined if the target is confirmed or any version may go on
+   * @returns why nothing is sent; undefined if the target is confirmed
    */
-  private async confirmVersion(
-    entry: TargetEntry,
-    { call, scope }: CallProgress,
-  ): Promise<AttemptEnd | undefined> {
-    const { streams, starts, restarts } = this.deps;
-    if (scope.kind !== 'only' || !streams.isMixed(call.service)) return undefined;
+  private async confirmStart(entry: TargetEntry): Promise<AttemptEnd | undefined> {
+    const { starts, restarts } = this.deps;
     const confirmation = await starts.confirm(entry);
     if (confirmation === 'confirmed') return undefined;
     if (confirmation === 'unreachable') restarts.onUnreachable(entry);
