Take a target that others can't reach for cold while its version is in doubt

Cause: after a pause only the versions of engines are in doubt, and the word of another gateway that one is unreachable prolonged that doubt as it was.

Change: such a word makes the target cold, as without the pause. Result: the new case of restart-check.test.ts passes; it was not run without the fix.

--- a/packages/gateway/src/reports/restart-check.test.ts
+++ b/packages/gateway/src/reports/restart-check.test.ts
@@ -200,3 +200,15 @@
   await pass(fixture, 1000);
   assert.equal(entryOf(fixture).isDoubted(fixture.timers.now()), false);
 });
+
+// Guards against flooding a target of which another gateway told, since only its version was in doubt.
+test('a target that is told to be unreachable after a pause is cold', async () => {
+  const fixture = createFixture();
+  await fixture.check.start();
+  fixture.answer = 5;
+  await pass(fixture, 1000);
+  fixture.answer = 'silent';
+  fixture.timers.pause(3500);
+  fixture.check.onTold(entryOf(fixture));
+  assert.ok(entryOf(fixture).coldForMs(fixture.timers.now()) > 0);
+});
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -149,7 +149,7 @@
     // The word of another gateway does not replace what this one saw itself.
     this.doubt =
       before && reason === ColdReason.Told
-        ? { ...before, until }
+        ? { ...before, until, mayBeCold: before.mayBeCold || warmupMs > 0 }
         : { since: now, until, mayBeCold: warmupMs > 0, reason };
     return before === undefined;
   }
