--- a/tests/stand-ins/src/users-platform/paused-target.test.ts
+++ b/tests/stand-ins/src/users-platform/paused-target.test.ts
@@ -63,7 +63,8 @@
   targets.forEach((target) =>
     Object.assign(target, { mode: target === paused ? TargetMode.Good : TargetMode.Sheds }),
   );
-  await load(SLACK_MS);
+  // It may have rejected a request, and so begun another pause, until now.
+  await load(PAUSE_MS + SLACK_MS);
   assert.ok(paused.runs.length > 0);
 });
 
