Pass a reset on as a reset through the links of the stand-ins

Cause: not in the gateway. Each target of the soak is behind a Link of the same process. When its event loop is late by 10 ms, the reset is made before the Link reads the last bytes; libuv then reports an ordinary end, and the Link passed that on as an ordinary end. A response without a length that ends so is whole.

Change: the Link looks, as HttpClient does, whether the socket still has a peer, and passes the reset on. A socket whose own side has ended has none either, so that only one whose side is open counts.

That the soak's one failure was this is likely by the mode, the body and the load, but its logs do not show the socket.

--- a/tests/stand-ins/src/fault-proxy/link.ts
+++ b/tests/stand-ins/src/fault-proxy/link.ts
@@ -111,8 +111,9 @@
         });
     });
     from.on('end', () => {
+      const close = wasReset(from) ? resetSocket : endSocket;
       const transmitted = flow.transmit(0);
-      buffered.last = buffered.last.then(() => transmitted).then(() => endSocket(to));
+      buffered.last = buffered.last.then(() => transmitted).then(() => close(to));
     });
   }
 
@@ -140,6 +141,18 @@
   }
 }
 
+/**
+ * Whether a socket at its end was reset. When a reset arrives together with the last bytes, libuv
+ * reports an ordinary end; such a socket has no remote address, like one whose two sides have ended.
+ */
+function wasReset({ writableEnded, remoteAddress }: Socket): boolean {
+  return !writableEnded && remoteAddress === undefined;
+}
+
+function resetSocket(socket: Socket): void {
+  socket.resetAndDestroy();
+}
+
 function endSocket(socket: Socket): void {
   socket.end();
 }
