Let a stand-in target that several requests crash at once start again once

Cause: requests that crash a stand-in in the same turn of the event loop each set a timer for its restart. The second listen throws ERR_SERVER_ALREADY_LISTEN, an unhandled rejection that node:test counts to a hook that has ended: no test fails, and the file exits with 1.

Change: a target that is down already does not crash again.

Evidence: without the change target.test.ts fails in 3 of 3 runs, with the message 'Test hook "beforeEach" ... generated asynchronous activity after the test ended' and exit code 1; with it it passes in 3 of 3.

--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -172,6 +172,8 @@
   }
 
   private crash(downMs = RESTART_MS): void {
+    // Several requests may crash it at the same time, before their connections are known to be closed.
+    if (!this.server.listening) return;
     this.stopListening();
     setTimeout(() => {
       if (!this.closed) void this.listen();
