Ask targets whether they are cold while a gateway is out of touch

A gateway that is cut off from the store and from all other gateways went on at the full rate at targets that had become cold; model targets fell over with the work that they had accepted.

Cause: a target that keeps its id and its start is known to be cold by its entry or by word of other gateways only. A gateway that hears neither took it for warm.

Change, in parts of their own (gateway/src/warmth, core TargetWarmth): Touch finds that the source and other gateways are silent. WarmthCheck then asks the targets of the region by the health check of their service, at most 64 at once and shared among the gateways that hear each other; one that has said nothing for a second counts as cold. A gateway that hears nobody sends no more to any target than a cold one takes from all gateways together.

Gateways of the previous release ignore the new message.

--- a/packages/core/src/fleet/fleet-config.ts
+++ b/packages/core/src/fleet/fleet-config.ts
@@ -90,6 +90,8 @@
   readonly warmupMs: number;
   /** Requests per second that a cold target can serve; 0 for no limit. */
   readonly coldRequestsPerS: number;
+  /** Path of the health check of its targets; absent if they have none. */
+  readonly healthPath?: string;
   /** Absent for plain services. */
   readonly engine?: EngineSpec;
 }
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -20,4 +20,5 @@
 export * from './state-revision.js';
 export * from './target-limits.js';
 export * from './target-record.js';
+export * from './target-warmth.js';
 export * from './version-lag.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,10 +65,15 @@
 import { GatewayState } from './state/gateway-state.js';
 import { StateMetrics } from './state/state-metrics.js';
 import { StreamRegistry } from './streams/stream-registry.js';
+import { HealthPoller } from './warmth/health-poller.js';
+import { Touch } from './warmth/touch.js';
+import { WarmthCheck } from './warmth/warmth-check.js';
 
 /** Three round trips between distant regions; a slower destination is tried again later. */
 const CONNECT_TIMEOUT_MS = 500;
 const HOUSEKEEPING_INTERVAL_MS = 250;
+/** A gateway of the region with an older heartbeat may be cut off from this one. */
+const HEARD_MS = 1500;
 const MS_PER_S = 1000;
 /** A host with more routes in use is not told to other regions, which then name none of theirs for it. */
 const MAX_TOLD_ROUTES = 8;
@@ -108,6 +113,8 @@
 
   private readonly restarts: RestartCheck;
 
+  private readonly warmth: WarmthCheck;
+
   private readonly reach: ReachWatch;
 
   private readonly streams: StreamRegistry;
@@ -237,6 +244,7 @@
     this.reportMemory = new BodyMemory(settings.maxReportMemoryBytes);
     const reportPoller = this.createReportPoller(httpClient);
     this.restarts = this.createRestartCheck(reportPoller);
+    this.warmth = this.createWarmthCheck(httpClient);
     const responseMemory = new BodyMemory(settings.maxResponseMemoryBytes);
     const executor = new RequestExecutor({
       settings,
@@ -320,6 +328,7 @@
       this.createReportTask(reportPoller),
       this.createSpeedTask(),
       this.restarts,
+      this.warmth,
       this.reach,
     ];
     this.admin = this.createAdminTask();
@@ -443,6 +452,7 @@
       .with({ kind: 'rejected' }, ({ target }) => this.rejections.onPeerRejected(target))
       .with({ kind: 'signals' }, ({ rows, from }) => this.applyPeerSignals(rows, from))
       .with({ kind: 'speeds' }, ({ rows }) => this.applyPeerSpeeds(rows))
+      .with({ kind: 'warmth' }, ({ rows }) => this.warmth.onRows(rows))
       .with({ kind: 'reports' }, ({ rows }) => {
         rows.forEach(({ target, report }) => this.applyPeerReport(target, report));
       })
@@ -645,6 +655,30 @@
     });
   }
 
+  private createWarmthCheck(httpClient: HttpClient): WarmthCheck {
+    const { settings, reportProtocol: protocol, timers, log } = this.deps;
+    const { table } = this.gossip;
+    return new WarmthCheck({
+      node: settings.node,
+      state: this.state,
+      touch: new Touch({ table, sourceAgeMs: () => this.state.sourceAgeMs }),
+      poller: new HealthPoller({ httpClient, protocol, timers, memory: this.reportMemory }),
+      timers,
+      log: log.child('warmth'),
+      gateways: () => [settings.node, ...this.heardRegionGateways()],
+      announce: (rows) => this.gossip.announceTarget({ kind: 'warmth', rows }),
+    });
+  }
+
+  /** Names of other gateways of the region that are heard now. */
+  private heardRegionGateways(): string[] {
+    const now = this.deps.timers.now();
+    return this.gossip
+      .regionPeers()
+      .map(({ node }) => node)
+      .filter((node) => this.gossip.table.ageMs(node, now) < HEARD_MS);
+  }
+
   private createReportTask(poller: ReportPoller): ReportTask {
     const { settings, timers } = this.deps;
     return new ReportTask({
--- a/packages/gateway/src/peers/messages.test.ts
+++ b/packages/gateway/src/peers/messages.test.ts
@@ -65,6 +65,7 @@
         { target: 'i-3', report: { requests: 1, bornAt: 1_700_000_000_000, speedFactor: 2.5 } },
       ],
     },
+    { kind: 'warmth', rows: [{ target: 'i-1', bornAt: 1_700_000_000_000, coldForMs: 4000 }] },
     {
       kind: 'speeds',
       rows: [
--- a/packages/gateway/src/peers/target-update.ts
+++ b/packages/gateway/src/peers/target-update.ts
@@ -2,6 +2,7 @@
 import type { PeerPrompt, TargetIncarnation } from '@marjoramcart/core';
 import { match } from 'ts-pattern';
 import type { TargetReportRow } from '../reports/report-task.js';
+import type { WarmthRow } from '../warmth/warmth-check.js';
 import { encodeNotification, type Notification } from './notification.js';
 import {
   fromLeavingWireRow,
@@ -26,6 +27,8 @@
 const REJECTED_METHOD = 'target.rejected';
 
 const SPEEDS_METHOD = 'target.speeds';
+/** Its own method for the same reason. */
+const WARMTH_METHOD = 'target.warmth';
 
 /** Speed of a target that a gateway tells others. */
 export interface SpeedRow {
@@ -41,6 +44,8 @@
 export type TargetUpdate =
   /** Speeds of targets. */
   | { readonly kind: 'speeds'; readonly rows: readonly SpeedRow[] }
+  /** Targets said whether they are cold. */
+  | { readonly kind: 'warmth'; readonly rows: readonly WarmthRow[] }
   /** A prompt with a long prefill was sent to the target. */
   | { readonly kind: 'prompt'; readonly target: string; readonly prompt: PeerPrompt }
   /** A gateway can't reach the target. */
@@ -91,6 +96,13 @@
   readonly s: readonly SpeedWireRow[];
 }
 
+/** Target, start time, time for which it is cold in ms. */
+type WarmthWireRow = readonly [string, number, number];
+
+interface WarmthParams {
+  readonly c: readonly WarmthWireRow[];
+}
+
 interface RejectedParams {
   readonly n: string;
   readonly t: string;
@@ -120,6 +132,10 @@
     const params: SpeedsParams = { s: update.rows.map(toSpeedRow) };
     return encodeNotification(SPEEDS_METHOD, params);
   }
+  if (update.kind === 'warmth') {
+    const params: WarmthParams = { c: update.rows.map(toWarmthRow) };
+    return encodeNotification(WARMTH_METHOD, params);
+  }
   return encodeNotification(METHOD, paramsOf(update));
 }
 
@@ -138,6 +154,10 @@
   if (method === SPEEDS_METHOD) {
     return { kind: 'speeds', rows: (params as SpeedsParams).s.map(fromSpeedRow) };
   }
+  if (method === WARMTH_METHOD) {
+    const rows = (params as WarmthParams).c.map(fromWarmthRow);
+    return { kind: 'warmth', rows };
+  }
   if (method !== METHOD) return undefined;
   const { t: target = '', n: from = '', p, r, l, q, j = [] } = params as UpdateParams;
   if (l && q) {
@@ -174,7 +194,7 @@
 }
 
 function paramsOf(
-  update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' | 'speeds' }>,
+  update: Exclude<TargetUpdate, { kind: 'start' | 'rejected' | 'speeds' | 'warmth' }>,
 ): UpdateParams {
   return match(update)
     .with({ kind: 'prompt' }, ({ target, prompt }) => ({ t: target, p: toPromptRow(prompt) }))
@@ -207,6 +227,14 @@
   };
 }
 
+function toWarmthRow({ target, bornAt, coldForMs }: WarmthRow): WarmthWireRow {
+  return [target, bornAt, Math.round(coldForMs)];
+}
+
+function fromWarmthRow([target, bornAt, coldForMs]: WarmthWireRow): WarmthRow {
+  return { target, bornAt, coldForMs };
+}
+
 function toReportRow({ target, report }: TargetReportRow): ReportWireRow {
   const { requests, memoryTokens, bornAt, waiting, paceMs, speedFactor } = report;
   // The previous release takes a start time of null for one at the epoch, so it must not get null.
--- a/packages/gateway/src/ports/request-protocol.ts
+++ b/packages/gateway/src/ports/request-protocol.ts
@@ -114,6 +114,14 @@
   readonly runs: readonly RunEvents[];
 }
 
+/** What a target tells by its health check. */
+export interface TargetHealth {
+  /** Id of the target that responded. */
+  readonly target: string;
+  /** How much longer it is cold, ms; 0 if it is warm. */
+  readonly coldForMs: number;
+}
+
 /** Protocol for polling load reports of targets. */
 export interface ReportProtocol {
   readonly path: string;
@@ -122,4 +130,6 @@
   /** How long work takes at the target now by its own word, percent of the usual time. */
   readSlowness(res: IncomingMessage): number | undefined;
   readTargetSignals(res: IncomingMessage): TargetSignals;
+  /** Decodes the response to a health check; undefined when it does not say that the target is healthy. */
+  readHealth(res: IncomingMessage): TargetHealth | undefined;
 }
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -522,10 +522,15 @@
 
   private isOpen(entry: TargetEntry, now: number): boolean {
     if (isAvoided(entry, now) || this.pauseMsOf(entry, now) > 0) return false;
-    if (entry.coldForMs(now) === 0) return true;
+    const isCold = entry.coldForMs(now) > 0;
+    if (!isCold && !entry.warmth.mayTurnCold) return true;
     const rate = this.coldRequestsPerS(entry);
     if (rate === 0) return true;
-    return this.coldLimiter.maySend(entry.record.id, this.coldAllowanceOf(entry, rate), now);
+    // What a target gets right before it becomes cold counts as well.
+    const allowance = isCold
+      ? this.coldAllowanceOf(entry, rate)
+      : Math.floor(this.coldRequestsIn(rate));
+    return this.coldLimiter.maySend(entry.record.id, allowance, now);
   }
 
   /**
@@ -593,8 +598,13 @@
   private coldAllowanceOf({ record }: TargetEntry, rate: number): number {
     // Gateways that divide the rate by different rosters would exceed it together.
     if (!this.sharers.mayUseShare()) return 0;
+    return this.coldShares.of(record.id, this.coldRequestsIn(rate));
+  }
+
+  /** Requests that a cold target takes within a window from all gateways together. */
+  private coldRequestsIn(rate: number): number {
     const { factor, slack } = this.settings.coldRateLimit;
-    return this.coldShares.of(record.id, rate * factor + slack);
+    return rate * factor + slack;
   }
 
   /** Target of the region that is preferred for the shared prefix of a prompt. */
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -1,5 +1,5 @@
 /** A target in the local view of a gateway, with its load and assumed state. */
-import { RunProgress, type TargetRecord, type TargetWork } from '@marjoramcart/core';
+import { RunProgress, TargetWarmth, type TargetRecord, type TargetWork } from '@marjoramcart/core';
 
 /** Why a target is assumed to be cold. */
 export const ColdReason = {
@@ -15,6 +15,10 @@
   Unconfirmed: 'unconfirmed',
   /** The evacuation of its failure domain ended. */
   Restored: 'restored',
+  /** Its health check said so. */
+  Said: 'said',
+  /** This gateway is out of touch, and the target has not said lately that it is warm. */
+  OutOfTouch: 'out-of-touch',
 } as const;
 export type ColdReason = (typeof ColdReason)[keyof typeof ColdReason];
 
@@ -43,6 +47,9 @@
   /** Pace of the target's streams, from the reports that this gateway polls. */
   readonly progress = new RunProgress();
 
+  /** Whether the target counts as warm while this gateway is out of touch. */
+  readonly warmth = new TargetWarmth();
+
   /** Time until which the target is assumed to be cold, monotonic ms. */
   coldUntil: number;
 
@@ -110,12 +117,18 @@
 
   /** How much longer the target is assumed to be cold, ms; 0 if it is assumed to be warm. */
   coldForMs(now: number): number {
-    return Math.max(0, this.coldUntil - now, this.mayBeCold(now) ? this.doubtedUntil - now : 0);
+    return Math.max(
+      this.coldUntil - now,
+      this.mayBeCold(now) ? this.doubtedUntil - now : 0,
+      this.warmth.coldForMs(now),
+    );
   }
 
   /** Why the target is assumed to be cold. */
   coldReasonAt(now: number): ColdReason | undefined {
-    return this.doubt && this.mayBeCold(now) ? this.doubt.reason : this.coldReason;
+    if (this.doubt && this.mayBeCold(now)) return this.doubt.reason;
+    const isUnknown = this.coldUntil <= now && this.warmth.coldForMs(now) > 0;
+    return isUnknown ? ColdReason.OutOfTouch : this.coldReason;
   }
 
   private mayBeCold(now: number): boolean {
--- /dev/null
+++ b/packages/gateway/src/warmth/touch.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { GatewayPhase, GatewayTable, type GatewayRecord } from '@marjoramcart/core';
+import { Contact, Touch } from './touch.js';
+
+interface Fixture {
+  readonly table: GatewayTable;
+  sourceAgeMs: number;
+  readonly touch: Touch;
+}
+
+function createFixture(): Fixture {
+  const table = new GatewayTable('vm-1');
+  const fixture = { table, sourceAgeMs: 0 };
+  const touch = new Touch({ table, sourceAgeMs: () => fixture.sourceAgeMs });
+  return Object.assign(fixture, { touch });
+}
+
+function record(
+  node: string,
+  heartbeat: number,
+  changes: Partial<GatewayRecord> = {},
+): GatewayRecord {
+  return {
+    node,
+    bootAt: 1,
+    heartbeat,
+    phase: GatewayPhase.Ready,
+    region: 'north',
+    failureDomain: 'north-a',
+    ip: '127.0.0.2',
+    configVersion: 1,
+    revision: 1,
+    ...changes,
+  };
+}
+
+test('a gateway that hears neither the source nor others is out of touch within two seconds', () => {
+  const fixture = createFixture();
+  fixture.table.mergeRecord(record('vm-2', 1), 0);
+  fixture.sourceAgeMs = 1000;
+  assert.equal(fixture.touch.contact(1000), Contact.Alone);
+});
+
+test('a gateway is in touch while it hears the source or all other gateways', () => {
+  const fixture = createFixture();
+  fixture.table.mergeRecord(record('vm-2', 1), 0);
+  fixture.sourceAgeMs = 900;
+  assert.equal(fixture.touch.contact(20_000), Contact.InTouch);
+  fixture.table.mergeRecord(record('vm-2', 2), 20_000);
+  fixture.sourceAgeMs = 20_000;
+  assert.equal(fixture.touch.contact(20_500), Contact.InTouch);
+});
+
+// Guards against a region that is cut off and takes all its targets for warm.
+test('a gateway that hears its region only is out of touch', () => {
+  const fixture = createFixture();
+  fixture.table.mergeRecord(record('vm-2', 1), 5000);
+  fixture.table.mergeRecord(record('vm-3', 1, { region: 'west' }), 2000);
+  fixture.sourceAgeMs = 3000;
+  assert.equal(fixture.touch.contact(5000), Contact.OutOfTouch);
+});
+
+test('a gateway that has ended does not put others out of touch', () => {
+  const fixture = createFixture();
+  fixture.table.mergeRecord(record('vm-2', 1), 5000);
+  fixture.table.mergeRecord(record('vm-3', 1, { phase: GatewayPhase.Draining }), 1000);
+  fixture.sourceAgeMs = 5000;
+  assert.equal(fixture.touch.contact(5000), Contact.InTouch);
+});
+
+test('a gateway without others is out of touch with the source alone, until it is back', () => {
+  const fixture = createFixture();
+  fixture.sourceAgeMs = 2000;
+  assert.equal(fixture.touch.contact(2000), Contact.InTouch);
+  fixture.sourceAgeMs = 2500;
+  assert.equal(fixture.touch.contact(2500), Contact.Alone);
+  fixture.sourceAgeMs = 1500;
+  assert.equal(fixture.touch.contact(3000), Contact.Alone);
+  fixture.sourceAgeMs = 100;
+  assert.equal(fixture.touch.contact(3100), Contact.InTouch);
+});
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -59,6 +59,9 @@
   cancelled: boolean;
 }
 
+/** Path of the health check. */
+export const HEALTH_PATH = '/healthz';
+
 const EVENT_COUNT = 6;
 const EVENT_INTERVAL_MS = 10;
 const RESTART_MS = 200;
@@ -94,6 +97,9 @@
   /** Start time that its reports tell, Unix ms. */
   born = 1;
 
+  /** How long it stays cold by its health check, ms. */
+  coldForMs = 0;
+
   /** Version of its software, which its entry tells. */
   version = 'v1';
 
@@ -218,6 +224,10 @@
       send(res, 200, {}, body);
       return;
     }
+    if (req.url === HEALTH_PATH) {
+      send(res, 200, { 'instance-id': this.id, 'cold-ms': this.coldForMs }, '');
+      return;
+    }
     const requestId = String(req.headers['request-id']);
     if (req.headers['expect-instance'] !== this.id) {
       res.writeHead(421, { 'instance-id': this.id, 'content-length': 0 }).end();
