Take a gateway for alone only if it has lost others and a source that is read

Cause, by reading: the source responds every 1.5 s while nothing changes, so that a gateway whose neighbours had all ended counted as alone for half a second of each 1.5 s, with a log line for each change; and one without any others counted as alone in each outage of the source, with its targets limited to what cold ones take.

Change: the source has to be silent for 2 s, and others have to have been heard. What was heard last stands while the records of the others expire.

No run showed the fault on real processes.

--- a/packages/gateway/src/warmth/touch.ts
+++ b/packages/gateway/src/warmth/touch.ts
@@ -8,15 +8,19 @@
 export const Contact = {
   /** The source or all other gateways. */
   InTouch: 'in-touch',
-  /** Some other gateways, but not the source. */
+  /** Some other gateways, or none as there are none, but not the source. */
   OutOfTouch: 'out-of-touch',
-  /** Neither the source nor any other gateway. */
+  /** Neither the source nor any of the other gateways. */
   Alone: 'alone',
 } as const;
 export type Contact = (typeof Contact)[keyof typeof Contact];
 
-/** Silence of the source and of all other gateways that counts. */
+/** Silence of all other gateways that counts. */
 const TOTAL_SILENCE_MS = 1000;
+/** Silence of the source that counts then; without changes it responds every 1.5 s. */
+const SOURCE_PAUSE_MS = 2000;
+/** The source is heard again if it responded within this time. */
+const HEARD_AGAIN_MS = 1000;
 /** Silence of the source that counts if some of the other gateways are silent, too. */
 const SOURCE_SILENCE_MS = 2500;
 /** Silence of one gateway that counts; heartbeats of others may be that old in a large fleet. */
@@ -31,6 +35,9 @@
 export class Touch {
   private isOut = false;
 
+  /** Kept while the records of the others expire. */
+  private isAlone = false;
+
   constructor(private readonly deps: TouchDeps) {}
 
   /**
@@ -45,12 +52,14 @@
       .recent(now, Infinity)
       .filter(({ leavingAt }) => leavingAt === undefined)
       .map(({ lastHeartbeatAt }) => now - lastHeartbeatAt);
-    const isAlone = silences.every((ms) => ms >= TOTAL_SILENCE_MS);
+    const hearsNobody = silences.length > 0 && silences.every((ms) => ms >= TOTAL_SILENCE_MS);
     const missesSome = silences.length === 0 || silences.some((ms) => ms >= GATEWAY_SILENCE_MS);
-    const hasLostAll = isAlone && silences.length > 0;
-    if (ageMs < TOTAL_SILENCE_MS) this.isOut = false;
-    else if (hasLostAll || (missesSome && ageMs >= SOURCE_SILENCE_MS)) this.isOut = true;
+    const isOutNow = ageMs >= (hearsNobody ? SOURCE_PAUSE_MS : SOURCE_SILENCE_MS);
+    if (ageMs < HEARD_AGAIN_MS) this.isOut = false;
+    else if (isOutNow && (hearsNobody || missesSome)) this.isOut = true;
+    if (!this.isOut) this.isAlone = false;
+    else if (silences.length > 0) this.isAlone = hearsNobody;
     if (!this.isOut) return Contact.InTouch;
-    return isAlone ? Contact.Alone : Contact.OutOfTouch;
+    return this.isAlone ? Contact.Alone : Contact.OutOfTouch;
   }
 }
