Let two entries run suspects of crashes on different targets

Two entries with the same view choose the same idlest target, and a death there counts against both suspects.

Change: SuspectOwners divides the targets of a service among the entries of the failure domain; an entry runs suspects on its own targets while one is ready.

Evidence: two of three tests of suspect-queue.test.ts fail without the division.

--- a/packages/entry/src/dispatch/suspect-queue.ts
+++ b/packages/entry/src/dispatch/suspect-queue.ts
@@ -1,6 +1,7 @@
 /** Reserves targets for suspect requests, so that this process sends no other request to them. */
 import type { TimerService } from '@marjoramcart/runtime';
 import type { TargetTable } from '../routing/target-table.js';
+import type { SuspectOwners } from './suspect-owners.js';
 
 const POLL_INTERVAL_MS = 20;
 /** A suspect must not wait for a long stream on the target to end. */
@@ -14,6 +15,7 @@
   constructor(
     private readonly targets: TargetTable,
     private readonly timers: TimerService,
+    private readonly owners: Pick<SuspectOwners, 'targetsOf'>,
   ) {}
 
   /** Reserves a target; undefined when none became available in time or none is ready. */
@@ -26,7 +28,9 @@
     const ready = this.targets.candidates(service, excluded);
     if (ready.length === 0 || signal.aborted || this.timers.now() >= deadlineAt) return undefined;
     const limit = Math.max(1, Math.floor(ready.length * MAX_RESERVED_SHARE));
-    const [best] = ready
+    const owned = this.owners.targetsOf(service);
+    const ownReady = ready.filter(({ state }) => owned.has(state.vm));
+    const [best] = (ownReady.length > 0 ? ownReady : ready)
       .filter(({ state }) => !this.targets.isReserved(state.vm))
       .sort((a, b) => a.inFlight - b.inFlight || a.state.running - b.state.running);
     if (this.reservedTargets >= limit || !best || !this.targets.reserve(best.state.vm)) {
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -29,6 +29,7 @@
 import { DeathProbe } from './dispatch/death-probe.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import { SuspectBroadcast } from './dispatch/suspect-broadcast.js';
+import { SuspectOwners } from './dispatch/suspect-owners.js';
 import { SuspectQueue } from './dispatch/suspect-queue.js';
 import { HousekeepingTask } from './dispatch/housekeeping-task.js';
 import { ForwardExchange } from './forward/forward-exchange.js';
@@ -154,7 +155,7 @@
     probe: new DeathProbe(httpClient),
     exclusionOf: (call) => state.exclusionOf(call),
     suspects,
-    suspectQueue: new SuspectQueue(targets, timers),
+    suspectQueue: new SuspectQueue(targets, timers, new SuspectOwners(state)),
     budget,
     random,
     timers,
--- a/packages/entry/src/testing/scheduled-entry.ts
+++ b/packages/entry/src/testing/scheduled-entry.ts
@@ -31,6 +31,7 @@
 import { TargetExchange } from '../dispatch/target-exchange.js';
 import { DeathProbe } from '../dispatch/death-probe.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { SuspectOwners } from '../dispatch/suspect-owners.js';
 import { SuspectQueue } from '../dispatch/suspect-queue.js';
 import { FORWARD_HEADER, FORWARD_PATH, decodeEnvelope } from '../forward/forward-envelope.js';
 import { ForwardExchange, hopOf } from '../forward/forward-exchange.js';
@@ -120,7 +121,7 @@
       probe: new DeathProbe(httpClient),
       exclusionOf: () => undefined,
       suspects: new SuspectTable(),
-      suspectQueue: new SuspectQueue(targets, timers),
+      suspectQueue: new SuspectQueue(targets, timers, new SuspectOwners(this.entryState)),
       budget: new RetryBudget(1, 0),
       metrics: METRICS,
       announceSuspect: () => Promise.resolve(),
