Take a gateway for out of touch only if a whole failure domain is silent

Cause, by reading: in an outage of the store one gateway that was killed within the last minute put all others out of touch. They asked all targets, and held those that were too busy to answer their health check for cold.

Change: what counts is another failure domain of which nobody is heard.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -661,7 +661,11 @@
     return new WarmthCheck({
       node: settings.node,
       state: this.state,
-      touch: new Touch({ table, sourceAgeMs: () => this.state.sourceAgeMs }),
+      touch: new Touch({
+        failureDomain: settings.failureDomain,
+        table,
+        sourceAgeMs: () => this.state.sourceAgeMs,
+      }),
       poller: new HealthPoller({ httpClient, protocol, timers, memory: this.reportMemory }),
       timers,
       log: log.child('warmth'),
--- a/packages/gateway/src/warmth/touch.ts
+++ b/packages/gateway/src/warmth/touch.ts
@@ -1,8 +1,9 @@
 /**
- * Whether a gateway is out of touch: it hears neither the source nor other gateways, or not all of them, so
- * that targets may have become cold without a word of it. An outage of the source alone does not count.
+ * Whether a gateway is out of touch: it hears neither the source nor the gateways of another failure domain,
+ * so that targets may have become cold without a word of it. An outage of the source alone does not count,
+ * nor one beside single gateways that have ended.
  */
-import type { GatewayTable } from '@marjoramcart/core';
+import type { GatewayTable, KnownGateway } from '@marjoramcart/core';
 
 /** What a gateway hears. */
 export const Contact = {
@@ -21,12 +22,14 @@
 const SOURCE_PAUSE_MS = 2000;
 /** The source is heard again if it responded within this time. */
 const HEARD_AGAIN_MS = 1000;
-/** Silence of the source that counts if some of the other gateways are silent, too. */
+/** Silence of the source that counts if another failure domain is silent, too. */
 const SOURCE_SILENCE_MS = 2500;
-/** Silence of one gateway that counts; heartbeats of others may be that old in a large fleet. */
-const GATEWAY_SILENCE_MS = 3000;
+/** Silence of a failure domain that counts; heartbeats may be that old in a large fleet. */
+const DOMAIN_SILENCE_MS = 3000;
 
 export interface TouchDeps {
+  /** Failure domain of this gateway. */
+  readonly failureDomain: string;
   readonly table: Pick<GatewayTable, 'recent'>;
   /** Time since the source responded to this gateway or to one that told it, ms. */
   readonly sourceAgeMs: () => number;
@@ -48,18 +51,26 @@
    */
   contact(now: number): Contact {
     const ageMs = this.deps.sourceAgeMs();
-    const silences = this.deps.table
+    const others = this.deps.table
       .recent(now, Infinity)
-      .filter(({ leavingAt }) => leavingAt === undefined)
-      .map(({ lastHeartbeatAt }) => now - lastHeartbeatAt);
-    const hearsNobody = silences.length > 0 && silences.every((ms) => ms >= TOTAL_SILENCE_MS);
-    const missesSome = silences.length === 0 || silences.some((ms) => ms >= GATEWAY_SILENCE_MS);
+      .filter(({ leavingAt }) => leavingAt === undefined);
+    const isSilentFor = (ms: number, { lastHeartbeatAt }: KnownGateway): boolean =>
+      now - lastHeartbeatAt >= ms;
+    const hearsNobody =
+      others.length > 0 && others.every((other) => isSilentFor(TOTAL_SILENCE_MS, other));
+    const heard = others.filter((other) => !isSilentFor(DOMAIN_SILENCE_MS, other));
+    const heardDomains = new Set([this.deps.failureDomain, ...heard.map(domainOf)]);
+    const missesDomain = others.some((other) => !heardDomains.has(domainOf(other)));
     const isOutNow = ageMs >= (hearsNobody ? SOURCE_PAUSE_MS : SOURCE_SILENCE_MS);
     if (ageMs < HEARD_AGAIN_MS) this.isOut = false;
-    else if (isOutNow && (hearsNobody || missesSome)) this.isOut = true;
+    else if (isOutNow && (hearsNobody || missesDomain || others.length === 0)) this.isOut = true;
     if (!this.isOut) this.isAlone = false;
-    else if (silences.length > 0) this.isAlone = hearsNobody;
+    else if (others.length > 0) this.isAlone = hearsNobody;
     if (!this.isOut) return Contact.InTouch;
     return this.isAlone ? Contact.Alone : Contact.OutOfTouch;
   }
 }
+
+function domainOf({ record }: KnownGateway): string {
+  return record.failureDomain;
+}
