Publish no summary of a failure domain before its daemon knows it

Cause: a control daemon that has just started takes itself for the publisher of its failure domain and publishes at once, before it knows a target or an entry. Its summary is newer than the good one and replaces it in all other failure domains for 3 s. With two failure domains in that state nothing was left to forward to.

Evidence: a log of what entries knew at each refusal (trial, not committed) shows new summaries of both other domains with no entries and 0 ready targets.

Change: SummaryPublisher, a part of its own, publishes once each target was probed and each listed VM has an entry, or 2.5 s after the start.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -30,7 +30,7 @@
 
 const VIEW_REBUILD_MS = 200;
 /** Longest wait for a complete view, so that leaving marks reach the entries within 3 s. */
-const WARM_UP_TIMEOUT_MS = 2500;
+export const WARM_UP_TIMEOUT_MS = 2500;
 
 export class ControlState {
   readonly config = new ConfigStore();
--- a/packages/control/src/peers/gossip-task.ts
+++ b/packages/control/src/peers/gossip-task.ts
@@ -4,11 +4,8 @@
  */
 import {
   MembershipTiming,
-  isSummaryPublisher,
   isSuspectVisible,
   seededRandom,
-  summarizeEntries,
-  summarizeServices,
   type GossipParams,
   type GossipResult,
   type OriginUpdate,
@@ -25,6 +22,7 @@
 import { PeerClient } from './peer-client.js';
 import { pickRandom } from './pick-random.js';
 import { applyProbeResults } from './apply-probe-results.js';
+import { SummaryPublisher } from './summary-publisher.js';
 
 /**
  * Live peers of the local failure domain that one daemon contacts per round. Urgent changes are sent
@@ -57,8 +55,7 @@
   /** Latest local heartbeat that each peer is known to have, by address. */
   private readonly heartbeatKnownBy = new Map<string, number>();
 
-  /** Whether this daemon publishes the summary of its failure domain. */
-  private isPublisher = false;
+  private readonly publisher: SummaryPublisher;
 
   private readonly packer: GossipPacker;
 
@@ -72,6 +69,7 @@
 
   constructor(private readonly options: GossipTaskOptions) {
     this.packer = new GossipPacker(options.state);
+    this.publisher = new SummaryPublisher(options.state);
     this.random = seededRandom(options.seed);
     this.drainingAnnouncer = new DrainingAnnouncer({
       state: options.state,
@@ -237,8 +235,8 @@
     const isLocal = from.failureDomain === state.self.failureDomain;
     if (isLocal) applyProbeResults(state.targets, state.members.merge(origins, nowMs), nowMs);
     state.summaries.merge(message.summaries, nowMs);
-    if (isLocal && hasDrainingEntry(origins)) this.publish();
-    this.drainingAnnouncer.announce(isLocal, this.isPublisher);
+    if (isLocal && hasDrainingEntry(origins)) this.publisher.publish();
+    this.drainingAnnouncer.announce(isLocal, this.publisher.isPublisher);
     const { cfg } = state;
     // Checked on both sides, since the sender may have another configuration.
     const allowed = message.suspects.filter(
@@ -257,23 +255,8 @@
     const { state } = this.options;
     const nowMs = state.timers.now();
     state.members.tick(state.config.revision, nowMs);
-    this.publish();
-    this.drainingAnnouncer.announce(true, this.isPublisher);
-  }
-
-  /** Publishes the summary of the failure domain if this daemon is its publisher. */
-  private publish(): void {
-    const { state } = this.options;
-    const nowMs = state.timers.now();
-    const { failureDomain, bootId } = state.self;
-    this.isPublisher = isSummaryPublisher(failureDomain, bootId, state.liveControlIds());
-    if (!this.isPublisher) return;
-    const services = Object.keys(state.cfg?.services ?? {});
-    state.summaries.publish(
-      summarizeServices(services, state.targetStates()),
-      summarizeEntries(state.processes().filter(({ load }) => load)),
-      { nowMs, wallMs: state.timers.wall() },
-    );
+    this.publisher.publish();
+    this.drainingAnnouncer.announce(true, this.publisher.isPublisher);
   }
 
   /** Local changes for a peer; all of them if the peer may not know this daemon. */
@@ -313,7 +296,7 @@
       ...(withSummaries && { summaryVersions: state.summaries.versions() }),
       // Within the failure domain only its publisher has updates of its summary.
       summaries:
-        isLocal && !this.isPublisher
+        isLocal && !this.publisher.isPublisher
           ? []
           : state.summaries.localUpdate({ nowMs, wallMs: state.timers.wall() }),
       suspects: state.suspects.recordsForMessage(region, state.cfg, nowMs),
