Reset connections that are just being ended without losing their sockets

Cause: uv_tcp_close_reset refuses (EINVAL) while a shutdown of the connection is pending. Node.js 20 then emits an error and never closes the socket: no `close`, the descriptor stays open, and the process spins in CleanupHandles at its end.

Evidence: stacks of a process that hung (perf, gdb); end() and resetAndDestroy() in one turn show it each time. The gateway resets connections of callers that do not read and of responses that break off, also such as have just been ended; they would keep their descriptor and their place in the limit of connections. Shown by a unit test with real sockets; no run of a gateway showed it.

Change: resetConnection waits for the end to be sent, and resets then. The gateway, the fault proxy and the stand-ins' links use it.

--- a/packages/gateway/src/exchange/caller-response.ts
+++ b/packages/gateway/src/exchange/caller-response.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { RunState } from '@marjoramcart/core';
-import { SMALL_RESPONSE_BYTES } from '@marjoramcart/runtime';
+import { resetConnection, SMALL_RESPONSE_BYTES } from '@marjoramcart/runtime';
 import type { HeaderList } from '../ports/request-protocol.js';
 import type { UnreadResponses } from './unread-responses.js';
 
@@ -188,7 +188,7 @@
   /** Closes the connection, so that the caller notices that the response is incomplete. */
   abort(): void {
     // Without chunks, as for a caller of HTTP/1.0, a response that ends normally would look complete.
-    if (this.started && !this.chunked) this.res.socket?.resetAndDestroy();
+    if (this.started && !this.chunked && this.res.socket) resetConnection(this.res.socket);
     this.res.destroy();
   }
 }
--- a/packages/gateway/src/exchange/unread-responses.test.ts
+++ b/packages/gateway/src/exchange/unread-responses.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
-import { Socket } from 'node:net';
+import { once } from 'node:events';
+import net, { Socket, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { UnreadResponses } from './unread-responses.js';
 
 const KB = 1024;
+const CLOSE_TIMEOUT_MS = 2000;
 
 function unreadResponses(): UnreadResponses {
   return new UnreadResponses({ maxBytes: 100 * KB, onClosed: () => undefined });
@@ -39,3 +41,21 @@
   unread.add(one, 60 * KB, read);
   assert.equal(unread.heldBytes, 0);
 });
+
+// Guards against connections that are never closed, with their descriptors, as they were just being ended.
+test('a connection that ends with its response is closed', async (context) => {
+  const server = net.createServer((socket) => socket.pause().on('error', () => undefined));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const socket = net.connect({ port, host: '127.0.0.1' }).on('error', () => undefined);
+  await once(socket, 'connect');
+  context.after(() => {
+    socket.destroy();
+    server.close();
+  });
+  socket.end('refused');
+  const closed = once(socket, 'close', { signal: AbortSignal.timeout(CLOSE_TIMEOUT_MS) });
+  unreadResponses().add(socket, 200 * KB, Promise.race<void>([]));
+  await closed;
+});
--- a/packages/gateway/src/exchange/unread-responses.ts
+++ b/packages/gateway/src/exchange/unread-responses.ts
@@ -1,5 +1,6 @@
 /** Limits the memory of short responses whose callers do not read them. */
 import type { Socket } from 'node:net';
+import { resetConnection } from '@marjoramcart/runtime';
 
 /** Cost of a response that is not read, besides its body. */
 const OVERHEAD_BYTES = 1024;
@@ -56,7 +57,7 @@
     this.unread.delete(socket);
     this.held -= bytes;
     // What the operating system has taken is freed only by a reset.
-    socket.resetAndDestroy();
+    resetConnection(socket);
     this.options.onClosed();
   }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -22,6 +22,7 @@
 export * from './http/read-response-body.js';
 export * from './http/reading-clock.js';
 export * from './http/rejection-count.js';
+export * from './http/reset-connection.js';
 export * from './kernel/boot-id.js';
 export * from './kernel/descriptor-limit.js';
 export * from './kernel/kernel.js';
--- a/tests/stand-ins/src/fault-proxy/link.ts
+++ b/tests/stand-ins/src/fault-proxy/link.ts
@@ -4,6 +4,7 @@
  */
 import { appendFileSync } from 'node:fs';
 import net, { type Socket } from 'node:net';
+import { resetConnection } from '@marjoramcart/runtime';
 import { LOOPBACK } from '../common/http-server.js';
 import type { Flow } from './flow.js';
 
@@ -58,7 +59,7 @@
 
   /** Resets all connections with a TCP RST. */
   reset(): void {
-    this.pairs.forEach((pair) => pair.forEach((socket) => socket.resetAndDestroy()));
+    this.pairs.forEach((pair) => pair.forEach(resetConnection));
   }
 
   close(): void {
@@ -72,7 +73,10 @@
     const pair: [Socket, Socket] = [client, target];
     this.pairs.add(pair);
     pair.forEach((socket, n) => {
-      socket.on('error', () => pair[1 - n]?.resetAndDestroy());
+      socket.on('error', () => {
+        const other = pair[1 - n];
+        if (other) resetConnection(other);
+      });
       socket.on('close', () => {
         if (!socket.readableEnded) pair[1 - n]?.destroy();
         // One socket may stay open after the other has closed, and `reset` must still reach it.
@@ -111,7 +115,7 @@
         });
     });
     from.on('end', () => {
-      const close = wasReset(from) ? resetSocket : endSocket;
+      const close = wasReset(from) ? resetConnection : endSocket;
       const transmitted = flow.transmit(0);
       buffered.last = buffered.last.then(() => transmitted).then(() => close(to));
     });
@@ -128,7 +132,7 @@
     Object.assign(response, { bytes: response.bytes + chunk.length });
     if (chunk.length < left) return false;
     client.write(chunk.subarray(0, Math.max(0, left)), () => {
-      if (this.faults.reset_after > 0) client.resetAndDestroy();
+      if (this.faults.reset_after > 0) resetConnection(client);
       else client.end();
       target.destroy();
     });
@@ -149,10 +153,6 @@
   return !writableEnded && remoteAddress === undefined;
 }
 
-function resetSocket(socket: Socket): void {
-  socket.resetAndDestroy();
-}
-
 function endSocket(socket: Socket): void {
   socket.end();
 }
--- a/tests/stand-ins/src/users-platform/target-link.ts
+++ b/tests/stand-ins/src/users-platform/target-link.ts
@@ -1,5 +1,6 @@
 /** Link of one gateway to one target, which passes bytes on until it is cut. */
 import net, { type Socket } from 'node:net';
+import { resetConnection } from '@marjoramcart/runtime';
 
 /** How a link is cut. */
 export const LinkCut = {
@@ -38,7 +39,7 @@
     this.server?.close();
     this.server = undefined;
     this.sockets.forEach((socket) => {
-      if (cut === LinkCut.Reset) socket.resetAndDestroy();
+      if (cut === LinkCut.Reset) resetConnection(socket);
       if (cut === LinkCut.Silent) socket.unpipe().pause();
     });
   }
