Wait for a summary from after the crash in the scenario of a bound request

Cause, traced: the step "the central knows that the north has no engine" also passed with the first summary of the fleet, from before its engines had loaded their models. Since the fleet serves sooner after its start, so that the whole scenario may end before the next gossip leaves the north, and nothing is left in which to look for the digest.

The check is stricter: only a summary that is younger than the crash counts. Such a summary has crossed the recorded links.

--- a/tests/features/src/steps/residency-steps.ts
+++ b/tests/features/src/steps/residency-steps.ts
@@ -12,11 +12,14 @@
 interface ControlStatus {
   readonly summaries: readonly {
     readonly region: string;
+    readonly ageMs: number;
     readonly services: readonly { readonly service: string; readonly readyTargets: number }[];
   }[];
 }
 
 const digests = new WeakMap<GatewayWorld, string>();
+/** When the engines of the region had crashed, monotonic ms. */
+const crashedAt = new WeakMap<GatewayWorld, number>();
 
 When(
   '{word} asks entry {int} in the {word} for a completion that crashes its target',
@@ -27,6 +30,7 @@
     this.results.push(
       await this.caller(customer).chat(this.entry(region, n), crashingRequest(this)),
     );
+    crashedAt.set(this, performance.now());
   },
 );
 
@@ -66,7 +70,11 @@
           `${name} knows that the ${region} has no engine`,
           async () => {
             const status = await requestJson<ControlStatus>('GET', `http://${admin}/status`);
-            const summary = status.summaries.find((known) => known.region === region);
+            // A summary from the start of the fleet, before its engines had loaded their models, says the same.
+            const sinceCrashMs = performance.now() - (crashedAt.get(this) ?? 0);
+            const summary = status.summaries.find(
+              (known) => known.region === region && known.ageMs < sinceCrashMs,
+            );
             const ready = summary?.services.find(({ service }) => service === SERVICE);
             return summary !== undefined && (ready?.readyTargets ?? 0) === 0;
           },
