--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -72,7 +72,7 @@
   }
 
   onAttemptEnd(
-    { end, firstByteMs, longestGapMs }: SentAttempt,
+    { end, firstByteMs, longestGapMs, bornAt }: SentAttempt,
     progress: CallProgress,
     { destination }: Candidate,
   ): void {
@@ -85,6 +85,7 @@
       first_byte_ms: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       longest_gap_ms: longestGapMs > 0 ? Math.round(longestGapMs) : undefined,
       last_event: progress.lastEventId,
+      born: bornAt || undefined,
       version: progress.scope.kind === 'only' ? progress.scope.version : undefined,
       cause: 'message' in end ? end.message : undefined,
       caller_gone: progress.response.disconnected || undefined,
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -75,6 +75,8 @@
   readonly firstByteMs: number | undefined;
   /** Longest time between two received parts of the response, ms. */
   readonly longestGapMs: number;
+  /** Start time of the target by the record at the send, Unix ms; undefined for a gateway. */
+  readonly bornAt: number | undefined;
 }
 
 /** Address and headers of one attempt, and the callbacks for its response. */
@@ -114,14 +116,19 @@
     };
     const priority = priorityOf(step, progress);
     const { service } = progress.call;
+    const { destination } = candidate;
+    const bornAt =
+      destination.kind === 'target'
+        ? this.deps.state.target(destination.id)?.record.bornAt
+        : undefined;
     const end =
-      candidate.destination.kind === 'target'
-        ? await this.sendToTarget(candidate.destination.id, candidate, priority, progress, onBytes)
-        : await this.sendToPeer(candidate.destination, candidate, priority, progress, onBytes);
+      destination.kind === 'target'
+        ? await this.sendToTarget(destination.id, candidate, priority, progress, onBytes)
+        : await this.sendToPeer(destination, candidate, priority, progress, onBytes);
     if (step.deferred) {
       this.deps.router.deferrals.onOutcome(service, seen.firstByteMs !== undefined, timers.now());
     }
-    return { end, firstByteMs: seen.firstByteMs, longestGapMs: seen.longestGapMs };
+    return { end, firstByteMs: seen.firstByteMs, longestGapMs: seen.longestGapMs, bornAt };
   }
 
   private async sendToTarget(
