Keep the start that a target told against late entries and late answers (ORDER)

Callers saw streams whose events came from targets of two software versions, some within one answer. Cause: an entry of the source, also one passed on by another gateway, that names a start between the last known one and the one that the target itself told was applied, as it is neither a known earlier start nor from an older copy; the version of that entry was then taken for that of the target. An answer to a question from before, which a pause held up, could do the same. The two new tests of restart-check failed before and pass.

--- a/packages/gateway/src/reports/restart-check.test.ts
+++ b/packages/gateway/src/reports/restart-check.test.ts
@@ -174,6 +174,35 @@
   assert.equal(state.target(TARGET.id)?.record.bornAt, 4);
 });
 
+// Guards against the late entry of a start in between, whose version streams get and go on at (ORDER).
+test('the entry of a start between two known ones does not replace the one that the target told', () => {
+  const { state, timers } = createFixture();
+  const between = { ...TARGET, bornAt: 6, softwareVersion: 'v3' };
+  const list = (revision: number): void =>
+    state.onState({ era: 0, revision, config: CONFIG, targets: [between], evacuated: new Set() });
+  state.onStart({ ...TARGET, bornAt: 8 }, timers.now());
+  list(2);
+  assert.equal(state.target(TARGET.id)?.record.bornAt, 8);
+  // The clock of the target may have gone back, so that an entry which stays is believed until it is asked.
+  timers.advance(MINUTE_MS);
+  list(3);
+  assert.equal(state.target(TARGET.id)?.record.bornAt, 6);
+  assert.equal(state.target(TARGET.id)?.softwareVersionAt(timers.now()), undefined);
+});
+
+// Guards against an answer that a pause of the process held up, and that tells of the start before (ORDER).
+test('a start that was told before a later one was known does not replace it', () => {
+  const { state, timers } = createFixture();
+  const askedAt = timers.now();
+  timers.advance(10);
+  state.onStart({ ...TARGET, bornAt: 8 }, timers.now());
+  state.onStart({ ...TARGET, bornAt: 7 }, askedAt);
+  assert.equal(state.target(TARGET.id)?.record.bornAt, 8);
+  timers.advance(10);
+  state.onStart({ ...TARGET, bornAt: 7 }, timers.now());
+  assert.equal(state.target(TARGET.id)?.record.bornAt, 7);
+});
+
 test('a target that is down is asked and told of at a bounded rate', async () => {
   const fixture = createFixture();
   await fixture.check.start();
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -470,6 +470,7 @@
     if (!entry || entry.misdirected || known?.address !== address) return false;
     // Without a start time in its entry, it is not known whether this is another start.
     if (known.bornAt === 0 || bornAt === 0 || entry.isEarlierStart(bornAt, now)) return false;
+    if (entry.isLateAnswer(bornAt, askedAt)) return false;
     if (known.bornAt !== bornAt) {
       this.onRestart(entry, bornAt, 'target');
       return true;
@@ -808,7 +809,8 @@
     }
     if (!known || hasRestarted(known.record, record)) {
       this.replaceTarget(record, known, from);
-      if (known?.hadStart(record.bornAt)) this.suspectRestart(record.id, ColdReason.Unconfirmed);
+      const goesBack = known?.hadStart(record.bornAt) === true || known?.isBefore(record.bornAt);
+      if (goesBack) this.suspectRestart(record.id, ColdReason.Unconfirmed);
       return;
     }
     if (known.record.draining !== record.draining) {
@@ -839,10 +841,11 @@
   /** A copy has entries from before restarts that this gateway may not have seen. */
   private isOfEarlierStart(record: TargetRecord, known: TargetEntry): boolean {
     const { bornAt } = record;
-    const isEarlier = bornAt !== 0 && bornAt < known.record.bornAt;
+    const now = this.timers.now();
     return (
-      known.isEarlierStart(bornAt, this.timers.now()) ||
-      (isEarlier && this.copy.mayHave(record, this.contact.now))
+      known.isEarlierStart(bornAt, now) ||
+      known.isLateEntry(bornAt, now) ||
+      (known.isBefore(bornAt) && this.copy.mayHave(record, this.contact.now))
     );
   }
 
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -191,6 +191,24 @@
     return now - this.createdAt < EARLIER_START_MS && this.hadStart(bornAt);
   }
 
+  /**
+   * Whether a listed start time is that of a start before the one that the target told, which this gateway
+   * may not have known: entries are written and read later than targets answer.
+   */
+  isLateEntry(bornAt: number, now: number): boolean {
+    return this.awaitsRecord && this.isBefore(bornAt) && now - this.createdAt < EARLIER_START_MS;
+  }
+
+  /** Whether a start time that the target told is older than its answer to a later question. */
+  isLateAnswer(bornAt: number, askedAt: number): boolean {
+    return this.isBefore(bornAt) && askedAt < this.createdAt;
+  }
+
+  /** Whether a start time lies before that of the present start. */
+  isBefore(bornAt: number): boolean {
+    return bornAt !== 0 && bornAt < this.record.bornAt;
+  }
+
   /** Whether a start time is that of any known start before the present one. */
   hadStart(bornAt: number): boolean {
     return this.earlierStarts.includes(bornAt);
