Number questions about streams from a random one in each process (ORDER)

Callers saw streams that went on at the version of another stream. Cause: a gateway numbers its questions to others from 1; a gateway that was frozen answers a question of the process before, and the process that has started since at that address takes the answer for that to its own question of this number. Change: the first number is drawn at random. The new test of stream-registry failed before and passes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -188,6 +188,7 @@
       gossip: this.gossip,
       readEarlier: () => deps.source.readEarlier(this.state.revision),
       timers,
+      random,
       log: log.child('streams'),
     });
     this.fetcher = new StateFetcher({
--- a/packages/gateway/src/streams/stream-registry.test.ts
+++ b/packages/gateway/src/streams/stream-registry.test.ts
@@ -9,7 +9,10 @@
 const PEERS = ['10.0.0.2', '10.0.0.3'];
 
 /** A registry of a gateway with two peers in its region, and what it sends to them. */
-function createRegistry(state: Partial<StreamRegistryDeps['state']>): {
+function createRegistry(
+  state: Partial<StreamRegistryDeps['state']>,
+  seed = 0,
+): {
   readonly registry: StreamRegistry;
   readonly sent: StreamUpdate[];
 } {
@@ -29,6 +32,7 @@
     },
     readEarlier: () => Promise.resolve(undefined),
     timers: new ManualTimerService(),
+    random: { next: () => seed },
     log: silentLogger(),
   } as unknown as StreamRegistryDeps;
   return { registry: new StreamRegistry(deps), sent };
@@ -83,6 +87,23 @@
   assert.deepEqual(await contradicted, { kind: 'none' });
 });
 
+// Guards against a stream that goes on at the version of another one, about which the process before had
+// asked a gateway that was frozen since (ORDER).
+test('an answer to a question of the process before is ignored', async () => {
+  const first = createRegistry({}, 0.25);
+  const second = createRegistry({}, 0.75);
+  void first.registry.scopeOf(takeUp({ resumes: 'another' }));
+  const scope = second.registry.scopeOf(takeUp());
+  const [before, present] = [first, second].map(({ sent }) =>
+    sent.flatMap((update) => (update.kind === 'ask' ? [update.number] : [])),
+  );
+  const answer = (number: number, version: string): void =>
+    second.registry.onUpdate({ kind: 'told', number, version, noted: true }, PEERS[0] ?? '');
+  answer(before?.[0] ?? 0, 'v1');
+  answer(present?.[0] ?? 0, 'v2');
+  assert.deepEqual(await scope, { kind: 'only', version: 'v2' });
+});
+
 // Guards against a stream that nobody can go on with since its gateway ends right after the first event.
 test('a stream beside another version is told before its first event is passed on', () => {
   const { registry, sent } = createRegistry({});
--- a/packages/gateway/src/streams/stream-registry.ts
+++ b/packages/gateway/src/streams/stream-registry.ts
@@ -13,6 +13,7 @@
   scopeOfVersion,
   type EarlierTargets,
   type GatewayRecord,
+  type RandomSource,
   type StreamBegin,
   type StreamSource,
   type VersionCheck,
@@ -40,6 +41,7 @@
 const MAX_ROWS = 24;
 const MAX_UNCONFIRMED = 1000;
 const MAX_FOUND = 1000;
+const MAX_FIRST_QUESTION = 2 ** 48;
 /** Streams with longer ids are not noted, as an update has to fit into a datagram. */
 const MAX_ID_LENGTH = 200;
 /** A request may have waited this long on its way since its caller set its deadline. */
@@ -92,6 +94,7 @@
   /** Reads what the source tells about targets of earlier times. */
   readonly readEarlier: () => Promise<EarlierTargets | undefined>;
   readonly timers: TimerService;
+  readonly random: RandomSource;
   readonly log: Logger;
 }
 
@@ -111,7 +114,7 @@
 
   private readonly questions = new Map<number, Question>();
 
-  private lastQuestion = 0;
+  private lastQuestion: number;
 
   /** The read of earlier targets that is in progress. */
   private readingEarlier: Promise<void> | undefined;
@@ -126,6 +129,8 @@
 
   constructor(private readonly deps: StreamRegistryDeps) {
     this.startedAt = deps.timers.now();
+    // Answers to the process before, which are held up, must not answer a question of this one.
+    this.lastQuestion = Math.floor(deps.random.next() * MAX_FIRST_QUESTION);
     TELL_AGAIN_MS.forEach((ms) => deps.timers.after(ms, () => this.tell(this.found)));
   }
 
