Prove which start of a target writes a stream by its connection (ORDER, LOST)

Callers saw streams whose events came from targets of two software versions over their tries; beside late or failing reports no stream was taken up. Cause: a stream was noted with the version of the start that its gateway knew when it began. A gateway that learned of another start only after the stream had ended left the note, and those of other gateways, as they were. Before a stream went on, only a report within 400 ms was taken for a sign that nothing had changed, and whatever happened between it and the send was not seen. Change: whoever answers on a connection has run since it was opened. So a start writes a stream if it is known to have run after the connection was established (StartEvidence, StartWitness): it told its start time then, or answered on another connection of that process, however late and with whatever status. StartConfirmer asks over a connection of its own, which it keeps while a service has several versions, so that reports that fail still tell of the process. A stream is noted and told once this is proved, its first event waits up to 50 ms for it; events that go on with a stream wait up to 1.5 s. A stream whose target started again unproved has no version. The third test of restarted-version.test.ts had an engine whose reports named one start while it wrote as another one on connections that outlived it, which no process can do; it restarts for real now, while its reports fail.

--- a/packages/core/src/streams/version-scope.ts
+++ b/packages/core/src/streams/version-scope.ts
@@ -28,8 +28,14 @@
 export interface StreamSource {
   /** Undefined if it is not known, or not yet. */
   readonly version: string | undefined;
-  /** Present while it may become known. */
+  /** Present while it is not proved that the target has not started again with another version. */
   readonly confirm?: () => VersionCheck;
+  /**
+   * Asks the target, and waits for what `confirm` tells.
+   *
+   * @param limitMs longest wait, ms
+   */
+  readonly prove?: (limitMs?: number) => Promise<string | undefined>;
 }
 
 export type VersionCheck =
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -15,6 +15,7 @@
   readResponseBody,
   type HttpClient,
   type RequestResult,
+  type ResponseReceived,
   type TimerService,
 } from '@marjoramcart/runtime';
 import type { HeaderList, RequestProtocol, TargetSignals } from '../ports/request-protocol.js';
@@ -35,20 +36,34 @@
   readonly toPeer: boolean;
   /** Called for each received part of the response body. */
   readonly onBytes: () => void;
-  /** Called with the head of a stream before its first event is passed on. */
-  readonly streamSource: (res: IncomingMessage) => StreamSource;
+  /** Called when a connection was established for the attempt. */
+  readonly onOpened?: () => void;
+  /**
+   * Called with the head of a stream before its first event is passed on.
+   *
+   * @param openedAt when its connection was established, monotonic ms
+   */
+  readonly streamSource: (res: IncomingMessage, openedAt: number) => StreamSource;
   /** Called when the first event of an attempt is passed on. */
   readonly onDelivered: (source: StreamSource) => void;
-  /** Called with the head of each response of a target to this request. */
-  readonly onSignals: (signals: TargetSignals) => void;
+  /**
+   * Called with the head of each response of a target to this request.
+   *
+   * @param openedAt when its connection was established, monotonic ms
+   */
+  readonly onSignals: (signals: TargetSignals, openedAt: number) => void;
   /** Called when the response carries a load report of the target. */
   readonly onReport: (report: LoadReport) => void;
 }
 
 const MS_PER_S = 1000;
+/** Longest delay of a first event until it is proved which start of the target wrote it. */
+const FIRST_EVENT_HOLD_MS = 50;
 const STATUS_INTERNAL_ERROR = 500;
 const METHODS_WITH_BODY: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
 
+type Prove = NonNullable<StreamSource['prove']>;
+
 export class AttemptRunner {
   constructor(
     private readonly httpClient: HttpClient,
@@ -70,6 +85,7 @@
         // The receiver may close a reused connection while the request is written, which would leave
         // open whether the request ran.
         newConnection: atMostOnce && !options.toPeer,
+        ...(options.onOpened ? { onOpened: options.onOpened } : {}),
       },
       () => !signal.aborted && options.mayWrite(),
       signal,
@@ -91,7 +107,7 @@
       const { message, malformed } = sent;
       return { kind: 'lost', message, ...(malformed ? {} : { connectionLost: true }) };
     }
-    const { res } = sent;
+    const { res, openedAt } = sent;
     const refused = options.toPeer ? readPeerRefusal(res) : undefined;
     if (refused) {
       discardResponse(sent, this.timers);
@@ -100,7 +116,8 @@
     const head = this.protocol.readResponseHead(res, options.progress.call.head);
     // A misdirected request was answered by another target, which does not speak for the one meant.
     const isFromTarget = head.kind === 'genuine' || (head.kind === 'not-run' && !head.misdirected);
-    if (isFromTarget && !options.toPeer) options.onSignals(this.protocol.readTargetSignals(res));
+    if (isFromTarget && !options.toPeer)
+      options.onSignals(this.protocol.readTargetSignals(res), openedAt);
     switch (head.kind) {
       case 'not-run':
         discardResponse(sent, this.timers);
@@ -112,7 +129,7 @@
       default:
         if (head.report && !options.toPeer) options.onReport(head.report);
         return head.stream
-          ? this.forwardStream(res, head.status, options)
+          ? this.forwardStream(sent, head.status, options)
           : this.readBuffered(res, head.status, options);
     }
   }
@@ -139,7 +156,7 @@
   }
 
   private forwardStream(
-    res: IncomingMessage,
+    { res, openedAt }: ResponseReceived,
     status: number,
     options: AttemptOptions,
   ): Promise<AttemptEnd> {
@@ -152,7 +169,9 @@
     const writer = new BatchedWriter(res, response);
     return new Promise((resolve) => {
       let settled = false;
-      let delivered = false;
+      let source: StreamSource | undefined;
+      /** Events that are not passed on before it is proved which start of the target wrote them. */
+      let held: Buffer[] | undefined;
       const finish = (end: AttemptEnd): void => {
         if (settled) return;
         settled = true;
@@ -160,30 +179,51 @@
         if (end.kind !== 'streamed') res.destroy();
         resolve(end);
       };
+      const passOn = (events: Buffer): void => {
+        if (!response.started)
+          response.start(status, this.protocol.responseHeaders(res.rawHeaders));
+        progress.lastEventId = frames.lastId;
+        writer.write(events);
+      };
+      const begin = (from: StreamSource, events: Buffer): void => {
+        const { version } = from;
+        if (progress.scope.kind !== 'any' && !allowsVersion(progress.scope, version)) {
+          finish({ kind: 'lost', message: `stream of software version ${version ?? 'unknown'}` });
+          return;
+        }
+        if (progress.scope.kind === 'any') {
+          progress.scope = scopeOfVersion(version);
+          progress.source = from;
+        }
+        response.setSoftwareVersion(version);
+        options.onDelivered(from);
+        passOn(events);
+      };
+      const hold = (from: StreamSource, prove: Prove, events: Buffer): void => {
+        const waiting = [events];
+        held = waiting;
+        res.pause();
+        const isFirst = progress.scope.kind === 'any';
+        void prove(isFirst ? FIRST_EVENT_HOLD_MS : undefined).then((version) => {
+          if (settled) return;
+          held = undefined;
+          begin(isFirst && version === undefined ? from : { version }, Buffer.concat(waiting));
+          res.resume();
+        });
+      };
       res.on('data', (chunk: Buffer) => {
         if (settled) return;
         options.onBytes();
-        const completeFrames = frames.push(chunk);
-        if (completeFrames && !delivered) {
-          const source = options.streamSource(res);
-          const { version } = source;
-          if (progress.scope.kind !== 'any' && !allowsVersion(progress.scope, version)) {
-            finish({ kind: 'lost', message: `stream of software version ${version ?? 'unknown'}` });
-            return;
-          }
-          delivered = true;
-          if (progress.scope.kind === 'any') {
-            progress.scope = scopeOfVersion(version);
-            progress.confirmVersion = source.confirm;
-          }
-          response.setSoftwareVersion(version);
-          options.onDelivered(source);
-        }
-        if (completeFrames) {
-          if (!response.started)
-            response.start(status, this.protocol.responseHeaders(res.rawHeaders));
-          progress.lastEventId = frames.lastId;
-          writer.write(completeFrames);
+        const events = frames.push(chunk);
+        if (events && held) held.push(events);
+        else if (events && source) passOn(events);
+        else if (events) {
+          source = options.streamSource(res, openedAt);
+          const { version, prove } = source;
+          // Events of another version must not follow those that were passed on before. A version that is
+          // known at the first event is named in the head and told to others before anyone takes it up.
+          if (version === undefined && prove) hold(source, prove, events);
+          else begin(source, events);
         }
         if (frames.error)
           finish({ kind: 'lost', message: `malformed stream: ${frames.error.kind}` });
--- a/packages/gateway/src/exchange/call-progress.ts
+++ b/packages/gateway/src/exchange/call-progress.ts
@@ -2,7 +2,7 @@
 import {
   possibleRunsOf,
   type AttemptRecord,
-  type VersionCheck,
+  type StreamSource,
   type VersionScope,
 } from '@marjoramcart/core';
 import type { BodyAllocation } from '@marjoramcart/runtime';
@@ -23,8 +23,8 @@
   lastEventId: number | undefined;
   /** Targets that may go on with the stream, once the caller has received a part of it. */
   scope: VersionScope;
-  /** Tells the version that the stream comes from, where it was not known at the first event. */
-  confirmVersion: (() => VersionCheck) | undefined;
+  /** Where the stream comes from, once the caller has received a part of it. */
+  source: StreamSource | undefined;
   /** Last error response of a target, which is sent to the caller when no retry follows. */
   failure: Extract<AttemptEnd, { kind: 'answered' }> | undefined;
 }
--- a/packages/gateway/src/exchange/destination-sender.test.ts
+++ b/packages/gateway/src/exchange/destination-sender.test.ts
@@ -36,7 +36,7 @@
   const sources: StreamSource[] = [];
   const runner = {
     run: ({ streamSource }: AttemptOptions) => {
-      sources.push(streamSource({} as IncomingMessage));
+      sources.push(streamSource({} as IncomingMessage, 0));
       return Promise.resolve({ kind: 'streamed' });
     },
   };
@@ -45,6 +45,8 @@
     router: { onSendToTarget: ignore, speeds: { onOutcome: ignore } },
     crashes: { onSend: ignore, onAnswered: ignore },
     protocol: { targetHeaders: () => [] },
+    starts: { canProve: () => true, proves: () => false, onUse: ignore },
+    streams: { isMixed: () => true },
     timers: new ManualTimerService(),
     runner,
   } as unknown as SenderDeps;
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -6,6 +6,7 @@
 import {
   allowsVersion,
   SURVIVAL_MS,
+  scopeOfVersion,
   wouldRetryAfterLoss,
   type Candidate,
   type LoadReport,
@@ -25,6 +26,7 @@
 } from '../ports/request-protocol.js';
 import type { RestartCheck } from '../reports/restart-check.js';
 import type { StartConfirmer } from '../reports/start-confirmer.js';
+import type { StartWitness } from '../reports/start-witness.js';
 import type { Router } from '../routing/router.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
@@ -59,7 +61,11 @@
   readonly gossip: Pick<GossipTask, 'table' | 'roster' | 'announceTarget'>;
   readonly crashes: CrashWatch;
   readonly restarts: Pick<RestartCheck, 'onConnectionLost' | 'onUnreachable'>;
-  readonly starts: Pick<StartConfirmer, 'confirm'>;
+  readonly starts: Pick<
+    StartConfirmer,
+    'ask' | 'canProve' | 'confirm' | 'onUse' | 'prove' | 'proves'
+  >;
+  readonly witness: Pick<StartWitness, 'onAnswer'>;
   readonly streams: StreamRegistry;
   readonly timers: TimerService;
 }
@@ -89,11 +95,20 @@
   /** Whether this process received anything from the destination recently. */
   readonly isAlive: () => boolean;
   readonly onBytes: () => void;
-  readonly streamSource: (res: IncomingMessage) => StreamSource;
-  readonly onSignals: (signals: TargetSignals) => void;
+  readonly onOpened?: () => void;
+  readonly streamSource: (res: IncomingMessage, openedAt: number) => StreamSource;
+  readonly onSignals: (signals: TargetSignals, openedAt: number) => void;
   readonly onReport: (report: LoadReport) => void;
 }
 
+/** What was known of a target when a stream was sent to it. */
+interface SourceOptions {
+  readonly sentVersion: string | undefined;
+  readonly wasDoubted: boolean;
+  /** Whether the listed version is good enough until it is proved, as there is no other one. */
+  readonly mayGuess: boolean;
+}
+
 export class DestinationSender {
   constructor(
     private readonly deps: SenderDeps,
@@ -138,7 +153,8 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { state, timers, router, protocol, gossip, crashes, settings, streams } = this.deps;
+    const { state, timers, router, protocol, gossip, crashes, settings, streams, starts, witness } =
+      this.deps;
     const entry = state.target(id);
     if (!entry) return { kind: 'not-sent', message: 'target no longer listed', withdrawn: true };
     const { record, work } = entry;
@@ -149,6 +165,7 @@
       const unconfirmed = await this.confirmStart(entry);
       if (unconfirmed) return unconfirmed;
     }
+    if (call.facts.resumable) starts.onUse(entry);
     const startedAt = timers.now();
     const sentVersion = record.softwareVersion;
     const wasDoubted = entry.isDoubted(startedAt);
@@ -171,6 +188,8 @@
       lastByteAt?: number;
       survived?: boolean;
       replaced?: boolean;
+      /** When the connection of the response was established. */
+      openedAt?: number;
     } = {};
     const { end, aborted } = await this.exchange(progress, candidate, {
       address: record.address,
@@ -187,10 +206,23 @@
         !router.isPaused(entry) &&
         router.mayRunIn(progress.call, settings.region) &&
         allowsVersion(progress.scope, entry.softwareVersionAt(timers.now())),
-      streamSource: () => this.streamSourceOf(entry, sentVersion, wasDoubted),
+      onOpened: () => {
+        // Its answer then proves which start the stream comes from, by the time of the first event.
+        if (call.facts.resumable && starts.canProve(entry) && streams.isMixed(call.service)) {
+          starts.ask(entry, timers.now());
+        }
+      },
+      streamSource: (_res, openedAt) =>
+        this.streamSourceOf(entry, openedAt, {
+          sentVersion,
+          wasDoubted,
+          mayGuess: !streams.isMixed(call.service),
+        }),
       isAlive: () => work.isAlive(timers.now()),
       onReport: (report) => work.updateLoadReport(report, timers.now()),
-      onSignals: (signals) => {
+      onSignals: (signals, openedAt) => {
+        seen.openedAt = openedAt;
+        witness.onAnswer(entry, openedAt, startedAt);
         state.onTargetSignals(record, signals, head.id);
         router.rejections.onSignals(record, signals, startedAt);
         router.onPause(record, signals.pauseMs, head.id);
@@ -212,7 +244,7 @@
         seen.firstByteAt ??= timers.now();
         if (!seen.replaced && this.isReplaced(entry)) {
           seen.replaced = true;
-          streams.onReplaced(call, id);
+          if (!starts.proves(entry, seen.openedAt ?? timers.now())) streams.onReplaced(call, id);
         }
         if (!seen.survived && timers.now() - seen.firstByteAt >= SURVIVAL_MS) {
           seen.survived = true;
@@ -261,16 +293,17 @@
   }
 
   /**
-   * Version of a stream that a target begins. What confirms it later may be kept for as long as the target
-   * is in doubt; made here, it does not refer to the call and its body.
+   * Version of a stream that a target writes. What proves it later may be kept until the start of the
+   * target is known; made here, it does not refer to the call and its body.
    */
   private streamSourceOf(
     entry: TargetEntry,
-    sentVersion: string | undefined,
-    wasDoubted: boolean,
+    openedAt: number,
+    { sentVersion, wasDoubted, mayGuess }: SourceOptions,
   ): StreamSource {
-    const { state, timers } = this.deps;
-    const check = (): VersionCheck => {
+    const { state, timers, starts } = this.deps;
+    /** What the entry says, if nothing speaks against it. */
+    const listedVersion = (): VersionCheck => {
       const listed = state.target(entry.id);
       const { softwareVersion } = entry.record;
       // A target that is no longer listed may go on with what it runs.
@@ -282,10 +315,29 @@
       if (listed && entry.awaitsRecord) return { kind: 'pending' };
       return { kind: 'settled', version: softwareVersion };
     };
+    const provedVersion = (): VersionCheck => {
+      const isListed = state.target(entry.id) === entry;
+      if (!starts.proves(entry, openedAt)) {
+        return isListed ? { kind: 'pending' } : { kind: 'settled', version: undefined };
+      }
+      const { softwareVersion } = entry.record;
+      const isAwaited = entry.awaitsRecord || softwareVersion === undefined;
+      if (isListed && isAwaited) return { kind: 'pending' };
+      return { kind: 'settled', version: entry.awaitsRecord ? undefined : softwareVersion };
+    };
+    const check = starts.canProve(entry) ? provedVersion : listedVersion;
     const first = check();
-    return first.kind === 'settled'
-      ? { version: first.version }
-      : { version: undefined, confirm: check };
+    if (first.kind === 'settled') return { version: first.version };
+    const listed = listedVersion();
+    return {
+      version: mayGuess && listed.kind === 'settled' ? listed.version : undefined,
+      confirm: check,
+      prove: async (limitMs) => {
+        await starts.prove(entry, openedAt, limitMs);
+        const proved = check();
+        return proved.kind === 'settled' ? proved.version : undefined;
+      },
+    };
   }
 
   private async sendToPeer(
@@ -360,10 +412,10 @@
   }
 
   /** Whether another destination would be tried if this attempt were aborted. */
-  private hasAlternative(
-    { call, response, attempts, scope }: CallProgress,
-    destination: Destination,
-  ): boolean {
+  private hasAlternative(progress: CallProgress, destination: Destination): boolean {
+    const { call, response, attempts, source } = progress;
+    const check = source?.confirm?.();
+    const scope = check?.kind === 'settled' ? scopeOfVersion(check.version) : progress.scope;
     const { router, timers, crashes } = this.deps;
     const verdict = crashes.verdict(call);
     const view = {
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -34,6 +34,8 @@
 const RETRY_AFTER_SPREAD = 0.6;
 const UNKNOWN_VERSION_RETRY_MS = 500;
 const NO_CONNECTION_RETRY_MS = 500;
+/** A stream that broke off waits this long to learn which version wrote it. */
+const PROVE_WAIT_MS = 500;
 /** Result in the metrics when a target responded with an unsuccessful status. */
 const TARGET_STATUS = 'target_status';
 
@@ -109,7 +111,7 @@
       call,
       ...(shared ? { shared } : {}),
       scope,
-      confirmVersion: undefined,
+      source: undefined,
       response,
       attempts: [],
       memory,
@@ -120,14 +122,34 @@
 
   /** Carries out steps until one ends the call; returns the result of the call. */
   private async takeSteps(progress: CallProgress): Promise<string> {
+    await this.settleScope(progress);
     const result = await this.carryOut(this.nextStep(progress), progress);
     return result ?? this.takeSteps(progress);
   }
 
+  /** Sets the scope of a stream whose version has become known, or uncertain, since its first event. */
+  private async settleScope(progress: CallProgress): Promise<void> {
+    const { call, scope, source } = progress;
+    const { streams } = this.deps;
+    if (streams.isUncertain(call) && scope.kind === 'only') {
+      Object.assign(progress, { scope: scopeOfVersion(undefined), source: undefined });
+      return;
+    }
+    const check = source?.confirm?.();
+    if (!check) return;
+    if (check.kind === 'settled') {
+      Object.assign(progress, { scope: scopeOfVersion(check.version), source: undefined });
+      return;
+    }
+    // With one version there is nothing to mistake it for.
+    if (!streams.isMixed(call.service)) return;
+    const version = await source?.prove?.(PROVE_WAIT_MS);
+    Object.assign(progress, { scope: scopeOfVersion(version), source: undefined });
+  }
+
   private nextStep(progress: CallProgress): RequestStep {
     const { router, timers, crashes } = this.deps;
     const { call, response, attempts } = progress;
-    settleScope(progress, this.deps.streams.isUncertain(call));
     const verdict = crashes.verdict(call);
     const now = timers.now();
     const destinations = router.destinations(call, progress.scope);
@@ -275,17 +297,6 @@
   }
 }
 
-/** Sets the scope of a stream whose version has become known, or uncertain, since its first event. */
-function settleScope(progress: CallProgress, isUncertain: boolean): void {
-  if (isUncertain && progress.scope.kind === 'only') {
-    Object.assign(progress, { scope: scopeOfVersion(undefined), confirmVersion: undefined });
-    return;
-  }
-  const check = progress.confirmVersion?.();
-  if (check?.kind !== 'settled') return;
-  Object.assign(progress, { scope: scopeOfVersion(check.version), confirmVersion: undefined });
-}
-
 /** Sends the error response of the target to the caller. */
 function passOn(progress: CallProgress): string {
   const { response, failure } = progress;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,6 +56,7 @@
 import { ReportTask } from './reports/report-task.js';
 import { RestartCheck } from './reports/restart-check.js';
 import { StartConfirmer } from './reports/start-confirmer.js';
+import { StartWitness } from './reports/start-witness.js';
 import { SpeedTask } from './reports/speed-task.js';
 import { RejectionGuard } from './routing/rejection-guard.js';
 import { Router } from './routing/router.js';
@@ -113,6 +114,10 @@
 
   private readonly restarts: RestartCheck;
 
+  private readonly witness: StartWitness;
+
+  private readonly starts: StartConfirmer;
+
   private readonly warmth: WarmthCheck;
 
   private readonly reach: ReachWatch;
@@ -236,14 +241,18 @@
       log: log.child('connections'),
       onRejected: (count) => metrics.onConnectionsRejected(count),
     });
-    const httpClient = new HttpClient(
-      deps.dialMap ?? {},
-      CONNECT_TIMEOUT_MS,
-      (address) => this.restarts.onIdleClosed(address),
-      this.connections.outgoing,
-    );
+    const httpClient = this.createHttpClient('lifo');
     this.reportMemory = new BodyMemory(settings.maxReportMemoryBytes);
-    const reportPoller = this.createReportPoller(httpClient);
+    this.witness = new StartWitness({ state: this.state, timers });
+    // Each of its connections is used in turn, so that all of them tell of the processes that answer there.
+    const pollClient = this.createHttpClient('fifo');
+    const reportPoller = this.createReportPoller(httpClient, pollClient);
+    this.starts = new StartConfirmer({
+      state: this.state,
+      witness: this.witness,
+      poller: reportPoller,
+      timers,
+    });
     this.restarts = this.createRestartCheck(reportPoller);
     this.warmth = this.createWarmthCheck(httpClient);
     const responseMemory = new BodyMemory(settings.maxResponseMemoryBytes);
@@ -256,7 +265,8 @@
       gossip: this.gossip,
       crashes: this.crashes,
       restarts: this.restarts,
-      starts: new StartConfirmer({ state: this.state, poller: reportPoller }),
+      starts: this.starts,
+      witness: this.witness,
       streams: this.streams,
       sharing: this.sharing,
       timers,
@@ -367,6 +377,7 @@
       this.router.expire();
       this.sharing.check();
       this.streams.check();
+      this.starts.keep((service) => this.streams.isMixed(service));
       this.fetcher.check();
       this.callers.applyLimits();
       this.gossip.table.expire(timers.now());
@@ -622,7 +633,18 @@
     });
   }
 
-  private createReportPoller(httpClient: HttpClient): ReportPoller {
+  private createHttpClient(scheduling: 'fifo' | 'lifo'): HttpClient {
+    const { timers, dialMap = {} } = this.deps;
+    return new HttpClient(
+      dialMap,
+      CONNECT_TIMEOUT_MS,
+      (address) => this.restarts.onIdleClosed(address),
+      this.connections.outgoing,
+      { now: () => timers.now(), scheduling },
+    );
+  }
+
+  private createReportPoller(httpClient: HttpClient, pollClient: HttpClient): ReportPoller {
     const { settings, reportProtocol, timers, log } = this.deps;
     const unread = new RejectionCount((count) =>
       log.child('reports').warn('reports not read, as large ones take up too much', { count }),
@@ -630,7 +652,9 @@
     return new ReportPoller({
       state: this.state,
       rejections: this.rejections,
+      witness: this.witness,
       httpClient,
+      pollClient,
       protocol: reportProtocol,
       timers,
       memory: this.reportMemory,
--- a/packages/gateway/src/reports/report-poller.ts
+++ b/packages/gateway/src/reports/report-poller.ts
@@ -11,6 +11,7 @@
 import type { GatewayState } from '../state/gateway-state.js';
 import type { TargetEntry } from '../state/target-entry.js';
 import type { StreamRegistry } from '../streams/stream-registry.js';
+import type { StartWitness } from './start-witness.js';
 
 /** A target that has not responded by then sends no report. */
 const REPORT_TIMEOUT_MS = 400;
@@ -27,11 +28,17 @@
 export interface PollOptions {
   /** Opens a new connection, which reaches the process that listens now. */
   readonly newConnection?: boolean;
+  /** Uses a connection that nothing else uses, so that it stays open while requests come and go. */
+  readonly ownConnection?: boolean;
+  /** How long the report may take, ms. */
+  readonly timeoutMs?: number;
 }
 
 export interface ReportPollerDeps {
   readonly state: GatewayState;
   readonly httpClient: HttpClient;
+  /** Connections for polls only. */
+  readonly pollClient: HttpClient;
   readonly protocol: ReportProtocol;
   readonly timers: TimerService;
   /** Memory for reports of more than 64 KiB; those beyond it are not read to their end. */
@@ -39,6 +46,7 @@
   /** Called for each report that is not read for want of memory. */
   readonly onNoMemory: () => void;
   readonly rejections: Pick<RejectionGuard, 'onSignals'>;
+  readonly witness: Pick<StartWitness, 'onTold' | 'onAnswer'>;
   /** Tells the other gateways of the region when a target started. */
   readonly announceStart: (target: TargetIncarnation) => void;
   readonly streams: Pick<StreamRegistry, 'isLearning' | 'onRuns'>;
@@ -54,14 +62,19 @@
    */
   async poll(
     entry: TargetEntry,
-    { newConnection = false }: PollOptions = {},
+    {
+      newConnection = false,
+      ownConnection = false,
+      timeoutMs = REPORT_TIMEOUT_MS,
+    }: PollOptions = {},
   ): Promise<PolledReport> {
-    const { httpClient, protocol, timers, state, announceStart, streams, rejections } = this.deps;
+    const { protocol, timers, state, announceStart, streams, rejections, witness } = this.deps;
+    const httpClient = ownConnection ? this.deps.pollClient : this.deps.httpClient;
     const { record, work } = entry;
     const memory = this.deps.memory.allocate();
     const askedAt = timers.now();
     const abort = new AbortController();
-    const stop = timers.after(REPORT_TIMEOUT_MS, () => abort.abort());
+    const stop = timers.after(timeoutMs, () => abort.abort());
     const sent = await httpClient.send(
       {
         address: httpClient.dial(record.address),
@@ -96,6 +109,9 @@
     state.onTargetSignals(target, signals);
     rejections.onSignals(target, signals);
     entry.onContact(timers.now());
+    // A report without a start time tells of a start as any other answer does.
+    if (report?.bornAt === undefined) witness.onAnswer(entry, sent.openedAt, askedAt);
+    else if (report.bornAt === record.bornAt) witness.onTold(entry, askedAt);
     if (!report) return { kind: 'none' };
     const slowness = protocol.readSlowness(sent.res);
     work.updateLoadReport(
--- a/packages/gateway/src/reports/start-confirmer.ts
+++ b/packages/gateway/src/reports/start-confirmer.ts
@@ -1,52 +1,157 @@
 /**
- * Confirms that a target has not restarted before it goes on with a stream. It may have with another
- * version, unseen by this gateway, which has no connection to it.
+ * Asks targets for their start, so that a stream is noted with the version that wrote it and goes on at
+ * that version only. A target may have started again with another one, unseen by this gateway.
  */
+import type { TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { TargetEntry } from '../state/target-entry.js';
 import type { PolledReport, ReportPoller } from './report-poller.js';
+import type { StartWitness } from './start-witness.js';
+
+/** Before a stream goes on at a target, it is asked unless its start was confirmed this recently. */
+const FRESH_MS = 500;
+/** A request waits this long for the answer of its target before it is sent. */
+const CONFIRM_WAIT_MS = 400;
+/** An answer that comes later is of no use to the caller, who leaves after a pause of some seconds. */
+const ANSWER_TIMEOUT_MS = 1500;
+/** A connection that stays open tells of its process also while reports fail. */
+const ASK_OPTIONS = { ownConnection: true, timeoutMs: ANSWER_TIMEOUT_MS };
+/** A target is asked again after this time, which keeps that connection. */
+const KEEP_INTERVAL_MS = 1500;
+/** Limit of the targets that are asked without need. */
+const MAX_KEPT = 32;
+/** Time between two questions while a stream is held for the answer. */
+const ASK_AGAIN_MS = 100;
 
 export interface StartConfirmerDeps {
-  readonly state: Pick<GatewayState, 'target' | 'tellsStart'>;
+  readonly state: Pick<GatewayState, 'target' | 'usableEngines'>;
+  readonly witness: Pick<StartWitness, 'canProve' | 'proves'>;
   readonly poller: Pick<ReportPoller, 'poll'>;
+  readonly timers: Pick<TimerService, 'now' | 'after'>;
 }
 
 /** `unreachable`: the target refuses connections. */
 export type StartConfirmation = 'confirmed' | 'unconfirmed' | 'unreachable';
 
+interface Question {
+  /** Monotonic ms. */
+  readonly askedAt: number;
+  readonly answer: Promise<PolledReport>;
+}
+
 export class StartConfirmer {
-  /** Polls that are in progress, by target. */
-  private readonly polls = new Map<string, Promise<PolledReport>>();
+  /** Questions that are not answered yet, by target. */
+  private readonly questions = new Map<string, Question>();
+
+  /** Targets that got streams, the latest one last. */
+  private readonly used = new Set<string>();
+
+  /** When targets were last asked, monotonic ms. */
+  private readonly askedAt = new Map<string, number>();
 
   constructor(private readonly deps: StartConfirmerDeps) {}
 
+  /** Notes that a target gets a stream that may be taken up. */
+  onUse({ id }: TargetEntry): void {
+    this.used.delete(id);
+    this.used.add(id);
+  }
+
   /**
-   * Asks a target whether it is still the start that this gateway knows. Streams that go on there at the
-   * same time share one poll.
+   * Asks targets whose streams may be taken up, the latest used ones first, so that their starts can still
+   * be proved when reports begin to fail. To be called often.
+   *
+   * @param isMixed whether a service may have several software versions
+   */
+  keep(isMixed: (service: string) => boolean): void {
+    const { state, timers } = this.deps;
+    const now = timers.now();
+    const mixed = new Map(
+      state
+        .usableEngines()
+        .filter((entry) => this.canProve(entry) && isMixed(entry.record.service))
+        .map((entry) => [entry.id, entry]),
+    );
+    const gone = (id: string): boolean => !mixed.has(id);
+    [...this.used].filter(gone).forEach((id) => this.used.delete(id));
+    [...this.askedAt.keys()].filter(gone).forEach((id) => this.askedAt.delete(id));
+    const latestFirst = [...this.used].reverse();
+    [...new Set([...latestFirst, ...mixed.keys()])]
+      .slice(0, MAX_KEPT)
+      .filter((id) => now - (this.askedAt.get(id) ?? -Infinity) >= KEEP_INTERVAL_MS)
+      .map((id) => mixed.get(id))
+      .filter((entry) => entry !== undefined)
+      .forEach((entry) => this.ask(entry));
+  }
+
+  /** Whether the starts of a target can be told apart. */
+  canProve(entry: TargetEntry): boolean {
+    return this.deps.witness.canProve(entry);
+  }
+
+  /** Whether the known start answers on a connection that was established at a time, monotonic ms. */
+  proves(entry: TargetEntry, openedAt: number): boolean {
+    return this.deps.witness.proves(entry, openedAt);
+  }
+
+  /**
+   * Asks a target for its start, unless the answer to a question that is late enough is awaited.
+   *
+   * @param after when the latest connection was established that the answer is to prove, monotonic ms
+   */
+  ask(entry: TargetEntry, after = -Infinity): Question {
+    const open = this.questions.get(entry.id);
+    if (open && open.askedAt >= after) return open;
+    const askedAt = this.deps.timers.now();
+    const answer = this.deps.poller.poll(entry, ASK_OPTIONS).finally(() => {
+      if (this.questions.get(entry.id)?.askedAt === askedAt) this.questions.delete(entry.id);
+    });
+    const question: Question = { askedAt, answer };
+    this.questions.set(entry.id, question);
+    this.askedAt.set(entry.id, askedAt);
+    return question;
+  }
+
+  /**
+   * Whether a stream may be sent to a target to go on there. The start that it reaches is checked again
+   * before its events are passed on.
    *
    * @example (await confirmer.confirm(entry)) === 'confirmed'
    */
   async confirm(entry: TargetEntry): Promise<StartConfirmation> {
-    const { state } = this.deps;
-    const { record } = entry;
-    // A target that tells no start time is known by its entry only.
-    if (!state.tellsStart(record) || record.bornAt === 0) return 'confirmed';
-    const polled = await this.poll(entry);
-    if (polled.kind === 'refused') return 'unreachable';
-    const isSame =
-      polled.kind === 'report' &&
-      (polled.report.bornAt === undefined || polled.report.bornAt === record.bornAt) &&
-      state.target(record.id) === entry;
-    return isSame ? 'confirmed' : 'unconfirmed';
-  }
-
-  private poll(entry: TargetEntry): Promise<PolledReport> {
-    const running = this.polls.get(entry.id);
-    if (running) return running;
-    const poll = this.deps.poller.poll(entry, { newConnection: true }).finally(() => {
-      this.polls.delete(entry.id);
+    const { state, timers } = this.deps;
+    if (!this.canProve(entry)) return 'confirmed';
+    if (timers.now() - entry.evidence.ranAt <= FRESH_MS) return 'confirmed';
+    const polled = await Promise.race([this.ask(entry).answer, this.delay(CONFIRM_WAIT_MS)]);
+    if (polled?.kind === 'refused') return 'unreachable';
+    const isKnown = state.target(entry.id) === entry && entry.evidence.ranAt > -Infinity;
+    return isKnown ? 'confirmed' : 'unconfirmed';
+  }
+
+  /**
+   * Waits until it is known whether the known start answers on a connection.
+   *
+   * @param openedAt when the connection was established, monotonic ms
+   * @param limitMs longest wait, ms
+   */
+  async prove(entry: TargetEntry, openedAt: number, limitMs = ANSWER_TIMEOUT_MS): Promise<boolean> {
+    const { state, timers } = this.deps;
+    const endsAt = timers.now() + limitMs;
+    const isOpen = (): boolean =>
+      !this.proves(entry, openedAt) && state.target(entry.id) === entry && timers.now() < endsAt;
+    /* eslint-disable no-await-in-loop */
+    while (isOpen()) {
+      const { answer } = this.ask(entry, openedAt);
+      await Promise.race([answer, this.delay(endsAt - timers.now())]);
+      if (isOpen()) await this.delay(ASK_AGAIN_MS);
+    }
+    /* eslint-enable no-await-in-loop */
+    return this.proves(entry, openedAt);
+  }
+
+  private delay(ms: number): Promise<undefined> {
+    return new Promise((resolve) => {
+      this.deps.timers.after(ms, () => resolve(undefined));
     });
-    this.polls.set(entry.id, poll);
-    return poll;
   }
 }
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -166,6 +166,11 @@
     return this.timers.now() - this.contact.contactAt;
   }
 
+  /** How long the source has answered without an outage, ms; 0 while it is away. */
+  get sourceSteadyMs(): number {
+    return this.sourceAgeMs > OUTAGE_MS ? 0 : this.contact.now - this.sourceRegainedAt;
+  }
+
   /** How long this gateway has known of a newer configuration than the one in force, ms. */
   get configBehindMs(): number {
     return this.configLag.behindMs(this.timers.now());
--- a/packages/gateway/src/state/target-entry.ts
+++ b/packages/gateway/src/state/target-entry.ts
@@ -1,5 +1,11 @@
 /** A target in the local view of a gateway, with its load and assumed state. */
-import { RunProgress, TargetWarmth, type TargetRecord, type TargetWork } from '@marjoramcart/core';
+import {
+  RunProgress,
+  StartEvidence,
+  TargetWarmth,
+  type TargetRecord,
+  type TargetWork,
+} from '@marjoramcart/core';
 
 /** Why a target is assumed to be cold. */
 export const ColdReason = {
@@ -47,6 +53,9 @@
   /** Pace of the target's streams, from the reports that this gateway polls. */
   readonly progress = new RunProgress();
 
+  /** When this start of the target was last known to run. */
+  readonly evidence = new StartEvidence();
+
   /** Whether the target counts as warm while this gateway is out of touch. */
   readonly warmth = new TargetWarmth();
 
@@ -101,6 +110,11 @@
     this.contactAt = now;
   }
 
+  /** Time since this gateway learned of the start, ms. */
+  knownForMs(now: number): number {
+    return now - this.createdAt;
+  }
+
   /** Time since the target sent anything to this gateway, ms. */
   silentForMs(now: number): number {
     return now - this.contactAt;
--- a/packages/gateway/src/streams/stream-registry.ts
+++ b/packages/gateway/src/streams/stream-registry.ts
@@ -39,7 +39,7 @@
 /** Streams that are found within this time are told together. */
 const TELL_DELAY_MS = 20;
 const MAX_ROWS = 24;
-const MAX_UNCONFIRMED = 1000;
+const MAX_UNPROVED = 1000;
 const MAX_FOUND = 1000;
 const MAX_FIRST_QUESTION = 2 ** 48;
 /** Streams with longer ids are not noted, as an update has to fit into a datagram. */
@@ -77,9 +77,10 @@
   readonly resolve: (version: string | undefined) => void;
 }
 
-interface UnconfirmedStream {
+interface UnprovedStream {
   readonly begin: StreamBegin;
   readonly confirm: () => VersionCheck;
+  readonly prove: () => Promise<unknown>;
 }
 
 interface FoundVersion {
@@ -106,8 +107,8 @@
   /** Streams that were found at targets since the start. */
   private found: StreamRow[] = [];
 
-  /** Streams of targets that may have restarted before they began to run them. */
-  private unconfirmed: UnconfirmedStream[] = [];
+  /** Streams of targets that may have started again before they ran them, by service and id. */
+  private readonly unproved = new Map<string, UnprovedStream>();
 
   /** Rows that are about to be told, by the address of the gateway. */
   private readonly pending = new Map<string, StreamRow[]>();
@@ -158,15 +159,28 @@
   }
 
   /** Notes that a version delivered the first event of a call, or goes on with its stream. */
-  onDelivered({ head, service, forwardedBy }: Call, { version, confirm }: StreamSource): void {
+  onDelivered(
+    { head, service, forwardedBy }: Call,
+    { version, confirm, prove = () => Promise.resolve(undefined) }: StreamSource,
+  ): void {
     const begin = { id: beginIdOf(head), service, version };
     if (begin.id.length > MAX_ID_LENGTH) return;
     // The gateway that the caller is connected to tells the others.
     const isOwn = forwardedBy === undefined;
-    if (version !== undefined) this.note(begin, isOwn);
-    else if (confirm && this.unconfirmed.length < MAX_UNCONFIRMED) {
-      this.unconfirmed.push({ begin, confirm });
+    if (!confirm) {
+      if (version !== undefined) this.note(begin, isOwn);
+      return;
     }
+    this.unproved.set(keyOf(begin), { begin, confirm, prove });
+    const [oldest] = this.unproved.keys();
+    if (this.unproved.size > MAX_UNPROVED && oldest !== undefined) this.unproved.delete(oldest);
+    if (this.isMixed(service)) void this.proveNow(begin);
+  }
+
+  /** Asks the target of a stream for its start, and notes what it tells. */
+  private async proveNow(begin: StreamBegin): Promise<void> {
+    await this.unproved.get(keyOf(begin))?.prove();
+    this.settle(begin);
   }
 
   /**
@@ -200,16 +214,15 @@
     this.flush();
   }
 
-  /** Notes the streams of targets that have told since whether they had restarted. */
-  private settle(): void {
-    const { unconfirmed } = this;
-    this.unconfirmed = [];
-    unconfirmed.forEach((stream) => {
-      const check = stream.confirm();
-      if (check.kind === 'pending') this.unconfirmed.push(stream);
-      // The gateway that the caller is connected to may not have learned it.
-      else this.note({ ...stream.begin, version: check.version }, true);
-    });
+  /** Notes a stream of a target of which it is known since whether it had started again. */
+  private settle(begin: Pick<StreamBegin, 'service' | 'id'>): void {
+    const key = keyOf(begin);
+    const stream = this.unproved.get(key);
+    const check = stream?.confirm();
+    if (!stream || check?.kind !== 'settled') return;
+    this.unproved.delete(key);
+    // The gateway that the caller is connected to may not have learned it.
+    this.note({ ...stream.begin, version: check.version }, true);
   }
 
   /** Whether runs that targets report are of use to this gateway. */
@@ -234,7 +247,7 @@
   /** Tells what was noted when a service gets a second version, and forgets what is over. */
   check(): void {
     const now = this.deps.timers.now();
-    this.settle();
+    [...this.unproved.values()].forEach(({ begin }) => this.settle(begin));
     this.streams.expire(now);
     this.mixed.clear();
     [...this.longestWaitMs.keys()].forEach((service) => {
@@ -250,9 +263,14 @@
     this.tell(rows);
     // The streams of a gateway that ends now would be taken up without their version.
     this.flush();
+    const unproved = [...this.unproved.values()].filter(({ begin }) => begin.service === service);
+    unproved.forEach(({ begin }) => {
+      void this.proveNow(begin);
+    });
     this.deps.log.info('service may have several software versions', {
       service,
       streams: rows.length,
+      unproved: unproved.length || undefined,
     });
   }
 
@@ -292,12 +310,14 @@
       return { version: requiredVersion, origin: Origin.Forwarded };
     }
     const ageMs = this.longestWaitOf(service) + TRANSIT_MS;
+    const waitMs = Math.min(ASK_TIMEOUT_MS, facts.deadlineAt - this.deps.timers.now());
+    const unproved = this.unprovedOf(service, head.resumes);
+    if (unproved) await Promise.race([this.proveNow(unproved), this.delay(waitMs)]);
     const known = this.knownVersion(service, head.resumes, ageMs);
     const isSure =
       known.origin === Origin.Noted ||
       (known.origin === Origin.OnlyOne && !this.deps.state.mayMissTargets);
     if (isSure || head.resumes === undefined) return known;
-    const waitMs = Math.min(ASK_TIMEOUT_MS, facts.deadlineAt - this.deps.timers.now());
     const version = await this.ask(head.resumes, service, ageMs, waitMs);
     if (version === undefined) {
       await this.readEarlier(service, ageMs, waitMs);
@@ -307,6 +327,18 @@
     return { version, origin: Origin.Asked };
   }
 
+  /** A stream whose target has not told yet which start began it; undefined where that is of no use. */
+  private unprovedOf(service: string, id: string | undefined): StreamBegin | undefined {
+    if (id === undefined || !this.isMixed(service)) return undefined;
+    return this.unproved.get(keyOf({ service, id }))?.begin;
+  }
+
+  private delay(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.deps.timers.after(ms, resolve);
+    });
+  }
+
   /** Reads earlier targets if these may tell which version began a stream. */
   private async readEarlier(service: string, ageMs: number, waitMs: number): Promise<void> {
     const { state, readEarlier, timers } = this.deps;
@@ -318,14 +350,11 @@
         this.readingEarlier = undefined;
       });
     });
-    const timeout = new Promise<void>((resolve) => {
-      timers.after(waitMs, resolve);
-    });
-    await Promise.race([this.readingEarlier, timeout]);
+    await Promise.race([this.readingEarlier, this.delay(waitMs)]);
   }
 
   private knownVersion(service: string, id: string | undefined, ageMs: number): FoundVersion {
-    this.settle();
+    if (id !== undefined) this.settle({ service, id });
     const begin = id === undefined ? undefined : this.streams.get(service, id);
     if (begin) return { version: begin.version, origin: Origin.Noted };
     const version = this.deps.state.onlyVersionWithin(service, ageMs);
@@ -441,3 +470,7 @@
 function beginIdOf({ id, resumes, resumeAfter }: Call['head']): string {
   return (resumeAfter === undefined ? undefined : resumes) ?? id;
 }
+
+function keyOf({ service, id }: Pick<StreamBegin, 'service' | 'id'>): string {
+  return `${service}\n${id}`;
+}
--- a/packages/runtime/src/http/http-client.ts
+++ b/packages/runtime/src/http/http-client.ts
@@ -29,6 +29,8 @@
   readonly body: Buffer;
   /** Opens a new connection, so that it is certain whether a failure happened before the write. */
   readonly newConnection: boolean;
+  /** Called when a connection was established for the request. */
+  readonly onOpened?: () => void;
 }
 
 /** A request that failed without a response. `sent`: some of its bytes may have been written. */
@@ -52,6 +54,8 @@
   readonly kind: 'answer';
   readonly req: ClientRequest;
   readonly res: IncomingMessage;
+  /** When its connection was established, by the clock of the client, ms. */
+  readonly openedAt: number;
 }
 
 export type RequestResult = ResponseReceived | RequestFailure | RequestVetoed;
@@ -61,17 +65,26 @@
 /** No content and not modified. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+export interface HttpClientOptions {
+  /** Monotonic clock, ms. */
+  readonly now?: () => number;
+  /** Which free connection is used first: the latest or the earliest one; `fifo` keeps all of them open. */
+  readonly scheduling?: 'fifo' | 'lifo';
+}
+
 export class HttpClient {
-  private readonly agent = new PooledAgent(
-    { maxFreeSockets: MAX_FREE_CONNECTIONS, timeout: 0, scheduling: 'lifo' },
-    (socket) => this.count(socket),
-  );
+  private readonly agent: PooledAgent;
+
+  private readonly now: () => number;
 
   /** Open connections without a request. */
   private readonly idle = new Set<net.Socket>();
 
   private readonly watched = new WeakSet<net.Socket>();
 
+  /** When connections were established. */
+  private readonly openedAt = new WeakMap<Duplex, number>();
+
   /**
    * @param dialMap addresses to connect to in place of a process's own address
    * @param connectTimeoutMs limit for establishing a new connection
@@ -83,7 +96,13 @@
     private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
     private readonly onIdleClosed: (address: string) => void = () => undefined,
     private readonly connections?: ConnectionShare,
+    { now = () => performance.now(), scheduling = 'lifo' }: HttpClientOptions = {},
   ) {
+    this.now = now;
+    this.agent = new PooledAgent(
+      { maxFreeSockets: MAX_FREE_CONNECTIONS, timeout: 0, scheduling },
+      (socket) => this.onConnecting(socket),
+    );
     this.agent.on('free', (socket: net.Socket, { host, port }: http.RequestOptions) => {
       socket.setTimeout(IDLE_CONNECTION_MS);
       // Asking the socket for its peer would make Node.js remember it, which hides a reset later.
@@ -91,7 +110,8 @@
     });
   }
 
-  private count(socket: Duplex): void {
+  private onConnecting(socket: Duplex): void {
+    socket.once('connect', () => this.openedAt.set(socket, this.now()));
     const { connections } = this;
     if (!connections || socket.destroyed) return;
     connections.add();
@@ -127,10 +147,11 @@
     if (!out.newConnection)
       return mayWrite() ? this.write(out, undefined, signal, mayWrite) : VETOED;
     const socket = await connect(out.address, signal, this.connectTimeoutMs, (opened) =>
-      this.count(opened),
+      this.onConnecting(opened),
     );
     if (!(socket instanceof net.Socket)) return socket;
     if (socket.destroyed) return failure(false, false, 'connection closed before the write');
+    out.onOpened?.();
     if (mayWrite()) return this.write(out, socket, signal);
     socket.destroy();
     return VETOED;
@@ -180,6 +201,7 @@
         );
         // Called before the bytes that wait for the connection are written.
         used.once('connect', () => {
+          out.onOpened?.();
           sent = mayWrite();
           if (sent) return;
           resolve(VETOED);
@@ -205,7 +227,12 @@
         res.once('end', () => {
           if (!req.writableFinished) req.destroy();
         });
-        resolve({ kind: 'answer', req, res });
+        resolve({
+          kind: 'answer',
+          req,
+          res,
+          openedAt: this.openedAt.get(res.socket) ?? this.now(),
+        });
       });
       // A switch of protocols was not asked for. Without this handler, only `close` would be emitted.
       req.on('upgrade', (_res, used) => {
--- a/tests/stand-ins/src/users-platform/restarted-version.test.ts
+++ b/tests/stand-ins/src/users-platform/restarted-version.test.ts
@@ -8,6 +8,9 @@
 const NORTH = 'north-a';
 const STREAMS = 4;
 const DOWN_MS = 60;
+/** Longer than a gateway doubts a version of which it hears nothing. */
+const DOUBT_LIMIT_MS = 6000;
+const STATUS_UNAVAILABLE = 503;
 const ALL_IDS = [1, 2, 3, 4, 5, 6];
 const SLOW = { eventIntervalMs: SLOW_EVENT_INTERVAL_MS };
 
@@ -82,16 +85,22 @@
   },
 );
 
-// Guards against a stream that began at a new start before its gateway heard of it, by a connection
-// that shows no restart, and goes on at the version before (ORDER).
+// Guards against a stream that began at a new start before its gateway heard of it, while reports failed, and
+// goes on at the version before (ORDER).
 tests.add(
   'a stream that outlives the start of its engine by its entry is not joined',
   async (fleet) => {
     const engines = await addTwo(fleet);
     const [first] = engines;
-    Object.assign(first, { version: 'v2', ...SLOW });
+    Object.assign(first, { version: 'v2', reportStatus: STATUS_UNAVAILABLE, ...SLOW });
+    await first.restart(DOWN_MS);
+    const { state } = fleet.gateway('vm-1');
+    await fleet.until(
+      () => state.target(first.id)?.softwareVersionAt(performance.now()) === 'v1',
+      DOUBT_LIMIT_MS,
+    );
     const streams = await beginAt(fleet, engines);
-    Object.assign(first, { born: Date.now() });
+    Object.assign(first, { reportStatus: 200 });
     await fleet.untilStartKnown(first, ['vm-1']);
     await new Promise((resolve) => {
       setTimeout(resolve, 2 * SLOW_EVENT_INTERVAL_MS);
--- a/tests/stand-ins/src/users-platform/target.ts
+++ b/tests/stand-ins/src/users-platform/target.ts
@@ -97,6 +97,12 @@
   /** Start time that its reports tell, Unix ms. */
   born = 1;
 
+  /** Status of its load reports. */
+  reportStatus = 200;
+
+  /** How late its load reports are, ms. */
+  reportDelayMs = 0;
+
   /** How long it stays cold by its health check, ms. */
   coldForMs = 0;
 
@@ -219,9 +225,10 @@
     const { room } = this;
     if (room?.rejectionLimit !== undefined) res.setHeader('server-brittle', room.rejectionLimit);
     if (req.url === '/api/report') {
-      const { active, born } = this;
+      if (this.reportDelayMs > 0) await delay(this.reportDelayMs);
+      const { active, born, reportStatus } = this;
       const body = JSON.stringify({ queued: 0, inFlight: active, kvUsed: active * 1000, born });
-      send(res, 200, {}, body);
+      send(res, reportStatus, {}, reportStatus === 200 ? body : '');
       return;
     }
     if (req.url === HEALTH_PATH) {
