Mend what the review of the proof of starts found

Cause and change: - A guess (the listed version where no other one is known) crossed a forward as a fact, and streams went on at targets by it. Only what is proved is named to the gateway that forwarded; that one guesses by what it knows itself, and is told what is proved later. Events that go on with a stream are always held until they are proved, 400 ms where no other version is known, and a stream that broke off asks before it goes on. - In a service of one version a stream whose target started again unproved was noted as of unknown version, so that its take-ups were refused. Nothing is noted for it; the only version decides. - Questions had no least interval for targets that fail fast, and all gateways kept the same first 32 targets. Streams share the answers of the last 100 ms; each gateway chooses its targets by rendezvous. - Held streams are paused as stalled callers are, so that Node.js queues little, and an end that comes while they are held is handled afterwards. - A stream that is given up since its version can't be proved is no failure of its target. - A gateway that may miss targets takes no connection for settled. Result: the tests of gateway/exchange, reports, streams and state (64) and of late-reports, restarted-version, take-up-version, stream-version, forward-version, forwarded-stream, last-event and crashing-request pass.

--- a/packages/core/src/streams/start-evidence.ts
+++ b/packages/core/src/streams/start-evidence.ts
@@ -1,6 +1,8 @@
 /**
- * What proves that a known start of a target answers on a connection. Whoever answers there has run since
- * the connection was opened, so that it is the known start if that one ran then or later.
+ * What proves that a known start of a target answers on a connection. A single process at a time accepts
+ * connections at the address of a target, and the one that answers on a connection has run since that was
+ * opened. So a later start can't answer if the known one ran after that, and an earlier one can't either to
+ * a request that was sent since the known one has been.
  */
 export class StartEvidence {
   private lastRanAt = -Infinity;
--- a/packages/core/src/streams/version-scope.ts
+++ b/packages/core/src/streams/version-scope.ts
@@ -28,14 +28,17 @@
 export interface StreamSource {
   /** Undefined if it is not known, or not yet. */
   readonly version: string | undefined;
-  /** Present while it is not proved that the target has not started again with another version. */
-  readonly confirm?: () => VersionCheck;
   /**
-   * Asks the target, and waits for what `confirm` tells.
+   * Tells what is proved; present while it is not proved that the target has not started again with
+   * another version. `version` is a guess as long.
+   */
+  readonly check?: () => VersionCheck;
+  /**
+   * Asks the target, until `check` is settled.
    *
    * @param limitMs longest wait, ms
    */
-  readonly prove?: (limitMs?: number) => Promise<string | undefined>;
+  readonly prove?: (limitMs?: number) => Promise<void>;
 }
 
 export type VersionCheck =
--- a/packages/gateway/src/exchange/attempt-end.ts
+++ b/packages/gateway/src/exchange/attempt-end.ts
@@ -39,6 +39,8 @@
       readonly connectionLost?: true;
       /** Number of targets that had run the request when the response began; absent if it did not. */
       readonly runs?: number;
+      /** The gateway gave the stream up, as it could not prove its version; no fault of the target. */
+      readonly unproved?: true;
     };
 
 const SUCCESS_FROM = 200;
@@ -52,7 +54,8 @@
 /** Whether the target caused the failure, so that a retry at another target may succeed. */
 export function isTargetFailure(end: AttemptEnd): boolean {
   if (end.kind === 'relayed') return !end.complete || end.status >= INTERNAL_ERROR;
-  return end.kind === 'lost' || (end.kind === 'answered' && end.status >= INTERNAL_ERROR);
+  if (end.kind === 'lost') return end.unproved !== true;
+  return end.kind === 'answered' && end.status >= INTERNAL_ERROR;
 }
 
 /**
--- a/packages/gateway/src/exchange/attempt-runner.ts
+++ b/packages/gateway/src/exchange/attempt-runner.ts
@@ -8,9 +8,12 @@
   SseFrameParser,
   type LoadReport,
   type StreamSource,
+  type VersionScope,
 } from '@marjoramcart/core';
 import {
+  continueReading,
   discardResponse,
+  holdReading,
   MAX_RESPONSE_BYTES,
   readResponseBody,
   type HttpClient,
@@ -59,6 +62,9 @@
 const MS_PER_S = 1000;
 /** Longest delay of a first event until it is proved which start of the target wrote it. */
 const FIRST_EVENT_HOLD_MS = 50;
+/** The same for events that go on with a stream, where no other version is known, and where one is. */
+const ONE_VERSION_HOLD_MS = 400;
+const SEVERAL_VERSIONS_HOLD_MS = 1500;
 const STATUS_INTERNAL_ERROR = 500;
 const METHODS_WITH_BODY: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
 
@@ -172,6 +178,7 @@
       let source: StreamSource | undefined;
       /** Events that are not passed on before it is proved which start of the target wrote them. */
       let held: Buffer[] | undefined;
+      let endedWhileHeld = false;
       const finish = (end: AttemptEnd): void => {
         if (settled) return;
         settled = true;
@@ -185,30 +192,44 @@
         progress.lastEventId = frames.lastId;
         writer.write(events);
       };
+      const onEnd = (): void => {
+        // Without events, only its framing tells a complete stream from one that broke off.
+        const isWhole = res.complete && frames.complete && (frames.events > 0 || isFramed(res));
+        if (!isWhole) {
+          finish({ kind: 'lost', message: 'the stream ended before it was complete' });
+          return;
+        }
+        if (!response.started && !settled)
+          response.start(status, this.protocol.responseHeaders(res.rawHeaders));
+        finish({ kind: 'streamed' });
+      };
       const begin = (from: StreamSource, events: Buffer): void => {
-        const { version } = from;
+        const { version, check } = from;
         if (progress.scope.kind !== 'any' && !allowsVersion(progress.scope, version)) {
-          finish({ kind: 'lost', message: `stream of software version ${version ?? 'unknown'}` });
+          const message = `stream of software version ${version ?? 'unknown'}`;
+          finish({ kind: 'lost', message, ...(version === undefined ? { unproved: true } : {}) });
           return;
         }
         if (progress.scope.kind === 'any') {
           progress.scope = scopeOfVersion(version);
           progress.source = from;
         }
-        response.setSoftwareVersion(version);
+        // A guess must not be taken for a fact by the gateway that forwarded the request.
+        response.setSoftwareVersion(check ? undefined : version);
         options.onDelivered(from);
         passOn(events);
       };
+      /** Holds events back until it is proved which start of the target wrote them, or not in time. */
       const hold = (from: StreamSource, prove: Prove, events: Buffer): void => {
         const waiting = [events];
         held = waiting;
-        res.pause();
-        const isFirst = progress.scope.kind === 'any';
-        void prove(isFirst ? FIRST_EVENT_HOLD_MS : undefined).then((version) => {
-          if (settled) return;
+        holdReading(res);
+        void prove(holdLimitMs(progress.scope, from)).then(() => {
           held = undefined;
-          begin(isFirst && version === undefined ? from : { version }, Buffer.concat(waiting));
-          res.resume();
+          if (settled) return;
+          begin(provedSource(from), Buffer.concat(waiting));
+          if (endedWhileHeld) onEnd();
+          else continueReading(res);
         });
       };
       res.on('data', (chunk: Buffer) => {
@@ -222,25 +243,21 @@
           const { version, prove } = source;
           // Events of another version must not follow those that were passed on before. A version that is
           // known at the first event is named in the head and told to others before anyone takes it up.
-          if (version === undefined && prove) hold(source, prove, events);
+          const mayGuess = progress.scope.kind === 'any' && version !== undefined;
+          if (prove && !mayGuess) hold(source, prove, events);
           else begin(source, events);
         }
         if (frames.error)
           finish({ kind: 'lost', message: `malformed stream: ${frames.error.kind}` });
       });
       res.on('end', () => {
-        // Without events, only its framing tells a complete stream from one that broke off.
-        const isWhole = res.complete && frames.complete && (frames.events > 0 || isFramed(res));
-        if (!isWhole) {
-          finish({ kind: 'lost', message: 'the stream ended before it was complete' });
-          return;
-        }
-        if (!response.started && !settled)
-          response.start(status, this.protocol.responseHeaders(res.rawHeaders));
-        finish({ kind: 'streamed' });
+        if (held) endedWhileHeld = true;
+        else onEnd();
       });
-      const onConnectionLost = (message: string): void =>
-        finish({ kind: 'lost', message, connectionLost: true, runs: runCountOf(res) });
+      const onConnectionLost = (message: string): void => {
+        if (!endedWhileHeld)
+          finish({ kind: 'lost', message, connectionLost: true, runs: runCountOf(res) });
+      };
       res.on('error', (err) => onConnectionLost(err.message));
       res.on('close', () => onConnectionLost('connection closed during the stream'));
       if (res.destroyed) onConnectionLost('the stream broke off');
@@ -248,6 +265,18 @@
   }
 }
 
+/** How long events are held back at most until their source is proved, ms. */
+function holdLimitMs({ kind }: VersionScope, { version }: StreamSource): number {
+  if (kind === 'any') return FIRST_EVENT_HOLD_MS;
+  return version === undefined ? SEVERAL_VERSIONS_HOLD_MS : ONE_VERSION_HOLD_MS;
+}
+
+/** A source with the version that is proved now, if it is. */
+function provedSource(source: StreamSource): StreamSource {
+  const check = source.check?.();
+  return check?.kind === 'settled' ? { version: check.version } : source;
+}
+
 /** Whether a response tells by a length or by chunks where it ends. */
 function isFramed({ headers }: IncomingMessage): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
--- a/packages/gateway/src/exchange/destination-sender.test.ts
+++ b/packages/gateway/src/exchange/destination-sender.test.ts
@@ -61,7 +61,7 @@
     return new WeakRef(body);
   };
   const ref = await sendOne();
-  assert.deepEqual(sources[0]?.confirm?.(), { kind: 'pending' });
+  assert.deepEqual(sources[0]?.check?.(), { kind: 'pending' });
   await assertCollected(ref);
-  assert.deepEqual(sources[0]?.confirm?.(), { kind: 'pending' });
+  assert.deepEqual(sources[0]?.check?.(), { kind: 'pending' });
 });
--- a/packages/gateway/src/exchange/destination-sender.ts
+++ b/packages/gateway/src/exchange/destination-sender.ts
@@ -105,8 +105,7 @@
 interface SourceOptions {
   readonly sentVersion: string | undefined;
   readonly wasDoubted: boolean;
-  /** Whether the listed version is good enough until it is proved, as there is no other one. */
-  readonly mayGuess: boolean;
+  readonly service: string;
 }
 
 export class DestinationSender {
@@ -216,7 +215,7 @@
         this.streamSourceOf(entry, openedAt, {
           sentVersion,
           wasDoubted,
-          mayGuess: !streams.isMixed(call.service),
+          service: call.service,
         }),
       isAlive: () => work.isAlive(timers.now()),
       onReport: (report) => work.updateLoadReport(report, timers.now()),
@@ -254,7 +253,7 @@
     });
     // What a target adds to a stream that others began may be too little to crash it.
     if (isComplete(end) && resumesAfter === undefined) crashes.onAnswered(call);
-    if (isBroken(end) && !aborted) {
+    if (isBroken(end) && !aborted && !isUnproved(end)) {
       crashes.onLost(record, call, startedAt, seen.firstByteAt);
     }
     work.onEnd(head.id, timers.now());
@@ -299,9 +298,9 @@
   private streamSourceOf(
     entry: TargetEntry,
     openedAt: number,
-    { sentVersion, wasDoubted, mayGuess }: SourceOptions,
+    { sentVersion, wasDoubted, service }: SourceOptions,
   ): StreamSource {
-    const { state, timers, starts } = this.deps;
+    const { state, timers, starts, streams } = this.deps;
     /** What the entry says, if nothing speaks against it. */
     const listedVersion = (): VersionCheck => {
       const listed = state.target(entry.id);
@@ -329,13 +328,13 @@
     const first = check();
     if (first.kind === 'settled') return { version: first.version };
     const listed = listedVersion();
+    // With one version there is nothing to mistake it for, as far as this gateway knows.
+    const isGuess = listed.kind === 'settled' && !streams.isMixed(service);
     return {
-      version: mayGuess && listed.kind === 'settled' ? listed.version : undefined,
-      confirm: check,
+      version: isGuess ? listed.version : undefined,
+      check,
       prove: async (limitMs) => {
         await starts.prove(entry, openedAt, limitMs);
-        const proved = check();
-        return proved.kind === 'settled' ? proved.version : undefined;
       },
     };
   }
@@ -347,7 +346,7 @@
     progress: CallProgress,
     onBytes: () => void,
   ): Promise<AttemptEnd> {
-    const { gossip, settings, router, protocol } = this.deps;
+    const { gossip, settings, router, protocol, streams } = this.deps;
     const peer = gossip.table.get(node);
     if (!peer) return { kind: 'not-sent', message: 'gateway no longer known' };
     const { call } = progress;
@@ -367,7 +366,10 @@
       ],
       toPeer: true,
       mayWrite: () => router.mayRunIn(call, region),
-      streamSource: ({ headers }) => ({ version: decodeText(headers[VERSION_HEADER]) }),
+      streamSource: ({ headers }) => {
+        const version = decodeText(headers[VERSION_HEADER]);
+        return version === undefined ? streams.forwardedSource(call) : { version };
+      },
       isAlive: () => false,
       onReport: () => undefined,
       onSignals: () => undefined,
@@ -414,7 +416,7 @@
   /** Whether another destination would be tried if this attempt were aborted. */
   private hasAlternative(progress: CallProgress, destination: Destination): boolean {
     const { call, response, attempts, source } = progress;
-    const check = source?.confirm?.();
+    const check = source?.check?.();
     const scope = check?.kind === 'settled' ? scopeOfVersion(check.version) : progress.scope;
     const { router, timers, crashes } = this.deps;
     const verdict = crashes.verdict(call);
@@ -460,7 +462,7 @@
     const { state, timers, router, restarts } = this.deps;
     const { work, record } = entry;
     const now = timers.now();
-    if (end.kind !== 'not-run') {
+    if (end.kind !== 'not-run' && !isUnproved(end)) {
       const failed = isTargetFailure(end);
       work.onOutcome(failed, now);
       router.speeds.onOutcome(call.service, failed);
@@ -486,6 +488,11 @@
   return end.kind === 'lost' || (end.kind === 'relayed' && !end.complete);
 }
 
+/** Whether the gateway gave the stream up itself. */
+function isUnproved(end: AttemptEnd): boolean {
+  return end.kind === 'lost' && end.unproved === true;
+}
+
 /** Time for which a request waits for other work; a deferred one waits for all of it, ms. */
 function waitMsOf(
   { expectedWaitMs, deferredFirstByteMs = 0, serviceMs = 0, speedFactor = 1 }: Candidate,
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -36,6 +36,8 @@
 const NO_CONNECTION_RETRY_MS = 500;
 /** A stream that broke off waits this long to learn which version wrote it. */
 const PROVE_WAIT_MS = 500;
+/** The same where no other version is known. */
+const ONE_VERSION_WAIT_MS = 150;
 /** Result in the metrics when a target responded with an unsuccessful status. */
 const TARGET_STATUS = 'target_status';
 
@@ -135,16 +137,18 @@
       Object.assign(progress, { scope: scopeOfVersion(undefined), source: undefined });
       return;
     }
-    const check = source?.confirm?.();
-    if (!check) return;
-    if (check.kind === 'settled') {
-      Object.assign(progress, { scope: scopeOfVersion(check.version), source: undefined });
-      return;
-    }
-    // With one version there is nothing to mistake it for.
-    if (!streams.isMixed(call.service)) return;
-    const version = await source?.prove?.(PROVE_WAIT_MS);
-    Object.assign(progress, { scope: scopeOfVersion(version), source: undefined });
+    if (!source?.check) return;
+    const isMixed = (): boolean => streams.isMixedNow(call.service);
+    const wait = isMixed() ? PROVE_WAIT_MS : ONE_VERSION_WAIT_MS;
+    if (source.check().kind === 'pending') await source.prove?.(wait);
+    const check = source.check();
+    const version = check.kind === 'settled' ? check.version : undefined;
+    // With one version, that is its version although its start is not known.
+    if (version === undefined && !isMixed()) return;
+    Object.assign(progress, {
+      scope: scopeOfVersion(version),
+      ...(check.kind === 'settled' ? { source: undefined } : {}),
+    });
   }
 
   private nextStep(progress: CallProgress): RequestStep {
--- a/packages/gateway/src/exchange/unproved-stream.test.ts
+++ b/packages/gateway/src/exchange/unproved-stream.test.ts
@@ -63,8 +63,8 @@
   } as unknown as Call;
 }
 
-/** A gateway with two targets of two versions, as far as it handles the versions of streams. */
-function createFixture() {
+/** A gateway with two targets, as far as it handles the versions of streams. */
+function createFixture(other: TargetRecord = OTHER) {
   const timers = new ManualTimerService();
   const ignore = (): undefined => undefined;
   const state: GatewayState = new GatewayState(
@@ -78,7 +78,7 @@
     era: 0,
     revision: 1,
     config: CONFIG,
-    targets: [FIRST, OTHER],
+    targets: [FIRST, other],
     evacuated: new Set(),
   });
   const fixture = { answer: undefined as number | undefined };
@@ -90,7 +90,7 @@
     if (entry.record.bornAt === answer) witness.onTold(entry, timers.now());
     return Promise.resolve({ kind: 'report', report: { requests: 0, bornAt: answer } });
   };
-  const starts = new StartConfirmer({ state, witness, poller: { poll }, timers });
+  const starts = new StartConfirmer({ node: 'vm-1', state, witness, poller: { poll }, timers });
   const streams = new StreamRegistry({
     settings: { node: 'vm-1', region: 'north' },
     state,
@@ -136,7 +136,9 @@
     await sender.send(step as AttemptStep, progress as unknown as CallProgress);
   };
   const takeUp = () => streams.scopeOf(headOf('second', { resumes: 'first', resumeAfter: 3 }));
-  return Object.assign(fixture, { timers, state, streams, begin, takeUp });
+  const list = (revision: number, targets: readonly TargetRecord[]): void =>
+    state.onState({ era: 0, revision, config: CONFIG, targets, evacuated: new Set() });
+  return Object.assign(fixture, { timers, state, streams, begin, takeUp, list });
 }
 
 /** Lets time pass in small steps until a promise is settled. */
@@ -176,3 +178,19 @@
   state.onStart({ ...FIRST, bornAt: START + 500 }, timers.now());
   assert.deepEqual(await settled(timers, takeUp()), { kind: 'only', version: 'v1' });
 });
+
+// Guards against take-ups that are refused in a service of one version, as a target of it started again (LOST).
+test('a stream of the only version goes on there although its target started again unproved', async () => {
+  const other = { ...OTHER, softwareVersion: 'v1' };
+  const { timers, state, begin, takeUp, list } = createFixture(other);
+  // Versions of the time before the gateway started are not known.
+  list(2, [FIRST, other]);
+  timers.advance(20_000);
+  list(3, [FIRST, other]);
+  await begin();
+  const next = { ...FIRST, bornAt: START + 500 };
+  state.onStart(next, timers.now());
+  assert.deepEqual(await settled(timers, takeUp()), { kind: 'none' });
+  list(4, [next, other]);
+  assert.deepEqual(await settled(timers, takeUp()), { kind: 'only', version: 'v1' });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -248,6 +248,7 @@
     const pollClient = this.createHttpClient('fifo');
     const reportPoller = this.createReportPoller(httpClient, pollClient);
     this.starts = new StartConfirmer({
+      node: settings.node,
       state: this.state,
       witness: this.witness,
       poller: reportPoller,
--- a/packages/gateway/src/reports/start-confirmer.test.ts
+++ b/packages/gateway/src/reports/start-confirmer.test.ts
@@ -50,7 +50,7 @@
     if (answer === entry.record.bornAt) witness.onTold(entry, askedAt);
     return { kind: 'report', report: { requests: 0, bornAt: answer } };
   };
-  const confirmer = new StartConfirmer({ state, witness, poller: { poll }, timers });
+  const confirmer = new StartConfirmer({ node: 'vm-1', state, witness, poller: { poll }, timers });
   return Object.assign(fixture, { confirmer, witness });
 }
 
@@ -94,7 +94,7 @@
   const { confirmer, entry, timers } = fixture;
   fixture.answerMs = 200;
   const earlier = confirmer.ask(entry).answer;
-  timers.advance(STEP_MS);
+  timers.advance(2 * STEP_MS);
   const proof = confirmer.prove(entry, timers.now(), LIMIT_MS);
   assert.equal(fixture.polls, 2);
   await settled(fixture, earlier);
@@ -130,6 +130,18 @@
   assert.equal(await settled(silent, silent.confirmer.confirm(silent.entry)), 'unconfirmed');
 });
 
+// Guards against a flood of questions where reports are late and connections are opened all the time.
+test('a target whose answers are late is asked at a bounded rate', async () => {
+  const fixture = createFixture();
+  const { confirmer, entry, timers } = fixture;
+  fixture.answerMs = LIMIT_MS;
+  Array.from({ length: 100 }).forEach(() => {
+    timers.advance(10);
+    confirmer.ask(entry, timers.now());
+  });
+  assert.ok(fixture.polls <= 10, `${fixture.polls} questions in a second`);
+});
+
 test('streams that go on at a target at the same time share one poll', async () => {
   const fixture = createFixture();
   const { confirmer, entry, timers } = fixture;
--- a/packages/gateway/src/reports/start-confirmer.ts
+++ b/packages/gateway/src/reports/start-confirmer.ts
@@ -2,6 +2,7 @@
  * Asks targets for their start, so that a stream is noted with the version that wrote it and goes on at
  * that version only. A target may have started again with another one, unseen by this gateway.
  */
+import { rendezvousOrder } from '@marjoramcart/core';
 import type { TimerService } from '@marjoramcart/runtime';
 import type { GatewayState } from '../state/gateway-state.js';
 import type { TargetEntry } from '../state/target-entry.js';
@@ -20,10 +21,12 @@
 const KEEP_INTERVAL_MS = 1500;
 /** Limit of the targets that are asked without need. */
 const MAX_KEPT = 32;
-/** Time between two questions while a stream is held for the answer. */
+/** Shortest time between two questions to a target that were not answered. */
 const ASK_AGAIN_MS = 100;
 
 export interface StartConfirmerDeps {
+  /** Name of this gateway. */
+  readonly node: string;
   readonly state: Pick<GatewayState, 'target' | 'usableEngines'>;
   readonly witness: Pick<StartWitness, 'canProve' | 'proves'>;
   readonly poller: Pick<ReportPoller, 'poll'>;
@@ -37,18 +40,16 @@
   /** Monotonic ms. */
   readonly askedAt: number;
   readonly answer: Promise<PolledReport>;
+  answered: boolean;
 }
 
 export class StartConfirmer {
-  /** Questions that are not answered yet, by target. */
+  /** Latest question to each target. */
   private readonly questions = new Map<string, Question>();
 
   /** Targets that got streams, the latest one last. */
   private readonly used = new Set<string>();
 
-  /** When targets were last asked, monotonic ms. */
-  private readonly askedAt = new Map<string, number>();
-
   constructor(private readonly deps: StartConfirmerDeps) {}
 
   /** Notes that a target gets a stream that may be taken up. */
@@ -64,7 +65,7 @@
    * @param isMixed whether a service may have several software versions
    */
   keep(isMixed: (service: string) => boolean): void {
-    const { state, timers } = this.deps;
+    const { state, timers, node } = this.deps;
     const now = timers.now();
     const mixed = new Map(
       state
@@ -74,11 +75,15 @@
     );
     const gone = (id: string): boolean => !mixed.has(id);
     [...this.used].filter(gone).forEach((id) => this.used.delete(id));
-    [...this.askedAt.keys()].filter(gone).forEach((id) => this.askedAt.delete(id));
+    [...this.questions.keys()]
+      .filter((id) => state.target(id) === undefined)
+      .forEach((id) => this.questions.delete(id));
     const latestFirst = [...this.used].reverse();
-    [...new Set([...latestFirst, ...mixed.keys()])]
+    // Each gateway chooses others, so that all targets are asked.
+    const others = rendezvousOrder(node, [...mixed.keys()]);
+    [...new Set([...latestFirst, ...others])]
       .slice(0, MAX_KEPT)
-      .filter((id) => now - (this.askedAt.get(id) ?? -Infinity) >= KEEP_INTERVAL_MS)
+      .filter((id) => now - (this.questions.get(id)?.askedAt ?? -Infinity) >= KEEP_INTERVAL_MS)
       .map((id) => mixed.get(id))
       .filter((entry) => entry !== undefined)
       .forEach((entry) => this.ask(entry));
@@ -95,20 +100,29 @@
   }
 
   /**
-   * Asks a target for its start, unless the answer to a question that is late enough is awaited.
+   * Asks a target for its start, unless the answer to a question that is late enough, or was asked just
+   * now, is awaited.
    *
-   * @param after when the latest connection was established that the answer is to prove, monotonic ms
+   * @param after when the connection was established that the answer is to prove, monotonic ms
    */
   ask(entry: TargetEntry, after = -Infinity): Question {
-    const open = this.questions.get(entry.id);
-    if (open && open.askedAt >= after) return open;
-    const askedAt = this.deps.timers.now();
-    const answer = this.deps.poller.poll(entry, ASK_OPTIONS).finally(() => {
-      if (this.questions.get(entry.id)?.askedAt === askedAt) this.questions.delete(entry.id);
+    const { timers, poller } = this.deps;
+    const askedAt = timers.now();
+    const last = this.questions.get(entry.id);
+    if (last) {
+      const isJustAsked = askedAt - last.askedAt < ASK_AGAIN_MS;
+      const isLateEnough = last.askedAt >= after;
+      if (last.answered ? isJustAsked && isLateEnough : isJustAsked || isLateEnough) return last;
+    }
+    const question: Question = {
+      askedAt,
+      answered: false,
+      answer: poller.poll(entry, ASK_OPTIONS),
+    };
+    void question.answer.then(() => {
+      question.answered = true;
     });
-    const question: Question = { askedAt, answer };
     this.questions.set(entry.id, question);
-    this.askedAt.set(entry.id, askedAt);
     return question;
   }
 
@@ -141,9 +155,13 @@
       !this.proves(entry, openedAt) && state.target(entry.id) === entry && timers.now() < endsAt;
     /* eslint-disable no-await-in-loop */
     while (isOpen()) {
-      const { answer } = this.ask(entry, openedAt);
-      await Promise.race([answer, this.delay(endsAt - timers.now())]);
-      if (isOpen()) await this.delay(ASK_AGAIN_MS);
+      const { askedAt, answer } = this.ask(entry, openedAt);
+      const isUseful = askedAt >= openedAt;
+      const limit = this.delay(isUseful ? endsAt - timers.now() : ASK_AGAIN_MS);
+      const polled = await Promise.race([answer, limit]);
+      // A target that has ended tells nothing more of the process that answered before.
+      if (isUseful && polled?.kind === 'refused') break;
+      if (isUseful && isOpen()) await this.delay(ASK_AGAIN_MS);
     }
     /* eslint-enable no-await-in-loop */
     return this.proves(entry, openedAt);
--- a/packages/gateway/src/state/gateway-state.ts
+++ b/packages/gateway/src/state/gateway-state.ts
@@ -166,9 +166,9 @@
     return this.timers.now() - this.contact.contactAt;
   }
 
-  /** How long the source has answered without an outage, ms; 0 while it is away. */
+  /** How long the source has answered without an outage, ms; 0 while targets may be missed. */
   get sourceSteadyMs(): number {
-    return this.sourceAgeMs > OUTAGE_MS ? 0 : this.contact.now - this.sourceRegainedAt;
+    return this.mayMissTargets ? 0 : this.contact.now - this.sourceRegainedAt;
   }
 
   /** How long this gateway has known of a newer configuration than the one in force, ms. */
--- a/packages/gateway/src/streams/stream-registry.test.ts
+++ b/packages/gateway/src/streams/stream-registry.test.ts
@@ -27,7 +27,10 @@
     settings: { node: 'vm-1', region: 'north' },
     state: { ...defaults, ...state },
     gossip: {
-      table: { alive: () => alive },
+      table: {
+        alive: () => alive,
+        get: (node: string) => alive.find((peer) => peer.node === node),
+      },
       sendStreamUpdate: (update: StreamUpdate) => sent.push(update),
     },
     readEarlier: () => Promise.resolve(undefined),
@@ -126,3 +129,32 @@
   registry.onDelivered(takeUp({ id: 'third', resumeAfter: undefined }), { version: 'v2' });
   assert.deepEqual(await registry.scopeOf(takeUp()), { kind: 'only', version: 'v1' });
 });
+
+// Guards against a gateway that goes on at the version which it had to guess for a stream that it forwarded,
+// although the gateway at the target has learned another one (ORDER).
+test('a gateway that forwarded a stream is told the version once it is proved', async () => {
+  const { registry, sent } = createRegistry({});
+  const [forwardedBy = ''] = PEERS;
+  const begun = {
+    ...takeUp({ id: 'first', resumes: undefined, resumeAfter: undefined }),
+    forwardedBy,
+  };
+  const state = { version: undefined as string | undefined };
+  registry.onDelivered(begun, {
+    version: 'v1',
+    check: () =>
+      state.version === undefined
+        ? { kind: 'pending' }
+        : { kind: 'settled', version: state.version },
+  });
+  assert.equal(sent.length, 0);
+  state.version = 'v2';
+  assert.deepEqual(await registry.scopeOf(takeUp()), { kind: 'only', version: 'v2' });
+  const told = sent.flatMap((update) => (update.kind === 'begun' ? update.streams : []));
+  assert.deepEqual([...new Set(told.map(({ version }) => version))], ['v2']);
+  const forwarder = createRegistry({ onlyVersionWithin: () => 'v1' }).registry;
+  const source = forwarder.forwardedSource(begun);
+  assert.deepEqual([source.version, source.check?.()], ['v1', { kind: 'pending' }]);
+  forwarder.onUpdate({ kind: 'begun', streams: told.slice(0, 1) }, '10.0.0.9');
+  assert.deepEqual(source.check?.(), { kind: 'settled', version: 'v2' });
+});
--- a/packages/gateway/src/streams/stream-registry.ts
+++ b/packages/gateway/src/streams/stream-registry.ts
@@ -79,8 +79,10 @@
 
 interface UnprovedStream {
   readonly begin: StreamBegin;
-  readonly confirm: () => VersionCheck;
-  readonly prove: () => Promise<unknown>;
+  readonly check: () => VersionCheck;
+  readonly prove: () => Promise<void>;
+  /** Gateway that forwarded the request. */
+  readonly forwardedBy: string | undefined;
 }
 
 interface FoundVersion {
@@ -161,17 +163,19 @@
   /** Notes that a version delivered the first event of a call, or goes on with its stream. */
   onDelivered(
     { head, service, forwardedBy }: Call,
-    { version, confirm, prove = () => Promise.resolve(undefined) }: StreamSource,
+    { version, check, prove = () => Promise.resolve() }: StreamSource,
   ): void {
     const begin = { id: beginIdOf(head), service, version };
     if (begin.id.length > MAX_ID_LENGTH) return;
     // The gateway that the caller is connected to tells the others.
     const isOwn = forwardedBy === undefined;
-    if (!confirm) {
+    if (!check) {
       if (version !== undefined) this.note(begin, isOwn);
       return;
     }
-    this.unproved.set(keyOf(begin), { begin, confirm, prove });
+    // What wrote the first event decides.
+    if (this.unproved.has(keyOf(begin))) return;
+    this.unproved.set(keyOf(begin), { begin, check, prove, forwardedBy });
     const [oldest] = this.unproved.keys();
     if (this.unproved.size > MAX_UNPROVED && oldest !== undefined) this.unproved.delete(oldest);
     if (this.isMixed(service)) void this.proveNow(begin);
@@ -192,11 +196,7 @@
     const begin = { id: beginIdOf(head), service, version: undefined };
     this.note(begin, true);
     // The gateway that forwarded the request would go on with the version that it was told.
-    const origin = forwardedBy === undefined ? undefined : this.deps.gossip.table.get(forwardedBy);
-    if (origin) {
-      const streams = [{ ...begin, ageMs: 0 }];
-      this.deps.gossip.sendStreamUpdate({ kind: 'begun', streams }, origin.ip);
-    }
+    this.tellForwarder(begin, forwardedBy);
     this.deps.log.info('target of a stream has started again', { id: head.id, target });
   }
 
@@ -218,11 +218,34 @@
   private settle(begin: Pick<StreamBegin, 'service' | 'id'>): void {
     const key = keyOf(begin);
     const stream = this.unproved.get(key);
-    const check = stream?.confirm();
+    const check = stream?.check();
     if (!stream || check?.kind !== 'settled') return;
     this.unproved.delete(key);
+    // With one version, that is its version although its start is not known.
+    if (check.version === undefined) return;
+    const proved = { ...stream.begin, version: check.version };
     // The gateway that the caller is connected to may not have learned it.
-    this.note({ ...stream.begin, version: check.version }, true);
+    this.note(proved, true);
+    this.tellForwarder(proved, stream.forwardedBy);
+  }
+
+  private tellForwarder(begin: StreamBegin, forwardedBy: string | undefined): void {
+    const { gossip } = this.deps;
+    const forwarder = forwardedBy === undefined ? undefined : gossip.table.get(forwardedBy);
+    if (!forwarder) return;
+    gossip.sendStreamUpdate({ kind: 'begun', streams: [{ ...begin, ageMs: 0 }] }, forwarder.ip);
+  }
+
+  /** Source of a stream whose version the gateway that it was forwarded to has not proved yet. */
+  forwardedSource({ head, service }: Call): StreamSource {
+    const id = beginIdOf(head);
+    const check = (): VersionCheck => {
+      const begin = this.streams.get(service, id);
+      return begin ? { kind: 'settled', version: begin.version } : { kind: 'pending' };
+    };
+    const ageMs = this.longestWaitOf(service) + TRANSIT_MS;
+    const only = this.deps.state.onlyVersionWithin(service, ageMs);
+    return { version: only, check };
   }
 
   /** Whether runs that targets report are of use to this gateway. */
@@ -298,10 +321,16 @@
   isMixed(service: string): boolean {
     const now = this.deps.timers.now();
     const cached = this.mixed.get(service);
-    if (cached && now - cached.at < MIXED_LIFETIME_MS) return cached.isMixed;
+    return cached && now - cached.at < MIXED_LIFETIME_MS
+      ? cached.isMixed
+      : this.isMixedNow(service);
+  }
+
+  /** The same as of now, for a decision that must not be based on an earlier answer. */
+  isMixedNow(service: string): boolean {
     const ageMs = this.longestWaitOf(service) + TRANSIT_MS;
     const isMixed = this.deps.state.onlyVersionWithin(service, ageMs) === undefined;
-    this.mixed.set(service, { isMixed, at: now });
+    this.mixed.set(service, { isMixed, at: this.deps.timers.now() });
     return isMixed;
   }
 
