--- a/tests/stand-ins/src/users-platform/late-reports.test.ts
+++ b/tests/stand-ins/src/users-platform/late-reports.test.ts
@@ -60,8 +60,8 @@
   });
 }
 
-const warmed = new StreamFleetTests(33_000, ZONES);
-const withoutWarmup = new StreamFleetTests(33_100, ZONES, 0);
+const warmed = new StreamFleetTests(31_650, ZONES);
+const withoutWarmup = new StreamFleetTests(31_670, ZONES, 0);
 addTests(warmed);
 addTests(withoutWarmup);
 
