Log the delay of the event loop and the wait of connections to be accepted

Each line has loop_delay_ms while timers run late, a line a second tells the processor time used, an attempt tells how long its connection may have waited in the backlog, and a response that ends past its time-out has a line. Added: LoopWatch, AcceptBacklog, withFields; the metric loop_delay_seconds; loop_delay_ms in /status.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -318,7 +318,10 @@
     const { state, executor, timers } = this.deps;
     const arrivedAt = timers.now();
     const listener = forwarded ? this.forwardListener : this.callerListener;
-    const connectionAgeMs = listener.connectionAgeMs(req.socket);
+    const connection = {
+      connectionAgeMs: listener.connectionAgeMs(req.socket),
+      acceptWaitMs: listener.acceptWaitMs(req.socket),
+    };
     const { config } = state;
     if (!config) {
       this.refuse(req, response, ResultCodes.EntryNotReady);
@@ -401,7 +404,7 @@
       admitted.config,
       arrivedAt,
       forward,
-      connectionAgeMs,
+      connection,
     );
     await this.runCharged(call, response, () => executor.run(call, response));
   }
@@ -620,7 +623,7 @@
   config: FleetConfig,
   arrivedAt: number,
   forward: Forward | undefined,
-  connectionAgeMs: number,
+  connection: Pick<Call, 'connectionAgeMs' | 'acceptWaitMs'>,
 ): Call {
   const waitMs = longestWaitMs(head, route);
   const requiredVersion = forward?.requiredVersion;
@@ -633,7 +636,7 @@
     priority: priorityScaleOf(config).of(customer, route),
     body,
     forwardedBy: forward?.by,
-    connectionAgeMs,
+    ...connection,
     configVersion: config.version,
     ...(requiredVersion === undefined ? {} : { requiredVersion }),
     facts: {
--- a/packages/gateway/src/exchange/call.ts
+++ b/packages/gateway/src/exchange/call.ts
@@ -18,6 +18,8 @@
   readonly requiredVersion?: string;
   /** Age of the caller's connection when the request was read, ms. */
   readonly connectionAgeMs: number;
+  /** Longest time for which that connection may have waited to be accepted, ms. */
+  readonly acceptWaitMs: number;
   /** Version of the configuration that the route belongs to. */
   readonly configVersion: number;
 }
--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -9,6 +9,8 @@
 import type { CallProgress } from './call-progress.js';
 import type { SentAttempt } from './destination-sender.js';
 
+const LATE_END_MS = 250;
+
 export class DecisionLog {
   /** Polls of the sockets after which something was logged. */
   private polls = 0;
@@ -47,6 +49,7 @@
       candidates: candidates.length,
       age_ms: this.ageMs(progress),
       conn_age_ms: Math.round(call.connectionAgeMs),
+      accept_wait_ms: Math.round(call.acceptWaitMs) || undefined,
       poll: this.pollNumber(),
       from: call.forwardedBy,
       config: call.configVersion,
@@ -94,6 +97,21 @@
     });
   }
 
+  /** Logs a call whose response ended well past the time-out of its route, as far as the gateway knows. */
+  onEnd({ facts, head, route, connectionAgeMs, acceptWaitMs }: Call, result: string): void {
+    const lateMs = this.timers.now() - facts.deadlineAt;
+    if (lateMs < LATE_END_MS) return;
+    this.log.warn('ended past its time-out', {
+      id: head.id,
+      route: route.name,
+      result,
+      late_ms: Math.round(lateMs),
+      conn_age_ms: Math.round(connectionAgeMs),
+      accept_wait_ms: Math.round(acceptWaitMs) || undefined,
+      poll: this.pollNumber(),
+    });
+  }
+
   private coldFields(step: RequestStep): Record<string, unknown> {
     if (step.kind !== 'attempt' || step.candidate.destination.kind !== 'target') return {};
     const assumed = this.router.coldAssumption(step.candidate.destination.id);
--- a/packages/gateway/src/exchange/request-executor.ts
+++ b/packages/gateway/src/exchange/request-executor.ts
@@ -88,7 +88,9 @@
       return;
     }
     try {
-      recordResult(await this.runStarted(call, response, memory));
+      const result = await this.runStarted(call, response, memory);
+      recordResult(result);
+      this.decisions.onEnd(call, result);
     } finally {
       this.deps.outgoing.endCall();
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,10 +19,12 @@
   AdminTask,
   BodyMemory,
   HttpClient,
+  LoopWatch,
   MemoryWatch,
   RejectionCount,
   probeConnection,
   readDescriptorLimit,
+  withFields,
   type Logger,
   type Metrics,
   type Task,
@@ -148,9 +150,26 @@
 
   private readonly reportMemory: BodyMemory;
 
+  private readonly loopWatch: LoopWatch;
+
+  private readonly deps: GatewayDeps;
+
   private isListening = false;
 
-  constructor(private readonly deps: GatewayDeps) {
+  constructor(options: GatewayDeps) {
+    this.loopWatch = new LoopWatch({
+      timers: options.timers,
+      metrics: options.metrics,
+      log: options.log.child('loop'),
+      fields: () => ({ in_flight: this.requestsInFlight }),
+    });
+    const deps = {
+      ...options,
+      log: withFields(options.log, () => ({
+        loop_delay_ms: Math.round(this.loopWatch.delayMs) || undefined,
+      })),
+    };
+    this.deps = deps;
     const { settings, timers, log, requestProtocol: protocol } = deps;
     this.state = new GatewayState(
       settings.region,
@@ -367,6 +386,7 @@
     await Promise.all(this.tasks.map((task) => task.start()));
     this.isListening = true;
     this.memoryWatch.start();
+    this.loopWatch.start();
     await this.watch.start();
     // The gateway serves requests even while the metrics listener can't open.
     this.admin
@@ -765,6 +785,7 @@
         watches_source: this.watchesSource,
         cut_off: this.reach.isCutOff,
         in_flight: this.callers.requestsInFlight,
+        loop_delay_ms: Math.round(this.loopWatch.delayMs),
         roster: this.gossip.roster.size,
         roster_complete: this.rosterComplete,
         gossip_bytes: this.gossip.traffic,
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -4,6 +4,7 @@
 import net, { type AddressInfo } from 'node:net';
 import type { Logger } from '../logs/logger.js';
 import type { TimerService } from '../timers/timer-service.js';
+import { AcceptBacklog } from './accept-backlog.js';
 import { bindWithRetry } from './bind-with-retry.js';
 import { ConnectionBudget } from './connection-budget.js';
 import type { ConnectionHolder, ConnectionShare } from './connection-share.js';
@@ -79,6 +80,11 @@
   /** Monotonic time in ms at which each connection was accepted. */
   private readonly acceptedAt = new WeakMap<net.Socket, number>();
 
+  private readonly backlog = new AcceptBacklog();
+
+  /** Longest time for which connections may have waited to be accepted, ms. */
+  private readonly acceptWaits = new WeakMap<net.Socket, number>();
+
   /** Monotonic time in ms at which each connection without a request in flight became idle. */
   private readonly idleSince = new Map<net.Socket, number>();
 
@@ -213,6 +219,11 @@
     return now - (this.acceptedAt.get(socket) ?? now);
   }
 
+  /** Longest time for which a connection may have waited to be accepted, ms. */
+  acceptWaitMs(socket: net.Socket): number {
+    return this.acceptWaits.get(socket) ?? 0;
+  }
+
   /** Also a connection whose request has no complete head is idle. */
   get longestIdleSince(): number | undefined {
     const [since] = this.idleSince.values();
@@ -228,6 +239,7 @@
 
   private trackIdle(socket: net.Socket): void {
     this.arrivals += 1;
+    const acceptWaitMs = this.backlog.onAccept();
     if (!this.share.admit()) {
       socket.destroy();
       return;
@@ -235,6 +247,7 @@
     this.connections.add(socket);
     const now = performance.now();
     this.acceptedAt.set(socket, now);
+    this.acceptWaits.set(socket, acceptWaitMs);
     this.idleSince.set(socket, now);
     socket.once('close', () => this.forget(socket));
   }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -31,6 +31,7 @@
 export * from './kernel/turn-queue.js';
 export * from './logs/bounded-output.js';
 export * from './logs/logger.js';
+export * from './metrics/loop-watch.js';
 export * from './metrics/memory-watch.js';
 export * from './metrics/metrics.js';
 export * from './rpc/authentication.js';
--- a/packages/runtime/src/logs/logger.ts
+++ b/packages/runtime/src/logs/logger.ts
@@ -79,6 +79,22 @@
   return logger;
 }
 
+/**
+ * Returns a logger that adds fields to each line, which are read when the line is logged; a field of the line
+ * itself goes first.
+ *
+ * @example withFields(log, () => ({ loop_delay_ms: loop.delayMs || undefined }))
+ */
+export function withFields(logger: Logger, fields: () => LogFields): Logger {
+  return {
+    debug: (message, own) => logger.debug(message, { ...fields(), ...own }),
+    info: (message, own) => logger.info(message, { ...fields(), ...own }),
+    warn: (message, own) => logger.warn(message, { ...fields(), ...own }),
+    error: (message, own) => logger.error(message, { ...fields(), ...own }),
+    child: (prefix) => withFields(logger.child(prefix), fields),
+  };
+}
+
 class PrefixedLogger implements Logger {
   constructor(
     private readonly backend: TsLogger<LogFields>,
