Reset connections that wait in the backlog of a busy gateway (CONFIG)

Callers on new connections got no answer for seconds after their route's time-out: Node.js accepts one connection of a listener in each iteration of its event loop, which takes 100 to 250 ms where processor time is short, and time-outs count from the read of a request.

Once each poll has accepted a connection for 400 ms, connections go before turns for 50 ms; what is left then is reset unread by closing the listening socket and binding it again, which tells callers at once that nothing ran.

--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -183,7 +183,10 @@
 
   private readonly unreadResponses: UnreadResponses;
 
-  private readonly turns = new TurnQueue();
+  private readonly turns = new TurnQueue({
+    isBacklogLate: () => this.callerListener.isBacklogLate,
+    onBacklogLeft: () => this.resetBacklog(),
+  });
 
   /** Resolves at the end of the last stream of a connection. */
   private readonly streams = new WeakMap<Socket, Promise<void>>();
@@ -292,6 +295,14 @@
     this.forwardListener.setTimeouts({ headersTimeoutMs, idleTimeoutMs: listenerIdleMs });
   }
 
+  /** Resets the connections of callers that have waited for long to be accepted. */
+  private resetBacklog(): void {
+    this.deps.log.warn('connections reset that waited to be accepted', {
+      in_flight: this.inFlight,
+    });
+    void this.callerListener.resetBacklog();
+  }
+
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
--- a/packages/runtime/src/http/accept-backlog.test.ts
+++ b/packages/runtime/src/http/accept-backlog.test.ts
@@ -23,3 +23,15 @@
   }, Promise.resolve());
   assert.deepEqual(waits, [0, 100, 200, 0]);
 });
+
+test('the wait starts anew once the backlog was emptied', async () => {
+  let now = 1000;
+  const backlog = new AcceptBacklog(() => now);
+  backlog.onAccept();
+  now += 500;
+  assert.equal(backlog.waitMs, 500);
+  backlog.onEmptied();
+  assert.equal(backlog.waitMs, 0);
+  assert.equal(backlog.onAccept(), 0);
+  await nextPoll();
+});
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -54,6 +54,8 @@
 const IDLE_SWEEP_INTERVAL_MS = 100;
 /** Idle time before a closing listener closes a connection, as a request may be on its way. */
 const CLOSE_IDLE_AFTER_MS = 1000;
+/** Wait after which connections in the backlog are reset, unless they can be accepted soon. */
+const MAX_ACCEPT_WAIT_MS = 400;
 /** Connections that arrive during an iteration of the event loop are seen in the next one. */
 const IDLE_ITERATION_MS = 0.1;
 /** Under constant load no iteration is idle; the listener then closes after this time. */
@@ -82,6 +84,9 @@
 
   private readonly backlog = new AcceptBacklog();
 
+  /** Whether the address is being bound again. */
+  private resetting = false;
+
   /** Longest time for which connections may have waited to be accepted, ms. */
   private readonly acceptWaits = new WeakMap<net.Socket, number>();
 
@@ -139,14 +144,18 @@
    * @throws Error when the address can't be bound
    */
   async listen(): Promise<void> {
-    const { address, log, onError } = this.options;
-    await bindWithRetry(
+    await this.bindAgain();
+    this.server.on('error', this.options.onError);
+  }
+
+  private bindAgain(): Promise<void> {
+    const { address, log } = this.options;
+    return bindWithRetry(
       address,
       () => this.bind(),
       log,
       () => !this.stopped,
     );
-    this.server.on('error', onError);
   }
 
   private async bind(): Promise<void> {
@@ -224,6 +233,30 @@
     return this.acceptWaits.get(socket) ?? 0;
   }
 
+  /** Whether connections may have waited to be accepted for so long that their callers have given up. */
+  get isBacklogLate(): boolean {
+    return !this.closing && this.backlog.waitMs >= MAX_ACCEPT_WAIT_MS;
+  }
+
+  /**
+   * Resets the connections that are not accepted yet, so that their callers try another gateway at once. The
+   * listener accepts new ones afterwards; those that are open stay.
+   */
+  async resetBacklog(): Promise<void> {
+    if (this.stopped || this.closing || this.resetting) return;
+    this.resetting = true;
+    this.backlog.onEmptied();
+    try {
+      // http.Server.close would close idle connections as well.
+      net.Server.prototype.close.call(this.server);
+      await this.bindAgain();
+    } catch (err) {
+      this.options.onError(err);
+    } finally {
+      this.resetting = false;
+    }
+  }
+
   /** Also a connection whose request has no complete head is idle. */
   get longestIdleSince(): number | undefined {
     const [since] = this.idleSince.values();
--- a/packages/runtime/src/kernel/turn-queue.test.ts
+++ b/packages/runtime/src/kernel/turn-queue.test.ts
@@ -80,3 +80,38 @@
   await turns.next();
   assert.deepEqual(events, ['a', 'tick a', 'b', 'tick b']);
 });
+
+// Guards against connections that wait for seconds, one accepted in each poll, while the turns of others take long (CONFIG).
+test('turns wait while a late backlog is accepted', async () => {
+  let polls = 0;
+  let left = 0;
+  const turns = new TurnQueue({
+    isBacklogLate: () => polls < CALLERS,
+    onBacklogLeft: () => {
+      left += 1;
+    },
+  });
+  const watch = (): void => {
+    polls += 1;
+    if (polls < CALLERS) setImmediate(watch);
+  };
+  setImmediate(watch);
+  await turns.next();
+  assert.equal(polls, CALLERS);
+  assert.equal(left, 0);
+});
+
+// Guards against requests that are never handled, as new connections come all the time.
+test('turns are taken in between, however many connections come', async () => {
+  let left = 0;
+  const turns = new TurnQueue({
+    isBacklogLate: () => true,
+    onBacklogLeft: () => {
+      left += 1;
+    },
+  });
+  const startedAt = performance.now();
+  await Promise.all([turns.next(), turns.next()]);
+  assert.ok(performance.now() - startedAt < 1000);
+  assert.ok(left > 0);
+});
--- a/packages/runtime/src/kernel/turn-queue.ts
+++ b/packages/runtime/src/kernel/turn-queue.ts
@@ -7,6 +7,15 @@
 
 /** Time after which those that are left wait for another poll. */
 const SLICE_MS = 100;
+/** Longest time for which turns wait while connections are accepted. */
+const ACCEPT_MS = 50;
+
+export interface TurnQueueOptions {
+  /** Whether connections have waited for so long to be accepted that they go first. */
+  readonly isBacklogLate?: () => boolean;
+  /** Called when they were accepted for `ACCEPT_MS` and more are left. */
+  readonly onBacklogLeft?: () => void;
+}
 
 export class TurnQueue {
   /** Callers since the latest poll. */
@@ -17,6 +26,8 @@
 
   private scheduled = false;
 
+  constructor(private readonly options: TurnQueueOptions = {}) {}
+
   /**
    * Resolves when it is the turn of the caller. Of all connections whose end had arrived by the time of the
    * call, the end has been read then, and no longer ago than a slice and the events of one poll take.
@@ -36,7 +47,19 @@
     if (this.scheduled) return;
     this.scheduled = true;
     // Immediates run after the events of a poll.
-    setImmediate(() => this.takeTurns(performance.now() + SLICE_MS));
+    setImmediate(() => this.startSlice(performance.now() + ACCEPT_MS));
+  }
+
+  /** Lets connections that have waited for long be accepted: without turns the polls follow each other at once. */
+  private startSlice(acceptUntil: number): void {
+    const now = performance.now();
+    const isLate = this.options.isBacklogLate?.() === true;
+    if (isLate && now < acceptUntil) {
+      setImmediate(() => this.startSlice(acceptUntil));
+      return;
+    }
+    if (isLate) this.options.onBacklogLeft?.();
+    this.takeTurns(now + SLICE_MS);
   }
 
   private takeTurns(endAt: number): void {
