--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -165,9 +165,10 @@
     });
     const deps = {
       ...options,
-      log: withFields(options.log, () => ({
-        loop_delay_ms: Math.round(this.loopWatch.delayMs) || undefined,
-      })),
+      log: withFields(options.log, () => {
+        const { delayMs } = this.loopWatch;
+        return delayMs > 0 ? { loop_delay_ms: Math.round(delayMs) } : undefined;
+      }),
     };
     this.deps = deps;
     const { settings, timers, log, requestProtocol: protocol } = deps;
--- a/packages/runtime/src/logs/logger.ts
+++ b/packages/runtime/src/logs/logger.ts
@@ -83,14 +83,19 @@
  * Returns a logger that adds fields to each line, which are read when the line is logged; a field of the line
  * itself goes first.
  *
- * @example withFields(log, () => ({ loop_delay_ms: loop.delayMs || undefined }))
+ * @param fields undefined if there is nothing to add now
+ * @example withFields(log, () => (loop.delayMs > 0 ? { loop_delay_ms: loop.delayMs } : undefined))
  */
-export function withFields(logger: Logger, fields: () => LogFields): Logger {
+export function withFields(logger: Logger, fields: () => LogFields | undefined): Logger {
+  const add = (own: LogFields | undefined): LogFields | undefined => {
+    const added = fields();
+    return added ? { ...added, ...own } : own;
+  };
   return {
-    debug: (message, own) => logger.debug(message, { ...fields(), ...own }),
-    info: (message, own) => logger.info(message, { ...fields(), ...own }),
-    warn: (message, own) => logger.warn(message, { ...fields(), ...own }),
-    error: (message, own) => logger.error(message, { ...fields(), ...own }),
+    debug: (message, own) => logger.debug(message, add(own)),
+    info: (message, own) => logger.info(message, add(own)),
+    warn: (message, own) => logger.warn(message, add(own)),
+    error: (message, own) => logger.error(message, add(own)),
     child: (prefix) => withFields(logger.child(prefix), fields),
   };
 }
--- a/packages/runtime/src/metrics/loop-watch.ts
+++ b/packages/runtime/src/metrics/loop-watch.ts
@@ -36,6 +36,9 @@
 export class LoopWatch {
   private samples: readonly Sample[] = [];
 
+  /** Longest delay of the samples within the last second, ms. */
+  private longestMs = 0;
+
   /** Undefined before the start. */
   private sampledAt: number | undefined;
 
@@ -53,10 +56,7 @@
 
   /** Longest delay within the last second, ms; 0 while it is usual. */
   get delayMs(): number {
-    const now = this.options.timers.now();
-    const current = this.delayAt(now);
-    const delays = this.recent(now).map(({ delayMs }) => delayMs);
-    return Math.max(0, current, ...delays);
+    return Math.max(this.longestMs, this.delayAt(this.options.timers.now()));
   }
 
   /** @example new LoopWatch({ timers, metrics, log }).start() */
@@ -71,7 +71,10 @@
     const now = this.options.timers.now();
     const delayMs = this.delayAt(now);
     this.sampledAt = now;
-    this.samples = [...this.recent(now), { at: now, delayMs }];
+    if (delayMs > 0 || this.longestMs > 0) {
+      this.samples = [...this.recent(now), { at: now, delayMs }];
+      this.longestMs = Math.max(...this.samples.map((sample) => sample.delayMs));
+    }
     if (delayMs >= LATE_MS && now - this.loggedAt >= MIN_LOG_INTERVAL_MS) this.report(now);
   }
 
