--- a/packages/gateway/src/callers/caller-task.ts
+++ b/packages/gateway/src/callers/caller-task.ts
@@ -52,6 +52,7 @@
 import type { QuotaTask } from '../quota/quota-task.js';
 import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state/gateway-state.js';
+import { usedBeforeReadMs } from './arrival-estimate.js';
 import type { ConfigCatchUp } from './config-catch-up.js';
 
 /** Request header with the name of the gateway that forwarded the request. */
@@ -654,7 +655,7 @@
       kind: route.kind,
       resumable: route.resumable,
       maxAttempts: Math.min(attempts, route.maxAttempts),
-      deadlineAt: arrivedAt + waitMs,
+      deadlineAt: arrivedAt + waitMs - usedBeforeReadMs(connection, waitMs),
       arrivedAt,
       latencyTargetMs: route.latencyTargetMs,
       patienceMs: Math.min(waitMs, route.patienceMs),
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -55,7 +55,7 @@
 /** Idle time before a closing listener closes a connection, as a request may be on its way. */
 const CLOSE_IDLE_AFTER_MS = 1000;
 /** Wait after which connections in the backlog are reset, unless they can be accepted soon. */
-const MAX_ACCEPT_WAIT_MS = 400;
+const MAX_ACCEPT_WAIT_MS = 800;
 /** Connections that arrive during an iteration of the event loop are seen in the next one. */
 const IDLE_ITERATION_MS = 0.1;
 /** Under constant load no iteration is idle; the listener then closes after this time. */
