Close a listener that is bound again while it is destroyed

A listener that is destroyed while its backlog is being reset would have bound its address again and kept it.

--- a/packages/gateway/src/exchange/decision-log.ts
+++ b/packages/gateway/src/exchange/decision-log.ts
@@ -9,6 +9,7 @@
 import type { CallProgress } from './call-progress.js';
 import type { SentAttempt } from './destination-sender.js';
 
+/** A response that ends so long after its deadline is logged, ms. */
 const LATE_END_MS = 250;
 
 export class DecisionLog {
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -144,11 +144,11 @@
    * @throws Error when the address can't be bound
    */
   async listen(): Promise<void> {
-    await this.bindAgain();
+    await this.bindWhenFree();
     this.server.on('error', this.options.onError);
   }
 
-  private bindAgain(): Promise<void> {
+  private bindWhenFree(): Promise<void> {
     const { address, log } = this.options;
     return bindWithRetry(
       address,
@@ -233,7 +233,7 @@
     return this.acceptWaits.get(socket) ?? 0;
   }
 
-  /** Whether connections may have waited to be accepted for so long that their callers have given up. */
+  /** Whether connections may have waited for so long to be accepted that their callers are about to give up. */
   get isBacklogLate(): boolean {
     return !this.closing && this.backlog.waitMs >= MAX_ACCEPT_WAIT_MS;
   }
@@ -249,7 +249,9 @@
     try {
       // http.Server.close would close idle connections as well.
       net.Server.prototype.close.call(this.server);
-      await this.bindAgain();
+      await this.bindWhenFree();
+      // The listener may have been closed meanwhile.
+      if (this.stopped) this.server.close();
     } catch (err) {
       this.options.onError(err);
     } finally {
--- a/tests/stand-ins/src/users-platform/slow-machine.serial.test.ts
+++ b/tests/stand-ins/src/users-platform/slow-machine.serial.test.ts
@@ -26,7 +26,9 @@
 
 before(async () => {
   await gateway.start();
-  machine = new SlowMachine(gateway.process.pid ?? 0, SHARE_OF_PROCESSOR);
+  const { pid } = gateway.process;
+  assert.ok(pid !== undefined);
+  machine = new SlowMachine(pid, SHARE_OF_PROCESSOR);
   machine.start();
 });
 
