--- a/packages/gateway/src/callers/arrival-estimate.ts
+++ b/packages/gateway/src/callers/arrival-estimate.ts
@@ -3,7 +3,7 @@
 
 /** A request that is read within this time of the accept arrived with its connection. */
 const FIRST_REQUEST_MS = 500;
-/** The wait in the backlog is known as an upper bound only. */
+/** Share of the longest possible wait that counts, as the wait itself is not known. */
 const USUAL_SHARE = 0.5;
 /** Largest share of its time-out that a request may lose by the estimate. */
 const MAX_SHARE_OF_TIMEOUT = 0.25;
